--- /dev/null
+++ b/src/config/replica.cpp
@@ -0,0 +1,32 @@
+#include "config/replica.h"
+
+#include <algorithm>
+
+namespace fulmar {
+
+ApplyReport ConfigReplica::apply(const Changes& changes)
+{
+    ApplyReport report;
+    for (const auto& row : changes.rows) {
+        auto& known = m_rows[row.key];
+        if (row.version < known.version)
+            ++report.olderRows;
+        if (row.version <= known.version)
+            continue;
+        known = row;
+        report.changedKeys.push_back(row.key);
+    }
+    m_version = std::max(m_version, changes.tableVersion);
+    return report;
+}
+
+Changes ConfigReplica::changesSince(Version since) const
+{
+    Changes changes { {}, m_version };
+    for (const auto& [key, row] : m_rows)
+        if (row.version > since)
+            changes.rows.push_back(row);
+    return changes;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/core/event.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/types.h"
+
+#include <boost/circular_buffer.hpp>
+#include <compare>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fulmar {
+
+// Hybrid logical clock stamp: orders events causally across processes whose wall clocks differ.
+struct EventStamp {
+    WallTime wall {};
+    std::uint32_t counter { 0 };
+
+    auto operator<=>(const EventStamp&) const = default;
+};
+
+using EventField = std::pair<std::string, std::string>;
+
+// One fact in the life of a request, VM, move, wave or task.
+struct Event {
+    EventStamp stamp;
+    ProcessId process;
+    std::string kind;
+    std::vector<EventField> fields;
+};
+
+// Keeps the newest events of this process and stamps them. Thread-safe; costs a bounded amount of memory.
+class EventLog {
+public:
+    EventLog(ProcessId process, std::size_t capacity);
+
+    // Records an event and writes it to the log as one line.
+    void record(WallTime now, std::string kind, std::vector<EventField> fields);
+
+    // Merges a stamp received from another process, so that later local events order after it.
+    void observe(EventStamp remote);
+
+    // The stamp to attach to an outgoing message.
+    [[nodiscard]] EventStamp stampForMessage(WallTime now);
+
+    // The events kept, oldest first.
+    [[nodiscard]] std::vector<Event> snapshot() const;
+
+    [[nodiscard]] const ProcessId& process() const { return m_process; }
+
+private:
+    EventStamp nextStampLocked(WallTime now);
+
+    const ProcessId m_process;
+    mutable std::mutex m_mutex;
+    EventStamp m_last;
+    boost::circular_buffer<Event> m_events;
+};
+
+// "kind=... key=value ..." with values quoted where needed.
+[[nodiscard]] std::string formatEvent(const Event&);
+
+} // namespace fulmar
--- /dev/null
+++ b/src/core/log.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace fulmar {
+
+using LogFields = std::vector<std::pair<std::string, std::string>>;
+
+// Sends log lines to standard error, each prefixed with time, level and process name. Called once by a
+// program.
+void initializeLog(std::string_view processName);
+
+// Writes "event=<event> key=value ..." as one line. Does nothing before initializeLog.
+void logInfo(std::string_view event, const LogFields& fields);
+void logWarning(std::string_view event, const LogFields& fields);
+
+// "event=<event> key=value ..."; values with spaces, quotes or line ends are quoted and escaped.
+[[nodiscard]] std::string formatFields(std::string_view event, const LogFields& fields);
+
+} // namespace fulmar
--- /dev/null
+++ b/src/platform/workers.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/types.h"
+#include "core/verdict.h"
+
+#include <concepts>
+#include <string>
+#include <vector>
+
+namespace fulmar {
+
+// Where a task stands on its worker.
+enum class TaskPhase : std::uint8_t {
+    Running,
+    Throttled,
+    Finished,
+    Failed,
+    Stopped,
+    // The worker ended the task because its lease was not renewed in time.
+    LeaseLapsed,
+};
+
+// What a worker says of one task. Usage lags behind the truth.
+struct TaskReport {
+    TaskId task;
+    OperationId start;
+    TaskPhase phase { TaskPhase::Running };
+    double processorsUsed { 0 };
+    std::uint64_t memoryMbUsed { 0 };
+    // Name of the newest checkpoint in the object store; empty if there is none.
+    std::string checkpoint;
+    std::string detail;
+};
+
+struct WorkerReport {
+    VmId worker;
+    PoolId pool;
+    ZoneId zone;
+    RackId rack;
+    double processors { 0 };
+    std::uint64_t memoryMb { 0 };
+    std::uint32_t accelerators { 0 };
+    bool live { true };
+    bool leaving { false };
+    std::vector<TaskReport> tasks;
+};
+
+// One start of a task. Starting the same operation twice starts it once; the task ends itself when its lease
+// lapses.
+struct TaskStart {
+    TaskId task;
+    JobId job;
+    OperationId operation;
+    double processors { 0 };
+    std::uint64_t memoryMb { 0 };
+    std::uint32_t accelerators { 0 };
+    std::chrono::milliseconds lease {};
+    // Checkpoint to continue from; empty to start afresh.
+    std::string checkpoint;
+};
+
+enum class TaskOrder : std::uint8_t {
+    Checkpoint,
+    Throttle,
+    Resume,
+    Stop,
+};
+
+// The platform's workers. Calls block the calling duty thread, for at most the client's timeout.
+template <typename W>
+concept WorkerClient = requires(W& workers, const VmId& worker, const TaskStart& start, const TaskId& task,
+    const std::vector<TaskId>& tasks, TaskOrder order, const OperationId& operation,
+    std::chrono::milliseconds lease) {
+    {
+        workers.startTask(worker, start)
+    } -> std::same_as<Result<void>>;
+    {
+        workers.renewLeases(worker, tasks, lease)
+    } -> std::same_as<Result<void>>;
+    {
+        workers.orderTask(worker, task, order, operation)
+    } -> std::same_as<Result<void>>;
+    {
+        workers.listWorkers()
+    } -> std::same_as<Result<std::vector<WorkerReport>>>;
+};
+
+} // namespace fulmar
--- /dev/null
+++ b/src/programs/fulmar_bench.cpp
@@ -0,0 +1,7 @@
+#include "core/log.h"
+
+int main()
+{
+    fulmar::initializeLog("fulmar-bench");
+    return 0;
+}
