Peer messages over gRPC with proven not-run failures

Processes swap configuration rows, loads and membership in one exchange, and ask each other about keys, leaving VMs, tasks and events. A call counts as not run only when gRPC never assigned it to a connection; a silent peer leaves it open. Round trip, refusal and silence are tested over loopback.

--- /dev/null
+++ b/src/peer/messages.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "core/event.h"
+#include "platform/table.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fulmar {
+
+enum class PeerRole : std::uint8_t {
+    Entry,
+    Control,
+};
+
+[[nodiscard]] inline std::string_view toString(PeerRole role)
+{
+    return role == PeerRole::Entry ? "entry" : "control";
+}
+
+// A process of the system as others reach it. Each start of a process has a new incarnation.
+struct PeerInfo {
+    ProcessId process;
+    PeerRole role { PeerRole::Entry };
+    RegionId region;
+    ZoneId zone;
+    // "host:port" of the process's peer server.
+    std::string address;
+    std::uint64_t incarnation { 0 };
+
+    bool operator==(const PeerInfo&) const = default;
+};
+
+// Calls that the sender has in flight at a target.
+struct TargetLoad {
+    VmId vm;
+    std::uint32_t inFlight { 0 };
+};
+
+// What two processes tell each other. `changes.tableVersion` is the sender's configuration version; its rows
+// are those that the receiver lacks.
+struct Exchange {
+    PeerInfo from;
+    EventStamp stamp;
+    Changes changes;
+    std::vector<TargetLoad> loads;
+    std::vector<PeerInfo> known;
+    // VMs of which the sender knows that they are leaving, before any row says so.
+    std::vector<VmId> leaving;
+};
+
+struct ConfirmQuestion {
+    EventStamp stamp;
+    VmId vm;
+    Version version { 0 };
+};
+
+// An entry's word on a leaving VM: what it has applied and what it still has in flight there.
+struct Confirmation {
+    EventStamp stamp;
+    Version appliedVersion { 0 };
+    std::uint32_t inFlight { 0 };
+    std::uint64_t incarnation { 0 };
+    // Processes that received their configuration from this one.
+    std::vector<PeerInfo> fed;
+};
+
+struct KeyQuestion {
+    EventStamp stamp;
+    std::string key;
+    std::uint64_t fingerprint { 0 };
+    // The incarnation that is said to own the key.
+    std::uint64_t incarnation { 0 };
+    // How long the owner may wait for a running call to end.
+    std::chrono::milliseconds wait {};
+};
+
+enum class KeyState : std::uint8_t {
+    Unknown,
+    Running,
+    Finished,
+    // The key was used for a request with another content.
+    OtherRequest,
+    NotRun,
+    MayHaveRun,
+};
+
+using HeaderField = std::pair<std::string, std::string>;
+
+// A whole answer of a target.
+struct HttpAnswer {
+    std::uint32_t status { 0 };
+    std::vector<HeaderField> headers;
+    std::string body;
+};
+
+struct KeyAnswer {
+    EventStamp stamp;
+    KeyState state { KeyState::Unknown };
+    HttpAnswer answer;
+};
+
+// A caller's request on a task, passed from an entry to the control process that owns the task's shard.
+struct TaskCall {
+    EventStamp stamp;
+    // POST, GET or DELETE.
+    std::string method;
+    // Empty for POST.
+    TaskId task;
+    std::string body;
+};
+
+struct TaskAnswer {
+    EventStamp stamp;
+    std::uint32_t status { 0 };
+    Outcome outcome { Outcome::MayHaveRun };
+    std::string body;
+};
+
+struct TimelineQuestion {
+    EventStamp stamp;
+    std::uint32_t limit { 0 };
+};
+
+struct TimelineAnswer {
+    EventStamp stamp;
+    std::vector<Event> events;
+};
+
+} // namespace fulmar
--- /dev/null
+++ b/src/peer/peer_client.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "peer/messages.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fulmar {
+
+// Calls peers by "host:port" over gRPC and keeps their channels. Thread-safe. Every call ends within its
+// timeout. A failure is NotRun when no connection to the peer could be made, and MayHaveRun otherwise.
+class PeerClient {
+public:
+    PeerClient();
+    ~PeerClient();
+    PeerClient(const PeerClient&) = delete;
+    PeerClient& operator=(const PeerClient&) = delete;
+
+    // Calls back on a thread of the client; the callback must not block.
+    void exchange(const std::string& address, const Exchange&, std::chrono::milliseconds timeout,
+        std::function<void(Result<Exchange>)> done);
+    void askKey(const std::string& address, const KeyQuestion&, std::chrono::milliseconds timeout,
+        std::function<void(Result<KeyAnswer>)> done);
+    void callTask(const std::string& address, const TaskCall&, std::chrono::milliseconds timeout,
+        std::function<void(Result<TaskAnswer>)> done);
+
+    // Block the calling thread.
+    [[nodiscard]] Result<Confirmation> confirmLeaving(
+        const std::string& address, const ConfirmQuestion&, std::chrono::milliseconds timeout);
+    [[nodiscard]] Result<TimelineAnswer> timeline(
+        const std::string& address, const TimelineQuestion&, std::chrono::milliseconds timeout);
+
+private:
+    class Channels;
+    std::unique_ptr<Channels> m_channels;
+};
+
+} // namespace fulmar
--- /dev/null
+++ b/src/peer/tests/peer_test.cpp
@@ -0,0 +1,109 @@
+#include "peer/peer_client.h"
+#include "peer/peer_server.h"
+#include "peer/wire.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <rapidcheck/boost_test.h>
+
+using namespace fulmar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto patience = 20s;
+
+PeerInfo somePeer()
+{
+    return { ProcessId("e1"), PeerRole::Entry, RegionId("n"), ZoneId("a"), "127.0.0.1:1", 3 };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Peer)
+
+BOOST_AUTO_TEST_CASE(ExchangeCarriesRowsLoadsAndPeersBothWays)
+{
+    Exchange sent { somePeer(), { WallTime(5ms), 2 },
+        { { { "config/a", "1", 4, OperationId("o"), true } }, 9 }, { { VmId("v"), 3 } }, { somePeer() },
+        { VmId("w") } };
+    Exchange received;
+    auto server = PeerServer::start("127.0.0.1:0", { [&](const Exchange& message) {
+        received = message;
+        return message;
+    } });
+    BOOST_REQUIRE(server.has_value());
+
+    PeerClient client;
+    std::promise<Result<Exchange>> answer;
+    client.exchange(
+        (*server)->address(), sent, patience, [&](auto result) { answer.set_value(std::move(result)); });
+    auto result = answer.get_future().get();
+    BOOST_REQUIRE(result.has_value());
+    for (const auto& each : { received, *result }) {
+        BOOST_TEST((each.from == sent.from));
+        BOOST_TEST((each.stamp == sent.stamp));
+        BOOST_TEST((each.changes.rows == sent.changes.rows));
+        BOOST_TEST(each.changes.tableVersion == 9U);
+        BOOST_TEST(each.loads.at(0).inFlight == 3U);
+        BOOST_TEST((each.known == sent.known));
+        BOOST_TEST((each.leaving == sent.leaving));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(UnreachablePeerIsProvenNotRun)
+{
+    std::string address;
+    {
+        auto server = PeerServer::start("127.0.0.1:0", {});
+        BOOST_REQUIRE(server.has_value());
+        address = (*server)->address();
+    }
+    PeerClient client;
+    auto result = client.confirmLeaving(address, { {}, VmId("v"), 1 }, patience);
+    BOOST_REQUIRE(!result.has_value());
+    BOOST_TEST(result.error().outcome == Outcome::NotRun);
+}
+
+// The handler is entered and never answers in time: nothing may be claimed about the call.
+BOOST_AUTO_TEST_CASE(SilentPeerMayHaveRunTheCall)
+{
+    std::promise<void> entered;
+    std::promise<void> release;
+    auto server = PeerServer::start("127.0.0.1:0", { {}, [&](const ConfirmQuestion&) {
+                                                        entered.set_value();
+                                                        release.get_future().wait();
+                                                        return Confirmation {};
+                                                    } });
+    BOOST_REQUIRE(server.has_value());
+    PeerClient client;
+    auto result = client.confirmLeaving((*server)->address(), { {}, VmId("v"), 1 }, 500ms);
+    entered.get_future().wait();
+    release.set_value();
+    BOOST_REQUIRE(!result.has_value());
+    BOOST_TEST(result.error().outcome == Outcome::MayHaveRun);
+}
+
+BOOST_AUTO_TEST_CASE(MessagesSurviveTheWire)
+{
+    KeyAnswer answer { { WallTime(1ms), 1 }, KeyState::Finished,
+        { 201, { { "A", "b" } }, std::string("x\0y", 3) } };
+    peer::wire::KeyAnswer wire;
+    peer::toWire(answer, wire);
+    auto copy = peer::fromWire(wire);
+    BOOST_TEST((copy.state == answer.state));
+    BOOST_TEST(copy.answer.body == answer.answer.body);
+    BOOST_TEST((copy.answer.headers == answer.answer.headers));
+}
+
+// Whatever bytes arrive, parsing and conversion end in a message or a refusal.
+RC_BOOST_PROP(AnyBytesParseOrFail, (const std::string& bytes))
+{
+    peer::wire::Exchange wire;
+    if (wire.ParseFromString(bytes)) {
+        auto message = peer::fromWire(wire);
+        RC_ASSERT(message.loads.size() == std::size_t(wire.loads_size()));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
