--- /dev/null
+++ b/src/daemon/caller_server.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/clock.h"
+#include "peer/messages.h"
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace fulmar {
+
+using CallId = std::uint64_t;
+
+// A caller's request. The views stay valid until the call is answered.
+struct CallerRequest {
+    std::string method;
+    // Path and query, as sent.
+    std::string_view path;
+    // The Fulmar-Caller header, or the remote address.
+    std::string caller;
+    std::vector<HeaderField> headers;
+    std::string_view body;
+};
+
+struct CallerServerLimits {
+    // "host:port" to listen on.
+    std::string address;
+    std::size_t maxConnections { 4'096 };
+    std::size_t maxUrlBytes { 8 * 1024 };
+    std::size_t maxHeaderBytes { 16 * 1024 };
+    std::size_t maxHeaders { 100 };
+    std::size_t maxBodyBytes { 8 * 1024 * 1024 };
+    // A request, or the next one on a kept connection, must be read within this time.
+    std::chrono::milliseconds readTimeout { 60'000 };
+    std::chrono::milliseconds writeTimeout { 30'000 };
+    // Longest time a call may take.
+    std::chrono::milliseconds callTimeout { std::chrono::hours(1) };
+};
+
+// The HTTP/1.1 server that callers, and the balancer's health check, talk to. Used by the loop's thread only.
+class CallerServer {
+public:
+    using OnCall = std::function<void(CallId, CallerRequest)>;
+
+    // Fails (NotRun, Internal) if the address cannot be bound.
+    [[nodiscard]] static Result<std::unique_ptr<CallerServer>> start(
+        asio::io_context&, const CallerServerLimits&, OnCall onCall);
+
+    virtual ~CallerServer() = default;
+
+    // Sends the whole answer and ends the call. With `closes`, the connection is closed after it.
+    virtual void answer(CallId, HttpAnswer, bool closes) = 0;
+
+    [[nodiscard]] virtual std::size_t openConnections() const = 0;
+
+    virtual void stopAccepting() = 0;
+};
+
+} // namespace fulmar
--- /dev/null
+++ b/src/daemon/target_client.cpp
@@ -0,0 +1,406 @@
+#include "daemon/target_client.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <cassert>
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <map>
+#include <strings.h>
+#include <unordered_map>
+
+namespace fulmar {
+
+namespace {
+
+constexpr long maxIdleConnections = 1'024;
+constexpr long receiveBufferBytes = 64 * 1024;
+constexpr std::size_t maxIdleHandles = 256;
+
+// Headers that concern one connection only (RFC 9110, 7.6.1) or that libcurl sets itself.
+constexpr std::array<std::string_view, 10> connectionHeaders { "connection", "keep-alive",
+    "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
+    "content-length", "proxy-connection" };
+
+// A target announces with this header that it is leaving.
+constexpr std::string_view targetStateHeader = "Fulmar-Target-State";
+// A target vouches with this header that it did not run the request.
+constexpr std::string_view outcomeHeader = "Fulmar-Outcome";
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+bool isConnectionHeader(std::string_view name)
+{
+    return std::any_of(connectionHeaders.begin(), connectionHeaders.end(),
+        [&](std::string_view each) { return equalsIgnoringCase(each, name); });
+}
+
+std::string_view findHeader(const std::vector<HeaderField>& headers, std::string_view name)
+{
+    for (const auto& [each, value] : headers)
+        if (equalsIgnoringCase(each, name))
+            return value;
+    return {};
+}
+
+// One request on its way; lives from start to done or cancel.
+struct Attempt {
+    AttemptId id { 0 };
+    CURL* easy { nullptr };
+    curl_slist* headers { nullptr };
+    TargetClient::Done done;
+    HttpAnswer answer;
+    std::size_t maxAnswerBytes { 0 };
+    int sends { 0 };
+    bool tooLarge { false };
+    bool isHead { false };
+};
+
+// Called when a connection is ready and the request is about to be written, also before libcurl's own second
+// try.
+int beforeSend(void* user, char*, char*, int, int)
+{
+    auto& attempt = *static_cast<Attempt*>(user);
+    return ++attempt.sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+std::size_t onBody(char* data, std::size_t size, std::size_t count, void* user)
+{
+    auto& attempt = *static_cast<Attempt*>(user);
+    auto bytes = size * count;
+    if (attempt.answer.body.size() + bytes > attempt.maxAnswerBytes) {
+        attempt.tooLarge = true;
+        return 0;
+    }
+    attempt.answer.body.append(data, bytes);
+    return bytes;
+}
+
+void collectHeaders(Attempt& attempt)
+{
+    curl_header* previous = nullptr;
+    while (auto* header = curl_easy_nextheader(attempt.easy, CURLH_HEADER, -1, previous)) {
+        attempt.answer.headers.emplace_back(header->name, header->value);
+        previous = header;
+    }
+}
+
+// An answer whose end is marked only by the connection's end cannot be told from a truncated one.
+bool hasProvenEnd(const Attempt& attempt)
+{
+    const auto& [status, headers, body] = attempt.answer;
+    bool hasNoBody = attempt.isHead || status == 204 || status == 304;
+    return hasNoBody || !findHeader(headers, "content-length").empty()
+        || equalsIgnoringCase(findHeader(headers, "transfer-encoding"), "chunked");
+}
+
+AttemptEnd describeFailure(const Attempt& attempt, CURLcode code)
+{
+    if (attempt.sends == 0)
+        return { Outcome::NotRun, std::nullopt,
+            code == CURLE_OPERATION_TIMEDOUT ? Reason::DeadlineExceeded : Reason::TargetFailed, false };
+    switch (code) {
+    case CURLE_OPERATION_TIMEDOUT:
+        return { Outcome::MayHaveRun, std::nullopt, Reason::DeadlineExceeded, false };
+    case CURLE_PARTIAL_FILE:
+    case CURLE_WRITE_ERROR:
+        return { Outcome::MayHaveRun, std::nullopt, Reason::Truncated, false };
+    default:
+        return { Outcome::MayHaveRun, std::nullopt, Reason::TargetFailed, false };
+    }
+}
+
+AttemptEnd describeEnd(Attempt& attempt, CURLcode code)
+{
+    if (code != CURLE_OK)
+        return describeFailure(attempt, code);
+    long status = 0;
+    curl_easy_getinfo(attempt.easy, CURLINFO_RESPONSE_CODE, &status);
+    attempt.answer.status = static_cast<std::uint32_t>(status);
+    collectHeaders(attempt);
+    bool isLeaving = equalsIgnoringCase(findHeader(attempt.answer.headers, targetStateHeader), "leaving");
+    if (!hasProvenEnd(attempt))
+        return { Outcome::MayHaveRun, std::nullopt, Reason::Truncated, isLeaving };
+    bool vouchesNotRun = status == 503
+        && equalsIgnoringCase(findHeader(attempt.answer.headers, outcomeHeader), toString(Outcome::NotRun));
+    auto outcome = vouchesNotRun ? Outcome::NotRun : Outcome::Ran;
+    std::erase_if(attempt.answer.headers, [](const HeaderField& field) {
+        return isConnectionHeader(field.first) || equalsIgnoringCase(field.first, outcomeHeader);
+    });
+    return { outcome, static_cast<int>(status), Reason::TargetFailed, isLeaving };
+}
+
+curl_slist* buildHeaders(const TargetRequest& request)
+{
+    // Empty entries take out what libcurl would add by itself.
+    curl_slist* list = curl_slist_append(nullptr, "Expect:");
+    if (findHeader(request.headers, "accept").empty())
+        list = curl_slist_append(list, "Accept:");
+    if (findHeader(request.headers, "content-type").empty())
+        list = curl_slist_append(list, "Content-Type:");
+    for (const auto& [name, value] : request.headers)
+        if (!isConnectionHeader(name))
+            list = curl_slist_append(list, (value.empty() ? name + ";" : name + ": " + value).c_str());
+    return list;
+}
+
+} // namespace
+
+class TargetClient::Machinery {
+public:
+    Machinery(asio::io_context& loop, TargetClientLimits limits)
+        : m_loop(loop)
+        , m_timer(loop)
+        , m_limits(limits)
+        , m_multi(curl_multi_init())
+    {
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, onSocket);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, onTimer);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, m_limits.connectionsPerTarget);
+        curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    }
+
+    Machinery(const Machinery&) = delete;
+    Machinery& operator=(const Machinery&) = delete;
+
+    ~Machinery()
+    {
+        for (auto& [id, attempt] : m_attempts)
+            release(*attempt);
+        for (auto* easy : m_idle)
+            curl_easy_cleanup(easy);
+        curl_multi_cleanup(m_multi);
+    }
+
+    void start(AttemptId id, const TargetRequest& request, Done done)
+    {
+        auto attempt = std::make_unique<Attempt>();
+        attempt->id = id;
+        attempt->done = std::move(done);
+        attempt->maxAnswerBytes = m_limits.maxAnswerBytes;
+        attempt->isHead = request.method == "HEAD";
+        attempt->headers = buildHeaders(request);
+        attempt->easy = takeHandle();
+        configure(*attempt, request);
+        auto* easy = attempt->easy;
+        m_attempts.emplace(id, std::move(attempt));
+        curl_multi_add_handle(m_multi, easy);
+    }
+
+    void cancel(AttemptId id)
+    {
+        if (auto position = m_attempts.find(id); position != m_attempts.end()) {
+            release(*position->second);
+            m_attempts.erase(position);
+        }
+    }
+
+private:
+    struct Watch {
+        explicit Watch(asio::io_context& loop)
+            : socket(loop)
+        {
+        }
+        asio::ip::tcp::socket socket;
+        int interest { 0 };
+        bool isReading { false };
+        bool isWriting { false };
+    };
+
+    CURL* takeHandle()
+    {
+        if (m_idle.empty())
+            return curl_easy_init();
+        auto* easy = m_idle.back();
+        m_idle.pop_back();
+        return easy;
+    }
+
+    void configure(Attempt& attempt, const TargetRequest& request)
+    {
+        auto* easy = attempt.easy;
+        auto timeout
+            = std::max<long>(1, std::chrono::ceil<std::chrono::milliseconds>(request.timeout).count());
+        curl_easy_setopt(
+            easy, CURLOPT_URL, fmt::format("http://{}{}", request.address, request.path).c_str());
+        curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(m_limits.connectTimeout.count()));
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout);
+        curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receiveBufferBytes);
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        if (attempt.isHead)
+            curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        else if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.empty() ? "" : request.body.data());
+        }
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, attempt.headers);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, beforeSend);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &attempt);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &attempt);
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, &attempt);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, onOpen);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, onClose);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    }
+
+    void release(Attempt& attempt)
+    {
+        curl_multi_remove_handle(m_multi, attempt.easy);
+        curl_slist_free_all(attempt.headers);
+        if (m_idle.size() < maxIdleHandles) {
+            curl_easy_reset(attempt.easy);
+            m_idle.push_back(attempt.easy);
+        } else {
+            curl_easy_cleanup(attempt.easy);
+        }
+    }
+
+    // libcurl asks for sockets, so that the loop's own socket objects watch them.
+    static curl_socket_t onOpen(void* user, curlsocktype, curl_sockaddr* address)
+    {
+        auto& self = *static_cast<Machinery*>(user);
+        if (address->family != AF_INET)
+            return CURL_SOCKET_BAD;
+        auto watch = std::make_shared<Watch>(self.m_loop);
+        asio::error_code error;
+        watch->socket.open(asio::ip::tcp::v4(), error);
+        if (error)
+            return CURL_SOCKET_BAD;
+        auto handle = watch->socket.native_handle();
+        self.m_sockets.emplace(handle, std::move(watch));
+        return handle;
+    }
+
+    static int onClose(void* user, curl_socket_t handle)
+    {
+        auto& self = *static_cast<Machinery*>(user);
+        if (auto position = self.m_sockets.find(handle); position != self.m_sockets.end()) {
+            position->second->interest = 0;
+            asio::error_code ignored;
+            position->second->socket.close(ignored);
+            self.m_sockets.erase(position);
+        }
+        return 0;
+    }
+
+    static int onSocket(CURL*, curl_socket_t handle, int what, void* user, void*)
+    {
+        auto& self = *static_cast<Machinery*>(user);
+        if (auto position = self.m_sockets.find(handle); position != self.m_sockets.end()) {
+            position->second->interest = what == CURL_POLL_REMOVE ? 0 : what;
+            self.watch(position->second);
+        }
+        return 0;
+    }
+
+    static int onTimer(CURLM*, long timeoutMs, void* user)
+    {
+        auto& self = *static_cast<Machinery*>(user);
+        self.m_timer.cancel();
+        if (timeoutMs < 0)
+            return 0;
+        self.m_timer.expires_after(std::chrono::milliseconds(timeoutMs));
+        self.m_timer.async_wait([&self](const asio::error_code& error) {
+            if (!error)
+                self.act(CURL_SOCKET_TIMEOUT, 0);
+        });
+        return 0;
+    }
+
+    // Waits on the socket for whatever libcurl wants of it. The shared pointer outlives a close during the
+    // wait.
+    void watch(const std::shared_ptr<Watch>& watch)
+    {
+        if ((watch->interest & CURL_POLL_IN) && !watch->isReading) {
+            watch->isReading = true;
+            watch->socket.async_wait(
+                asio::ip::tcp::socket::wait_read, [this, watch](const asio::error_code& error) {
+                    onReady(watch, watch->isReading, CURL_CSELECT_IN, error);
+                });
+        }
+        if ((watch->interest & CURL_POLL_OUT) && !watch->isWriting) {
+            watch->isWriting = true;
+            watch->socket.async_wait(
+                asio::ip::tcp::socket::wait_write, [this, watch](const asio::error_code& error) {
+                    onReady(watch, watch->isWriting, CURL_CSELECT_OUT, error);
+                });
+        }
+    }
+
+    void onReady(
+        const std::shared_ptr<Watch>& each, bool& isWaiting, int event, const asio::error_code& error)
+    {
+        isWaiting = false;
+        if (error || !each->socket.is_open() || !each->interest)
+            return;
+        act(each->socket.native_handle(), event);
+        if (each->socket.is_open())
+            watch(each);
+    }
+
+    void act(curl_socket_t handle, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(m_multi, handle, events, &running);
+        collectFinished();
+    }
+
+    void collectFinished()
+    {
+        int left = 0;
+        while (auto* message = curl_multi_info_read(m_multi, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            Attempt* raw = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &raw);
+            auto code = message->data.result;
+            auto position = m_attempts.find(raw->id);
+            assert(position != m_attempts.end());
+            auto attempt = std::move(position->second);
+            m_attempts.erase(position);
+            auto end = describeEnd(*attempt, code);
+            release(*attempt);
+            attempt->done(end, std::move(attempt->answer));
+        }
+    }
+
+    asio::io_context& m_loop;
+    asio::steady_timer m_timer;
+    const TargetClientLimits m_limits;
+    CURLM* m_multi;
+    std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> m_sockets;
+    std::unordered_map<AttemptId, std::unique_ptr<Attempt>> m_attempts;
+    std::vector<CURL*> m_idle;
+};
+
+TargetClient::TargetClient(asio::io_context& loop, TargetClientLimits limits)
+    : m_machinery(std::make_unique<Machinery>(loop, limits))
+{
+}
+
+TargetClient::~TargetClient() = default;
+
+void TargetClient::start(AttemptId id, const TargetRequest& request, Done done)
+{
+    m_machinery->start(id, request, std::move(done));
+}
+
+void TargetClient::cancel(AttemptId id) { m_machinery->cancel(id); }
+
+} // namespace fulmar
--- /dev/null
+++ b/src/peer/membership.cpp
@@ -0,0 +1,144 @@
+#include "peer/membership.h"
+
+#include <algorithm>
+
+namespace fulmar {
+
+Membership::Membership(PeerInfo self, MembershipSettings settings)
+    : m_self(std::move(self))
+    , m_settings(std::move(settings))
+{
+}
+
+// A replaced process keeps its id and has a higher incarnation; news of the old one is ignored.
+void Membership::merge(const PeerInfo& peer, TimePoint contact, TimePoint heard)
+{
+    if (peer.process == m_self.process || peer.process.empty())
+        return;
+    auto& member = m_members[peer.process];
+    if (peer.incarnation < member.info.incarnation)
+        return;
+    member.info = peer;
+    member.lastContact = std::max(member.lastContact, contact);
+    member.lastHeard = std::max(member.lastHeard, heard);
+}
+
+void Membership::onContact(const PeerInfo& peer, TimePoint now) { merge(peer, now, now); }
+
+void Membership::onHearsay(const std::vector<PeerInfo>& peers, TimePoint now)
+{
+    for (const auto& peer : peers)
+        merge(peer, TimePoint {}, now);
+}
+
+bool Membership::isLive(const Member& member, TimePoint now) const
+{
+    auto limit = member.info.zone == m_self.zone ? m_settings.liveFor : m_settings.remoteLiveFor;
+    return now - member.lastHeard <= limit;
+}
+
+// One exchange serves both sides, so of two entries only the one with the smaller id starts it, unless it is
+// silent.
+bool Membership::startsExchange(const Member& member, TimePoint now) const
+{
+    return m_self.process < member.info.process || now - member.lastContact > 3 * m_settings.zonePeriod;
+}
+
+template <typename Wanted> Membership::Member* Membership::leastRecentlyTried(Wanted wanted)
+{
+    Member* best = nullptr;
+    for (auto& [id, member] : m_members)
+        if (wanted(member) && (!best || member.lastTried < best->lastTried))
+            best = &member;
+    return best;
+}
+
+void Membership::addZoneExchanges(std::vector<std::string>& due, TimePoint now)
+{
+    if (m_self.role == PeerRole::Entry) {
+        for (auto& [id, member] : m_members) {
+            bool isZoneEntry = member.info.role == PeerRole::Entry && member.info.zone == m_self.zone;
+            if (isZoneEntry && startsExchange(member, now))
+                due.push_back(member.info.address);
+        }
+    }
+    auto* control = leastRecentlyTried([&](const Member& member) {
+        return member.info.role == PeerRole::Control && member.info.zone == m_self.zone;
+    });
+    if (control) {
+        control->lastTried = now;
+        due.push_back(control->info.address);
+    }
+}
+
+void Membership::addRemoteExchanges(std::vector<std::string>& due, TimePoint now)
+{
+    if (auto* remote
+        = leastRecentlyTried([&](const Member& member) { return member.info.zone != m_self.zone; })) {
+        remote->lastTried = now;
+        due.push_back(remote->info.address);
+    }
+    for (const auto& seed : m_settings.seeds) {
+        bool isKnown = std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) {
+            return entry.second.info.address == seed && isLive(entry.second, now);
+        });
+        if (!isKnown && seed != m_self.address)
+            due.push_back(seed);
+    }
+}
+
+std::vector<std::string> Membership::due(TimePoint now)
+{
+    std::erase_if(
+        m_members, [&](const auto& entry) { return now - entry.second.lastHeard > m_settings.rememberFor; });
+    std::vector<std::string> due;
+    if (now >= m_nextZone) {
+        m_nextZone = now + m_settings.zonePeriod;
+        addZoneExchanges(due, now);
+    }
+    if (now >= m_nextRemote) {
+        m_nextRemote = now + m_settings.remotePeriod;
+        addRemoteExchanges(due, now);
+    }
+    std::sort(due.begin(), due.end());
+    due.erase(std::unique(due.begin(), due.end()), due.end());
+    return due;
+}
+
+std::vector<PeerInfo> Membership::contacts(TimePoint now) const
+{
+    std::vector<PeerInfo> peers { m_self };
+    for (const auto& [id, member] : m_members)
+        if (now - member.lastContact <= m_settings.liveFor)
+            peers.push_back(member.info);
+    return peers;
+}
+
+std::vector<PeerInfo> Membership::live(PeerRole role, TimePoint now) const
+{
+    std::vector<PeerInfo> peers;
+    if (m_self.role == role)
+        peers.push_back(m_self);
+    for (const auto& [id, member] : m_members)
+        if (member.info.role == role && isLive(member, now))
+            peers.push_back(member.info);
+    return peers;
+}
+
+std::vector<PeerInfo> Membership::live(PeerRole role, const ZoneId& zone, TimePoint now) const
+{
+    auto peers = live(role, now);
+    std::erase_if(peers, [&](const PeerInfo& peer) { return peer.zone != zone; });
+    return peers;
+}
+
+std::optional<PeerInfo> Membership::find(const ProcessId& process) const
+{
+    if (process == m_self.process)
+        return m_self;
+    if (auto position = m_members.find(process); position != m_members.end())
+        return position->second.info;
+    return std::nullopt;
+}
+
+} // namespace fulmar
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -2,8 +2,10 @@
 
 #include "core/event.h"
 #include "platform/table.h"
+#include "serve/dispatcher.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,22 +35,15 @@
     bool operator==(const PeerInfo&) const = default;
 };
 
-// Calls that the sender has in flight at a target.
-struct TargetLoad {
-    VmId vm;
-    std::uint32_t inFlight { 0 };
-};
-
 // What two processes tell each other. `changes.tableVersion` is the sender's configuration version; its rows
 // are those that the receiver lacks.
 struct Exchange {
     PeerInfo from;
     EventStamp stamp;
     Changes changes;
-    std::vector<TargetLoad> loads;
+    // Between entries only.
+    std::optional<serve::PeerLoad> load;
     std::vector<PeerInfo> known;
-    // VMs of which the sender knows that they are leaving, before any row says so.
-    std::vector<VmId> leaving;
 };
 
 struct ConfirmQuestion {
@@ -69,22 +64,7 @@
 
 struct KeyQuestion {
     EventStamp stamp;
-    std::string key;
-    std::uint64_t fingerprint { 0 };
-    // The incarnation that is said to own the key.
-    std::uint64_t incarnation { 0 };
-    // How long the owner may wait for a running call to end.
-    std::chrono::milliseconds wait {};
-};
-
-enum class KeyState : std::uint8_t {
-    Unknown,
-    Running,
-    Finished,
-    // The key was used for a request with another content.
-    OtherRequest,
-    NotRun,
-    MayHaveRun,
+    serve::KeyQuestion question;
 };
 
 using HeaderField = std::pair<std::string, std::string>;
@@ -98,7 +78,8 @@
 
 struct KeyAnswer {
     EventStamp stamp;
-    KeyState state { KeyState::Unknown };
+    serve::OwnerAnswer owner;
+    // Present when the owner kept it.
     HttpAnswer answer;
 };
 
--- a/src/peer/tests/peer_test.cpp
+++ b/src/peer/tests/peer_test.cpp
@@ -45,9 +45,12 @@
         BOOST_TEST((each.stamp == sent.stamp));
         BOOST_TEST((each.changes.rows == sent.changes.rows));
         BOOST_TEST(each.changes.tableVersion == 9U);
-        BOOST_TEST(each.loads.at(0).inFlight == 3U);
+        BOOST_TEST((each.load->inFlight == sent.load->inFlight));
+        BOOST_TEST((each.load->lent == sent.load->lent));
+        BOOST_TEST((each.load->waiting == sent.load->waiting));
+        BOOST_TEST((each.load->leaving == sent.load->leaving));
+        BOOST_TEST((each.load->lentFor == sent.load->lentFor));
         BOOST_TEST((each.known == sent.known));
-        BOOST_TEST((each.leaving == sent.leaving));
     }
 }
 
@@ -91,7 +94,7 @@
     peer::wire::KeyAnswer wire;
     peer::toWire(answer, wire);
     auto copy = peer::fromWire(wire);
-    BOOST_TEST((copy.state == answer.state));
+    BOOST_TEST((copy.owner.knowledge == answer.owner.knowledge && copy.owner.movedTo == grant));
     BOOST_TEST(copy.answer.body == answer.answer.body);
     BOOST_TEST((copy.answer.headers == answer.answer.headers));
 }
@@ -102,7 +105,7 @@
     peer::wire::Exchange wire;
     if (wire.ParseFromString(bytes)) {
         auto message = peer::fromWire(wire);
-        RC_ASSERT(message.loads.size() == std::size_t(wire.loads_size()));
+        RC_ASSERT(message.changes.rows.size() == std::size_t(wire.rows_size()));
     }
 }
 
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -1,5 +1,8 @@
 #include "peer/wire.h"
 
+#include <array>
+#include <map>
+
 namespace fulmar::peer {
 
 namespace {
@@ -40,22 +43,86 @@
     return Outcome::MayHaveRun;
 }
 
-KeyState readState(wire::KeyAnswer::State state)
-{
-    switch (state) {
-    case wire::KeyAnswer::RUNNING:
-        return KeyState::Running;
-    case wire::KeyAnswer::FINISHED:
-        return KeyState::Finished;
-    case wire::KeyAnswer::OTHER_REQUEST:
-        return KeyState::OtherRequest;
-    case wire::KeyAnswer::NOT_RUN:
-        return KeyState::NotRun;
-    case wire::KeyAnswer::MAY_HAVE_RUN:
-        return KeyState::MayHaveRun;
-    default:
-        return KeyState::Unknown;
+constexpr std::array knowledgeNames {
+    std::pair { serve::KeyKnowledge::Unreachable, wire::KeyAnswer::UNREACHABLE },
+    std::pair { serve::KeyKnowledge::Kept, wire::KeyAnswer::KEPT },
+    std::pair { serve::KeyKnowledge::Running, wire::KeyAnswer::RUNNING },
+    std::pair { serve::KeyKnowledge::HandedOver, wire::KeyAnswer::HANDED_OVER },
+    std::pair { serve::KeyKnowledge::Moved, wire::KeyAnswer::MOVED },
+    std::pair { serve::KeyKnowledge::RanAnswerLost, wire::KeyAnswer::RAN_ANSWER_LOST },
+    std::pair { serve::KeyKnowledge::MayHaveRun, wire::KeyAnswer::MAY_HAVE_RUN },
+    std::pair { serve::KeyKnowledge::OtherRequest, wire::KeyAnswer::OTHER_REQUEST },
+    std::pair { serve::KeyKnowledge::Gone, wire::KeyAnswer::GONE },
+};
+
+wire::KeyAnswer::Knowledge toWire(serve::KeyKnowledge knowledge)
+{
+    for (const auto& [ours, theirs] : knowledgeNames)
+        if (ours == knowledge)
+            return theirs;
+    return wire::KeyAnswer::UNREACHABLE;
+}
+
+serve::KeyKnowledge readKnowledge(wire::KeyAnswer::Knowledge knowledge)
+{
+    for (const auto& [ours, theirs] : knowledgeNames)
+        if (theirs == knowledge)
+            return ours;
+    return serve::KeyKnowledge::Unreachable;
+}
+
+void fill(const serve::KeyGrant& grant, wire::KeyGrant& out)
+{
+    out.set_process(grant.owner.process.value());
+    out.set_incarnation(grant.owner.incarnation);
+    out.set_serial(grant.serial);
+}
+
+serve::KeyGrant read(const wire::KeyGrant& in)
+{
+    return { { ProcessId(in.process()), in.incarnation() }, in.serial() };
+}
+
+void fill(const serve::PeerLoad& load, wire::Load& out)
+{
+    std::map<VmId, wire::TargetLoad*> targets;
+    auto target = [&](const VmId& vm) -> wire::TargetLoad& {
+        auto& known = targets[vm];
+        if (!known) {
+            known = out.add_targets();
+            known->set_vm(vm.value());
+        }
+        return *known;
+    };
+    for (const auto& [vm, count] : load.inFlight)
+        target(vm).set_in_flight(count);
+    for (const auto& [vm, count] : load.lent)
+        target(vm).set_lent(count);
+    for (const auto& [service, waiting] : load.waiting) {
+        auto& each = *out.add_services();
+        each.set_service(service.value());
+        each.set_waiting(waiting);
     }
+    out.set_lent_us(load.lentFor.count());
+    for (const auto& vm : load.leaving)
+        out.add_leaving(vm.value());
+}
+
+serve::PeerLoad read(const wire::Load& in)
+{
+    serve::PeerLoad load;
+    for (const auto& target : in.targets()) {
+        if (target.in_flight())
+            load.inFlight[VmId(target.vm())] = target.in_flight();
+        if (target.lent())
+            load.lent[VmId(target.vm())] = target.lent();
+    }
+    for (const auto& each : in.services())
+        load.waiting[ServiceId(each.service())] = each.waiting();
+    load.lentFor = Duration(in.lent_us());
+    for (const auto& vm : in.leaving())
+        load.leaving.emplace_back(vm);
+    return load;
 }
 
 template <typename Fields>
@@ -83,11 +150,8 @@
     fill(message.from, *out.mutable_from());
     fill(message.stamp, *out.mutable_stamp());
     out.set_config_version(message.changes.tableVersion);
-    for (const auto& [vm, inFlight] : message.loads) {
-        auto& load = *out.add_loads();
-        load.set_vm(vm.value());
-        load.set_in_flight(inFlight);
-    }
+    if (message.load)
+        fill(*message.load, *out.mutable_load());
     for (const auto& row : message.changes.rows) {
         auto& each = *out.add_rows();
         each.set_key(row.key);
@@ -98,8 +162,6 @@
     }
     for (const auto& peer : message.known)
         fill(peer, *out.add_known());
-    for (const auto& vm : message.leaving)
-        out.add_leaving(vm.value());
 }
 
 Exchange fromWire(const wire::Exchange& in)
@@ -108,15 +170,13 @@
     message.from = read(in.from());
     message.stamp = read(in.stamp());
     message.changes.tableVersion = in.config_version();
-    for (const auto& load : in.loads())
-        message.loads.push_back({ VmId(load.vm()), load.in_flight() });
+    if (in.has_load())
+        message.load = read(in.load());
     for (const auto& row : in.rows())
         message.changes.rows.push_back(
             { row.key(), row.value(), row.version(), OperationId(row.operation()), row.deleted() });
     for (const auto& peer : in.known())
         message.known.push_back(read(peer));
-    for (const auto& vm : in.leaving())
-        message.leaving.emplace_back(vm);
     return message;
 }
 
@@ -151,33 +211,38 @@
     return confirmation;
 }
 
-void toWire(const KeyQuestion& question, wire::KeyQuestion& out)
+void toWire(const KeyQuestion& message, wire::KeyQuestion& out)
 {
-    fill(question.stamp, *out.mutable_stamp());
-    out.set_key(question.key);
-    out.set_fingerprint(question.fingerprint);
-    out.set_incarnation(question.incarnation);
-    out.set_wait_ms(question.wait.count());
+    fill(message.stamp, *out.mutable_stamp());
+    out.set_key(message.question.key);
+    out.set_fingerprint(message.question.fingerprint);
+    fill(message.question.holder, *out.mutable_holder());
+    fill(message.question.asker, *out.mutable_asker());
 }
 
 KeyQuestion fromWire(const wire::KeyQuestion& in)
 {
-    return { read(in.stamp()), in.key(), in.fingerprint(), in.incarnation(),
-        std::chrono::milliseconds(in.wait_ms()) };
+    return { read(in.stamp()), { in.key(), in.fingerprint(), read(in.holder()), read(in.asker()) } };
 }
 
-void toWire(const KeyAnswer& answer, wire::KeyAnswer& out)
+void toWire(const KeyAnswer& message, wire::KeyAnswer& out)
 {
-    fill(answer.stamp, *out.mutable_stamp());
-    out.set_state(static_cast<wire::KeyAnswer::State>(answer.state));
-    out.set_status(answer.answer.status);
-    fillFields(answer.answer.headers, *out.mutable_headers());
-    out.set_body(answer.answer.body);
+    fill(message.stamp, *out.mutable_stamp());
+    out.set_knowledge(toWire(message.owner.knowledge));
+    if (message.owner.movedTo)
+        fill(*message.owner.movedTo, *out.mutable_moved_to());
+    out.set_status(message.answer.status);
+    fillFields(message.answer.headers, *out.mutable_headers());
+    out.set_body(message.answer.body);
 }
 
 KeyAnswer fromWire(const wire::KeyAnswer& in)
 {
-    return { read(in.stamp()), readState(in.state()), { in.status(), readFields(in.headers()), in.body() } };
+    KeyAnswer message { read(in.stamp()), { readKnowledge(in.knowledge()), std::nullopt },
+        { in.status(), readFields(in.headers()), in.body() } };
+    if (in.has_moved_to())
+        message.owner.movedTo = read(in.moved_to());
+    return message;
 }
 
 void toWire(const TaskCall& call, wire::TaskCall& out)
