Dispatcher: thin serving decisions from call to answer, with at-most-once keys

The entry daemon needs one pure object that turns events (call, attempt end, claim, tick, configuration) into actions. This first version has the whole path: directory from configuration rows, bounded queue, fixed slot shares, own zone first, retries to another target only where the first is proven unsent or the call is idempotent, deadlines, leaving targets, and idempotency keys. A caller's key is claimed in the table before its first byte; a minted key belongs to the process that made it; the holder of a key answers resends from memory or hands an unsent key over. Grants carry a serial, so that a process that has forgotten a key can tell, and then says may-have-run.

Routing, slots, admission, retry budget and ejection are simple here and follow as modules of their own.

--- /dev/null
+++ b/src/serve/dispatcher.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "serve/call.h"
+#include "serve/directory.h"
+#include "serve/key_registry.h"
+
+#include <map>
+#include <memory>
+
+namespace fulmar::serve {
+
+struct DispatcherSettings {
+    ZoneId zone;
+    ProcessId process;
+    // Must differ from that of every other life of this process: random, or the wall clock at start.
+    std::uint64_t incarnation { 0 };
+    // Seed of all random choices.
+    std::uint64_t seed { 1 };
+    KeyRegistryLimits keys;
+    // How often the owner of a running key is asked again.
+    Duration askInterval { std::chrono::milliseconds(100) };
+    // How long an attempt for a keyed request may outlive the caller's deadline, so that a resend finds its
+    // answer.
+    Duration keyedGrace { std::chrono::seconds(10) };
+};
+
+// An entry VM, ours included. `zone` is where it runs.
+struct EntryVm {
+    ProcessId process;
+    ZoneId zone;
+
+    bool operator==(const EntryVm&) const = default;
+};
+
+// What entry VMs tell each other several times a second.
+struct PeerLoad {
+    // Calls in flight per target.
+    std::map<VmId, std::uint32_t> inFlight;
+    // Calls that wait for a slot, per service.
+    std::map<ServiceId, std::uint32_t> waiting;
+    // Slots of the sender that the receiver may use until `lentFor` after the message was sent.
+    std::map<VmId, std::uint32_t> lent;
+    Duration lentFor {};
+    // Targets of which the sender was told, other than by a peer, that they are leaving.
+    std::vector<VmId> leaving;
+};
+
+// Decides, for one entry VM, which call goes where and when, and what its caller is told. Pure: it owns no
+// socket, thread or clock. The daemon reports each event with the time and carries out the returned actions
+// in order. Not thread-safe: one duty thread feeds it.
+//
+// Every accepted call ends in exactly one PassAnswer, PassKeptAnswer or Refuse, unless its caller is gone.
+class Dispatcher {
+public:
+    explicit Dispatcher(DispatcherSettings);
+    ~Dispatcher();
+    Dispatcher(Dispatcher&&) noexcept;
+    Dispatcher& operator=(Dispatcher&&) noexcept;
+
+    [[nodiscard]] Actions onCall(RequestId, const CallInfo&, TimePoint now);
+    [[nodiscard]] Actions onAttemptEnd(AttemptId, const AttemptEnd&, TimePoint now);
+    [[nodiscard]] Actions onCallerGone(RequestId, TimePoint now);
+
+    [[nodiscard]] Actions onClaim(RequestId, const ClaimResult&, TimePoint now);
+    [[nodiscard]] Actions onOwnerAnswer(RequestId, const OwnerAnswer&, TimePoint now);
+
+    // Answers a peer's question. On Kept the daemon adds the answer kept under the key to its reply.
+    [[nodiscard]] OwnerAnswer onPeerAsk(const KeyQuestion&, TimePoint now);
+
+    // Passes time on; to be called at nextWake() or later.
+    [[nodiscard]] Actions onTick(TimePoint now);
+    // When onTick has something to do; empty if only another event can bring about an action.
+    [[nodiscard]] std::optional<TimePoint> nextWake() const;
+
+    [[nodiscard]] Actions applyDirectory(ServiceDirectory, TimePoint now);
+
+    // All entry VMs that are registered, whether they can be reached or not; ours included.
+    [[nodiscard]] Actions setEntries(const std::vector<EntryVm>&, TimePoint now);
+
+    // The platform's list, an operator or the target itself said that the VM is leaving. It gets no new call
+    // until its row has a higher epoch and says Serving again.
+    void onTargetLeaving(const VmId&, TimePoint now);
+
+    [[nodiscard]] Actions onPeerLoad(const ProcessId&, const PeerLoad&, TimePoint now);
+    // The message for one peer; to be made and sent about every 100 ms.
+    [[nodiscard]] PeerLoad loadFor(const ProcessId& peer, TimePoint now);
+
+    // Attempts in flight per target, for the fleet's check that a VM is empty.
+    [[nodiscard]] std::map<VmId, std::uint32_t> inFlight() const;
+
+    // A key that only this process can run, for callers that want at-most-once without the table. Empty while
+    // draining.
+    [[nodiscard]] std::optional<std::string> mintKey(TimePoint now);
+
+    // Calls are still served while draining, because the balancer keeps sending for a while; no keys are
+    // minted any more.
+    void beginDrain(TimePoint now);
+    // No call waits or is in flight.
+    [[nodiscard]] bool isIdle() const;
+
+private:
+    class State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace fulmar::serve
--- /dev/null
+++ b/src/serve/keyed_calls.cpp
@@ -0,0 +1,320 @@
+#include "serve/keyed_calls.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fulmar::serve {
+
+namespace {
+
+constexpr std::size_t maxFollowers = 16;
+// How often a question may be sent on before the holder counts as unknown.
+constexpr std::uint32_t maxHops = 4;
+constexpr std::chrono::seconds retryAfterRunning { 1 };
+constexpr std::chrono::seconds retryAfterOutage { 5 };
+constexpr std::chrono::seconds never { 0 };
+
+Failure otherRequest()
+{
+    return { Outcome::NotRun, Reason::BadInput, "the idempotency key was used for another request" };
+}
+
+Failure answerLost()
+{
+    return { Outcome::Ran, Reason::KeyUnknown, "the request ran; its answer is no longer kept" };
+}
+
+Failure endUnknown()
+{
+    return { Outcome::MayHaveRun, Reason::KeyUnknown,
+        "an earlier sending of this key may have run; its end is not known" };
+}
+
+std::string_view callersPart(std::string_view key) { return key.substr(key.find(' ') + 1); }
+
+} // namespace
+
+std::string scopedKey(const ServiceId& service, const std::string& callersKey)
+{
+    return service.value() + ' ' + callersKey;
+}
+
+KeyedCalls::KeyedCalls(KeyOwner self, KeyRegistryLimits limits)
+    : m_registry(std::move(self), limits)
+{
+}
+
+KeyedStep KeyedCalls::onCall(
+    RequestId request, const std::string& key, std::uint64_t fingerprint, TimePoint now)
+{
+    KeyedStep step;
+    auto* state = m_registry.find(key);
+    if (!state) {
+        auto minted = parseMintedKey(callersPart(key));
+        bool ours = minted && minted->owner == m_registry.self();
+        if (ours && !m_registry.isFreshMint(*minted, now)) {
+            step.actions.emplace_back(Refuse { request, endUnknown(), never });
+            return step;
+        }
+        state = &m_registry.add(key, fingerprint, now);
+        if (ours)
+            state->phase = KeyPhase::Owned;
+        else if (minted)
+            state->holder = { minted->owner, 0 };
+    }
+    if (state->fingerprint != fingerprint) {
+        step.actions.emplace_back(Refuse { request, otherRequest(), never });
+        return step;
+    }
+    drive(request, key, *state, step);
+    return step;
+}
+
+// Takes the request as far as the key's phase allows.
+void KeyedCalls::drive(RequestId request, const std::string& key, KeyState& state, KeyedStep& step)
+{
+    bool busy = state.leader.has_value() || state.phase == KeyPhase::Sent;
+    if (busy && state.followers.size() >= maxFollowers) {
+        step.actions.emplace_back(Refuse { request,
+            { Outcome::MayHaveRun, Reason::Overloaded, "too many resends of this key wait for its end" },
+            retryAfterRunning });
+        return;
+    }
+    if (busy) {
+        state.followers.push_back(request);
+        return;
+    }
+    switch (state.phase) {
+    case KeyPhase::Undecided:
+        state.leader = request;
+        state.hops = 0;
+        if (state.holder.owner.process.empty())
+            step.actions.emplace_back(
+                ClaimKey { request, key, { m_registry.nextGrant(), state.fingerprint } });
+        else
+            ask(request, key, state, state.holder, step);
+        return;
+    case KeyPhase::Owned:
+        own(request, state, step);
+        return;
+    case KeyPhase::HandedOver:
+        state.leader = request;
+        state.hops = 0;
+        ask(request, key, state, state.movedTo, step);
+        return;
+    case KeyPhase::Answered:
+        step.actions.emplace_back(PassKeptAnswer { request, key });
+        return;
+    case KeyPhase::AnswerForgotten:
+        step.actions.emplace_back(Refuse { request, answerLost(), never });
+        return;
+    case KeyPhase::Sent:
+    case KeyPhase::EndUnknown:
+        step.actions.emplace_back(Refuse { request, endUnknown(), never });
+        return;
+    }
+}
+
+KeyedStep KeyedCalls::onClaim(RequestId request, const std::string& key, const ClaimResult& result)
+{
+    KeyedStep step;
+    auto* state = findLed(request, key);
+    if (!state)
+        return step;
+    if (std::holds_alternative<ClaimWon>(result)) {
+        own(request, *state, step);
+        return step;
+    }
+    if (const auto* held = std::get_if<ClaimHeld>(&result)) {
+        if (held->claim.fingerprint != state->fingerprint)
+            refuseAll(*state, otherRequest(), never, step);
+        else if (m_registry.isUnused(*state, held->claim.grant))
+            own(request, *state, step);
+        else if (held->claim.grant.owner == m_registry.self())
+            refuseAll(*state, endUnknown(), never, step);
+        else
+            ask(request, key, *state, held->claim.grant, step);
+        return step;
+    }
+    // The key was not run by this call, but an earlier sending of it through another entry VM may have.
+    refuseAll(*state,
+        { Outcome::MayHaveRun, Reason::StoreUnavailable,
+            "the key's history cannot be read; it was not run now" },
+        retryAfterOutage, step);
+    return step;
+}
+
+KeyedStep KeyedCalls::onOwnerAnswer(RequestId request, const std::string& key, const OwnerAnswer& answer)
+{
+    KeyedStep step;
+    auto* state = findLed(request, key);
+    if (!state)
+        return step;
+    switch (answer.knowledge) {
+    case KeyKnowledge::Kept:
+        state->leader.reset();
+        step.actions.emplace_back(PassKeptAnswer { request, key });
+        for (auto follower : std::exchange(state->followers, {}))
+            step.actions.emplace_back(PassKeptAnswer { follower, key });
+        break;
+    case KeyKnowledge::Running:
+        step.askAgain = request;
+        break;
+    case KeyKnowledge::HandedOver:
+        own(request, *state, step);
+        break;
+    case KeyKnowledge::Moved:
+        if (answer.movedTo && m_registry.isUnused(*state, *answer.movedTo))
+            own(request, *state, step);
+        else if (answer.movedTo && answer.movedTo->owner != m_registry.self() && ++state->hops <= maxHops)
+            ask(request, key, *state, *answer.movedTo, step);
+        else
+            refuseAll(*state, endUnknown(), never, step);
+        break;
+    case KeyKnowledge::RanAnswerLost:
+        refuseAll(*state, answerLost(), never, step);
+        break;
+    case KeyKnowledge::OtherRequest:
+        refuseAll(*state, otherRequest(), never, step);
+        break;
+    case KeyKnowledge::MayHaveRun:
+    case KeyKnowledge::Gone:
+        refuseAll(*state, endUnknown(), never, step);
+        break;
+    case KeyKnowledge::Unreachable:
+        refuseAll(*state, endUnknown(), retryAfterOutage, step);
+        break;
+    }
+    return step;
+}
+
+KeyedStep KeyedCalls::askAgain(RequestId request, const std::string& key)
+{
+    KeyedStep step;
+    if (auto* state = findLed(request, key))
+        ask(request, key, *state, state->holder, step);
+    return step;
+}
+
+void KeyedCalls::ask(
+    RequestId request, const std::string& key, KeyState& state, const KeyGrant& holder, KeyedStep& step)
+{
+    state.holder = holder;
+    step.actions.emplace_back(
+        AskKeyOwner { request, { key, state.fingerprint, holder, m_registry.nextGrant() } });
+}
+
+void KeyedCalls::own(RequestId request, KeyState& state, KeyedStep& step)
+{
+    state.phase = KeyPhase::Owned;
+    state.leader = request;
+    step.proceed = request;
+}
+
+void KeyedCalls::onSent(const std::string& key)
+{
+    auto* state = m_registry.find(key);
+    assert(state && (state->phase == KeyPhase::Owned || state->phase == KeyPhase::Sent));
+    state->phase = KeyPhase::Sent;
+}
+
+KeyedStep KeyedCalls::onUnsent(
+    const std::string& key, const Failure& failure, std::chrono::seconds retryAfter)
+{
+    assert(failure.outcome == Outcome::NotRun);
+    KeyedStep step;
+    auto* state = m_registry.find(key);
+    assert(state && (state->phase == KeyPhase::Owned || state->phase == KeyPhase::Sent));
+    state->phase = KeyPhase::Owned;
+    // The followers are refused too: one of them running later would make the refusal untrue.
+    refuseAll(*state, failure, retryAfter, step);
+    return step;
+}
+
+KeyedStep KeyedCalls::onAnswered(
+    const std::string& key, AttemptId attempt, std::optional<std::size_t> heldBytes)
+{
+    KeyedStep step;
+    auto& state = *m_registry.find(key);
+    if (m_registry.setAnswered(key, heldBytes))
+        step.actions.emplace_back(KeepAnswer { attempt, key });
+    if (state.leader)
+        step.actions.emplace_back(PassAnswer { *state.leader, attempt });
+    state.leader.reset();
+    for (auto follower : std::exchange(state.followers, {}))
+        if (state.phase == KeyPhase::Answered)
+            step.actions.emplace_back(PassKeptAnswer { follower, key });
+        else
+            step.actions.emplace_back(Refuse { follower, answerLost(), never });
+    return step;
+}
+
+KeyedStep KeyedCalls::onEndUnknown(const std::string& key, const Failure& failure)
+{
+    assert(failure.outcome != Outcome::NotRun);
+    KeyedStep step;
+    auto& state = *m_registry.find(key);
+    state.phase = KeyPhase::EndUnknown;
+    refuseAll(state, failure, never, step);
+    return step;
+}
+
+KeyedStep KeyedCalls::onLeave(RequestId request, const std::string& key)
+{
+    KeyedStep step;
+    auto* state = m_registry.find(key);
+    if (!state)
+        return step;
+    std::erase(state->followers, request);
+    if (state->leader != request)
+        return step;
+    state->leader.reset();
+    if (state->phase == KeyPhase::Sent || state->followers.empty())
+        return step;
+    auto next = state->followers.front();
+    state->followers.erase(state->followers.begin());
+    drive(next, key, *state, step);
+    return step;
+}
+
+Outcome KeyedCalls::outcomeSoFar(RequestId request, const std::string& key)
+{
+    const auto* state = m_registry.find(key);
+    // An owned key whose only request is this one has certainly not run.
+    bool alone
+        = state && state->phase == KeyPhase::Owned && state->leader == request && state->followers.empty();
+    return alone ? Outcome::NotRun : Outcome::MayHaveRun;
+}
+
+Actions KeyedCalls::expire(TimePoint now)
+{
+    m_registry.expire(now);
+    Actions actions;
+    for (auto& key : m_registry.takeDropped())
+        actions.emplace_back(ForgetAnswer { std::move(key) });
+    return actions;
+}
+
+// Answers the leader and the followers alike.
+void KeyedCalls::refuseAll(
+    KeyState& state, const Failure& failure, std::chrono::seconds retryAfter, KeyedStep& step)
+{
+    if (state.leader)
+        step.actions.emplace_back(Refuse { *state.leader, failure, retryAfter });
+    state.leader.reset();
+    for (auto follower : std::exchange(state.followers, {}))
+        step.actions.emplace_back(Refuse { follower, failure, retryAfter });
+}
+
+// The key's state if the request leads it and its history is being looked up.
+KeyState* KeyedCalls::findLed(RequestId request, const std::string& key)
+{
+    auto* state = m_registry.find(key);
+    if (!state || state->leader != request)
+        return nullptr;
+    bool lookingUp = state->phase == KeyPhase::Undecided || state->phase == KeyPhase::HandedOver;
+    return lookingUp ? state : nullptr;
+}
+
+} // namespace fulmar::serve
--- /dev/null
+++ b/src/serve/tests/dispatcher_test.cpp
@@ -0,0 +1,119 @@
+#include "serve/dispatcher.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fulmar;
+using namespace fulmar::serve;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint t0 { 1000s };
+
+ServiceDirectory directoryOf(std::size_t targets)
+{
+    ServiceEntry entry;
+    entry.config.service = ServiceId("plans");
+    entry.config.pool = PoolId("p");
+    entry.config.queueLimit = 4;
+    for (std::size_t i = 0; i < targets; ++i)
+        entry.targets.push_back({ VmId("vm" + std::to_string(i)), "127.0.0.1:1", ZoneId("a"),
+            RackId("r" + std::to_string(i)), true, 1 });
+    ServiceDirectory directory;
+    directory.services.emplace(entry.config.service, entry);
+    return directory;
+}
+
+Dispatcher makeDispatcher(std::size_t targets)
+{
+    DispatcherSettings settings;
+    settings.zone = ZoneId("a");
+    settings.process = ProcessId("e1");
+    settings.incarnation = 7;
+    Dispatcher dispatcher(settings);
+    std::ignore = dispatcher.applyDirectory(directoryOf(targets), t0);
+    std::ignore = dispatcher.setEntries({ { ProcessId("e1"), ZoneId("a") } }, t0);
+    return dispatcher;
+}
+
+CallInfo callOf(const std::string& method)
+{
+    CallInfo call;
+    call.service = ServiceId("plans");
+    call.method = method;
+    call.caller = "crew";
+    return call;
+}
+
+template <typename T> const T* only(const Actions& actions)
+{
+    return actions.size() == 1 ? std::get_if<T>(&actions.front()) : nullptr;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DispatcherCalls)
+
+BOOST_AUTO_TEST_CASE(AnAnswerGoesToItsCaller)
+{
+    auto dispatcher = makeDispatcher(2);
+    auto started = dispatcher.onCall(1, callOf("POST"), t0);
+    const auto* start = only<StartAttempt>(started);
+    BOOST_REQUIRE(start);
+    auto ended = dispatcher.onAttemptEnd(start->attempt, { Outcome::Ran, 200, {}, false, false, {} }, t0);
+    const auto* answer = only<PassAnswer>(ended);
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->request == 1U);
+    BOOST_TEST(dispatcher.isIdle());
+}
+
+BOOST_AUTO_TEST_CASE(ANonIdempotentCallMovesOnOnlyWhenProvenUnsent)
+{
+    for (auto outcome : { Outcome::NotRun, Outcome::MayHaveRun }) {
+        auto dispatcher = makeDispatcher(2);
+        auto started = dispatcher.onCall(1, callOf("POST"), t0);
+        const auto* first = only<StartAttempt>(started);
+        BOOST_REQUIRE(first);
+        auto ended = dispatcher.onAttemptEnd(
+            first->attempt, { outcome, {}, Reason::TargetFailed, false, false, {} }, t0);
+        auto later = dispatcher.onTick(t0 + 1s);
+        if (outcome == Outcome::NotRun) {
+            const auto* second = only<StartAttempt>(later);
+            BOOST_REQUIRE(second);
+            BOOST_TEST(second->target != first->target);
+        } else {
+            const auto* refuse = only<Refuse>(ended);
+            BOOST_REQUIRE(refuse);
+            BOOST_TEST(refuse->failure.outcome == Outcome::MayHaveRun);
+            BOOST_TEST(later.empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingTargetGetsNoNewCall)
+{
+    auto dispatcher = makeDispatcher(1);
+    dispatcher.onTargetLeaving(VmId("vm0"), t0);
+    BOOST_TEST(dispatcher.onCall(1, callOf("GET"), t0).empty());
+    auto expired = dispatcher.onTick(t0 + 10s);
+    const auto* refuse = only<Refuse>(expired);
+    BOOST_REQUIRE(refuse);
+    BOOST_TEST(refuse->failure.outcome == Outcome::NotRun);
+}
+
+BOOST_AUTO_TEST_CASE(AKeyIsClaimedBeforeItIsSentAndItsAnswerKept)
+{
+    auto dispatcher = makeDispatcher(1);
+    auto call = callOf("POST");
+    call.idempotencyKey = "k1";
+    auto claimed = dispatcher.onCall(1, call, t0);
+    BOOST_REQUIRE(only<ClaimKey>(claimed));
+    auto started = dispatcher.onClaim(1, ClaimWon {}, t0);
+    const auto* start = only<StartAttempt>(started);
+    BOOST_REQUIRE(start);
+    auto ended = dispatcher.onAttemptEnd(start->attempt, { Outcome::Ran, 200, {}, false, false, 10 }, t0);
+    BOOST_TEST(ended.size() == 2U);
+    BOOST_TEST(only<PassKeptAnswer>(dispatcher.onCall(2, call, t0)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
