--- /dev/null
+++ b/src/platform/wire.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "platform/table.h"
+#include "platform/workers.h"
+
+#include <string>
+#include <vector>
+
+// The JSON bodies exchanged with the platform. Parsing reports BadInput (NotRun) with what was wrong.
+namespace fulmar::wire {
+
+struct LeaseRenewal {
+    std::vector<TaskId> tasks;
+    std::chrono::milliseconds lease {};
+};
+
+struct TaskOrderRequest {
+    TaskId task;
+    TaskOrder order { TaskOrder::Checkpoint };
+    OperationId operation;
+};
+
+[[nodiscard]] std::string encode(const Transaction&);
+[[nodiscard]] std::string encode(const Changes&);
+[[nodiscard]] std::string encode(const std::vector<ListedVm>&);
+[[nodiscard]] std::string encode(const std::vector<WorkerReport>&);
+[[nodiscard]] std::string encode(const TaskStart&);
+[[nodiscard]] std::string encode(const LeaseRenewal&);
+[[nodiscard]] std::string encode(const TaskOrderRequest&);
+[[nodiscard]] std::string encodeVersion(Version);
+[[nodiscard]] std::string encodeOperation(const OperationId&);
+
+[[nodiscard]] Result<Transaction> decodeTransaction(const std::string&);
+[[nodiscard]] Result<Changes> decodeChanges(const std::string&);
+[[nodiscard]] Result<std::vector<ListedVm>> decodeListedVms(const std::string&);
+[[nodiscard]] Result<std::vector<WorkerReport>> decodeWorkerReports(const std::string&);
+[[nodiscard]] Result<TaskStart> decodeTaskStart(const std::string&);
+[[nodiscard]] Result<LeaseRenewal> decodeLeaseRenewal(const std::string&);
+[[nodiscard]] Result<TaskOrderRequest> decodeTaskOrder(const std::string&);
+[[nodiscard]] Result<Version> decodeVersion(const std::string&);
+[[nodiscard]] Result<OperationId> decodeOperation(const std::string&);
+
+} // namespace fulmar::wire
