Peers hand each other configuration that whoever moves VMs can account for

An exchange states its base version, so that a replaced process never takes an incomplete copy for a whole one; entries without a registration row get copies from registered entries only, which name them as dependents.

--- /dev/null
+++ b/src/daemon/distribution.cpp
@@ -0,0 +1,183 @@
+#include "daemon/distribution.h"
+
+#include <algorithm>
+
+namespace fulmar {
+
+Distribution::Distribution(PeerInfo self, MembershipSettings settings, OnChange onChange)
+    : m_self(self)
+    , m_membership(std::move(self), std::move(settings))
+    , m_onChange(std::move(onChange))
+{
+}
+
+void Distribution::setRegistered(Version version)
+{
+    std::lock_guard lock(m_mutex);
+    m_registeredAt = version;
+    m_self.isRegistered = true;
+}
+
+bool Distribution::mayRoute() const
+{
+    std::lock_guard lock(m_mutex);
+    bool coversRegistration = m_registeredAt && m_replica.version() >= *m_registeredAt;
+    return coversRegistration || m_hasPeerCopy;
+}
+
+ConfigChange Distribution::apply(const Changes& changes)
+{
+    ConfigChange change;
+    for (const auto& key : m_replica.apply(changes).changedKeys)
+        change.rows.push_back(m_replica.rows().at(key));
+    change.version = m_replica.version();
+    return change;
+}
+
+bool Distribution::applyFromPlatform(const Changes& changes)
+{
+    ConfigChange change;
+    bool isBehind = false;
+    {
+        std::lock_guard lock(m_mutex);
+        isBehind = changes.tableVersion < m_replica.version();
+        change = apply(changes);
+    }
+    m_onChange(change);
+    return isBehind;
+}
+
+bool Distribution::mayHandRowsTo(const PeerInfo& peer) const
+{
+    if (peer.role == PeerRole::Control || peer.isRegistered)
+        return true;
+    return m_self.role == PeerRole::Entry && m_self.isRegistered;
+}
+
+Exchange Distribution::makeMessage(TimePoint now) const
+{
+    Exchange message;
+    message.from = m_self;
+    message.known = m_membership.contacts(now);
+    message.version = m_replica.version();
+    return message;
+}
+
+// Notes an unregistered entry as a dependent in the same step in which it gets its copy.
+void Distribution::addRowsFor(const PeerInfo& peer, Version theirs, Exchange& message)
+{
+    if (theirs >= m_replica.version() || !mayHandRowsTo(peer))
+        return;
+    if (peer.role == PeerRole::Entry && !peer.isRegistered)
+        m_dependents[peer.process] = { peer, m_replica.version() };
+    message.base = theirs;
+    message.changes = m_replica.changesSince(theirs);
+}
+
+Exchange Distribution::makeRequest(const std::string& address, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    auto message = makeMessage(now);
+    if (auto known = m_peerVersions.find(address); known != m_peerVersions.end())
+        addRowsFor(known->second.peer, known->second.version, message);
+    return message;
+}
+
+// Rows are taken only if nothing is missing between our version and theirs: a process that was replaced under
+// the same address may be handed rows that its predecessor lacked.
+ConfigChange Distribution::merge(const Exchange& message, TimePoint now)
+{
+    m_membership.onContact(message.from, now);
+    m_membership.onHearsay(message.known, now);
+    if (message.from.isRegistered)
+        m_dependents.erase(message.from.process);
+    bool isUseful = message.changes.tableVersion > m_replica.version() && message.base <= m_replica.version();
+    if (!isUseful)
+        return {};
+    if (!m_self.isRegistered && message.from.role == PeerRole::Entry)
+        m_hasPeerCopy = true;
+    return apply(message.changes);
+}
+
+Exchange Distribution::onRequest(const Exchange& message, TimePoint now)
+{
+    Exchange reply;
+    ConfigChange change;
+    {
+        std::lock_guard lock(m_mutex);
+        change = merge(message, now);
+        reply = makeMessage(now);
+        addRowsFor(message.from, message.version, reply);
+        m_peerVersions[message.from.address]
+            = { message.from, std::max(message.version, reply.changes.tableVersion) };
+    }
+    if (change.version > 0)
+        m_onChange(change);
+    return reply;
+}
+
+void Distribution::onReply(const std::string& address, const Exchange& message, TimePoint now)
+{
+    ConfigChange change;
+    {
+        std::lock_guard lock(m_mutex);
+        change = merge(message, now);
+        m_peerVersions[address] = { message.from, message.version };
+    }
+    if (change.version > 0)
+        m_onChange(change);
+}
+
+std::vector<PeerInfo> Distribution::dependents(Version version) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<PeerInfo> peers;
+    for (const auto& [process, dependent] : m_dependents)
+        if (dependent.version < version)
+            peers.push_back(dependent.peer);
+    return peers;
+}
+
+std::vector<std::string> Distribution::dueExchanges(TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    return m_membership.due(now);
+}
+
+std::vector<PeerInfo> Distribution::live(PeerRole role, TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_membership.live(role, now);
+}
+
+std::vector<PeerInfo> Distribution::contacts(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_membership.contacts(now);
+}
+
+std::optional<PeerInfo> Distribution::find(const ProcessId& process) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_membership.find(process);
+}
+
+Version Distribution::version() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_replica.version();
+}
+
+std::map<std::string, Row> Distribution::rows() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_replica.rows();
+}
+
+PeerInfo Distribution::self() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_self;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/daemon/distribution.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "config/replica.h"
+#include "peer/membership.h"
+#include "peer/messages.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmar {
+
+// Rows that came into force, and the version that the copy now has.
+struct ConfigChange {
+    std::vector<Row> rows;
+    Version version { 0 };
+};
+
+// This process's copy of the configuration and its knowledge of its peers, as exchanged with them.
+// Thread-safe.
+//
+// An entry may route calls only with a copy that whoever moves VMs can account for: its own registration row
+// comes before the copy, or a registered peer handed the copy over and names it as a dependent. So a process
+// hands rows to an entry that is not registered only if it is itself a registered entry.
+class Distribution {
+public:
+    using OnChange = std::function<void(const ConfigChange&)>;
+
+    Distribution(PeerInfo self, MembershipSettings, OnChange);
+
+    // The entry's row was committed at this version.
+    void setRegistered(Version);
+
+    // The copy is one that an entry may route with.
+    [[nodiscard]] bool mayRoute() const;
+
+    // Rows read from the platform. True if the platform is behind this copy.
+    bool applyFromPlatform(const Changes&);
+
+    // The message that starts an exchange with the process at `address`.
+    [[nodiscard]] Exchange makeRequest(const std::string& address, TimePoint now);
+    // The answer to a peer's message.
+    [[nodiscard]] Exchange onRequest(const Exchange&, TimePoint now);
+    void onReply(const std::string& address, const Exchange&, TimePoint now);
+
+    // Unregistered entries that have a copy older than `version` from this process.
+    [[nodiscard]] std::vector<PeerInfo> dependents(Version version) const;
+
+    [[nodiscard]] std::vector<std::string> dueExchanges(TimePoint now);
+    [[nodiscard]] std::vector<PeerInfo> live(PeerRole, TimePoint now) const;
+    [[nodiscard]] std::vector<PeerInfo> contacts(TimePoint now) const;
+    [[nodiscard]] std::optional<PeerInfo> find(const ProcessId&) const;
+    [[nodiscard]] Version version() const;
+    [[nodiscard]] std::map<std::string, Row> rows() const;
+    [[nodiscard]] PeerInfo self() const;
+
+private:
+    [[nodiscard]] bool mayHandRowsTo(const PeerInfo&) const;
+    void addRowsFor(const PeerInfo&, Version theirs, Exchange&);
+    Exchange makeMessage(TimePoint now) const;
+    ConfigChange merge(const Exchange&, TimePoint now);
+    ConfigChange apply(const Changes&);
+
+    mutable std::mutex m_mutex;
+    PeerInfo m_self;
+    Membership m_membership;
+    ConfigReplica m_replica;
+    const OnChange m_onChange;
+    std::optional<Version> m_registeredAt;
+    bool m_hasPeerCopy { false };
+    // What each address was known to have at its last exchange.
+    struct PeerVersion {
+        PeerInfo peer;
+        Version version { 0 };
+    };
+    std::map<std::string, PeerVersion> m_peerVersions;
+    struct Dependent {
+        PeerInfo peer;
+        Version version { 0 };
+    };
+    std::map<ProcessId, Dependent> m_dependents;
+};
+
+} // namespace fulmar
--- /dev/null
+++ b/src/daemon/entry_settings.cpp
@@ -0,0 +1,73 @@
+#include "daemon/entry_settings.h"
+
+namespace fulmar {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::int64_t maxConnections = 60'000;
+constexpr std::int64_t maxBytes = 1LL << 30;
+
+std::chrono::milliseconds milliseconds(Duration duration)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(duration);
+}
+
+CallerServerLimits readCallerLimits(SettingsReader& reader)
+{
+    const CallerServerLimits standard;
+    CallerServerLimits limits;
+    limits.address = reader.takeAddress("callers", "address");
+    limits.maxConnections = std::size_t(reader.takeInteger(
+        "callers", "max_connections", 1, maxConnections, std::int64_t(standard.maxConnections)));
+    limits.maxUrlBytes = std::size_t(
+        reader.takeInteger("callers", "max_url_bytes", 64, maxBytes, std::int64_t(standard.maxUrlBytes)));
+    limits.maxHeaderBytes = std::size_t(reader.takeInteger(
+        "callers", "max_header_bytes", 64, maxBytes, std::int64_t(standard.maxHeaderBytes)));
+    limits.maxHeaders = std::size_t(
+        reader.takeInteger("callers", "max_headers", 1, 10'000, std::int64_t(standard.maxHeaders)));
+    limits.maxBodyBytes = std::size_t(
+        reader.takeInteger("callers", "max_body_bytes", 0, maxBytes, std::int64_t(standard.maxBodyBytes)));
+    limits.readTimeout
+        = milliseconds(reader.takeDuration("callers", "read_timeout", 100ms, 1h, standard.readTimeout));
+    limits.writeTimeout
+        = milliseconds(reader.takeDuration("callers", "write_timeout", 100ms, 1h, standard.writeTimeout));
+    limits.callTimeout
+        = milliseconds(reader.takeDuration("callers", "call_timeout", 1s, 24h, standard.callTimeout));
+    return limits;
+}
+
+} // namespace
+
+ProcessSettings readProcessSettings(SettingsReader& reader)
+{
+    ProcessSettings settings;
+    settings.process = ProcessId(reader.takeString("process", "id"));
+    settings.vm = VmId(reader.takeString("process", "vm"));
+    settings.region = RegionId(reader.takeString("process", "region"));
+    settings.zone = ZoneId(reader.takeString("process", "zone"));
+    settings.peerAddress = reader.takeAddress("peers", "address");
+    settings.peerSeeds = reader.takeList("peers", "seeds");
+    settings.platformAddress = reader.takeAddress("platform", "address");
+    settings.platformTimeout = milliseconds(reader.takeDuration("platform", "timeout", 50ms, 1min, 2s));
+    settings.operatorAddress = reader.takeAddress("operators", "address");
+    settings.operatorsAllowed = reader.takeList("operators", "allowed");
+    return settings;
+}
+
+EntrySettings readEntrySettings(SettingsReader& reader)
+{
+    EntrySettings settings;
+    settings.process = readProcessSettings(reader);
+    settings.callers = readCallerLimits(reader);
+    settings.targetConnectTimeout
+        = milliseconds(reader.takeDuration("targets", "connect_timeout", 10ms, 1min, 1s));
+    settings.maxAnswerBytes
+        = std::size_t(reader.takeInteger("targets", "max_answer_bytes", 1'024, maxBytes, 64LL * 1024 * 1024));
+    settings.balancerLag = milliseconds(reader.takeDuration("drain", "balancer_lag", 0ms, 10min, 5s));
+    settings.drainLimit = milliseconds(reader.takeDuration("drain", "limit", 0ms, 24h, 2min));
+    return settings;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/daemon/inbox.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "core/ring.h"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <functional>
+#include <future>
+#include <memory>
+#include <optional>
+
+namespace fulmar {
+
+// The bounded ring through which other threads hand work to a duty that runs on an Asio loop.
+class LoopInbox {
+public:
+    LoopInbox(asio::io_context& loop, std::size_t capacity)
+        : m_loop(loop)
+        , m_ring(capacity)
+    {
+    }
+
+    // Returns false if the ring is full; the work is then not done.
+    [[nodiscard]] bool tryPost(std::function<void()> work)
+    {
+        if (!m_ring.tryPush(std::move(work)))
+            return false;
+        asio::post(m_loop, [this] { runOne(); });
+        return true;
+    }
+
+    // Runs `ask` on the loop and waits for its result. Empty if the ring is full or the loop does not answer
+    // in time. Must not be called on the loop's own thread.
+    template <typename T>
+    [[nodiscard]] std::optional<T> ask(std::function<T()> ask, std::chrono::milliseconds timeout)
+    {
+        auto promise = std::make_shared<std::promise<T>>();
+        auto answer = promise->get_future();
+        if (!tryPost([promise, ask = std::move(ask)] { promise->set_value(ask()); }))
+            return std::nullopt;
+        if (answer.wait_for(timeout) != std::future_status::ready)
+            return std::nullopt;
+        return answer.get();
+    }
+
+private:
+    void runOne()
+    {
+        if (auto work = m_ring.tryPop())
+            (*work)();
+    }
+
+    asio::io_context& m_loop;
+    BoundedRing<std::function<void()>> m_ring;
+};
+
+} // namespace fulmar
--- a/src/daemon/target_client.cpp
+++ b/src/daemon/target_client.cpp
@@ -14,6 +14,9 @@
 
 namespace fulmar {
 
+using serve::AttemptEnd;
+using serve::AttemptId;
+
 namespace {
 
 constexpr long maxIdleConnections = 1'024;
@@ -133,7 +136,9 @@
     std::erase_if(attempt.answer.headers, [](const HeaderField& field) {
         return isConnectionHeader(field.first) || equalsIgnoringCase(field.first, outcomeHeader);
     });
-    return { outcome, static_cast<int>(status), Reason::TargetFailed, isLeaving };
+    AttemptEnd end { outcome, static_cast<int>(status), Reason::TargetFailed, isLeaving };
+    end.heldBytes = attempt.answer.body.size();
+    return end;
 }
 
 curl_slist* buildHeaders(const TargetRequest& request)
--- a/src/daemon/target_client.h
+++ b/src/daemon/target_client.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "peer/messages.h"
-#include "serve/dispatcher.h"
+#include "serve/call.h"
 
 #include <asio/io_context.hpp>
 #include <cstdint>
@@ -41,7 +41,7 @@
 // request is reported as MayHaveRun.
 class TargetClient {
 public:
-    using Done = std::function<void(AttemptEnd, HttpAnswer)>;
+    using Done = std::function<void(serve::AttemptEnd, HttpAnswer)>;
 
     TargetClient(asio::io_context&, TargetClientLimits);
     ~TargetClient();
@@ -49,10 +49,10 @@
     TargetClient& operator=(const TargetClient&) = delete;
 
     // The body must stay alive until `done` is called or the attempt is cancelled.
-    void start(AttemptId, const TargetRequest&, Done done);
+    void start(serve::AttemptId, const TargetRequest&, Done done);
 
     // Drops the attempt; `done` is not called any more.
-    void cancel(AttemptId);
+    void cancel(serve::AttemptId);
 
 private:
     class Machinery;
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -31,17 +31,24 @@
     // "host:port" of the process's peer server.
     std::string address;
     std::uint64_t incarnation { 0 };
+    // The process's VM in the platform's list.
+    VmId vm;
+    // Entries only: its row entry/<process> carries this incarnation.
+    bool isRegistered { false };
 
     bool operator==(const PeerInfo&) const = default;
 };
 
-// What two processes tell each other. `changes.tableVersion` is the sender's configuration version; its rows
-// are those that the receiver lacks.
+// What two processes tell each other.
 struct Exchange {
     PeerInfo from;
     EventStamp stamp;
+    // Version of the sender's copy of the configuration.
+    Version version { 0 };
+    // All rows changed after `base`, up to changes.tableVersion; of use only to a receiver that has `base`.
+    Version base { 0 };
     Changes changes;
-    // Between entries only.
+    // From entries to entries; from a control process only with the VMs that the platform lists as leaving.
     std::optional<serve::PeerLoad> load;
     std::vector<PeerInfo> known;
 };
@@ -58,8 +65,8 @@
     Version appliedVersion { 0 };
     std::uint32_t inFlight { 0 };
     std::uint64_t incarnation { 0 };
-    // Processes that received their configuration from this one.
-    std::vector<PeerInfo> fed;
+    // Unregistered entries that received a copy older than the version asked for from this one.
+    std::vector<PeerInfo> dependents;
 };
 
 struct KeyQuestion {
--- a/src/peer/tests/peer_test.cpp
+++ b/src/peer/tests/peer_test.cpp
@@ -24,9 +24,11 @@
 
 BOOST_AUTO_TEST_CASE(ExchangeCarriesRowsLoadsAndPeersBothWays)
 {
-    Exchange sent { somePeer(), { WallTime(5ms), 2 },
-        { { { "config/a", "1", 4, OperationId("o"), true } }, 9 }, { { VmId("v"), 3 } }, { somePeer() },
-        { VmId("w") } };
+    Exchange sent { somePeer(), { WallTime(5ms), 2 }, 11, 8 };
+    sent.changes = { { { "config/a", "1", 4, OperationId("o"), true } }, 9 };
+    sent.known = { somePeer() };
+    sent.load = serve::PeerLoad { { { VmId("v"), 3 } }, { { ServiceId("s"), 5 } }, { { VmId("w"), 2 } }, 4ms,
+        { VmId("x") } };
     Exchange received;
     auto server = PeerServer::start("127.0.0.1:0", { [&](const Exchange& message) {
         received = message;
@@ -44,6 +46,8 @@
         BOOST_TEST((each.from == sent.from));
         BOOST_TEST((each.stamp == sent.stamp));
         BOOST_TEST((each.changes.rows == sent.changes.rows));
+        BOOST_TEST(each.version == 11U);
+        BOOST_TEST(each.base == 8U);
         BOOST_TEST(each.changes.tableVersion == 9U);
         BOOST_TEST((each.load->inFlight == sent.load->inFlight));
         BOOST_TEST((each.load->lent == sent.load->lent));
@@ -89,7 +93,8 @@
 
 BOOST_AUTO_TEST_CASE(MessagesSurviveTheWire)
 {
-    KeyAnswer answer { { WallTime(1ms), 1 }, KeyState::Finished,
+    serve::KeyGrant grant { { ProcessId("p"), 7 }, 9 };
+    KeyAnswer answer { { WallTime(1ms), 1 }, { serve::KeyKnowledge::Kept, grant },
         { 201, { { "A", "b" } }, std::string("x\0y", 3) } };
     peer::wire::KeyAnswer wire;
     peer::toWire(answer, wire);
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -26,6 +26,8 @@
     out.set_zone(peer.zone.value());
     out.set_address(peer.address);
     out.set_incarnation(peer.incarnation);
+    out.set_vm(peer.vm.value());
+    out.set_registered(peer.isRegistered);
 }
 
 PeerInfo read(const wire::Process& in)
@@ -149,7 +151,9 @@
 {
     fill(message.from, *out.mutable_from());
     fill(message.stamp, *out.mutable_stamp());
-    out.set_config_version(message.changes.tableVersion);
+    out.set_version(message.version);
+    out.set_base(message.base);
+    out.set_complete(message.changes.tableVersion);
     if (message.load)
         fill(*message.load, *out.mutable_load());
     for (const auto& row : message.changes.rows) {
@@ -169,7 +173,9 @@
     Exchange message;
     message.from = read(in.from());
     message.stamp = read(in.stamp());
-    message.changes.tableVersion = in.config_version();
+    message.version = in.version();
+    message.base = in.base();
+    message.changes.tableVersion = in.complete();
     if (in.has_load())
         message.load = read(in.load());
     for (const auto& row : in.rows())
@@ -198,16 +204,16 @@
     out.set_applied_version(confirmation.appliedVersion);
     out.set_in_flight(confirmation.inFlight);
     out.set_incarnation(confirmation.incarnation);
-    for (const auto& peer : confirmation.fed)
-        fill(peer, *out.add_fed());
+    for (const auto& peer : confirmation.dependents)
+        fill(peer, *out.add_dependents());
 }
 
 Confirmation fromWire(const wire::Confirmation& in)
 {
     Confirmation confirmation { read(in.stamp()), in.applied_version(), in.in_flight(), in.incarnation(),
         {} };
-    for (const auto& peer : in.fed())
-        confirmation.fed.push_back(read(peer));
+    for (const auto& peer : in.dependents())
+        confirmation.dependents.push_back(read(peer));
     return confirmation;
 }
 
