At most once: claims with group commit, and properties over schedules and verdicts

Claims of many requests share a transaction; a conflict or a lost reply is cleared up by reading the rows back, and a row with our own grant counts as won whichever transaction wrote it. The verdict of a transfer is a pure function of what the socket saw: not-run needs that no byte was sent, ran needs an answer that is certainly whole; an answer that only ends with the connection proves neither.

The same check notices four broken variants: an unknown claim taken as won, an incarnation used twice, an unreachable owner taken as a hand-over, an unproven end reported as unsent.

--- /dev/null
+++ b/src/serve/attempt_verdict.cpp
@@ -0,0 +1,51 @@
+#include "serve/attempt_verdict.h"
+
+namespace fulmar::serve {
+
+namespace {
+
+bool isWhole(const TransferFacts& facts)
+{
+    if (facts.stop != TransferStop::Finished || !facts.status)
+        return false;
+    switch (facts.framing) {
+    case BodyFraming::None:
+        return true;
+    case BodyFraming::ContentLength:
+        return facts.bodyBytes == facts.contentLength;
+    case BodyFraming::Chunked:
+        return facts.lastChunkSeen;
+    case BodyFraming::UntilClose:
+        return false;
+    }
+    return false;
+}
+
+Reason reasonOf(const TransferFacts& facts)
+{
+    if (facts.stop == TransferStop::TimedOut)
+        return Reason::DeadlineExceeded;
+    if (facts.stop == TransferStop::Cancelled)
+        return Reason::Cancelled;
+    return facts.status ? Reason::Truncated : Reason::TargetFailed;
+}
+
+} // namespace
+
+AttemptEnd judgeTransfer(const TransferFacts& facts)
+{
+    AttemptEnd end { Outcome::MayHaveRun, {}, reasonOf(facts), facts.closing, facts.answerStarted, {} };
+    // An answer without a request is not ours: it must not count as one, nor as proof of anything.
+    if (facts.requestBytesSent == 0) {
+        end.outcome = facts.status ? Outcome::MayHaveRun : Outcome::NotRun;
+        return end;
+    }
+    if (isWhole(facts)) {
+        end.outcome = Outcome::Ran;
+        end.status = facts.status;
+        end.heldBytes = facts.heldBytes;
+    }
+    return end;
+}
+
+} // namespace fulmar::serve
--- /dev/null
+++ b/src/serve/tests/at_most_once_test.cpp
@@ -0,0 +1,330 @@
+#include "memory_table.h"
+#include "serve/claim_batch.h"
+#include "serve/dispatcher.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <rapidcheck/boost_test.h>
+
+using namespace fulmar;
+using namespace fulmar::serve;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One step of a schedule: what happens, at which entry VM, and a detail.
+struct Step {
+    std::uint8_t kind;
+    std::uint8_t entry;
+    std::uint8_t detail;
+};
+
+// What the world does wrong on purpose, to show that the property notices.
+enum class Fault : std::uint8_t {
+    None,
+    UnknownClaimCountsAsWon,
+    IncarnationIsReused,
+    UnreachableOwnerCountsAsHandOver,
+    UnprovenEndCountsAsUnsent,
+};
+
+// Three entry VMs, a table with outages and lost replies, and targets that count the runs of each key.
+class World {
+public:
+    explicit World(Fault fault)
+        : m_fault(fault)
+    {
+        for (std::size_t i = 0; i < m_entries.size(); ++i)
+            replace(i);
+    }
+
+    void run(const Step&);
+    [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
+    [[nodiscard]] std::size_t answered() const { return m_answered; }
+
+private:
+    struct Entry {
+        std::unique_ptr<Dispatcher> dispatcher;
+        ClaimBatch claims;
+        std::vector<AskKeyOwner> asks;
+        std::map<AttemptId, std::string> attempts;
+        std::map<RequestId, std::string> requests;
+        std::uint64_t incarnation { 0 };
+    };
+
+    void replace(std::size_t index);
+    void send(Entry&, std::uint8_t detail);
+    void commit(Entry&, std::uint8_t detail);
+    void ask(Entry&, std::uint8_t detail);
+    void endAttempt(Entry&, std::uint8_t detail);
+    void handle(Entry&, const Actions&);
+    void finish(Entry&, RequestId, Outcome said);
+    void check(bool holds, std::string what)
+    {
+        if (!holds)
+            m_violations.push_back(std::move(what));
+    }
+
+    Fault m_fault;
+    std::array<Entry, 3> m_entries;
+    standin::MemoryTable m_table;
+    bool m_tableDown { false };
+    bool m_partitioned { false };
+    TimePoint m_now { 1000s };
+    std::uint64_t m_lastIncarnation { 100 };
+    RequestId m_lastRequest { 0 };
+    std::vector<std::string> m_minted;
+    // Attempts per key that ran, may have run, or are under way.
+    std::map<std::string, int> m_runs;
+    std::vector<std::string> m_violations;
+    std::size_t m_answered { 0 };
+};
+
+void World::replace(std::size_t index)
+{
+    auto& entry = m_entries[index];
+    auto incarnation = m_fault == Fault::IncarnationIsReused ? 1 : ++m_lastIncarnation;
+    entry = {};
+    entry.incarnation = incarnation;
+    DispatcherSettings settings;
+    settings.zone = ZoneId("a");
+    settings.process = ProcessId("e" + std::to_string(index));
+    settings.incarnation = incarnation;
+    // Small limits, so that keys and answers are forgotten within a schedule.
+    settings.keys.keys = 3;
+    settings.keys.answerBytes = 2;
+    entry.dispatcher = std::make_unique<Dispatcher>(settings);
+    ServiceEntry service;
+    service.config.service = ServiceId("s");
+    service.config.queueLimit = 2;
+    service.config.slotsPerTarget = 1;
+    for (const auto* vm : { "v1", "v2" })
+        service.targets.push_back({ VmId(vm), "127.0.0.1:1", ZoneId("a"), RackId("r"), true, 1 });
+    ServiceDirectory directory;
+    directory.services.emplace(service.config.service, service);
+    std::ignore = entry.dispatcher->applyDirectory(directory, m_now);
+}
+
+void World::run(const Step& step)
+{
+    auto index = step.entry % m_entries.size();
+    auto& entry = m_entries[index];
+    switch (step.kind % 16) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+        send(entry, step.detail);
+        break;
+    case 4:
+    case 5:
+    case 6:
+        commit(entry, step.detail);
+        break;
+    case 7:
+    case 8:
+    case 9:
+        ask(entry, step.detail);
+        break;
+    case 10:
+    case 11:
+        endAttempt(entry, step.detail);
+        break;
+    case 12:
+        m_now += std::chrono::milliseconds(step.detail * 10);
+        handle(entry, entry.dispatcher->onTick(m_now));
+        break;
+    case 13:
+        if (!entry.requests.empty())
+            handle(entry, entry.dispatcher->onCallerGone(entry.requests.begin()->first, m_now));
+        break;
+    case 14:
+        m_tableDown = step.detail % 2 == 0;
+        m_partitioned = step.detail % 3 == 0;
+        break;
+    case 15:
+        if (step.detail % 2 == 0)
+            replace(index);
+        else if (auto key = entry.dispatcher->mintKey(m_now))
+            m_minted.push_back(*key);
+        break;
+    }
+}
+
+void World::send(Entry& entry, std::uint8_t detail)
+{
+    CallInfo call;
+    call.service = ServiceId("s");
+    call.method = "POST";
+    call.idempotencyKey = "k" + std::to_string(detail % 4);
+    if (detail % 8 >= 4 && !m_minted.empty())
+        call.idempotencyKey = m_minted[detail % m_minted.size()];
+    auto request = ++m_lastRequest;
+    entry.requests[request] = *call.idempotencyKey;
+    handle(entry, entry.dispatcher->onCall(request, call, m_now));
+}
+
+// Writes the waiting claims and reads back what has to be read back.
+void World::commit(Entry& entry, std::uint8_t detail)
+{
+    auto transaction = entry.claims.next(OperationId("o" + std::to_string(m_lastRequest)), WallTime {});
+    if (!transaction)
+        return;
+    Result<Version> result = notRun(Reason::StoreUnavailable, "");
+    if (!m_tableDown)
+        result = m_table.commit(*transaction);
+    if (detail % 4 == 0)
+        result = mayHaveRun(Reason::StoreUnavailable, "");
+    auto done = entry.claims.onCommit(result);
+    for (const auto& row : entry.claims.rowsToRead()) {
+        Result<Changes> changes = notRun(Reason::StoreUnavailable, "");
+        if (detail % 8 != 0)
+            changes = m_table.read(row, 0);
+        for (const auto& one : entry.claims.onRead(row, changes))
+            done.push_back(one);
+    }
+    for (auto& [request, claim] : done) {
+        if (m_fault == Fault::UnknownClaimCountsAsWon && std::holds_alternative<ClaimUnknown>(claim))
+            claim = ClaimWon {};
+        handle(entry, entry.dispatcher->onClaim(request, claim, m_now));
+    }
+}
+
+// Delivers the oldest question; the question or the reply may be lost.
+void World::ask(Entry& entry, std::uint8_t detail)
+{
+    if (entry.asks.empty())
+        return;
+    auto action = entry.asks.front();
+    entry.asks.erase(entry.asks.begin());
+    OwnerAnswer answer;
+    auto process = action.question.holder.owner.process.value();
+    auto& holder = m_entries[process.back() - '0'];
+    if (!m_partitioned && detail % 8 != 0)
+        answer = holder.dispatcher->onPeerAsk(action.question, m_now);
+    if (detail % 8 == 1)
+        answer = {};
+    if (m_fault == Fault::UnreachableOwnerCountsAsHandOver && answer.knowledge == KeyKnowledge::Unreachable)
+        answer.knowledge = KeyKnowledge::HandedOver;
+    handle(entry, entry.dispatcher->onOwnerAnswer(action.request, answer, m_now));
+}
+
+void World::endAttempt(Entry& entry, std::uint8_t detail)
+{
+    if (entry.attempts.empty())
+        return;
+    auto [attempt, key] = *entry.attempts.begin();
+    entry.attempts.erase(entry.attempts.begin());
+    AttemptEnd end;
+    switch (detail % 4) {
+    case 0:
+        end.outcome = Outcome::NotRun;
+        --m_runs[key];
+        break;
+    case 1:
+        end.outcome = m_fault == Fault::UnprovenEndCountsAsUnsent ? Outcome::NotRun : Outcome::MayHaveRun;
+        break;
+    default:
+        end.outcome = Outcome::Ran;
+        end.status = 200;
+        end.heldBytes = 1;
+    }
+    handle(entry, entry.dispatcher->onAttemptEnd(attempt, end, m_now));
+}
+
+void World::handle(Entry& entry, const Actions& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* start = std::get_if<StartAttempt>(&action)) {
+            auto key = entry.requests.at(start->request);
+            entry.attempts[start->attempt] = key;
+            check(++m_runs[key] <= 1, "key " + key + " may run twice");
+        } else if (const auto* claim = std::get_if<ClaimKey>(&action)) {
+            entry.claims.add(*claim);
+        } else if (const auto* ask = std::get_if<AskKeyOwner>(&action)) {
+            entry.asks.push_back(*ask);
+        } else if (const auto* pass = std::get_if<PassAnswer>(&action)) {
+            finish(entry, pass->request, Outcome::Ran);
+        } else if (const auto* kept = std::get_if<PassKeptAnswer>(&action)) {
+            finish(entry, kept->request, Outcome::Ran);
+        } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+            finish(entry, refuse->request, refuse->failure.outcome);
+        }
+    }
+}
+
+// A caller is told something of its key: it must be true.
+void World::finish(Entry& entry, RequestId request, Outcome said)
+{
+    auto node = entry.requests.extract(request);
+    check(!node.empty(), "a request was answered twice");
+    if (node.empty())
+        return;
+    auto runs = m_runs[node.mapped()];
+    check(said != Outcome::NotRun || runs == 0, "key " + node.mapped() + " was said not to have run");
+    check(said != Outcome::Ran || runs == 1, "key " + node.mapped() + " was said to have run");
+    if (said == Outcome::Ran)
+        ++m_answered;
+}
+
+World runSchedule(const std::vector<Step>& steps, Fault fault)
+{
+    World world(fault);
+    for (const auto& step : steps)
+        world.run(step);
+    return world;
+}
+
+std::vector<Step> drawSchedule(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::vector<Step> steps(300);
+    for (auto& step : steps)
+        step = { std::uint8_t(random()), std::uint8_t(random()), std::uint8_t(random()) };
+    return steps;
+}
+
+// Whether some schedule shows a violation.
+bool isNoticed(Fault fault)
+{
+    for (std::uint64_t seed = 1; seed <= 500; ++seed)
+        if (!runSchedule(drawSchedule(seed), fault).violations().empty())
+            return true;
+    return false;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AtMostOnce)
+
+RC_BOOST_PROP(NoKeyRunsTwiceAndWhatIsSaidIsTrue, ())
+{
+    auto byte = rc::gen::arbitrary<std::uint8_t>();
+    auto step = rc::gen::construct<Step>(byte, byte, byte);
+    auto steps = *rc::gen::resize(400, rc::gen::container<std::vector<Step>>(step));
+    auto world = runSchedule(steps, Fault::None);
+    if (!world.violations().empty())
+        RC_FAIL(world.violations().front());
+}
+
+BOOST_AUTO_TEST_CASE(SchedulesReachAnswersAndNoViolation)
+{
+    std::size_t answered = 0;
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        auto world = runSchedule(drawSchedule(seed), Fault::None);
+        if (!world.violations().empty())
+            BOOST_ERROR("seed " << seed << ": " << world.violations().front());
+        answered += world.answered();
+    }
+    BOOST_TEST(answered > 500U);
+}
+
+BOOST_AUTO_TEST_CASE(BrokenVariantsAreNoticed)
+{
+    BOOST_TEST(isNoticed(Fault::UnknownClaimCountsAsWon));
+    BOOST_TEST(isNoticed(Fault::IncarnationIsReused));
+    BOOST_TEST(isNoticed(Fault::UnreachableOwnerCountsAsHandOver));
+    BOOST_TEST(isNoticed(Fault::UnprovenEndCountsAsUnsent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/serve/tests/verdict_test.cpp
@@ -0,0 +1,288 @@
+#include "serve/attempt_verdict.h"
+#include "serve/dispatcher.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+#include <set>
+
+using namespace fulmar;
+using namespace fulmar::serve;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Exchange {
+    std::uint64_t requestBytes { 0 };
+    std::uint64_t contentLength { 0 };
+    // Bytes of request and answer, in this order, that pass before the connection stops.
+    std::uint64_t passed { 0 };
+    TransferStop stop { TransferStop::Reset };
+    BodyFraming framing { BodyFraming::ContentLength };
+};
+
+constexpr std::uint64_t headerBytes = 20;
+constexpr std::uint64_t lastChunkBytes = 5;
+
+// What a socket sees of an exchange that stops after any byte.
+TransferFacts observe(const Exchange& exchange)
+{
+    TransferFacts facts;
+    facts.stop = exchange.stop;
+    facts.framing = exchange.framing;
+    facts.contentLength = exchange.contentLength;
+    facts.requestBytesSent = std::min(exchange.passed, exchange.requestBytes);
+    auto answered = exchange.passed - facts.requestBytesSent;
+    if (answered < headerBytes)
+        return facts;
+    facts.status = 200;
+    facts.bodyBytes = std::min(answered - headerBytes, exchange.contentLength);
+    auto total = headerBytes + exchange.contentLength + lastChunkBytes;
+    facts.lastChunkSeen = exchange.framing == BodyFraming::Chunked && answered >= total;
+    return facts;
+}
+
+bool isWholeAnswer(const Exchange& exchange)
+{
+    if (exchange.stop != TransferStop::Finished || exchange.framing == BodyFraming::UntilClose)
+        return false;
+    auto needed = exchange.requestBytes + headerBytes;
+    if (exchange.framing != BodyFraming::None)
+        needed += exchange.contentLength;
+    if (exchange.framing == BodyFraming::Chunked)
+        needed += lastChunkBytes;
+    return exchange.passed >= needed;
+}
+
+// The property, for any function that judges transfers.
+template <typename Judge> bool isTrueVerdict(const Exchange& exchange, Judge judge)
+{
+    auto end = judge(observe(exchange));
+    if (end.outcome == Outcome::Ran)
+        return isWholeAnswer(exchange) && end.status.has_value();
+    if (end.outcome == Outcome::NotRun)
+        return exchange.passed == 0;
+    return !isWholeAnswer(exchange);
+}
+
+Exchange drawExchange()
+{
+    Exchange exchange;
+    exchange.requestBytes = *rc::gen::inRange<std::uint64_t>(1, 200);
+    exchange.contentLength = *rc::gen::inRange<std::uint64_t>(0, 200);
+    exchange.passed = *rc::gen::inRange<std::uint64_t>(0, 430);
+    exchange.stop = TransferStop(*rc::gen::inRange(0, 7));
+    exchange.framing = BodyFraming(*rc::gen::inRange(0, 4));
+    return exchange;
+}
+
+bool isNoticed(AttemptEnd (*judge)(const TransferFacts&))
+{
+    for (std::uint64_t passed = 0; passed < 200; ++passed)
+        for (auto stop : { TransferStop::Finished, TransferStop::Reset })
+            for (auto framing : { BodyFraming::ContentLength, BodyFraming::Chunked })
+                if (!isTrueVerdict({ 50, 100, passed, stop, framing }, judge))
+                    return true;
+    return false;
+}
+
+AttemptEnd judgeByStatusAlone(const TransferFacts& facts)
+{
+    auto end = judgeTransfer(facts);
+    if (facts.status)
+        end = { Outcome::Ran, facts.status, {}, false, false, {} };
+    return end;
+}
+
+AttemptEnd judgePartWrittenAsUnsent(const TransferFacts& facts)
+{
+    auto end = judgeTransfer(facts);
+    if (facts.requestBytesSent < 10)
+        end.outcome = Outcome::NotRun;
+    return end;
+}
+
+// Drives a dispatcher with random calls and ends, and checks what callers are told against what happened.
+class Callers {
+public:
+    // With `unprovenIsUnsent` the socket side reports every failed attempt as unsent, which is a lie.
+    explicit Callers(bool unprovenIsUnsent)
+        : m_unprovenIsUnsent(unprovenIsUnsent)
+        , m_dispatcher(settings())
+    {
+        ServiceEntry service;
+        service.config.service = ServiceId("s");
+        service.config.queueLimit = 3;
+        service.config.slotsPerTarget = 2;
+        service.config.retryShare = 1;
+        for (const auto* vm : { "v1", "v2", "v3" })
+            service.targets.push_back({ VmId(vm), "127.0.0.1:1", ZoneId("a"), RackId(vm), true, 1 });
+        ServiceDirectory directory;
+        directory.services.emplace(service.config.service, service);
+        handle(m_dispatcher.applyDirectory(directory, m_now));
+    }
+
+    void call(bool idempotent)
+    {
+        CallInfo call;
+        call.service = ServiceId("s");
+        call.method = idempotent ? "GET" : "POST";
+        call.timeout = 2s;
+        auto id = ++m_last;
+        m_requests[id].idempotent = idempotent;
+        handle(m_dispatcher.onCall(id, call, m_now));
+    }
+
+    // Ends an attempt, or one that has ended before: a late or doubled report must change nothing.
+    void end(std::size_t which, AttemptEnd end)
+    {
+        if (m_attempts.empty())
+            return;
+        auto& [attempt, state] = *std::next(m_attempts.begin(), std::ptrdiff_t(which % m_attempts.size()));
+        if (!state.outcome) {
+            state.outcome = end.outcome;
+            auto& request = m_requests.at(state.request);
+            if (end.outcome == Outcome::NotRun)
+                --request.possibleRuns;
+        }
+        if (m_unprovenIsUnsent && end.outcome == Outcome::MayHaveRun)
+            end.outcome = Outcome::NotRun;
+        handle(m_dispatcher.onAttemptEnd(attempt, end, m_now));
+    }
+
+    void gone(std::size_t which)
+    {
+        auto id = RequestId(1 + which % (m_last + 1));
+        if (m_requests.contains(id))
+            m_requests.at(id).gone = true;
+        handle(m_dispatcher.onCallerGone(id, m_now));
+    }
+
+    void advance(Duration step)
+    {
+        m_now += step;
+        handle(m_dispatcher.onTick(m_now));
+    }
+
+    // Ends everything; afterwards each caller must have been told something.
+    void finish()
+    {
+        for (std::size_t round = 0; round < 20; ++round) {
+            for (std::size_t i = 0; i < m_attempts.size(); ++i)
+                end(i, { Outcome::MayHaveRun, {}, Reason::TargetFailed, false, false, {} });
+            advance(1s);
+        }
+        check(m_dispatcher.isIdle());
+        for (const auto& [id, request] : m_requests)
+            check(request.answers == (request.gone && request.answers == 0 ? 0 : 1));
+    }
+
+    [[nodiscard]] bool allTrue() const { return m_allTrue; }
+
+private:
+    struct Request {
+        bool idempotent { false };
+        bool gone { false };
+        int answers { 0 };
+        int possibleRuns { 0 };
+    };
+    struct Attempt {
+        RequestId request { 0 };
+        std::optional<Outcome> outcome;
+    };
+
+    static DispatcherSettings settings()
+    {
+        DispatcherSettings settings;
+        settings.zone = ZoneId("a");
+        settings.process = ProcessId("e");
+        return settings;
+    }
+
+    void handle(const Actions& actions)
+    {
+        for (const auto& action : actions) {
+            if (const auto* start = std::get_if<StartAttempt>(&action)) {
+                auto& request = m_requests.at(start->request);
+                check(m_now < start->deadline);
+                check(m_attempts.emplace(start->attempt, Attempt { start->request, {} }).second);
+                ++request.possibleRuns;
+                check(request.idempotent || request.possibleRuns == 1);
+                check(!request.gone);
+            } else if (const auto* pass = std::get_if<PassAnswer>(&action)) {
+                const auto& attempt = m_attempts.at(pass->attempt);
+                check(attempt.request == pass->request);
+                check(attempt.outcome == Outcome::Ran);
+                ++m_requests.at(pass->request).answers;
+            } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+                auto& request = m_requests.at(refuse->request);
+                ++request.answers;
+                check((refuse->failure.outcome == Outcome::NotRun) == (request.possibleRuns == 0));
+            }
+        }
+    }
+
+    void check(bool holds) { m_allTrue &= holds; }
+
+    bool m_unprovenIsUnsent;
+    bool m_allTrue { true };
+    Dispatcher m_dispatcher;
+    TimePoint m_now { 1000s };
+    RequestId m_last { 0 };
+    std::map<RequestId, Request> m_requests;
+    std::map<AttemptId, Attempt> m_attempts;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Verdicts)
+
+RC_BOOST_PROP(AVerdictIsTrueWhereverATransferStops, ())
+{
+    RC_ASSERT(isTrueVerdict(drawExchange(), judgeTransfer));
+}
+
+BOOST_AUTO_TEST_CASE(BrokenJudgesAreNoticed)
+{
+    BOOST_TEST(!isNoticed(judgeTransfer));
+    BOOST_TEST(isNoticed(judgeByStatusAlone));
+    BOOST_TEST(isNoticed(judgePartWrittenAsUnsent));
+}
+
+RC_BOOST_PROP(EveryCallerIsToldOnceAndTheTruth, ())
+{
+    Callers callers(false);
+    auto steps = *rc::gen::inRange(1, 120);
+    for (int i = 0; i < steps; ++i) {
+        auto which = *rc::gen::inRange<std::size_t>(0, 100);
+        switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+        case 1:
+        case 2:
+            callers.call(which % 2 == 0);
+            break;
+        case 3:
+        case 4:
+            callers.end(which, judgeTransfer(observe(drawExchange())));
+            break;
+        case 5:
+            callers.advance(std::chrono::milliseconds(which * 10));
+            break;
+        case 6:
+            callers.gone(which);
+            break;
+        }
+    }
+    callers.finish();
+    RC_ASSERT(callers.allTrue());
+}
+
+BOOST_AUTO_TEST_CASE(AnUntrueUnsentIsNoticed)
+{
+    Callers callers(true);
+    callers.call(false);
+    callers.end(0, { Outcome::MayHaveRun, {}, Reason::TargetFailed, false, false, {} });
+    callers.finish();
+    BOOST_TEST(!callers.allTrue());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
