--- /dev/null
+++ b/src/daemon/entry.cpp
@@ -0,0 +1,513 @@
+#include "daemon/entry.h"
+
+#include "core/log.h"
+#include "daemon/http_answers.h"
+#include "fleet/entry_row.h"
+
+#include <algorithm>
+#include <charconv>
+#include <csignal>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace fulmar {
+
+namespace {
+
+constexpr std::size_t inboxCapacity = 65'536;
+constexpr std::size_t eventCapacity = 20'000;
+constexpr std::size_t maxKeyBytes = 255;
+constexpr long connectionsPerTarget = 8;
+constexpr std::chrono::milliseconds loopAnswerTimeout { 200 };
+constexpr std::chrono::milliseconds confirmTimeout { 800 };
+constexpr std::chrono::milliseconds askTimeout { 500 };
+constexpr std::chrono::milliseconds taskCallTimeout { 5'000 };
+constexpr std::chrono::milliseconds configBatchPause { 50 };
+constexpr std::chrono::milliseconds stopPollPause { 50 };
+constexpr std::chrono::milliseconds maxTimeout = std::chrono::hours(24);
+
+constexpr std::string_view keyHeader = "Idempotency-Key";
+constexpr std::string_view timeoutHeader = "Request-Timeout-Ms";
+
+const std::string* findHeader(const std::vector<HeaderField>& headers, std::string_view name)
+{
+    auto isSame = [](char a, char b) {
+        return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
+    };
+    for (const auto& [each, value] : headers)
+        if (std::equal(each.begin(), each.end(), name.begin(), name.end(), isSame))
+            return &value;
+    return nullptr;
+}
+
+std::uint64_t fingerprintOf(const CallerRequest& request)
+{
+    auto hash = XXH3_64bits(request.method.data(), request.method.size());
+    hash = XXH3_64bits_withSeed(request.path.data(), request.path.size(), hash);
+    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), hash);
+}
+
+// Splits "/service/rest?query" into the service and the path after it.
+std::pair<std::string_view, std::string_view> splitService(std::string_view path)
+{
+    path.remove_prefix(std::min<std::size_t>(1, path.size()));
+    auto end = std::min(path.find_first_of("/?"), path.size());
+    return { path.substr(0, end), path.substr(end) };
+}
+
+Result<std::optional<Duration>> readTimeout(const std::vector<HeaderField>& headers)
+{
+    const auto* text = findHeader(headers, timeoutHeader);
+    if (!text)
+        return std::optional<Duration>();
+    std::int64_t count = 0;
+    auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), count);
+    bool isWhole = error == std::errc() && end == text->data() + text->size();
+    if (!isWhole || count < 1 || count > maxTimeout.count())
+        return notRun(Reason::BadInput,
+            fmt::format("{} must be a whole number from 1 to {}", timeoutHeader, maxTimeout.count()));
+    return std::optional<Duration>(std::chrono::milliseconds(count));
+}
+
+Result<serve::CallInfo> describe(const CallerRequest& request)
+{
+    auto [service, rest] = splitService(request.path);
+    if (service.empty())
+        return notRun(Reason::BadInput, "the first path segment must name a service");
+    auto timeout = readTimeout(request.headers);
+    if (!timeout)
+        return tl::unexpected(timeout.error());
+    serve::CallInfo info { ServiceId(std::string(service)), request.method, std::string(rest), request.caller,
+        std::nullopt, *timeout, fingerprintOf(request) };
+    if (const auto* key = findHeader(request.headers, keyHeader)) {
+        if (key->empty() || key->size() > maxKeyBytes)
+            return notRun(
+                Reason::BadInput, fmt::format("{} must have 1 to {} bytes", keyHeader, maxKeyBytes));
+        info.idempotencyKey = *key;
+    }
+    return info;
+}
+
+PeerInfo describeSelf(const ProcessSettings& settings, std::uint64_t incarnation)
+{
+    return { settings.process, PeerRole::Entry, settings.region, settings.zone, settings.peerAddress,
+        incarnation, settings.vm, false };
+}
+
+MembershipSettings membershipOf(const ProcessSettings& settings)
+{
+    MembershipSettings membership;
+    membership.seeds = settings.peerSeeds;
+    return membership;
+}
+
+} // namespace
+
+Entry::Entry(EntrySettings settings, std::uint64_t incarnation)
+    : m_settings(std::move(settings))
+    , m_self(describeSelf(m_settings.process, incarnation))
+    , m_events(m_self.process, eventCapacity)
+    , m_inbox(m_loop, inboxCapacity)
+    , m_signals(m_loop, SIGTERM, SIGINT)
+    , m_tickTimer(m_loop)
+    , m_configTimer(m_loop)
+    , m_stopTimer(m_loop)
+    , m_dispatcher({ m_self.zone, m_self.process, incarnation, incarnation })
+    , m_targets(m_loop, { m_settings.targetConnectTimeout, connectionsPerTarget, m_settings.maxAnswerBytes })
+    , m_distribution(m_self, membershipOf(m_settings.process), [this](const ConfigChange& change) {
+        if (!m_inbox.tryPost([this, change] { onConfig(change); }))
+            logWarning("config.dropped", { { "version", std::to_string(change.version) } });
+    })
+{
+}
+
+Entry::~Entry() = default;
+
+Result<void> Entry::startDuties()
+{
+    auto callers = CallerServer::start(m_loop, m_settings.callers,
+        [this](CallId id, CallerRequest request) { onCall(id, std::move(request)); });
+    if (!callers)
+        return tl::unexpected(callers.error());
+    m_callers = std::move(*callers);
+
+    EntryRecord record { m_self.process, m_self.vm, m_self.address, m_self.region, m_self.zone,
+        std::to_string(m_self.incarnation) };
+    HttpPlatformOptions platform { m_settings.process.platformAddress };
+    platform.timeout = m_settings.process.platformTimeout;
+    Store::Hooks hooks;
+    hooks.onRegistered = [this](Version version) { m_distribution.setRegistered(version); };
+    hooks.onClaims = [this](std::vector<serve::ClaimDone> done) {
+        bool wasPosted = m_inbox.tryPost([this, done = std::move(done)] {
+            for (const auto& [request, result] : done)
+                perform(m_dispatcher.onClaim(request, result, m_clock.now()));
+        });
+        if (!wasPosted)
+            logWarning("claims.dropped", {});
+    };
+    m_store = std::make_unique<Store>(
+        HttpPlatform(platform), record, StoreDutySettings {}, m_events, m_clock, std::move(hooks));
+
+    auto peers = PeerDuty::start(m_settings.process.peerAddress, m_distribution, m_events, makePeerHooks());
+    if (!peers)
+        return tl::unexpected(peers.error());
+    m_peers = std::move(*peers);
+    m_store->start();
+    return {};
+}
+
+PeerDutyHooks Entry::makePeerHooks()
+{
+    PeerDutyHooks hooks;
+    hooks.loadFor = [this](const PeerInfo& peer) -> std::optional<serve::PeerLoad> {
+        if (peer.role != PeerRole::Entry || peer.zone != m_self.zone)
+            return std::nullopt;
+        return m_inbox.ask<serve::PeerLoad>(
+            [this, process = peer.process] { return m_dispatcher.loadFor(process, m_clock.now()); },
+            loopAnswerTimeout);
+    };
+    hooks.onLoad = [this](const PeerInfo& peer, const serve::PeerLoad& load) {
+        std::ignore = m_inbox.tryPost([this, peer, load] {
+            for (const auto& vm : load.leaving)
+                m_dispatcher.onTargetLeaving(vm, m_clock.now());
+            if (peer.role == PeerRole::Entry && peer.zone == m_self.zone)
+                perform(m_dispatcher.onPeerLoad(peer.process, load, m_clock.now()));
+        });
+    };
+    hooks.confirmLeaving = [this](const ConfirmQuestion& question) {
+        auto confirmation = m_inbox.ask<Confirmation>(
+            [this, question] { return confirmLeaving(question); }, confirmTimeout);
+        // Without an answer of the serve duty nothing is confirmed.
+        return confirmation.value_or(Confirmation { {}, 0, 0, m_self.incarnation, {} });
+    };
+    hooks.askKey = [this](const KeyQuestion& question) {
+        auto answer = m_inbox.ask<KeyAnswer>([this, question] { return answerKey(question); }, askTimeout);
+        return answer.value_or(KeyAnswer {});
+    };
+    return hooks;
+}
+
+Result<void> Entry::run()
+{
+    if (auto started = startDuties(); !started)
+        return started;
+    m_events.record(m_clock.wallNow(), "entry.started",
+        { { "zone", m_self.zone.value() }, { "incarnation", std::to_string(m_self.incarnation) } });
+    m_signals.async_wait([this](const asio::error_code& error, int) {
+        if (!error)
+            beginStop();
+    });
+    scheduleTick();
+    m_loop.run();
+    m_peers.reset();
+    m_store->stop();
+    m_events.record(m_clock.wallNow(), "entry.stopped", {});
+    return {};
+}
+
+bool Entry::isServing() const { return !m_isStopping && m_appliedVersion > 0; }
+
+void Entry::answerHealth(CallId id)
+{
+    nlohmann::json body { { "serving", isServing() }, { "stopping", m_isStopping },
+        { "configVersion", m_appliedVersion } };
+    m_callers->answer(id, jsonAnswer(isServing() ? 200 : 503, Outcome::Ran, body.dump()), m_isStopping);
+}
+
+void Entry::answerMint(CallId id)
+{
+    auto key = m_dispatcher.mintKey(m_clock.now());
+    auto answer = key ? jsonAnswer(201, Outcome::Ran, nlohmann::json { { "key", *key } }.dump())
+                      : problemAnswer({ Outcome::NotRun, Reason::Draining, "this entry is stopping" },
+                          std::chrono::seconds(1));
+    m_callers->answer(id, std::move(answer), m_isStopping);
+}
+
+// Tasks are owned by control processes; any of this zone finds the owner.
+void Entry::forwardTask(CallId id, const CallerRequest& request)
+{
+    constexpr std::string_view prefix = "/v1/tasks";
+    auto task = request.path.substr(prefix.size());
+    task.remove_prefix(std::min<std::size_t>(1, task.size()));
+    auto controls = m_distribution.live(PeerRole::Control, m_clock.now());
+    std::stable_partition(
+        controls.begin(), controls.end(), [&](const PeerInfo& peer) { return peer.zone == m_self.zone; });
+    if (controls.empty()) {
+        m_callers->answer(id,
+            problemAnswer({ Outcome::NotRun, Reason::NoTarget, "no control process is known" },
+                std::chrono::seconds(1)),
+            m_isStopping);
+        return;
+    }
+    TaskCall call { m_events.stampForMessage(m_clock.wallNow()), request.method, TaskId(std::string(task)),
+        std::string(request.body) };
+    m_peers->client().callTask(
+        controls.front().address, call, taskCallTimeout, [this, id](Result<TaskAnswer> answer) {
+            std::ignore = m_inbox.tryPost([this, id, answer = std::move(answer)] {
+                if (answer)
+                    m_callers->answer(
+                        id, jsonAnswer(answer->status, answer->outcome, answer->body), m_isStopping);
+                else
+                    m_callers->answer(
+                        id, problemAnswer(answer.error(), std::chrono::seconds(1)), m_isStopping);
+            });
+        });
+}
+
+// Paths of the system itself. Returns false for a service's path.
+bool Entry::answerOwnPath(CallId id, const CallerRequest& request)
+{
+    if (request.path == "/healthz" || request.path == "/readyz")
+        answerHealth(id);
+    else if (request.path == "/v1/keys" && request.method == "POST")
+        answerMint(id);
+    else if (request.path == "/v1/tasks" || request.path.starts_with("/v1/tasks/"))
+        forwardTask(id, request);
+    else
+        return false;
+    return true;
+}
+
+void Entry::onCall(CallId id, CallerRequest request)
+{
+    if (answerOwnPath(id, request))
+        return;
+    auto info = describe(request);
+    if (!info) {
+        auto answer = problemAnswer(info.error(), {});
+        answer.status = 400;
+        m_callers->answer(id, std::move(answer), m_isStopping);
+        return;
+    }
+    if (m_appliedVersion == 0) {
+        m_callers->answer(id,
+            problemAnswer(
+                { Outcome::NotRun, Reason::NoTarget, "no configuration yet" }, std::chrono::seconds(1)),
+            true);
+        return;
+    }
+    m_calls.emplace(id,
+        Call { request.method, std::string(request.path), std::move(request.headers),
+            std::string(request.body) });
+    perform(m_dispatcher.onCall(id, *info, m_clock.now()));
+    scheduleTick();
+}
+
+void Entry::perform(const serve::Actions& actions)
+{
+    for (const auto& action : actions)
+        std::visit([this](const auto& each) { perform(each); }, action);
+    if (!actions.empty())
+        scheduleTick();
+}
+
+void Entry::perform(const serve::StartAttempt& start)
+{
+    auto position = m_calls.find(start.request);
+    assert(position != m_calls.end());
+    auto& call = position->second;
+    ++call.attempts;
+    auto timeout = std::max(start.deadline - m_clock.now(), Duration(1));
+    m_targets.start(start.attempt,
+        { start.address, call.method, call.path, call.headers, call.body, timeout },
+        [this, request = start.request, attempt = start.attempt](serve::AttemptEnd end, HttpAnswer answer) {
+            onAttemptEnd(request, attempt, end, std::move(answer));
+        });
+}
+
+void Entry::onAttemptEnd(
+    serve::RequestId request, serve::AttemptId attempt, const serve::AttemptEnd& end, HttpAnswer answer)
+{
+    m_answers[attempt] = std::move(answer);
+    perform(m_dispatcher.onAttemptEnd(attempt, end, m_clock.now()));
+    m_answers.erase(attempt);
+    --m_calls.at(request).attempts;
+    forgetIfDone(request);
+    scheduleTick();
+}
+
+void Entry::perform(const serve::CancelAttempt& cancel) { m_targets.cancel(cancel.attempt); }
+
+void Entry::perform(const serve::PassAnswer& pass)
+{
+    auto answer = m_answers.at(pass.attempt);
+    answer.headers.emplace_back(outcomeHeader, std::string(toString(Outcome::Ran)));
+    this->answer(pass.request, std::move(answer));
+}
+
+void Entry::perform(const serve::Refuse& refuse)
+{
+    answer(refuse.request, problemAnswer(refuse.failure, refuse.retryAfter));
+}
+
+void Entry::perform(const serve::ClaimKey& claim)
+{
+    if (m_store->tryClaim(claim))
+        return;
+    perform(m_dispatcher.onClaim(claim.request, serve::ClaimUnknown {}, m_clock.now()));
+}
+
+void Entry::perform(const serve::AskKeyOwner& ask)
+{
+    auto owner = m_distribution.find(ask.question.holder.owner.process);
+    if (!owner) {
+        std::ignore = m_inbox.tryPost([this, request = ask.request] {
+            perform(m_dispatcher.onOwnerAnswer(
+                request, { serve::KeyKnowledge::Unreachable, std::nullopt }, m_clock.now()));
+        });
+        return;
+    }
+    KeyQuestion question { m_events.stampForMessage(m_clock.wallNow()), ask.question };
+    m_peers->client().askKey(
+        owner->address, question, askTimeout, [this, request = ask.request](Result<KeyAnswer> answer) {
+            std::ignore = m_inbox.tryPost([this, request, answer = std::move(answer)] {
+                if (auto call = m_calls.find(request); answer && call != m_calls.end())
+                    call->second.ownerAnswer = answer->answer;
+                auto knowledge = answer
+                    ? answer->owner
+                    : serve::OwnerAnswer { serve::KeyKnowledge::Unreachable, std::nullopt };
+                perform(m_dispatcher.onOwnerAnswer(request, knowledge, m_clock.now()));
+            });
+        });
+}
+
+void Entry::perform(const serve::KeepAnswer& keep) { m_keptAnswers[keep.key] = m_answers.at(keep.attempt); }
+
+void Entry::perform(const serve::ForgetAnswer& forget) { m_keptAnswers.erase(forget.key); }
+
+void Entry::perform(const serve::PassKeptAnswer& pass)
+{
+    auto kept = m_keptAnswers.find(pass.key);
+    auto answer = kept != m_keptAnswers.end() ? kept->second : m_calls.at(pass.request).ownerAnswer;
+    answer.headers.emplace_back(outcomeHeader, std::string(toString(Outcome::Ran)));
+    this->answer(pass.request, std::move(answer));
+}
+
+void Entry::answer(serve::RequestId request, HttpAnswer answer)
+{
+    m_callers->answer(request, std::move(answer), m_isStopping);
+    m_calls.at(request).isAnswered = true;
+    forgetIfDone(request);
+}
+
+void Entry::forgetIfDone(serve::RequestId request)
+{
+    if (auto call = m_calls.find(request);
+        call != m_calls.end() && call->second.isAnswered && call->second.attempts == 0)
+        m_calls.erase(call);
+}
+
+void Entry::onConfig(const ConfigChange& change)
+{
+    for (const auto& row : change.rows)
+        m_rows[row.key] = row;
+    m_receivedVersion = std::max(m_receivedVersion, change.version);
+    scheduleConfig();
+}
+
+// Changes that come in a burst are applied together.
+void Entry::scheduleConfig()
+{
+    if (std::exchange(m_isConfigScheduled, true))
+        return;
+    m_configTimer.expires_after(configBatchPause);
+    m_configTimer.async_wait([this](const asio::error_code& error) {
+        m_isConfigScheduled = false;
+        if (!error)
+            applyConfig();
+    });
+}
+
+void Entry::applyConfig()
+{
+    if (!m_distribution.mayRoute())
+        return scheduleConfig();
+    setEntriesFromRows();
+    perform(m_dispatcher.applyDirectory(serve::buildDirectory(m_rows), m_clock.now()));
+    if (m_receivedVersion > m_appliedVersion)
+        m_events.record(
+            m_clock.wallNow(), "config.applied", { { "version", std::to_string(m_receivedVersion) } });
+    m_appliedVersion = m_receivedVersion;
+}
+
+void Entry::setEntriesFromRows()
+{
+    std::vector<serve::EntryVm> entries { { m_self.process, m_self.zone } };
+    for (auto position = m_rows.lower_bound(keys::entryPrefix); position != m_rows.end(); ++position) {
+        const auto& [key, row] = *position;
+        if (!key.starts_with(keys::entryPrefix))
+            break;
+        auto record = decode<EntryRecord>(row.value);
+        if (!row.deleted && record && record->process != m_self.process)
+            entries.push_back({ record->process, record->zone });
+    }
+    perform(m_dispatcher.setEntries(entries, m_clock.now()));
+}
+
+Confirmation Entry::confirmLeaving(const ConfirmQuestion& question)
+{
+    auto inFlight = m_dispatcher.inFlight();
+    auto position = inFlight.find(question.vm);
+    return { {}, m_appliedVersion, position == inFlight.end() ? 0 : position->second, m_self.incarnation,
+        m_distribution.dependents(question.version) };
+}
+
+KeyAnswer Entry::answerKey(const KeyQuestion& question)
+{
+    KeyAnswer answer { {}, m_dispatcher.onPeerAsk(question.question, m_clock.now()), {} };
+    if (answer.owner.knowledge != serve::KeyKnowledge::Kept)
+        return answer;
+    if (auto kept = m_keptAnswers.find(question.question.key); kept != m_keptAnswers.end())
+        answer.answer = kept->second;
+    else
+        answer.owner.knowledge = serve::KeyKnowledge::RanAnswerLost;
+    return answer;
+}
+
+void Entry::scheduleTick()
+{
+    auto wake = m_dispatcher.nextWake();
+    if (!wake) {
+        m_tickTimer.cancel();
+        return;
+    }
+    if (m_tickTimer.expiry() == *wake)
+        return;
+    m_tickTimer.expires_at(*wake);
+    m_tickTimer.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        perform(m_dispatcher.onTick(m_clock.now()));
+        scheduleTick();
+    });
+}
+
+void Entry::beginStop()
+{
+    m_isStopping = true;
+    m_stopBegan = m_clock.now();
+    m_dispatcher.beginDrain(m_clock.now());
+    m_events.record(m_clock.wallNow(), "entry.stopping", { { "calls", std::to_string(m_calls.size()) } });
+    pollStop();
+}
+
+// Stops once the balancer has noticed, every call has ended and every connection is closed, or the limit has
+// passed.
+void Entry::pollStop()
+{
+    auto waited = m_clock.now() - m_stopBegan;
+    bool isQuiet = m_dispatcher.isIdle() && m_calls.empty() && m_callers->openConnections() == 0;
+    if (waited >= m_settings.balancerLag && (isQuiet || waited >= m_settings.drainLimit)) {
+        m_callers->stopAccepting();
+        m_loop.stop();
+        return;
+    }
+    m_stopTimer.expires_after(stopPollPause);
+    m_stopTimer.async_wait([this](const asio::error_code& error) {
+        if (!error)
+            pollStop();
+    });
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/daemon/entry.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "core/event.h"
+#include "daemon/caller_server.h"
+#include "daemon/distribution.h"
+#include "daemon/entry_settings.h"
+#include "daemon/inbox.h"
+#include "daemon/peer_duty.h"
+#include "daemon/store_duty.h"
+#include "daemon/target_client.h"
+#include "platform/http_platform.h"
+#include "serve/dispatcher.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace fulmar {
+
+// The process through which callers reach targets. The serve duty runs the callers' server, the targets'
+// client and the dispatcher on one loop; the peer and store duties have their own threads and reach it
+// through its inbox.
+class Entry {
+public:
+    Entry(EntrySettings, std::uint64_t incarnation);
+    Entry(const Entry&) = delete;
+    Entry& operator=(const Entry&) = delete;
+    ~Entry();
+
+    // Serves until SIGTERM or SIGINT and the graceful stop after it. Fails if an address cannot be bound.
+    [[nodiscard]] Result<void> run();
+
+private:
+    using Store = StoreDuty<HttpPlatform, SystemClock>;
+
+    // A call from its arrival until it is answered and its last attempt has ended.
+    struct Call {
+        std::string method;
+        std::string path;
+        std::vector<HeaderField> headers;
+        std::string body;
+        int attempts { 0 };
+        bool isAnswered { false };
+        // The answer that a key's owner sent along.
+        HttpAnswer ownerAnswer;
+    };
+
+    [[nodiscard]] Result<void> startDuties();
+    PeerDutyHooks makePeerHooks();
+    Store makeStore();
+
+    void onCall(CallId, CallerRequest);
+    bool answerOwnPath(CallId, const CallerRequest&);
+    void answerHealth(CallId);
+    void answerMint(CallId);
+    void forwardTask(CallId, const CallerRequest&);
+
+    void perform(const serve::Actions&);
+    void perform(const serve::StartAttempt&);
+    void perform(const serve::CancelAttempt&);
+    void perform(const serve::PassAnswer&);
+    void perform(const serve::Refuse&);
+    void perform(const serve::ClaimKey&);
+    void perform(const serve::AskKeyOwner&);
+    void perform(const serve::KeepAnswer&);
+    void perform(const serve::ForgetAnswer&);
+    void perform(const serve::PassKeptAnswer&);
+
+    void onAttemptEnd(serve::RequestId, serve::AttemptId, const serve::AttemptEnd&, HttpAnswer);
+    void answer(serve::RequestId, HttpAnswer);
+    void forgetIfDone(serve::RequestId);
+
+    void onConfig(const ConfigChange&);
+    void applyConfig();
+    void setEntriesFromRows();
+    [[nodiscard]] Confirmation confirmLeaving(const ConfirmQuestion&);
+    [[nodiscard]] KeyAnswer answerKey(const KeyQuestion&);
+    [[nodiscard]] bool isServing() const;
+
+    void scheduleTick();
+    void scheduleConfig();
+    void beginStop();
+    void pollStop();
+
+    const EntrySettings m_settings;
+    const PeerInfo m_self;
+    const SystemClock m_clock {};
+    EventLog m_events;
+    asio::io_context m_loop { 1 };
+    LoopInbox m_inbox;
+    asio::signal_set m_signals;
+    asio::steady_timer m_tickTimer;
+    asio::steady_timer m_configTimer;
+    asio::steady_timer m_stopTimer;
+
+    serve::Dispatcher m_dispatcher;
+    TargetClient m_targets;
+    std::unique_ptr<CallerServer> m_callers;
+    std::unordered_map<serve::RequestId, Call> m_calls;
+    // Whole answers whose attempt has ended, until the dispatcher's actions on them are done.
+    std::unordered_map<serve::AttemptId, HttpAnswer> m_answers;
+    std::unordered_map<std::string, HttpAnswer> m_keptAnswers;
+
+    Distribution m_distribution;
+    std::map<std::string, Row> m_rows;
+    Version m_receivedVersion { 0 };
+    // Version of the configuration that the dispatcher routes by.
+    Version m_appliedVersion { 0 };
+    bool m_isConfigScheduled { false };
+
+    bool m_isStopping { false };
+    TimePoint m_stopBegan {};
+
+    std::unique_ptr<Store> m_store;
+    std::unique_ptr<PeerDuty> m_peers;
+};
+
+} // namespace fulmar
--- /dev/null
+++ b/src/daemon/program.cpp
@@ -0,0 +1,60 @@
+#include "daemon/program.h"
+
+#include <chrono>
+#include <csignal>
+#include <curl/curl.h>
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace fulmar {
+
+int runDaemon(
+    const std::string& name, int argc, char** argv, const std::function<int(SettingsReader&, bool)>& body)
+{
+    cxxopts::Options options(name, "A process of the fleet capacity and maintenance manager.");
+    options.add_options()("settings", "INI file with the settings", cxxopts::value<std::string>(), "FILE")(
+        "check-settings", "check the settings, report every problem and exit")("help", "show this help");
+    try {
+        auto parsed = options.parse(argc, argv);
+        if (parsed.count("help")) {
+            std::cout << options.help();
+            return exitOk;
+        }
+        if (!parsed.count("settings")) {
+            std::cerr << name << ": --settings is missing\n";
+            return exitBadUsage;
+        }
+        // Writes to connections that the other side closed are reported as errors, not as signals.
+        std::signal(SIGPIPE, SIG_IGN);
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+        auto reader = SettingsReader::fromFile(parsed["settings"].as<std::string>());
+        return body(reader, parsed.count("check-settings") > 0);
+    } catch (const cxxopts::OptionException& error) {
+        std::cerr << name << ": " << error.what() << '\n';
+        return exitBadUsage;
+    }
+}
+
+int startChecked(SettingsReader& reader, bool checksOnly, const std::function<Result<void>()>& run)
+{
+    auto errors = reader.finish();
+    for (const auto& error : errors)
+        std::cerr << formatSettingsError(error) << '\n';
+    if (!errors.empty())
+        return exitBadUsage;
+    if (checksOnly)
+        return exitOk;
+    if (auto result = run(); !result) {
+        std::cerr << result.error().detail << '\n';
+        return exitFailed;
+    }
+    return exitOk;
+}
+
+std::uint64_t newIncarnation()
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::uint64_t(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/programs/fulmar_entry.cpp
@@ -0,0 +1,14 @@
+#include "core/log.h"
+#include "daemon/entry.h"
+#include "daemon/program.h"
+
+int main(int argc, char** argv)
+{
+    return fulmar::runDaemon("fulmar-entry", argc, argv, [](fulmar::SettingsReader& reader, bool checksOnly) {
+        auto settings = fulmar::readEntrySettings(reader);
+        return fulmar::startChecked(reader, checksOnly, [&] {
+            fulmar::initializeLog(settings.process.process.value());
+            return fulmar::Entry(std::move(settings), fulmar::newIncarnation()).run();
+        });
+    });
+}
