--- /dev/null
+++ b/standins/relay.cpp
@@ -0,0 +1,165 @@
+#include "relay.h"
+
+#include "http_host.h"
+
+#include <array>
+#include <asio/write.hpp>
+
+namespace fulmar::standin {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t bufferBytes = 16'384;
+
+// Two sockets and the bytes on their way between them. Kept alive by its own pending operations.
+class Pipe : public std::enable_shared_from_this<Pipe> {
+public:
+    Pipe(tcp::socket caller, asio::io_context& context)
+        : m_caller(std::move(caller))
+        , m_server(context)
+    {
+    }
+
+    void start(const tcp::endpoint& to)
+    {
+        m_server.async_connect(to, [self = shared_from_this()](const asio::error_code& error) {
+            if (error)
+                return self->close();
+            self->m_server.set_option(tcp::no_delay(true));
+            self->pass(self->m_caller, self->m_server, self->m_upstream);
+            self->pass(self->m_server, self->m_caller, self->m_downstream);
+        });
+    }
+
+    void close()
+    {
+        asio::error_code ignored;
+        m_caller.close(ignored);
+        m_server.close(ignored);
+    }
+
+private:
+    using Buffer = std::array<char, bufferBytes>;
+
+    void pass(tcp::socket& from, tcp::socket& to, Buffer& buffer)
+    {
+        from.async_read_some(asio::buffer(buffer),
+            [self = shared_from_this(), &from, &to, &buffer](
+                const asio::error_code& error, std::size_t bytes) {
+                if (error)
+                    return self->endOfInput(error, to);
+                self->write(from, to, buffer, bytes);
+            });
+    }
+
+    void write(tcp::socket& from, tcp::socket& to, Buffer& buffer, std::size_t bytes)
+    {
+        asio::async_write(to, asio::buffer(buffer, bytes),
+            [self = shared_from_this(), &from, &to, &buffer](const asio::error_code& error, std::size_t) {
+                if (error)
+                    return self->close();
+                self->pass(from, to, buffer);
+            });
+    }
+
+    // One side has finished sending; the other direction may go on.
+    void endOfInput(const asio::error_code& error, tcp::socket& to)
+    {
+        if (error != asio::error::eof)
+            return close();
+        asio::error_code ignored;
+        to.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    tcp::socket m_caller;
+    tcp::socket m_server;
+    Buffer m_upstream {};
+    Buffer m_downstream {};
+};
+
+tcp::endpoint endpointOf(const std::string& address)
+{
+    const auto [host, port] = splitAddress(address);
+    return { asio::ip::make_address(host), port };
+}
+
+} // namespace
+
+class Relay::Link : public std::enable_shared_from_this<Link> {
+public:
+    Link(asio::io_context& context, const std::string& listen, const std::string& to)
+        : m_context(context)
+        , m_acceptor(context)
+        , m_listen(endpointOf(listen))
+        , m_to(endpointOf(to))
+    {
+    }
+
+    void open()
+    {
+        if (m_acceptor.is_open())
+            return;
+        m_acceptor.open(m_listen.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(m_listen);
+        m_acceptor.listen();
+        m_listen = m_acceptor.local_endpoint();
+        accept();
+    }
+
+    void close()
+    {
+        asio::error_code ignored;
+        m_acceptor.close(ignored);
+        for (const auto& weak : m_pipes)
+            if (auto pipe = weak.lock())
+                pipe->close();
+        m_pipes.clear();
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return m_listen.port(); }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [self = shared_from_this()](const asio::error_code& error, tcp::socket caller) {
+                if (error)
+                    return;
+                caller.set_option(tcp::no_delay(true));
+                std::erase_if(self->m_pipes, [](const std::weak_ptr<Pipe>& pipe) { return pipe.expired(); });
+                auto pipe = std::make_shared<Pipe>(std::move(caller), self->m_context);
+                self->m_pipes.push_back(pipe);
+                pipe->start(self->m_to);
+                self->accept();
+            });
+    }
+
+    asio::io_context& m_context;
+    tcp::acceptor m_acceptor;
+    tcp::endpoint m_listen;
+    tcp::endpoint m_to;
+    std::vector<std::weak_ptr<Pipe>> m_pipes;
+};
+
+Relay::Relay(asio::io_context& context, const std::string& listen, const std::string& to)
+    : m_link(std::make_shared<Link>(context, listen, to))
+{
+    m_link->open();
+}
+
+Relay::~Relay()
+{
+    if (m_link)
+        m_link->close();
+}
+Relay::Relay(Relay&&) noexcept = default;
+Relay& Relay::operator=(Relay&&) noexcept = default;
+
+void Relay::cut() { m_link->close(); }
+void Relay::restore() { m_link->open(); }
+std::uint16_t Relay::port() const { return m_link->port(); }
+
+} // namespace fulmar::standin
