--- /dev/null
+++ b/src/fleet/fleet_duty.cpp
@@ -0,0 +1,14 @@
+#include "fleet/fleet_duty.h"
+
+#include <cassert>
+#include <xxhash.h>
+
+namespace fulmar {
+
+std::uint32_t shardOf(const PoolId& pool, std::uint32_t shards)
+{
+    assert(shards > 0);
+    return std::uint32_t(XXH64(pool.value().data(), pool.value().size(), 0) % shards);
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/fleet/lease.cpp
@@ -0,0 +1,30 @@
+#include "fleet/lease.h"
+
+#include "config/field_reader.h"
+
+#include <limits>
+
+namespace fulmar {
+
+std::string encode(const LeaseRecord& record)
+{
+    return nlohmann::json {
+        { "holder", record.holder.value() },
+        { "epoch", record.epoch },
+        { "renewals", record.renewals },
+    }
+        .dump();
+}
+
+template <> Result<LeaseRecord> decode(const std::string& text)
+{
+    constexpr auto maxWhole = std::numeric_limits<std::int64_t>::max();
+    FieldReader reader(text);
+    LeaseRecord record;
+    reader.take("holder", record.holder);
+    reader.takeWhole("epoch", record.epoch, 0, maxWhole);
+    reader.takeWhole("renewals", record.renewals, 0, maxWhole);
+    return reader.finish(std::move(record));
+}
+
+} // namespace fulmar
