Share the strict reader of JSON rows

Task rows need the same strict decoding as configuration rows, so the field reader moves out of model.cpp into a header of its own. Enumerations are taken by one template that names the allowed values.

--- a/src/config/model.cpp
+++ b/src/config/model.cpp
@@ -1,12 +1,8 @@
 #include "config/model.h"
+#include "config/field_reader.h"
 
-#include <algorithm>
 #include <array>
-#include <fmt/format.h>
-#include <fmt/ranges.h>
 #include <limits>
-#include <nlohmann/json.hpp>
-#include <set>
 
 namespace fulmar {
 
@@ -21,114 +17,6 @@
 constexpr std::int64_t maxTimeoutMs = 24LL * 3600 * 1000;
 constexpr double maxProcessors = 1'000'000;
 
-// Takes typed fields out of a JSON object and collects everything that is wrong with it.
-class FieldReader {
-public:
-    explicit FieldReader(const std::string& text)
-        : m_object(Json::parse(text, nullptr, false))
-    {
-        if (!m_object.is_object())
-            m_problems.emplace_back("not a JSON object");
-    }
-
-    void take(const char* name, std::string& field, bool required = false)
-    {
-        if (const auto* value = find(name, required); value && expect(name, value->is_string(), "a string"))
-            field = value->get<std::string>();
-    }
-
-    template <typename Tag> void take(const char* name, Id<Tag>& field, bool required = true)
-    {
-        std::string text;
-        take(name, text, required);
-        if (required && text.empty())
-            m_problems.push_back(fmt::format("{} must not be empty", name));
-        field = Id<Tag>(std::move(text));
-    }
-
-    void take(const char* name, bool& field)
-    {
-        if (const auto* value = find(name, false);
-            value && expect(name, value->is_boolean(), "true or false"))
-            field = value->get<bool>();
-    }
-
-    void take(const char* name, std::vector<std::string>& field)
-    {
-        const auto* value = find(name, false);
-        if (!value || !expect(name, value->is_array(), "a list of strings"))
-            return;
-        for (const auto& item : *value)
-            if (expect(name, item.is_string(), "a list of strings"))
-                field.push_back(item.get<std::string>());
-    }
-
-    void take(const char* name, double& field, double low, double high)
-    {
-        const auto* value = find(name, false);
-        if (!value || !expect(name, value->is_number(), "a number"))
-            return;
-        auto number = value->get<double>();
-        if (expect(name, number >= low && number <= high, fmt::format("from {} to {}", low, high)))
-            field = number;
-    }
-
-    template <typename Whole>
-    void takeWhole(const char* name, Whole& field, std::int64_t low, std::int64_t high)
-    {
-        const auto* value = find(name, false);
-        if (!value || !expect(name, value->is_number_integer(), "a whole number"))
-            return;
-        auto number = value->get<std::int64_t>();
-        if (expect(name, number >= low && number <= high, fmt::format("from {} to {}", low, high)))
-            field = Whole(number);
-    }
-
-    void take(const char* name, VmState& field)
-    {
-        std::string text;
-        take(name, text, true);
-        const auto* state = std::find_if(
-            vmStates.begin(), vmStates.end(), [&](VmState each) { return toString(each) == text; });
-        if (expect(name, state != vmStates.end(), "serving, leaving, maintenance or failed"))
-            field = *state;
-    }
-
-    template <typename T> Result<T> finish(T value)
-    {
-        if (m_object.is_object())
-            for (const auto& [name, ignored] : m_object.items())
-                if (!m_known.contains(name))
-                    m_problems.push_back(fmt::format("{} is not a known field", name));
-        if (!m_problems.empty())
-            return notRun(Reason::BadInput, fmt::format("{}", fmt::join(m_problems, "; ")));
-        return value;
-    }
-
-private:
-    const Json* find(const char* name, bool required)
-    {
-        m_known.insert(name);
-        if (m_object.is_object())
-            if (auto position = m_object.find(name); position != m_object.end())
-                return &*position;
-        if (required)
-            m_problems.push_back(fmt::format("{} is missing", name));
-        return nullptr;
-    }
-
-    bool expect(const char* name, bool holds, const std::string& expectation)
-    {
-        if (!holds)
-            m_problems.push_back(fmt::format("{} must be {}", name, expectation));
-        return holds;
-    }
-
-    Json m_object;
-    std::set<std::string> m_known;
-    std::vector<std::string> m_problems;
-};
-
 } // namespace
 
 std::string_view toString(VmState state)
@@ -282,7 +170,7 @@
     std::chrono::milliseconds lastMaintained {};
     reader.take("vm", record.vm);
     reader.take("pool", record.pool);
-    reader.take("state", record.state);
+    reader.takeEnum("state", record.state, vmStates);
     reader.take("address", record.address);
     reader.take("region", record.region, false);
     reader.take("zone", record.zone);
