Long work: the whole path from submission to a started task

Tasks are rows of a shard that one control process owns by a lease. Submissions are confirmed only when their batch is known to be stored; a lost reply is settled through a sequence row that every batch of the shard rewrites, so a batch that was not seen to commit either did or never can. A start is stored before its worker is called, and an uncertain start of a non-idempotent task is reported rather than repeated. Placement, sizes and team shares stand in simple form.

--- /dev/null
+++ b/src/work/acceptance.cpp
@@ -0,0 +1,116 @@
+#include "work/acceptance.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace fulmar {
+
+Acceptance::Acceptance(std::size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+void Acceptance::submit(SubmitTask submission, WallTime wallNow)
+{
+    const auto& id = submission.spec.task;
+    if (auto position = m_submissions.find(id); position != m_submissions.end()) {
+        // A caller that repeats its submission waits for the same batch.
+        if (position->second.record.spec == submission.spec) {
+            position->second.replies.push_back(std::move(submission.done));
+            position->second.deadline = std::max(position->second.deadline, submission.deadline);
+        } else {
+            submission.done(notRun(Reason::Conflict, "a different task with this id is being submitted"));
+        }
+        return;
+    }
+    if (m_submissions.size() >= m_capacity) {
+        submission.done(notRun(Reason::Overloaded, "too many submissions wait for the table"));
+        return;
+    }
+    m_waiting.push_back(id);
+    Submission kept;
+    kept.record.spec = submission.spec;
+    kept.record.accepted = wallNow;
+    kept.record.changed = wallNow;
+    kept.deadline = submission.deadline;
+    kept.replies.push_back(std::move(submission.done));
+    m_submissions.emplace(submission.spec.task, std::move(kept));
+}
+
+std::vector<TaskRecord> Acceptance::takeBatch(std::size_t max)
+{
+    std::vector<TaskRecord> batch;
+    while (batch.size() < max && !m_waiting.empty()) {
+        auto position = m_submissions.find(m_waiting.front());
+        m_waiting.pop_front();
+        if (position == m_submissions.end() || position->second.inBatch)
+            continue;
+        position->second.inBatch = true;
+        batch.push_back(position->second.record);
+    }
+    return batch;
+}
+
+void Acceptance::onCommitted(const std::vector<TaskRecord>& batch)
+{
+    for (const auto& record : batch)
+        if (auto node = m_submissions.extract(record.spec.task))
+            answer(node.mapped(), record);
+}
+
+// Submissions whose callers were already answered are dropped: they were told that it may have been taken.
+void Acceptance::onNotCommitted(const std::vector<TaskRecord>& batch)
+{
+    for (auto record = batch.rbegin(); record != batch.rend(); ++record) {
+        auto position = m_submissions.find(record->spec.task);
+        if (position == m_submissions.end())
+            continue;
+        if (position->second.replies.empty()) {
+            m_submissions.erase(position);
+            continue;
+        }
+        position->second.inBatch = false;
+        m_waiting.push_front(record->spec.task);
+    }
+}
+
+void Acceptance::expire(TimePoint now)
+{
+    for (auto position = m_submissions.begin(); position != m_submissions.end();) {
+        auto& submission = position->second;
+        if (now < submission.deadline || submission.replies.empty()) {
+            ++position;
+            continue;
+        }
+        answer(
+            submission, failureOf(submission, Reason::StoreUnavailable, "the table did not answer in time"));
+        position = submission.inBatch ? std::next(position) : m_submissions.erase(position);
+    }
+}
+
+void Acceptance::abandon(const std::string& cause)
+{
+    for (auto& [id, submission] : m_submissions)
+        answer(submission, failureOf(submission, Reason::LeaseLost, cause));
+    m_submissions.clear();
+    m_waiting.clear();
+}
+
+void Acceptance::answer(Submission& submission, const Result<TaskRecord>& result)
+{
+    for (auto& reply : submission.replies)
+        reply(result);
+    submission.replies.clear();
+}
+
+Result<TaskRecord> Acceptance::failureOf(
+    const Submission& submission, Reason reason, const std::string& cause)
+{
+    const auto& id = submission.record.spec.task.value();
+    if (submission.inBatch)
+        return mayHaveRun(
+            reason, fmt::format("task {} may have been accepted: {}; ask for its status", id, cause));
+    return notRun(reason, fmt::format("task {} was not accepted: {}", id, cause));
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/work/placement.cpp
@@ -0,0 +1,85 @@
+#include "work/placement.h"
+
+#include <map>
+
+namespace fulmar {
+
+namespace {
+
+constexpr double sameWorkerPenalty = 0.5;
+constexpr double sameRackPenalty = 0.25;
+constexpr double sameZonePenalty = 0.05;
+constexpr std::size_t penaltyCap = 4;
+
+// How many tasks of a job there are in each rack and zone of a pool.
+struct JobSpread {
+    std::map<RackId, std::size_t> racks;
+    std::map<ZoneId, std::size_t> zones;
+};
+
+std::size_t tasksOfJob(const Worker& worker, const JobId& job)
+{
+    return std::count_if(worker.tasks.begin(), worker.tasks.end(),
+        [&](const Task* task) { return task->record.spec.job == job; });
+}
+
+JobSpread spreadOf(const std::vector<Worker*>& workers, const JobId& job)
+{
+    JobSpread spread;
+    for (const auto* worker : workers)
+        if (auto count = tasksOfJob(*worker, job)) {
+            spread.racks[worker->rack] += count;
+            spread.zones[worker->zone] += count;
+        }
+    return spread;
+}
+
+template <typename Key> std::size_t countAt(const std::map<Key, std::size_t>& counts, const Key& key)
+{
+    auto position = counts.find(key);
+    return position == counts.end() ? 0 : std::min(position->second, penaltyCap);
+}
+
+double score(const Worker& worker, const PlacementRequest& request, const JobSpread& spread)
+{
+    auto left = worker.capacity - worker.reserved - request.need;
+    auto unused = (left.processors / std::max(worker.capacity.processors, 1.0)
+                      + left.memoryMb / std::max(worker.capacity.memoryMb, 1.0))
+        / 2;
+    // Workers with accelerators are kept for the tasks that need them.
+    if (request.need.accelerators == 0 && worker.capacity.accelerators > 0)
+        unused += 1;
+    return unused + sameWorkerPenalty * double(std::min(tasksOfJob(worker, request.spec->job), penaltyCap))
+        + sameRackPenalty * double(countAt(spread.racks, worker.rack))
+        + sameZonePenalty * double(countAt(spread.zones, worker.zone));
+}
+
+} // namespace
+
+bool accepts(const Worker& worker, const PlacementRequest& request)
+{
+    return worker.live && !worker.leaving
+        && (!worker.maintenanceAt || request.expectedEnd <= *worker.maintenanceAt)
+        && (!request.avoid || !request.avoid->contains(worker.id));
+}
+
+Worker* chooseWorker(const std::vector<Worker*>& workers, const PlacementRequest& request,
+    const FillLimits& limits, const std::function<bool(const Worker&)>& admits)
+{
+    Worker* best = nullptr;
+    double bestScore = 0;
+    std::optional<JobSpread> spread;
+    for (auto* worker : workers) {
+        if (!accepts(*worker, request) || !fits(request.need, room(*worker, limits)) || !admits(*worker))
+            continue;
+        if (!spread)
+            spread = spreadOf(workers, request.spec->job);
+        if (auto value = score(*worker, request, *spread); !best || value < bestScore) {
+            best = worker;
+            bestScore = value;
+        }
+    }
+    return best;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/work/task_queue.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "work/work_state.h"
+
+#include <map>
+#include <set>
+
+namespace fulmar {
+
+// Oldest acceptance first, so that a task put back keeps its turn, also under a new owner.
+struct ByAcceptance {
+    bool operator()(const Task* left, const Task* right) const
+    {
+        if (left->record.accepted != right->record.accepted)
+            return left->record.accepted < right->record.accepted;
+        return left->id() < right->id();
+    }
+};
+
+using TeamLine = std::set<Task*, ByAcceptance>;
+using TeamLines = std::map<TeamId, TeamLine>;
+
+// A pool's waiting tasks; urgent ones in a lane of their own.
+struct PoolLines {
+    TeamLines urgent;
+    TeamLines normal;
+
+    [[nodiscard]] bool empty() const { return urgent.empty() && normal.empty(); }
+};
+
+// The tasks that wait for a worker.
+class TaskQueue {
+public:
+    void push(Task& task)
+    {
+        lanes(task)[task.record.spec.team].insert(&task);
+        ++m_size;
+    }
+
+    // The task must be waiting.
+    void remove(Task& task)
+    {
+        auto& teams = lanes(task);
+        auto team = teams.find(task.record.spec.team);
+        team->second.erase(&task);
+        if (team->second.empty())
+            teams.erase(team);
+        if (auto pool = m_pools.find(task.record.spec.pool); pool->second.empty())
+            m_pools.erase(pool);
+        --m_size;
+    }
+
+    [[nodiscard]] std::map<PoolId, PoolLines>& pools() { return m_pools; }
+    [[nodiscard]] std::size_t size() const { return m_size; }
+
+private:
+    TeamLines& lanes(const Task& task)
+    {
+        auto& pool = m_pools[task.record.spec.pool];
+        return task.record.spec.urgent ? pool.urgent : pool.normal;
+    }
+
+    std::map<PoolId, PoolLines> m_pools;
+    std::size_t m_size { 0 };
+};
+
+} // namespace fulmar
--- /dev/null
+++ b/src/work/tests/work_fakes.h
@@ -0,0 +1,255 @@
+#pragma once
+
+#include "memory_table.h"
+#include "work/work_duty.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace fulmar::test {
+
+// The platform's table with outages and lost replies.
+struct FakePlatform {
+    Result<Version> commit(const Transaction& transaction)
+    {
+        if (!available || takesFault())
+            return notRun(Reason::StoreUnavailable, "out");
+        auto result = table.commit(transaction);
+        if (result)
+            rowWrites += transaction.writes.size();
+        if (loseNextReplies > 0) {
+            --loseNextReplies;
+            return mayHaveRun(Reason::StoreUnavailable, "the reply was lost");
+        }
+        if (takesFault())
+            return mayHaveRun(Reason::StoreUnavailable, "the reply was lost");
+        return result;
+    }
+
+    Result<Changes> read(const std::string& prefix, Version since) const
+    {
+        if (!available)
+            return notRun(Reason::StoreUnavailable, "out");
+        return table.read(prefix, since);
+    }
+
+    Result<void> putObject(const std::string&, const std::string&) { return {}; }
+    Result<std::string> getObject(const std::string&) { return notRun(Reason::NotFound, "none"); }
+    Result<std::vector<ListedVm>> listVms() { return std::vector<ListedVm> {}; }
+    Result<void> rebootVm(const VmId&, const OperationId&) { return {}; }
+
+    bool takesFault() { return random && std::uniform_real_distribution<>(0, 1)(*random) < faultShare; }
+
+    standin::MemoryTable table;
+    bool available { true };
+    int loseNextReplies { 0 };
+    std::mt19937_64* random { nullptr };
+    double faultShare { 0 };
+    std::size_t rowWrites { 0 };
+};
+
+// Workers that run what they are given until told otherwise, and that end tasks whose lease lapses.
+struct FakeWorkers {
+    struct Run {
+        TaskReport report;
+        VmId worker;
+        TimePoint leaseUntil;
+        Resources size;
+    };
+
+    Result<void> startTask(const VmId& worker, const TaskStart& start)
+    {
+        if (takesFault())
+            return notRun(Reason::TargetFailed, "refused");
+        if (!runs.contains(start.operation)) {
+            ++starts[start.task];
+            if (onStart)
+                onStart(worker, start);
+            runs[start.operation] = Run { { start.task, start.operation, TaskPhase::Running, 0, 0, "", "" },
+                worker, clock.now() + start.lease,
+                { start.processors, double(start.memoryMb), double(start.accelerators) } };
+        }
+        if (loseNextReplies > 0 || takesFault()) {
+            loseNextReplies = std::max(0, loseNextReplies - 1);
+            return mayHaveRun(Reason::DeadlineExceeded, "the reply was lost");
+        }
+        return {};
+    }
+
+    Result<void> renewLeases(
+        const VmId& worker, const std::vector<TaskId>& tasks, std::chrono::milliseconds lease)
+    {
+        for (auto& [operation, run] : runs)
+            if (run.worker == worker && isActive(run)
+                && std::count(tasks.begin(), tasks.end(), run.report.task))
+                run.leaseUntil = clock.now() + lease;
+        return {};
+    }
+
+    Result<void> orderTask(const VmId& worker, const TaskId& task, TaskOrder order, const OperationId&)
+    {
+        if (takesFault())
+            return mayHaveRun(Reason::DeadlineExceeded, "the reply was lost");
+        for (auto& [operation, run] : runs) {
+            if (run.worker != worker || run.report.task != task || !isActive(run))
+                continue;
+            orders.emplace_back(task, order);
+            if (order == TaskOrder::Stop)
+                run.report.phase = TaskPhase::Stopped;
+            if (order == TaskOrder::Throttle)
+                run.report.phase = TaskPhase::Throttled;
+            if (order == TaskOrder::Resume)
+                run.report.phase = TaskPhase::Running;
+            if (order == TaskOrder::Checkpoint)
+                run.report.checkpoint
+                    = task.value() + "@" + std::to_string(clock.now().time_since_epoch().count());
+        }
+        return {};
+    }
+
+    Result<std::vector<WorkerReport>> listWorkers()
+    {
+        std::map<VmId, WorkerReport> reports;
+        for (const auto& [id, worker] : machines)
+            reports[id] = worker;
+        for (auto& [operation, run] : runs) {
+            if (isActive(run) && run.leaseUntil < clock.now())
+                run.report.phase = TaskPhase::LeaseLapsed;
+            if (auto position = reports.find(run.worker); position != reports.end() && position->second.live)
+                position->second.tasks.push_back(run.report);
+        }
+        std::vector<WorkerReport> list;
+        for (auto& [id, report] : reports)
+            list.push_back(std::move(report));
+        return list;
+    }
+
+    static bool isActive(const Run& run)
+    {
+        return run.report.phase == TaskPhase::Running || run.report.phase == TaskPhase::Throttled;
+    }
+
+    void endAll(TaskPhase phase)
+    {
+        for (auto& [operation, run] : runs)
+            if (isActive(run))
+                run.report.phase = phase;
+    }
+    void finishAll() { endAll(TaskPhase::Finished); }
+
+    int startsOf(const std::string& task) const
+    {
+        auto position = starts.find(TaskId(task));
+        return position == starts.end() ? 0 : position->second;
+    }
+
+    bool takesFault() { return random && std::uniform_real_distribution<>(0, 1)(*random) < faultShare; }
+
+    const ManualClock& clock;
+    std::map<VmId, WorkerReport> machines;
+    std::map<OperationId, Run> runs;
+    std::map<TaskId, int> starts;
+    std::vector<std::pair<TaskId, TaskOrder>> orders;
+    std::function<void(const VmId&, const TaskStart&)> onStart;
+    int loseNextReplies { 0 };
+    std::mt19937_64* random { nullptr };
+    double faultShare { 0 };
+};
+
+// A lease row in the table, held until taken away.
+struct FakeLease {
+    [[nodiscard]] bool held(TimePoint) const { return isHeld; }
+    [[nodiscard]] Condition condition() const { return { "lease/work/0", version }; }
+
+    bool isHeld { true };
+    Version version { 0 };
+};
+
+inline TaskSpec taskSpec(const std::string& id, double processors = 1, bool idempotent = false)
+{
+    TaskSpec spec;
+    spec.task = TaskId(id);
+    spec.pool = PoolId("p");
+    spec.team = TeamId("team");
+    spec.job = JobId("job");
+    spec.size = { processors, 1024, 0 };
+    spec.idempotent = idempotent;
+    return spec;
+}
+
+// A table, workers, and one owner of the shard after the other, in virtual time.
+struct Site {
+    explicit Site(int workerCount)
+        : workers { clock, {}, {}, {}, {}, {}, 0, nullptr, 0 }
+        , events(ProcessId("test"), 1'000)
+    {
+        addWorkers(workerCount);
+        changeOwner();
+    }
+
+    using Reply = std::shared_ptr<std::optional<Result<TaskRecord>>>;
+
+    Reply submit(TaskSpec spec)
+    {
+        auto reply = std::make_shared<std::optional<Result<TaskRecord>>>();
+        duty->submit({ std::move(spec), clock.now() + std::chrono::seconds(10),
+            [reply](Result<TaskRecord> result) { *reply = std::move(result); } });
+        return reply;
+    }
+
+    Reply cancel(const std::string& id)
+    {
+        auto reply = std::make_shared<std::optional<Result<TaskRecord>>>();
+        duty->cancel({ TaskId(id), clock.now() + std::chrono::seconds(10),
+            [reply](Result<TaskRecord> result) { *reply = std::move(result); } });
+        return reply;
+    }
+
+    void addWorkers(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            auto number = workers.machines.size();
+            VmId id("w" + std::to_string(number));
+            workers.machines[id] = WorkerReport { id, PoolId("p"), ZoneId("z" + std::to_string(number % 3)),
+                RackId("r" + std::to_string(number / 4)), 16, 32'768, 0, true, false, {} };
+        }
+    }
+
+    // The lease row is rewritten, so that nothing of the earlier owner can be stored any more.
+    void changeOwner()
+    {
+        Transaction take { OperationId("take"), {}, { { "lease/work/0", "owner", false } } };
+        lease = std::make_unique<FakeLease>();
+        lease->version = *platform.table.commit(take);
+        duty = std::make_unique<Duty>(WorkSettings {}, ProcessId("c" + std::to_string(++owners)), platform,
+            workers, clock, *lease, events);
+        duty->step();
+    }
+
+    void run(Duration time)
+    {
+        for (auto end = clock.now() + time; clock.now() < end; clock.advance(std::chrono::milliseconds(100)))
+            duty->step();
+    }
+
+    std::string stateOf(const std::string& id) const
+    {
+        auto record = duty->status(TaskId(id));
+        return record ? std::string(toString(record->state)) : std::string(toString(record.error().reason));
+    }
+
+    using Duty = WorkDuty<FakePlatform, FakeWorkers, ManualClock, FakeLease>;
+
+    ManualClock clock;
+    FakePlatform platform;
+    FakeWorkers workers;
+    EventLog events;
+    std::unique_ptr<FakeLease> lease;
+    std::unique_ptr<Duty> duty;
+    int owners { 0 };
+};
+
+} // namespace fulmar::test
--- /dev/null
+++ b/src/work/work_duty.h
@@ -0,0 +1,375 @@
+#pragma once
+
+#include "config/model.h"
+#include "core/event.h"
+#include "platform/table.h"
+#include "platform/workers.h"
+#include "work/acceptance.h"
+#include "work/row_writer.h"
+#include "work/scheduler.h"
+
+#include <fmt/format.h>
+#include <memory>
+#include <unordered_map>
+
+namespace fulmar {
+
+// The lease by which this process owns a shard.
+template <typename L>
+concept ShardLease = requires(const L& lease, TimePoint now) {
+    // True while this process may act as the owner.
+    {
+        lease.held(now)
+    } -> std::same_as<bool>;
+    // The lease row at the version that this process wrote; every write of the owner carries it.
+    {
+        lease.condition()
+    } -> std::same_as<Condition>;
+};
+
+struct WorkSettings {
+    // Name of the shard: rows are `task/<shard>/<id>`.
+    std::string shard { "0" };
+    SchedulerSettings scheduler;
+    std::chrono::milliseconds reportInterval { 2'000 };
+    // Pause after a failed call to the table.
+    std::chrono::milliseconds tableBackoff { 250 };
+    // Time that one step may spend on calls to workers.
+    std::chrono::milliseconds callBudget { 60 };
+    // Rows in one transaction.
+    std::size_t batchRows { 256 };
+    // Submissions that may wait for the table.
+    std::size_t maxSubmissions { 20'000 };
+};
+
+// Asks for the end of a task. `done` gets the record once the request is stored: a state of Running with
+// cancelRequested means that the worker is being asked to stop.
+struct CancelTask {
+    TaskId task;
+    TimePoint deadline {};
+    TaskReply done;
+};
+
+// The work duty of a control process: owns one shard of tasks while it holds the shard's lease. All calls are
+// made on the duty's thread; step() every 50 to 100 ms.
+template <PlatformClient P, WorkerClient W, Clock C, ShardLease L> class WorkDuty {
+public:
+    WorkDuty(WorkSettings settings, ProcessId process, P& platform, W& workers, const C& clock,
+        const L& lease, EventLog& events)
+        : m_settings(std::move(settings))
+        , m_process(std::move(process))
+        , m_platform(platform)
+        , m_workers(workers)
+        , m_clock(clock)
+        , m_lease(lease)
+        , m_events(events)
+        , m_acceptance(m_settings.maxSubmissions)
+    {
+    }
+
+    [[nodiscard]] bool owns() const { return m_scheduler != nullptr; }
+    // Null unless owns().
+    [[nodiscard]] const Scheduler* scheduler() const { return m_scheduler.get(); }
+
+    void submit(SubmitTask submission)
+    {
+        if (!usable())
+            return submission.done(notRun(Reason::LeaseLost, notOwner));
+        if (const auto* known = m_scheduler->find(submission.spec.task)) {
+            if (known->spec == submission.spec)
+                return submission.done(*known);
+            return submission.done(notRun(Reason::Conflict, "a different task has this id"));
+        }
+        if (auto admitted = m_scheduler->admit(submission.spec); !admitted)
+            return submission.done(tl::unexpected(admitted.error()));
+        m_acceptance.submit(std::move(submission), m_clock.wallNow());
+    }
+
+    [[nodiscard]] Result<TaskRecord> status(const TaskId& id) const
+    {
+        if (!usable())
+            return notRun(Reason::LeaseLost, notOwner);
+        if (const auto* record = m_scheduler->find(id))
+            return *record;
+        return notRun(Reason::NotFound, fmt::format("no task {}", id.value()));
+    }
+
+    void cancel(CancelTask request)
+    {
+        if (!usable())
+            return request.done(notRun(Reason::LeaseLost, notOwner));
+        auto record = m_scheduler->cancel(request.task, m_clock.now(), m_clock.wallNow());
+        if (!record || m_scheduler->isStored(request.task))
+            return request.done(std::move(record));
+        m_cancels.emplace(request.task, std::move(request));
+    }
+
+    void setQuota(const TeamConfig& team)
+    {
+        m_quotas[team.team] = team;
+        if (m_scheduler)
+            m_scheduler->setQuota(team);
+    }
+
+    // When the next maintenance step takes a worker; empty if none is planned any more.
+    void setMaintenance(const VmId& worker, std::optional<TimePoint> at)
+    {
+        m_maintenance[worker] = at;
+        if (m_scheduler)
+            m_scheduler->setMaintenance(worker, at);
+    }
+
+    // One round: settles and stores rows, listens to the workers, decides, and calls workers.
+    void step()
+    {
+        auto now = m_clock.now();
+        if (!m_lease.held(now)) {
+            release("the shard has changed hands");
+            return;
+        }
+        if (!m_scheduler && !load())
+            return;
+        listWorkers();
+        m_scheduler->plan(m_clock.now(), m_clock.wallNow());
+        store();
+        if (!m_scheduler)
+            return;
+        callWorkers();
+        expire(m_clock.now());
+        recordEvents();
+    }
+
+private:
+    static constexpr auto notOwner = "this process does not own the shard";
+
+    // A batch on its way: rows of tasks already known, and submissions.
+    struct Batch {
+        std::vector<RowChange> changes;
+        std::vector<TaskRecord> submissions;
+    };
+
+    [[nodiscard]] bool usable() const { return m_scheduler && m_lease.held(m_clock.now()); }
+
+    [[nodiscard]] std::string rowPrefix() const
+    {
+        return fmt::format("{}{}/", keys::taskPrefix, m_settings.shard);
+    }
+
+    // Reads the shard's rows and takes its tasks over.
+    bool load()
+    {
+        if (m_clock.now() < m_tableRetryAt)
+            return false;
+        auto sequenceKey = fmt::format("task-sequence/{}", m_settings.shard);
+        auto sequence = m_platform.read(sequenceKey, 0);
+        if (!sequence)
+            return backOff();
+        auto rows = m_platform.read(rowPrefix(), 0);
+        if (!rows)
+            return backOff();
+        auto condition = m_lease.condition();
+        auto owner = fmt::format("{}-{}", m_process.value(), condition.version);
+        m_writer = std::make_unique<RowWriter>(sequenceKey, owner);
+        m_writer->start(versionOf(*sequence, sequenceKey));
+        m_scheduler = std::make_unique<Scheduler>(m_settings.scheduler, owner);
+        for (const auto& [team, quota] : m_quotas)
+            m_scheduler->setQuota(quota);
+        takeOver(*rows);
+        m_reportAt = {};
+        return true;
+    }
+
+    // A row that cannot be read is left as it is and reported.
+    void takeOver(const Changes& rows)
+    {
+        for (const auto& row : rows.rows) {
+            if (row.deleted)
+                continue;
+            if (auto record = decodeTask(row.value))
+                m_scheduler->add(std::move(*record), m_clock.now());
+            else
+                m_events.record(m_clock.wallNow(), "task-row-unreadable",
+                    { { "key", row.key }, { "error", record.error().detail } });
+        }
+        m_events.record(m_clock.wallNow(), "work-shard-loaded",
+            { { "shard", m_settings.shard }, { "tasks", std::to_string(m_scheduler->taskCount()) } });
+    }
+
+    static Version versionOf(const Changes& changes, const std::string& key)
+    {
+        for (const auto& row : changes.rows)
+            if (row.key == key && !row.deleted)
+                return row.version;
+        return 0;
+    }
+
+    bool backOff()
+    {
+        m_tableRetryAt = m_clock.now() + m_settings.tableBackoff;
+        return false;
+    }
+
+    void release(const std::string& cause)
+    {
+        if (!m_scheduler)
+            return;
+        recordEvents();
+        m_events.record(
+            m_clock.wallNow(), "work-shard-released", { { "shard", m_settings.shard }, { "cause", cause } });
+        m_acceptance.abandon(cause);
+        auto cancels = std::move(m_cancels);
+        m_cancels.clear();
+        for (auto& [id, request] : cancels)
+            request.done(mayHaveRun(Reason::LeaseLost, "the cancellation may not be stored: " + cause));
+        m_batch = {};
+        m_scheduler.reset();
+        m_writer.reset();
+    }
+
+    void listWorkers()
+    {
+        if (m_clock.now() < m_reportAt)
+            return;
+        m_reportAt = m_clock.now() + m_settings.reportInterval;
+        auto reports = m_workers.listWorkers();
+        if (!reports)
+            return;
+        m_scheduler->onReports(*reports, m_clock.now(), m_clock.wallNow());
+        for (const auto& [worker, at] : m_maintenance)
+            m_scheduler->setMaintenance(worker, at);
+    }
+
+    // Settles the open batch if there is one, else writes the next.
+    void store()
+    {
+        if (m_clock.now() < m_tableRetryAt)
+            return;
+        if (!m_writer->idle()) {
+            commit(m_writer->again(m_lease.condition()));
+            return;
+        }
+        m_batch.submissions = m_acceptance.takeBatch(m_settings.batchRows / 2);
+        m_batch.changes = m_scheduler->takeRows(m_settings.batchRows - m_batch.submissions.size());
+        if (m_batch.changes.empty() && m_batch.submissions.empty())
+            return;
+        commit(m_writer->begin(writes(), m_lease.condition()));
+    }
+
+    [[nodiscard]] std::vector<Write> writes() const
+    {
+        std::vector<Write> result;
+        for (const auto& record : m_batch.submissions)
+            result.push_back({ rowPrefix() + record.spec.task.value(), encode(record), false });
+        for (const auto& change : m_batch.changes)
+            result.push_back({ rowPrefix() + change.record.spec.task.value(),
+                change.deletes ? "" : encode(change.record), change.deletes });
+        return result;
+    }
+
+    void commit(const Transaction& transaction)
+    {
+        auto fate = m_writer->onCommit(m_platform.commit(transaction));
+        if (fate == BatchFate::NeedsReadBack)
+            fate = m_writer->onReadBack(m_platform.read(m_writer->sequenceKey(), 0));
+        if (fate == BatchFate::Committed)
+            onCommitted();
+        else
+            backOff();
+        if (fate != BatchFate::NotCommitted)
+            return;
+        m_acceptance.onNotCommitted(m_batch.submissions);
+        m_scheduler->onNotStored(m_batch.changes);
+        m_batch = {};
+        if (m_writer->displaced())
+            release("another process has written the shard");
+    }
+
+    void onCommitted()
+    {
+        auto batch = std::move(m_batch);
+        m_batch = {};
+        for (const auto& record : batch.submissions)
+            m_scheduler->add(record, m_clock.now());
+        m_scheduler->onStored(batch.changes, m_clock.now());
+        m_acceptance.onCommitted(batch.submissions);
+        for (const auto& change : batch.changes)
+            if (change.record.cancelRequested || isFinal(change.record.state))
+                answerCancels(change.record.spec.task, change.record);
+    }
+
+    void answerCancels(const TaskId& id, const Result<TaskRecord>& result)
+    {
+        auto [first, last] = m_cancels.equal_range(id);
+        std::vector<TaskReply> replies;
+        for (auto position = first; position != last; ++position)
+            replies.push_back(std::move(position->second.done));
+        m_cancels.erase(first, last);
+        for (auto& reply : replies)
+            reply(result);
+    }
+
+    // Ownership is checked before every call, as the lease may lapse between two of them.
+    void callWorkers()
+    {
+        auto until = m_clock.now() + m_settings.callBudget;
+        auto mayCall = [&] { return m_clock.now() < until && m_lease.held(m_clock.now()); };
+        while (mayCall())
+            if (auto action = m_scheduler->takeOrder())
+                m_scheduler->onOrderResult(*action,
+                    m_workers.orderTask(action->worker, action->task, action->order, action->operation),
+                    m_clock.now());
+            else
+                break;
+        while (mayCall())
+            if (auto action = m_scheduler->takeStart(m_clock.now()))
+                m_scheduler->onStartResult(*action, m_workers.startTask(action->worker, action->start),
+                    m_clock.now(), m_clock.wallNow());
+            else
+                break;
+        while (mayCall())
+            if (auto action = m_scheduler->takeRenewal(m_clock.now()))
+                m_scheduler->onRenewResult(*action,
+                    m_workers.renewLeases(action->worker, action->tasks, m_settings.scheduler.lease),
+                    m_clock.now());
+            else
+                break;
+    }
+
+    void expire(TimePoint now)
+    {
+        m_acceptance.expire(now);
+        std::vector<TaskId> late;
+        for (const auto& [id, request] : m_cancels)
+            if (request.deadline <= now)
+                late.push_back(id);
+        for (const auto& id : late)
+            answerCancels(id,
+                mayHaveRun(
+                    Reason::StoreUnavailable, "the cancellation is not stored yet; ask for the status"));
+    }
+
+    void recordEvents()
+    {
+        for (auto& event : m_scheduler->takeEvents())
+            m_events.record(m_clock.wallNow(), std::move(event.kind), std::move(event.fields));
+    }
+
+    const WorkSettings m_settings;
+    const ProcessId m_process;
+    P& m_platform;
+    W& m_workers;
+    const C& m_clock;
+    const L& m_lease;
+    EventLog& m_events;
+    std::unique_ptr<Scheduler> m_scheduler;
+    std::unique_ptr<RowWriter> m_writer;
+    Acceptance m_acceptance;
+    Batch m_batch;
+    std::unordered_multimap<TaskId, CancelTask> m_cancels;
+    std::unordered_map<TeamId, TeamConfig> m_quotas;
+    std::unordered_map<VmId, std::optional<TimePoint>> m_maintenance;
+    TimePoint m_reportAt {};
+    TimePoint m_tableRetryAt {};
+};
+
+} // namespace fulmar
