--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -345,14 +345,16 @@
 {
     if (m_store->tryClaim(claim))
         return;
-    perform(m_dispatcher.onClaim(claim.request, serve::ClaimUnknown {}, m_clock.now()));
+    asio::post(m_loop, [this, request = claim.request] {
+        perform(m_dispatcher.onClaim(request, serve::ClaimUnknown {}, m_clock.now()));
+    });
 }
 
 void Entry::perform(const serve::AskKeyOwner& ask)
 {
     auto owner = m_distribution.find(ask.question.holder.owner.process);
     if (!owner) {
-        std::ignore = m_inbox.tryPost([this, request = ask.request] {
+        asio::post(m_loop, [this, request = ask.request] {
             perform(m_dispatcher.onOwnerAnswer(
                 request, { serve::KeyKnowledge::Unreachable, std::nullopt }, m_clock.now()));
         });
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -51,7 +51,6 @@
 
     [[nodiscard]] Result<void> startDuties();
     PeerDutyHooks makePeerHooks();
-    Store makeStore();
 
     void onCall(CallId, CallerRequest);
     bool answerOwnPath(CallId, const CallerRequest&);
--- a/src/daemon/target_client.cpp
+++ b/src/daemon/target_client.cpp
@@ -203,10 +203,16 @@
 
     void cancel(AttemptId id)
     {
-        if (auto position = m_attempts.find(id); position != m_attempts.end()) {
-            release(*position->second);
-            m_attempts.erase(position);
-        }
+        auto position = m_attempts.find(id);
+        if (position == m_attempts.end())
+            return;
+        auto attempt = std::move(position->second);
+        m_attempts.erase(position);
+        auto outcome = attempt->sends == 0 ? Outcome::NotRun : Outcome::MayHaveRun;
+        release(*attempt);
+        asio::post(m_loop, [done = std::move(attempt->done), outcome] {
+            done({ outcome, std::nullopt, Reason::Cancelled }, {});
+        });
     }
 
 private:
--- a/src/daemon/target_client.h
+++ b/src/daemon/target_client.h
@@ -48,10 +48,10 @@
     TargetClient(const TargetClient&) = delete;
     TargetClient& operator=(const TargetClient&) = delete;
 
-    // The body must stay alive until `done` is called or the attempt is cancelled.
+    // The body must stay alive until `done` is called.
     void start(serve::AttemptId, const TargetRequest&, Done done);
 
-    // Drops the attempt; `done` is not called any more.
+    // Closes the attempt's connection; `done` is called soon after with what is known of it.
     void cancel(serve::AttemptId);
 
 private:
