--- /dev/null
+++ b/src/daemon/config_reader.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "core/event.h"
+#include "daemon/distribution.h"
+#include "fleet/lease.h"
+#include "platform/table.h"
+
+#include <fmt/format.h>
+#include <mutex>
+#include <vector>
+
+namespace fulmar {
+
+// Reads the configuration for one availability zone. The processes of the zone share one lease, and only its
+// holder reads; the others get the rows from their peers. Driven by one duty thread; leaving() may be called
+// on any.
+template <PlatformClient P, Clock C> class ConfigReader {
+public:
+    ConfigReader(P& platform, const C& clock, EventLog& events, Distribution& distribution,
+        Duration readEvery, Duration listEvery)
+        : m_platform(platform)
+        , m_clock(clock)
+        , m_events(events)
+        , m_distribution(distribution)
+        , m_lease(platform, clock, fmt::format("reader-{}", distribution.self().zone.value()), 1,
+              distribution.self().process)
+        , m_readEvery(readEvery)
+        , m_listEvery(listEvery)
+    {
+    }
+
+    void step()
+    {
+        m_lease.step();
+        if (!m_lease.holds(0))
+            return;
+        if (m_clock.now() >= m_nextRead)
+            readRows();
+        if (m_clock.now() >= m_nextList)
+            readList();
+    }
+
+    // VMs that the platform lists as leaving; empty unless this process is the zone's reader.
+    [[nodiscard]] std::vector<VmId> leaving() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_leaving;
+    }
+
+private:
+    void readRows()
+    {
+        m_nextRead = m_clock.now() + m_readEvery;
+        auto changes = m_platform.read(keys::configPrefix, m_distribution.version());
+        if (!changes) {
+            m_nextRead = m_clock.now() + m_backoff.failed();
+            return;
+        }
+        m_backoff.succeeded();
+        bool isBehind = m_distribution.applyFromPlatform(*changes);
+        if (isBehind && !std::exchange(m_wasBehind, true))
+            m_events.record(m_clock.wallNow(), "config.platform-behind",
+                { { "platform", std::to_string(changes->tableVersion) },
+                    { "ours", std::to_string(m_distribution.version()) } });
+        m_wasBehind = isBehind;
+    }
+
+    void readList()
+    {
+        m_nextList = m_clock.now() + m_listEvery;
+        auto list = m_platform.listVms();
+        if (!list)
+            return;
+        std::vector<VmId> leaving;
+        for (const auto& vm : *list)
+            if (vm.presence == VmPresence::Leaving)
+                leaving.push_back(vm.vm);
+        std::lock_guard lock(m_mutex);
+        m_leaving = std::move(leaving);
+    }
+
+    P& m_platform;
+    const C& m_clock;
+    EventLog& m_events;
+    Distribution& m_distribution;
+    LeaseKeeper<P, C> m_lease;
+    const Duration m_readEvery;
+    const Duration m_listEvery;
+    Backoff m_backoff { m_distribution.self().process.value() };
+    TimePoint m_nextRead {};
+    TimePoint m_nextList {};
+    bool m_wasBehind { false };
+    mutable std::mutex m_mutex;
+    std::vector<VmId> m_leaving;
+};
+
+} // namespace fulmar
--- /dev/null
+++ b/src/daemon/control.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "daemon/config_reader.h"
+#include "daemon/control_settings.h"
+#include "daemon/fleet_edges.h"
+#include "daemon/peer_duty.h"
+#include "daemon/work_edges.h"
+#include "fleet/fleet_duty.h"
+#include "platform/http_platform.h"
+
+#include <memory>
+
+namespace fulmar {
+
+// The process that decides: reads the configuration for its zone, and runs the fleet and work duties on the
+// shards whose leases it holds. Each duty has its own thread and its own connection to the platform.
+class Control {
+public:
+    Control(ControlSettings, std::uint64_t incarnation);
+    Control(const Control&) = delete;
+    Control& operator=(const Control&) = delete;
+    ~Control();
+
+    // Works until SIGTERM or SIGINT. Fails if an address cannot be bound.
+    [[nodiscard]] Result<void> run();
+
+private:
+    using Reader = ConfigReader<HttpPlatform, SystemClock>;
+    using Fleet = FleetDuty<HttpPlatform, PeerConfirmer, ConnectProbe, SystemClock>;
+
+    PeerDutyHooks makePeerHooks();
+
+    const ControlSettings m_settings;
+    const SystemClock m_clock {};
+    EventLog m_events;
+    Distribution m_distribution;
+    HttpPlatform m_readerPlatform;
+    Reader m_reader;
+    WorkService m_work;
+    std::unique_ptr<PeerDuty> m_peers;
+};
+
+} // namespace fulmar
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -89,24 +89,11 @@
     return info;
 }
 
-PeerInfo describeSelf(const ProcessSettings& settings, std::uint64_t incarnation)
-{
-    return { settings.process, PeerRole::Entry, settings.region, settings.zone, settings.peerAddress,
-        incarnation, settings.vm, false };
-}
-
-MembershipSettings membershipOf(const ProcessSettings& settings)
-{
-    MembershipSettings membership;
-    membership.seeds = settings.peerSeeds;
-    return membership;
-}
-
 } // namespace
 
 Entry::Entry(EntrySettings settings, std::uint64_t incarnation)
     : m_settings(std::move(settings))
-    , m_self(describeSelf(m_settings.process, incarnation))
+    , m_self(describeSelf(m_settings.process, PeerRole::Entry, incarnation))
     , m_events(m_self.process, eventCapacity)
     , m_inbox(m_loop, inboxCapacity)
     , m_signals(m_loop, SIGTERM, SIGINT)
@@ -134,8 +121,6 @@
 
     EntryRecord record { m_self.process, m_self.vm, m_self.address, m_self.region, m_self.zone,
         std::to_string(m_self.incarnation) };
-    HttpPlatformOptions platform { m_settings.process.platformAddress };
-    platform.timeout = m_settings.process.platformTimeout;
     Store::Hooks hooks;
     hooks.onRegistered = [this](Version version) { m_distribution.setRegistered(version); };
     hooks.onClaims = [this](std::vector<serve::ClaimDone> done) {
@@ -146,8 +131,8 @@
         if (!wasPosted)
             logWarning("claims.dropped", {});
     };
-    m_store = std::make_unique<Store>(
-        HttpPlatform(platform), record, StoreDutySettings {}, m_events, m_clock, std::move(hooks));
+    m_store = std::make_unique<Store>(HttpPlatform(platformOf(m_settings.process)), record,
+        StoreDutySettings {}, m_events, m_clock, std::move(hooks));
 
     auto peers = PeerDuty::start(m_settings.process.peerAddress, m_distribution, m_events, makePeerHooks());
     if (!peers)
@@ -224,6 +209,16 @@
     m_callers->answer(id, std::move(answer), m_isStopping);
 }
 
+// A submission with an idempotency key always has the same id, so that a resend finds the task.
+TaskId Entry::newTaskId(CallId id, const CallerRequest& request) const
+{
+    if (const auto* key = findHeader(request.headers, keyHeader)) {
+        auto hash = XXH3_128bits(key->data(), key->size());
+        return TaskId(fmt::format("k{:016x}{:016x}", hash.high64, hash.low64));
+    }
+    return TaskId(fmt::format("{}-{}-{}", m_self.process.value(), m_self.incarnation, id));
+}
+
 // Tasks are owned by control processes; any of this zone finds the owner.
 void Entry::forwardTask(CallId id, const CallerRequest& request)
 {
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -57,6 +57,7 @@
     void answerHealth(CallId);
     void answerMint(CallId);
     void forwardTask(CallId, const CallerRequest&);
+    [[nodiscard]] TaskId newTaskId(CallId, const CallerRequest&) const;
 
     void perform(const serve::Actions&);
     void perform(const serve::StartAttempt&);
--- a/src/daemon/entry_settings.cpp
+++ b/src/daemon/entry_settings.cpp
@@ -40,22 +40,6 @@
 
 } // namespace
 
-ProcessSettings readProcessSettings(SettingsReader& reader)
-{
-    ProcessSettings settings;
-    settings.process = ProcessId(reader.takeString("process", "id"));
-    settings.vm = VmId(reader.takeString("process", "vm"));
-    settings.region = RegionId(reader.takeString("process", "region"));
-    settings.zone = ZoneId(reader.takeString("process", "zone"));
-    settings.peerAddress = reader.takeAddress("peers", "address");
-    settings.peerSeeds = reader.takeList("peers", "seeds");
-    settings.platformAddress = reader.takeAddress("platform", "address");
-    settings.platformTimeout = milliseconds(reader.takeDuration("platform", "timeout", 50ms, 1min, 2s));
-    settings.operatorAddress = reader.takeAddress("operators", "address");
-    settings.operatorsAllowed = reader.takeList("operators", "allowed");
-    return settings;
-}
-
 EntrySettings readEntrySettings(SettingsReader& reader)
 {
     EntrySettings settings;
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -29,7 +29,7 @@
         curl_global_init(CURL_GLOBAL_DEFAULT);
         auto reader = SettingsReader::fromFile(parsed["settings"].as<std::string>());
         return body(reader, parsed.count("check-settings") > 0);
-    } catch (const cxxopts::OptionException& error) {
+    } catch (const cxxopts::exceptions::exception& error) {
         std::cerr << name << ": " << error.what() << '\n';
         return exitBadUsage;
     }
--- a/src/fleet/lease.h
+++ b/src/fleet/lease.h
@@ -81,6 +81,9 @@
 
     [[nodiscard]] Epoch epoch(std::uint32_t shard) const { return m_shards.at(shard).row.epoch; }
 
+    // The holder that the lease row names; empty if none was ever seen.
+    [[nodiscard]] const ProcessId& holder(std::uint32_t shard) const { return m_shards.at(shard).row.holder; }
+
     [[nodiscard]] std::uint32_t shardCount() const { return std::uint32_t(m_shards.size()); }
 
     [[nodiscard]] std::size_t heldCount() const
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -95,7 +95,7 @@
     EventStamp stamp;
     // POST, GET or DELETE.
     std::string method;
-    // Empty for POST.
+    // For POST the id that the task gets.
     TaskId task;
     std::string body;
 };
