--- /dev/null
+++ b/src/daemon/tests/distribution_test.cpp
@@ -0,0 +1,169 @@
+#include "daemon/distribution.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <memory>
+#include <rapidcheck/boost_test.h>
+
+using namespace fulmar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint now(1000s);
+
+PeerInfo makePeer(const std::string& id, PeerRole role, std::uint64_t incarnation = 1)
+{
+    return { ProcessId(id), role, RegionId("n"), ZoneId("a"), "127.0.0.1:" + id, incarnation,
+        VmId("vm-" + id), false };
+}
+
+Changes rowAt(const std::string& key, Version version)
+{
+    return { { { key, std::to_string(version), version, OperationId("o"), false } }, version };
+}
+
+struct Node {
+    explicit Node(const PeerInfo& info)
+        : distribution(info, {}, [this](const ConfigChange& change) { lastVersion = change.version; })
+    {
+    }
+    Version lastVersion { 0 };
+    Distribution distribution;
+};
+
+void exchange(Node& from, Node& to)
+{
+    auto address = to.distribution.self().address;
+    auto reply = to.distribution.onRequest(from.distribution.makeRequest(address, now), now);
+    from.distribution.onReply(address, reply, now);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DistributionOfConfiguration)
+
+BOOST_AUTO_TEST_CASE(RowsReachARegisteredEntryAndItMayRouteOnceItsRowIsCovered)
+{
+    Node reader(makePeer("t", PeerRole::Control));
+    Node entry(makePeer("e", PeerRole::Entry));
+    reader.distribution.applyFromPlatform(rowAt("config/a", 5));
+    entry.distribution.setRegistered(7);
+    exchange(entry, reader);
+    BOOST_TEST(entry.distribution.version() == 5U);
+    BOOST_TEST(!entry.distribution.mayRoute());
+    reader.distribution.applyFromPlatform({ {}, 8 });
+    exchange(entry, reader);
+    BOOST_TEST(entry.distribution.mayRoute());
+    BOOST_TEST(entry.lastVersion == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(UnregisteredEntryGetsItsCopyOnlyFromARegisteredEntryThatNamesIt)
+{
+    Node reader(makePeer("t", PeerRole::Control));
+    Node registered(makePeer("e1", PeerRole::Entry));
+    Node late(makePeer("e2", PeerRole::Entry));
+    reader.distribution.applyFromPlatform(rowAt("config/a", 5));
+    registered.distribution.setRegistered(4);
+    exchange(registered, reader);
+
+    exchange(late, reader);
+    BOOST_TEST(late.distribution.version() == 0U);
+    BOOST_TEST(!late.distribution.mayRoute());
+
+    exchange(late, registered);
+    BOOST_TEST(late.distribution.version() == 5U);
+    BOOST_TEST(late.distribution.mayRoute());
+    BOOST_TEST(registered.distribution.dependents(6).size() == 1U);
+    // A version that the copy already covers needs no word about it.
+    BOOST_TEST(registered.distribution.dependents(5).empty());
+
+    late.distribution.setRegistered(6);
+    exchange(late, registered);
+    BOOST_TEST(registered.distribution.dependents(9).empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnUnregisteredEntryHandsOutNothing)
+{
+    Node registered(makePeer("e1", PeerRole::Entry));
+    Node first(makePeer("e2", PeerRole::Entry));
+    Node second(makePeer("e3", PeerRole::Entry));
+    registered.distribution.setRegistered(1);
+    registered.distribution.applyFromPlatform(rowAt("config/a", 5));
+    exchange(first, registered);
+    exchange(second, first);
+    BOOST_TEST(second.distribution.version() == 0U);
+}
+
+// A process replaced under the same address must not take rows that start where its predecessor stood for the
+// whole.
+BOOST_AUTO_TEST_CASE(ReplacedProcessDoesNotTakeAPartForTheWhole)
+{
+    Node reader(makePeer("t", PeerRole::Control));
+    Node other(makePeer("u", PeerRole::Control));
+    reader.distribution.applyFromPlatform(rowAt("config/a", 5));
+    exchange(reader, other);
+    exchange(reader, other);
+    reader.distribution.applyFromPlatform(rowAt("config/b", 6));
+
+    Node replaced(makePeer("u", PeerRole::Control, 2));
+    exchange(reader, replaced);
+    BOOST_TEST(replaced.distribution.version() == 0U);
+    exchange(reader, replaced);
+    BOOST_TEST(replaced.distribution.rows().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(PlatformThatFellBackIsNoticedAndTakesNothingBack)
+{
+    Node reader(makePeer("t", PeerRole::Control));
+    BOOST_TEST(!reader.distribution.applyFromPlatform(rowAt("config/a", 5)));
+    BOOST_TEST(reader.distribution.applyFromPlatform(rowAt("config/a", 3)));
+    BOOST_TEST(reader.distribution.rows().at("config/a").value == "5");
+}
+
+// Random exchanges among processes, replaced at times, with one reader: versions never go down within a
+// process's life, a copy of a version has every row of that version, and in the end all have everything.
+RC_BOOST_PROP(CopiesGrowAndAreComplete,
+    (const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>& steps))
+{
+    constexpr std::size_t count = 4;
+    std::vector<std::unique_ptr<Node>> nodes;
+    auto make = [](std::size_t index, std::uint64_t incarnation) {
+        return std::make_unique<Node>(makePeer(fmt::format("t{}", index), PeerRole::Control, incarnation));
+    };
+    for (std::size_t index = 0; index < count; ++index)
+        nodes.push_back(make(index, 1));
+    std::map<std::string, Version> truth;
+    Version table = 0;
+    auto check = [&] {
+        for (const auto& node : nodes)
+            for (const auto& [key, version] : truth)
+                if (version <= node->distribution.version())
+                    RC_ASSERT(node->distribution.rows().contains(key)
+                        && node->distribution.rows().at(key).version >= version);
+    };
+    std::uint64_t incarnation = 1;
+    for (auto [what, a, b] : steps) {
+        auto from = a % count;
+        auto to = b % count;
+        if (what % 8 == 0 && from != 0)
+            nodes[from] = make(from, ++incarnation);
+        else if (what % 8 < 3) {
+            auto key = fmt::format("config/{}", b % 5);
+            truth[key] = ++table;
+            nodes[0]->distribution.applyFromPlatform(rowAt(key, table));
+        } else if (from != to) {
+            auto before = nodes[from]->distribution.version();
+            exchange(*nodes[from], *nodes[to]);
+            RC_ASSERT(nodes[from]->distribution.version() >= before);
+        }
+        check();
+    }
+    for (std::size_t index = 1; index < count; ++index) {
+        exchange(*nodes[index], *nodes[0]);
+        RC_ASSERT(nodes[index]->distribution.version() == table);
+    }
+    check();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/daemon/tests/target_client_test.cpp
@@ -0,0 +1,217 @@
+#include "daemon/target_client.h"
+
+#include "scripted_target.h"
+
+#include <boost/test/unit_test.hpp>
+#include <curl/curl.h>
+
+using namespace fulmar;
+using namespace std::chrono_literals;
+using fulmar::testing::ScriptedTarget;
+using fulmar::testing::Step;
+
+namespace {
+
+constexpr auto whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+// A client, and the end and answer of the last attempt.
+class Client {
+public:
+    explicit Client(asio::io_context& loop)
+        : m_loop(loop)
+        , m_client(loop, { 2s, 8, 1'000 })
+    {
+    }
+
+    const serve::AttemptEnd& send(
+        const std::string& address, const std::string& method = "POST", Duration timeout = 20s)
+    {
+        start(address, method, timeout);
+        return wait();
+    }
+
+    void start(const std::string& address, const std::string& method = "POST", Duration timeout = 20s)
+    {
+        m_isDone = false;
+        m_client.start(++m_last,
+            { address, method, "/service/path?q=1", { { "X-Request-Id", "7" } }, {}, timeout },
+            [this](serve::AttemptEnd end, HttpAnswer answer) {
+                m_isDone = true;
+                m_end = end;
+                m_answer = std::move(answer);
+            });
+    }
+
+    void cancel() { m_client.cancel(m_last); }
+
+    const serve::AttemptEnd& wait()
+    {
+        while (!m_isDone)
+            m_loop.run_one();
+        return m_end;
+    }
+
+    [[nodiscard]] const HttpAnswer& answer() const { return m_answer; }
+
+private:
+    asio::io_context& m_loop;
+    TargetClient m_client;
+    serve::AttemptId m_last { 0 };
+    bool m_isDone { false };
+    serve::AttemptEnd m_end;
+    HttpAnswer m_answer;
+};
+
+struct Fixture {
+    asio::io_context loop { 1 };
+    Client client { loop };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TargetClientTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(WholeAnswerRan)
+{
+    ScriptedTarget target(loop, { { whole } });
+    auto end = client.send(target.address());
+    BOOST_TEST((end.outcome == Outcome::Ran));
+    BOOST_TEST(end.status.value() == 200);
+    BOOST_TEST(client.answer().body == "hello");
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionIsNotRun)
+{
+    std::string address;
+    {
+        asio::io_context other;
+        address = ScriptedTarget(other, {}).address();
+    }
+    auto end = client.send(address);
+    BOOST_TEST((end.outcome == Outcome::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(CloseBeforeAnyByteOfTheAnswerMayHaveRun)
+{
+    ScriptedTarget target(loop, { { {}, true } });
+    auto end = client.send(target.address());
+    BOOST_TEST((end.outcome == Outcome::MayHaveRun));
+    BOOST_TEST(target.requests() == 1);
+}
+
+// The second request goes out on the kept connection, and the target dies after reading it. A client that
+// tries again on its own would run the request twice.
+BOOST_AUTO_TEST_CASE(KeptConnectionThatDiesIsNotTriedAgain)
+{
+    for (const auto* method : { "POST", "GET", "PUT", "DELETE" }) {
+        ScriptedTarget target(loop, { { whole }, { {}, true }, { whole } });
+        BOOST_TEST((client.send(target.address(), method).outcome == Outcome::Ran));
+        BOOST_TEST((client.send(target.address(), method).outcome == Outcome::MayHaveRun));
+        BOOST_TEST(target.requests() == 2);
+    }
+}
+
+// What an unguarded libcurl does in the same situation, so that the test above can be seen to catch it.
+BOOST_AUTO_TEST_CASE(LibcurlAloneWouldSendTwice)
+{
+    ScriptedTarget target(loop, { { whole }, { {}, true }, { whole } });
+    std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(curl_easy_init(), curl_easy_cleanup);
+    std::unique_ptr<CURLM, decltype(&curl_multi_cleanup)> multi(curl_multi_init(), curl_multi_cleanup);
+    curl_easy_setopt(easy.get(), CURLOPT_URL, fmt::format("http://{}/", target.address()).c_str());
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, "");
+    curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
+    for (int call = 0; call < 2; ++call) {
+        curl_multi_add_handle(multi.get(), easy.get());
+        for (int running = 1; running > 0;) {
+            curl_multi_perform(multi.get(), &running);
+            loop.poll();
+        }
+        curl_multi_remove_handle(multi.get(), easy.get());
+    }
+    BOOST_TEST(target.requests() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(TruncatedAnswersAreNeverWhole)
+{
+    const std::vector<std::string> truncated {
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello",
+    };
+    for (const auto& reply : truncated) {
+        ScriptedTarget target(loop, { { reply, true } });
+        auto end = client.send(target.address());
+        BOOST_TEST((end.outcome == Outcome::MayHaveRun), reply);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedAnswerWithItsLastChunkIsWhole)
+{
+    ScriptedTarget target(
+        loop, { { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" } });
+    auto end = client.send(target.address(), "GET");
+    BOOST_TEST((end.outcome == Outcome::Ran));
+    BOOST_TEST(client.answer().body == "hello");
+}
+
+BOOST_AUTO_TEST_CASE(TooLargeAnswerMayHaveRun)
+{
+    ScriptedTarget target(loop,
+        { { fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n{}", std::string(2'000, 'x')) } });
+    BOOST_TEST((client.send(target.address()).outcome == Outcome::MayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(SilentTargetMayHaveRun)
+{
+    ScriptedTarget target(loop, { { {}, false, true } });
+    auto end = client.send(target.address(), "POST", 50ms);
+    BOOST_TEST((end.outcome == Outcome::MayHaveRun));
+    BOOST_TEST((end.reason == Reason::DeadlineExceeded));
+}
+
+BOOST_AUTO_TEST_CASE(CancelledBeforeAConnectionIsNotRun)
+{
+    ScriptedTarget target(loop, { { whole } });
+    client.start(target.address());
+    client.cancel();
+    BOOST_TEST((client.wait().outcome == Outcome::NotRun));
+    loop.poll();
+    BOOST_TEST(target.requests() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(CancelledAfterSendingMayHaveRun)
+{
+    ScriptedTarget target(loop, { { {}, false, true } });
+    client.start(target.address());
+    while (target.requests() == 0)
+        loop.run_one();
+    client.cancel();
+    BOOST_TEST((client.wait().outcome == Outcome::MayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(TargetVouchesThatItDidNotRunTheRequest)
+{
+    ScriptedTarget target(loop,
+        { { "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nFulmar-Outcome: not-run\r\nFulmar-Target-State: "
+            "leaving\r\n\r\n" },
+            { "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n" } });
+    auto end = client.send(target.address());
+    BOOST_TEST((end.outcome == Outcome::NotRun));
+    BOOST_TEST(end.closing);
+    BOOST_TEST((client.send(target.address()).outcome == Outcome::Ran));
+}
+
+BOOST_AUTO_TEST_CASE(AnswersMeetTheirOwnRequests)
+{
+    ScriptedTarget slow(loop, { { {}, false, true } });
+    ScriptedTarget fast(loop, { { whole } });
+    client.start(slow.address(), "POST", 30ms);
+    client.wait();
+    auto end = client.send(fast.address());
+    BOOST_TEST((end.outcome == Outcome::Ran));
+    BOOST_TEST(client.answer().body == "hello");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
