--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -23,7 +23,7 @@
     : m_settings(std::move(settings))
     , m_events(m_settings.process.process, eventCapacity)
     , m_distribution(describeSelf(m_settings.process, PeerRole::Control, incarnation),
-          membershipOf(m_settings.process), [](const ConfigChange&) {})
+          membershipOf(m_settings.process), [] {})
     , m_readerPlatform(platformOf(m_settings.process))
     , m_reader(
           m_readerPlatform, m_clock, m_events, m_distribution, m_settings.readEvery, m_settings.listEvery)
--- a/src/daemon/distribution.cpp
+++ b/src/daemon/distribution.cpp
@@ -25,25 +25,24 @@
     return coversRegistration || m_hasPeerCopy;
 }
 
-ConfigChange Distribution::apply(const Changes& changes)
+bool Distribution::apply(const Changes& changes)
 {
-    ConfigChange change;
-    for (const auto& key : m_replica.apply(changes).changedKeys)
-        change.rows.push_back(m_replica.rows().at(key));
-    change.version = m_replica.version();
-    return change;
+    auto before = m_replica.version();
+    auto report = m_replica.apply(changes);
+    return !report.changedKeys.empty() || m_replica.version() > before;
 }
 
 bool Distribution::applyFromPlatform(const Changes& changes)
 {
-    ConfigChange change;
     bool isBehind = false;
+    bool hasGrown = false;
     {
         std::lock_guard lock(m_mutex);
         isBehind = changes.tableVersion < m_replica.version();
-        change = apply(changes);
+        hasGrown = apply(changes);
     }
-    m_onChange(change);
+    if (hasGrown)
+        m_onChange();
     return isBehind;
 }
 
@@ -85,7 +84,7 @@
 
 // Rows are taken only if nothing is missing between our version and theirs: a process that was replaced under
 // the same address may be handed rows that its predecessor lacked.
-ConfigChange Distribution::merge(const Exchange& message, TimePoint now)
+bool Distribution::merge(const Exchange& message, TimePoint now)
 {
     m_membership.onContact(message.from, now);
     m_membership.onHearsay(message.known, now);
@@ -93,7 +92,7 @@
         m_dependents.erase(message.from.process);
     bool isUseful = message.changes.tableVersion > m_replica.version() && message.base <= m_replica.version();
     if (!isUseful)
-        return {};
+        return false;
     if (!m_self.isRegistered && message.from.role == PeerRole::Entry)
         m_hasPeerCopy = true;
     return apply(message.changes);
@@ -102,30 +101,30 @@
 Exchange Distribution::onRequest(const Exchange& message, TimePoint now)
 {
     Exchange reply;
-    ConfigChange change;
+    bool hasGrown = false;
     {
         std::lock_guard lock(m_mutex);
-        change = merge(message, now);
+        hasGrown = merge(message, now);
         reply = makeMessage(now);
         addRowsFor(message.from, message.version, reply);
         m_peerVersions[message.from.address]
             = { message.from, std::max(message.version, reply.changes.tableVersion) };
     }
-    if (change.version > 0)
-        m_onChange(change);
+    if (hasGrown)
+        m_onChange();
     return reply;
 }
 
 void Distribution::onReply(const std::string& address, const Exchange& message, TimePoint now)
 {
-    ConfigChange change;
+    bool hasGrown = false;
     {
         std::lock_guard lock(m_mutex);
-        change = merge(message, now);
+        hasGrown = merge(message, now);
         m_peerVersions[address] = { message.from, message.version };
     }
-    if (change.version > 0)
-        m_onChange(change);
+    if (hasGrown)
+        m_onChange();
 }
 
 std::vector<PeerInfo> Distribution::dependents(Version version) const
@@ -168,6 +167,12 @@
     return m_replica.version();
 }
 
+Changes Distribution::changesSince(Version since) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_replica.changesSince(since);
+}
+
 std::map<std::string, Row> Distribution::rows() const
 {
     std::lock_guard lock(m_mutex);
--- a/src/daemon/distribution.h
+++ b/src/daemon/distribution.h
@@ -14,12 +14,6 @@
 
 namespace fulmar {
 
-// Rows that came into force, and the version that the copy now has.
-struct ConfigChange {
-    std::vector<Row> rows;
-    Version version { 0 };
-};
-
 // This process's copy of the configuration and its knowledge of its peers, as exchanged with them.
 // Thread-safe.
 //
@@ -28,7 +22,8 @@
 // hands rows to an entry that is not registered only if it is itself a registered entry.
 class Distribution {
 public:
-    using OnChange = std::function<void(const ConfigChange&)>;
+    // Told after the copy has grown, on the thread that made it grow.
+    using OnChange = std::function<void()>;
 
     Distribution(PeerInfo self, MembershipSettings, OnChange);
 
@@ -55,6 +50,8 @@
     [[nodiscard]] std::vector<PeerInfo> contacts(TimePoint now) const;
     [[nodiscard]] std::optional<PeerInfo> find(const ProcessId&) const;
     [[nodiscard]] Version version() const;
+    // Rows changed after `since`, and the copy's version.
+    [[nodiscard]] Changes changesSince(Version since) const;
     [[nodiscard]] std::map<std::string, Row> rows() const;
     [[nodiscard]] PeerInfo self() const;
 
@@ -62,8 +59,9 @@
     [[nodiscard]] bool mayHandRowsTo(const PeerInfo&) const;
     void addRowsFor(const PeerInfo&, Version theirs, Exchange&);
     Exchange makeMessage(TimePoint now) const;
-    ConfigChange merge(const Exchange&, TimePoint now);
-    ConfigChange apply(const Changes&);
+    // True if the copy has grown.
+    bool merge(const Exchange&, TimePoint now);
+    bool apply(const Changes&);
 
     mutable std::mutex m_mutex;
     PeerInfo m_self;
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -24,6 +24,7 @@
 constexpr std::chrono::milliseconds askTimeout { 500 };
 constexpr std::chrono::milliseconds taskCallTimeout { 5'000 };
 constexpr std::chrono::milliseconds configBatchPause { 50 };
+constexpr std::chrono::milliseconds configPollPause { 500 };
 constexpr std::chrono::milliseconds stopPollPause { 50 };
 constexpr std::chrono::milliseconds maxTimeout = std::chrono::hours(24);
 
@@ -102,9 +103,9 @@
     , m_stopTimer(m_loop)
     , m_dispatcher({ m_self.zone, m_self.process, incarnation, incarnation })
     , m_targets(m_loop, { m_settings.targetConnectTimeout, connectionsPerTarget, m_settings.maxAnswerBytes })
-    , m_distribution(m_self, membershipOf(m_settings.process), [this](const ConfigChange& change) {
-        if (!m_inbox.tryPost([this, change] { onConfig(change); }))
-            logWarning("config.dropped", { { "version", std::to_string(change.version) } });
+    , m_distribution(m_self, membershipOf(m_settings.process), [this] {
+        // A lost wake-up is made good by the next one: the loop takes all that it lacks.
+        std::ignore = m_inbox.tryPost([this] { scheduleConfig(configBatchPause); });
     })
 {
 }
@@ -183,6 +184,7 @@
         if (!error)
             beginStop();
     });
+    scheduleConfig(configBatchPause);
     scheduleTick();
     m_loop.run();
     m_peers.reset();
@@ -395,37 +397,40 @@
         m_calls.erase(call);
 }
 
-void Entry::onConfig(const ConfigChange& change)
-{
-    for (const auto& row : change.rows)
-        m_rows[row.key] = row;
-    m_receivedVersion = std::max(m_receivedVersion, change.version);
-    scheduleConfig();
-}
-
 // Changes that come in a burst are applied together.
-void Entry::scheduleConfig()
+void Entry::scheduleConfig(std::chrono::milliseconds pause)
 {
-    if (std::exchange(m_isConfigScheduled, true))
+    auto due = m_clock.now() + pause;
+    if (due >= m_configDue)
         return;
-    m_configTimer.expires_after(configBatchPause);
+    m_configDue = due;
+    m_configTimer.expires_at(due);
     m_configTimer.async_wait([this](const asio::error_code& error) {
-        m_isConfigScheduled = false;
-        if (!error)
-            applyConfig();
+        if (error)
+            return;
+        m_configDue = TimePoint::max();
+        applyConfig();
     });
 }
 
+// Takes what the copy has gained since the last time. Looks again after a while in any case.
 void Entry::applyConfig()
 {
+    scheduleConfig(configPollPause);
     if (!m_distribution.mayRoute())
-        return scheduleConfig();
+        return;
+    auto changes = m_distribution.changesSince(m_appliedVersion);
+    if (changes.tableVersion <= m_appliedVersion)
+        return;
+    for (auto& row : changes.rows)
+        m_rows[row.key] = row;
+    m_appliedVersion = changes.tableVersion;
+    if (changes.rows.empty())
+        return;
     setEntriesFromRows();
     perform(m_dispatcher.applyDirectory(serve::buildDirectory(m_rows), m_clock.now()));
-    if (m_receivedVersion > m_appliedVersion)
-        m_events.record(
-            m_clock.wallNow(), "config.applied", { { "version", std::to_string(m_receivedVersion) } });
-    m_appliedVersion = m_receivedVersion;
+    m_events.record(m_clock.wallNow(), "config.applied",
+        { { "version", std::to_string(m_appliedVersion) }, { "rows", std::to_string(changes.rows.size()) } });
 }
 
 void Entry::setEntriesFromRows()
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -74,7 +74,6 @@
     void answer(serve::RequestId, HttpAnswer);
     void forgetIfDone(serve::RequestId);
 
-    void onConfig(const ConfigChange&);
     void applyConfig();
     void setEntriesFromRows();
     [[nodiscard]] Confirmation confirmLeaving(const ConfirmQuestion&);
@@ -82,7 +81,7 @@
     [[nodiscard]] bool isServing() const;
 
     void scheduleTick();
-    void scheduleConfig();
+    void scheduleConfig(std::chrono::milliseconds pause);
     void beginStop();
     void pollStop();
 
@@ -107,10 +106,9 @@
 
     Distribution m_distribution;
     std::map<std::string, Row> m_rows;
-    Version m_receivedVersion { 0 };
     // Version of the configuration that the dispatcher routes by.
     Version m_appliedVersion { 0 };
-    bool m_isConfigScheduled { false };
+    TimePoint m_configDue { TimePoint::max() };
 
     bool m_isStopping { false };
     TimePoint m_stopBegan {};
--- a/src/daemon/tests/distribution_test.cpp
+++ b/src/daemon/tests/distribution_test.cpp
@@ -25,7 +25,7 @@
 
 struct Node {
     explicit Node(const PeerInfo& info)
-        : distribution(info, {}, [this](const ConfigChange& change) { lastVersion = change.version; })
+        : distribution(info, {}, [this] { lastVersion = distribution.version(); })
     {
     }
     Version lastVersion { 0 };
