--- a/src/config/replica.cpp
+++ b/src/config/replica.cpp
@@ -4,6 +4,14 @@
 
 namespace fulmar {
 
+bool replaces(const Row& arriving, const Row& known)
+{
+    if (arriving.version != known.version)
+        return arriving.version > known.version;
+    return known.operation.value().starts_with(restorationPrefix)
+        && !arriving.operation.value().starts_with(restorationPrefix);
+}
+
 ApplyReport ConfigReplica::apply(const Changes& changes)
 {
     ApplyReport report;
@@ -11,7 +19,7 @@
         auto& known = m_rows[row.key];
         if (row.version < known.version)
             ++report.olderRows;
-        if (row.version <= known.version)
+        if (!replaces(row, known))
             continue;
         known = row;
         report.changedKeys.push_back(row.key);
--- a/src/config/replica.h
+++ b/src/config/replica.h
@@ -19,6 +19,9 @@
 
 // This process's copy of the distributed rows. A row only ever moves to a higher version, whoever it comes
 // from, so a stale peer or a platform restored from a backup cannot take a change back.
+//
+// After a restored platform two different rows can have one version. Of these a row that an operator or duty
+// wrote goes before one that was only committed again.
 class ConfigReplica {
 public:
     ApplyReport apply(const Changes&);
@@ -36,4 +39,10 @@
     Version m_version { 0 };
 };
 
+// Starts the names of operations that commit lost rows again.
+inline constexpr auto restorationPrefix = "restore-";
+
+// Whether `arriving` takes the place of `known`, a row of the same key.
+[[nodiscard]] bool replaces(const Row& arriving, const Row& known);
+
 } // namespace fulmar
--- a/src/fleet/command_plan.cpp
+++ b/src/fleet/command_plan.cpp
@@ -87,7 +87,8 @@
     template <typename Record>
     std::string changedSince(const Stored<Record>& row, const std::string& name) const
     {
-        if (m_command.record.basedOn == 0 || row.version <= m_command.record.basedOn)
+        if (m_command.record.basedOn == 0
+            || m_context.view.configVersion(row.version) <= m_command.record.basedOn)
             return {};
         return fmt::format("{} changed at version {}, after version {} that the command is based on", name,
             row.version, m_command.record.basedOn);
--- a/src/fleet/drain_round.h
+++ b/src/fleet/drain_round.h
@@ -29,13 +29,13 @@
     {
     }
 
-    // Whether all of `entries`, and all entries that received an older configuration from them, have the
-    // configuration of `version` in force and no call in flight to the VM. Nothing is remembered from earlier
+    // Whether all of `entries`, and all entries that received an older configuration from them, have the VM's
+    // row in force and no call in flight to the VM. Nothing is remembered from earlier
     // rounds: an entry that restarted since then may have fallen back to a peer's older copy.
-    DrainStatus ask(
-        const FleetView& view, std::vector<EntryDependent> entries, const VmId& vm, Version version)
+    DrainStatus ask(const FleetView& view, std::vector<EntryDependent> entries, const Stored<VmRecord>& vm)
     {
         std::set<ProcessId> asked;
+        auto version = view.configVersion(vm.version);
         for (std::size_t next = 0; next < entries.size(); ++next) {
             auto entry = entries[next];
             if (!asked.insert(entry.process).second)
@@ -44,12 +44,12 @@
                 return { false, "more entries to ask" };
             if (m_silent.contains(entry.process))
                 return silent(entry);
-            auto answer = m_confirmer.confirm(entry.address, vm, version);
+            auto answer = m_confirmer.confirm(entry.address, vm.record.vm, version);
             if (!answer) {
                 m_silent.insert(entry.process);
                 return silent(entry);
             }
-            if (auto objection = objectionTo(view, entry, *answer, version); !objection.empty())
+            if (auto objection = objectionTo(view, entry, *answer, vm.operation); !objection.empty())
                 return { false, std::move(objection) };
             entries.insert(entries.end(), answer->dependents.begin(), answer->dependents.end());
         }
@@ -64,15 +64,15 @@
                 entry.process.value(), entry.address) };
     }
 
-    static std::string objectionTo(
-        const FleetView& view, const EntryDependent& entry, const EntryConfirmation& answer, Version version)
+    static std::string objectionTo(const FleetView& view, const EntryDependent& entry,
+        const EntryConfirmation& answer, const OperationId& row)
     {
-        if (auto row = view.entries().find(entry.process);
-            row != view.entries().end() && row->second.record.incarnation != answer.incarnation)
+        if (auto registered = view.entries().find(entry.process);
+            registered != view.entries().end() && registered->second.record.incarnation != answer.incarnation)
             return fmt::format("entry {} restarted and has not registered", entry.process.value());
-        if (answer.applied < version)
-            return fmt::format(
-                "entry {} has configuration {}, not {}", entry.process.value(), answer.applied, version);
+        if (answer.row != row)
+            return fmt::format("entry {} has configuration {} without the VM's present row",
+                entry.process.value(), answer.applied);
         if (answer.inFlight > 0)
             return fmt::format("entry {} has {} calls in flight", entry.process.value(), answer.inFlight);
         return {};
--- a/src/fleet/entry_row.h
+++ b/src/fleet/entry_row.h
@@ -38,10 +38,13 @@
     auto operator<=>(const EntryDependent&) const = default;
 };
 
-// An entry's answer about one VM. `applied` and `inFlight` are read together by the thread that routes.
+// An entry's answer about one VM, read all at once by the thread that routes.
 struct EntryConfirmation {
     // Version of the configuration that is in force in the entry.
     Version applied { 0 };
+    // The operation that wrote the VM's row that is in force in the entry. A version would not do: a platform
+    // that came back with less than it had gives out the same versions again.
+    OperationId row;
     // Calls chosen for the VM that have not ended, unsent ones and pending retries included.
     std::size_t inFlight { 0 };
     std::string incarnation;
--- a/src/fleet/fleet_duty.h
+++ b/src/fleet/fleet_duty.h
@@ -232,7 +232,7 @@
             if (!facts.waitingFor.empty())
                 return facts;
             auto entries = m_presence.mayRoute(m_store.view(), vm.record);
-            auto status = round.ask(m_store.view(), std::move(entries), vm.record.vm, vm.version);
+            auto status = round.ask(m_store.view(), std::move(entries), vm);
             facts.drained = status.drained;
             facts.waitingFor = std::move(status.waitingFor);
         }
--- a/src/fleet/fleet_store.h
+++ b/src/fleet/fleet_store.h
@@ -93,8 +93,8 @@
 
 private:
     // Budget rows come first; see FleetView.
-    static constexpr std::array readOrder { keys::budgetPrefix, keys::vmPrefix, keys::poolPrefix,
-        keys::intentPrefix, keys::wavePrefix, keys::entryPrefix, keys::commandPrefix };
+    static constexpr std::array readOrder { keys::eraKey, keys::budgetPrefix, keys::vmPrefix,
+        keys::poolPrefix, keys::intentPrefix, keys::wavePrefix, keys::entryPrefix, keys::commandPrefix };
 
     void readRows()
     {
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -20,7 +20,7 @@
     auto record = decode<Record>(row.value);
     if (!record)
         return false;
-    rows[std::move(key)] = { std::move(*record), row.version };
+    rows[std::move(key)] = { std::move(*record), row.version, row.operation };
     return true;
 }
 
@@ -64,6 +64,8 @@
             readable = applyTo(m_entries, row, length(keys::entryPrefix));
         else if (hasPrefix(row, keys::budgetPrefix))
             m_budgets[PoolId(row.key.substr(length(keys::budgetPrefix)))] = row.deleted ? 0 : row.version;
+        else if (row.key == keys::eraKey)
+            m_eras = VersionEras::fromRow(row);
         if (!readable)
             unreadable.push_back(row.key);
     }
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/version_eras.h"
 #include "fleet/budget.h"
 #include "fleet/command.h"
 #include "fleet/entry_row.h"
@@ -17,6 +18,8 @@
 template <typename Record> struct Stored {
     Record record;
     Version version { 0 };
+    // The operation that wrote it last.
+    OperationId operation;
 };
 
 // Conditions and writes of one decision; the committer adds the operation and the lease's condition.
@@ -54,6 +57,12 @@
     // Version of the pool's budget row, 0 if there is none.
     [[nodiscard]] Version budgetVersion(const PoolId&) const;
 
+    // The configuration version of a version of the platform's table.
+    [[nodiscard]] Version configVersion(Version tableVersion) const
+    {
+        return m_eras.configVersion(tableVersion);
+    }
+
     // Counts every VM whose row does not say Serving, or that is not among `live`, as unavailable.
     [[nodiscard]] BudgetLedger ledger(const std::set<VmId>& live) const;
 
@@ -65,6 +74,7 @@
     std::map<WaveId, Stored<WaveRecord>> m_waves;
     std::map<ProcessId, Stored<EntryRecord>> m_entries;
     std::map<PoolId, Version> m_budgets;
+    VersionEras m_eras;
 };
 
 // Marks the VM as leaving, records the intent and spends the pool's budget, all in one change.
--- a/src/fleet/tests/fleet_fixture.h
+++ b/src/fleet/tests/fleet_fixture.h
@@ -17,7 +17,7 @@
     std::string incarnation;
     bool answers { true };
     std::map<VmId, std::size_t> inFlight;
-    std::map<VmId, VmRecord> vms;
+    std::map<VmId, Stored<VmRecord>> vms;
     std::vector<EntryDependent> dependents;
 
     void follow(const standin::MemoryTable& table)
@@ -25,7 +25,7 @@
         auto changes = table.read(keys::vmPrefix, applied);
         for (const auto& row : changes.rows)
             if (auto record = decode<VmRecord>(row.value))
-                vms[record->vm] = *record;
+                vms[record->vm] = { *record, row.version, row.operation };
         applied = changes.tableVersion;
     }
 };
@@ -39,7 +39,8 @@
         if (position == byAddress.end() || !position->second.answers)
             return notRun(Reason::DeadlineExceeded, "no answer");
         auto& entry = position->second;
-        return EntryConfirmation { entry.applied, entry.inFlight[vm], entry.incarnation, entry.dependents };
+        return EntryConfirmation { entry.applied, entry.vms[vm].operation, entry.inFlight[vm],
+            entry.incarnation, entry.dependents };
     }
 };
 
@@ -78,7 +79,8 @@
 
     void put(const std::string& key, const std::string& value)
     {
-        (void)state.table.commit({ OperationId("setup"), {}, { { key, value, false } } });
+        (void)state.table.commit(
+            { OperationId(fmt::format("setup-{}", ++m_setups)), {}, { { key, value, false } } });
     }
 
     void addPool(const std::string& name, double share, std::size_t size, bool isSpare = false)
@@ -158,6 +160,7 @@
 private:
     std::vector<std::unique_ptr<Control>> m_controls;
     std::uint64_t m_orders { 0 };
+    std::uint64_t m_setups { 0 };
 };
 
 } // namespace fulmar::test
--- a/standins/faulty_platform.h
+++ b/standins/faulty_platform.h
@@ -56,6 +56,7 @@
 
     // The faults of the next calls, in order; calls beyond them have none.
     void addFault(CallFault fault) { m_faults.push_back(fault); }
+    void clearFaults() { m_faults.clear(); }
 
     Result<Version> commit(const Transaction& transaction)
     {
