--- a/src/config/field_reader.h
+++ b/src/config/field_reader.h
@@ -88,6 +88,7 @@
         const auto value
             = std::find_if(values.begin(), values.end(), [&](Enum each) { return toString(each) == text; });
         std::vector<std::string_view> names;
+        names.reserve(count);
         for (auto each : values)
             names.push_back(toString(each));
         if (expect(name, value != values.end(), fmt::format("one of {}", fmt::join(names, ", "))))
--- a/src/work/acceptance.cpp
+++ b/src/work/acceptance.cpp
@@ -61,8 +61,9 @@
 // Submissions whose callers were already answered are dropped: they were told that it may have been taken.
 void Acceptance::onNotCommitted(const std::vector<TaskRecord>& batch)
 {
-    for (auto record = batch.rbegin(); record != batch.rend(); ++record) {
-        auto position = m_submissions.find(record->spec.task);
+    std::deque<TaskId> waiting;
+    for (const auto& record : batch) {
+        auto position = m_submissions.find(record.spec.task);
         if (position == m_submissions.end())
             continue;
         if (position->second.replies.empty()) {
@@ -70,8 +71,9 @@
             continue;
         }
         position->second.inBatch = false;
-        m_waiting.push_front(record->spec.task);
+        waiting.push_back(record.spec.task);
     }
+    m_waiting.insert(m_waiting.begin(), waiting.begin(), waiting.end());
 }
 
 void Acceptance::expire(TimePoint now)
--- /dev/null
+++ b/src/work/fault_evidence.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/types.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace fulmar {
+
+// Tells a worker that fails everything from a job that can never run. A failure speaks against the worker
+// once the same job has succeeded elsewhere afterwards, and against the job once another job has succeeded on
+// the same worker afterwards. So a job's fault is not charged to workers, nor a worker's to jobs, and an
+// outage under which everything fails is charged to neither.
+class FaultEvidence {
+public:
+    void onSuccess(const JobId&, const VmId&, TimePoint now);
+    // `task` counts how many of the job's tasks have failed.
+    void onFailure(const TaskId& task, const JobId&, const VmId&, TimePoint now);
+
+    // Distinct jobs whose latest failure on the worker speaks against the worker. A success there clears it.
+    [[nodiscard]] std::size_t against(const VmId&) const;
+    // Distinct jobs that have failed on the worker since its last success, without those at fault themselves.
+    [[nodiscard]] std::size_t unresolved(const VmId&) const;
+    // True if any task has succeeded on the worker.
+    [[nodiscard]] bool hasSucceeded(const VmId&) const;
+
+    // Distinct workers on which the job's latest failure speaks against the job. A success clears it.
+    [[nodiscard]] std::size_t against(const JobId&) const;
+    // Distinct tasks of the job that have failed since its last success.
+    [[nodiscard]] std::size_t failedTasks(const JobId&) const;
+
+    // True if a failure of the job on the worker at that time speaks against the job.
+    [[nodiscard]] bool speaksAgainstJob(const JobId&, const VmId&, TimePoint failedAt) const;
+
+    // Forgets what is older than `before`.
+    void forget(TimePoint before);
+
+private:
+    // Newest success by one job or on one worker, and the newest by or on any other.
+    template <typename Key> struct Successes {
+        std::optional<std::pair<Key, TimePoint>> newest;
+        std::optional<std::pair<Key, TimePoint>> other;
+
+        void add(const Key& key, TimePoint now)
+        {
+            if (newest && newest->first != key)
+                other = newest;
+            newest = { key, now };
+        }
+
+        // The newest success that does not belong to `key`.
+        [[nodiscard]] std::optional<TimePoint> besides(const Key& key) const
+        {
+            if (newest && newest->first != key)
+                return newest->second;
+            if (other)
+                return other->second;
+            return std::nullopt;
+        }
+    };
+
+    struct WorkerFacts {
+        std::map<JobId, TimePoint> failures;
+        Successes<JobId> successes;
+        TimePoint touched {};
+    };
+
+    struct JobFacts {
+        std::map<VmId, TimePoint> failures;
+        std::set<TaskId> tasks;
+        Successes<VmId> successes;
+        TimePoint touched {};
+    };
+
+    [[nodiscard]] bool speaksAgainstWorker(const VmId&, const JobId&, TimePoint failedAt) const;
+
+    std::unordered_map<VmId, WorkerFacts> m_workers;
+    std::unordered_map<JobId, JobFacts> m_jobs;
+};
+
+} // namespace fulmar
--- a/src/work/fleet_view.h
+++ b/src/work/fleet_view.h
@@ -23,6 +23,8 @@
     [[nodiscard]] std::unordered_map<VmId, Worker>& workers() { return m_workers; }
     [[nodiscard]] const std::unordered_map<VmId, Worker>& workers() const { return m_workers; }
 
+    [[nodiscard]] const std::unordered_map<PoolId, std::vector<Worker*>>& pools() const { return m_pools; }
+
     // Capacity of all live workers.
     [[nodiscard]] const Resources& capacity() const { return m_capacity; }
 
--- /dev/null
+++ b/src/work/heat.cpp
@@ -0,0 +1,94 @@
+#include "work/heat.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace fulmar {
+
+namespace {
+
+// Shares of a worker's capacity in use.
+constexpr double hotProcessors = 1.0;
+constexpr double coolProcessors = 0.85;
+constexpr double hotMemory = 0.95;
+constexpr double memoryAfterEviction = 0.9;
+// Throttled tasks use this share of the processors that they used before, at most.
+constexpr double throttledShare = 0.5;
+
+// Urgent tasks are worth most, then those that cannot be repeated, then those that have run longest.
+bool isWorthLess(const Task* left, const Task* right)
+{
+    auto worth = [](const Task* task) {
+        return std::tuple(task->record.spec.urgent, !task->record.spec.idempotent, task->preemptions,
+            -task->startedAt.time_since_epoch().count(), task->id());
+    };
+    return worth(left) < worth(right);
+}
+
+std::vector<Task*> byWorth(const Worker& worker)
+{
+    std::vector<Task*> tasks;
+    std::copy_if(worker.tasks.begin(), worker.tasks.end(), std::back_inserter(tasks), [](const Task* task) {
+        return task->step == StartStep::Confirmed && task->eviction == Eviction::None;
+    });
+    std::sort(tasks.begin(), tasks.end(), isWorthLess);
+    return tasks;
+}
+
+bool isEvictable(const Task* task) { return task->record.spec.idempotent; }
+
+std::vector<HeatAction> relieveMemory(const Worker& worker, const std::vector<Task*>& tasks)
+{
+    std::vector<HeatAction> actions;
+    auto used = worker.used.memoryMb;
+    for (const auto* task : worker.tasks)
+        if (task->eviction != Eviction::None)
+            used -= task->used.memoryMb;
+    for (auto* task : tasks) {
+        if (used <= worker.capacity.memoryMb * memoryAfterEviction)
+            break;
+        if (!isEvictable(task))
+            continue;
+        actions.push_back({ task, HeatStep::Evict });
+        used -= task->used.memoryMb;
+    }
+    return actions;
+}
+
+std::vector<HeatAction> relieveProcessors(const Worker& worker, const std::vector<Task*>& tasks)
+{
+    std::vector<HeatAction> actions;
+    auto excess = worker.used.processors - worker.capacity.processors * hotProcessors;
+    for (auto* task : tasks) {
+        if (excess <= 0)
+            return actions;
+        if (task->throttled)
+            continue;
+        actions.push_back({ task, HeatStep::Throttle });
+        excess -= task->used.processors * (1 - throttledShare);
+    }
+    // All that is left to throttle is throttled and it is still hot.
+    if (actions.empty())
+        if (auto victim = std::find_if(tasks.begin(), tasks.end(), isEvictable); victim != tasks.end())
+            actions.push_back({ *victim, HeatStep::Evict });
+    return actions;
+}
+
+} // namespace
+
+std::vector<HeatAction> coolDown(const Worker& worker)
+{
+    auto tasks = byWorth(worker);
+    if (worker.used.memoryMb > worker.capacity.memoryMb * hotMemory)
+        return relieveMemory(worker, tasks);
+    if (worker.used.processors > worker.capacity.processors * hotProcessors)
+        return relieveProcessors(worker, tasks);
+    if (worker.used.processors < worker.capacity.processors * coolProcessors)
+        if (auto task
+            = std::find_if(tasks.rbegin(), tasks.rend(), [](const Task* each) { return each->throttled; });
+            task != tasks.rend())
+            return { { *task, HeatStep::Resume } };
+    return {};
+}
+
+} // namespace fulmar
--- a/src/work/scheduler.cpp
+++ b/src/work/scheduler.cpp
@@ -1,383 +1,297 @@
 #include "work/scheduler.h"
+#include "work/heat.h"
 
-#include <cassert>
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace fulmar {
 
 namespace {
 
-// A stop that the worker has confirmed takes effect within this time.
-constexpr auto stopGrace = std::chrono::seconds(1);
-
-std::string whoToAsk(const Task& task)
-{
-    return fmt::format("ask team {} and worker {}, start {}", task.record.spec.team.value(),
-        task.record.worker.value(), task.record.start.value());
+constexpr auto sweepInterval = std::chrono::seconds(1);
+constexpr auto judgeInterval = std::chrono::seconds(5);
+constexpr auto evidenceLifetime = std::chrono::hours(1);
+// A task's usage is typical after this time.
+constexpr auto warmUp = std::chrono::seconds(10);
+// A start whose row is stored but that waits for room is placed anew after this time.
+constexpr auto longestWaitForRoom = std::chrono::seconds(10);
+// Distinct workers on which a task fails before it is given up, and tries in any case.
+constexpr std::size_t workersPerTask = 3;
+constexpr std::uint32_t startsPerTask = 10;
+// Distinct tasks and workers that show a job to be broken, and how often it is tried afterwards.
+constexpr std::size_t tasksPerBrokenJob = 3;
+constexpr std::size_t workersPerBrokenJob = 3;
+constexpr auto brokenJobPause = std::chrono::seconds(60);
+constexpr auto firstRetryDelay = std::chrono::milliseconds(500);
+constexpr int longestRetryShift = 7;
+
+// How many of the pool's workers must have failed a task or job: fewer in a pool that has fewer.
+std::size_t workersNeeded(std::size_t wanted, std::size_t poolSize)
+{
+    return std::clamp<std::size_t>(poolSize, 1, wanted);
 }
 
 } // namespace
 
 Scheduler::Scheduler(SchedulerSettings settings, std::string owner)
-    : m_settings(settings)
-    , m_owner(std::move(owner))
-    , m_shares(settings.shardShare)
+    : m_book(settings, std::move(owner))
+    , m_evictor(m_book)
+    , m_filler(m_book, m_evictor, m_evidence, m_quarantine)
 {
 }
 
-Result<void> Scheduler::admit(const TaskSpec& spec) const
+Result<void> Scheduler::admit(const TaskSpec& spec, TimePoint now) const
 {
-    const auto& workers = m_fleet.workersOf(spec.pool);
-    auto holds = [&](const Worker* worker) { return fits(spec.size, usable(*worker, m_settings.fill)); };
-    if (workers.empty() || std::any_of(workers.begin(), workers.end(), holds))
-        return {};
-    return notRun(Reason::BadInput,
-        fmt::format("no worker of pool {} is large enough for {} processors, {} MB and {} accelerators",
-            spec.pool.value(), spec.size.processors, spec.size.memoryMb, spec.size.accelerators));
+    const auto& workers = m_book.fleet().workersOf(spec.pool);
+    auto holds
+        = [&](const Worker* worker) { return fits(spec.size, usable(*worker, m_book.settings().fill)); };
+    if (!workers.empty() && std::none_of(workers.begin(), workers.end(), holds))
+        return notRun(Reason::BadInput,
+            fmt::format("no worker of pool {} is large enough for {} processors, {} MB and {} accelerators",
+                spec.pool.value(), spec.size.processors, spec.size.memoryMb, spec.size.accelerators));
+    if (auto broken = m_brokenJobs.find(spec.job);
+        broken != m_brokenJobs.end() && (now < broken->second || m_book.activeOf(spec.job) > 0))
+        return notRun(Reason::TargetFailed,
+            fmt::format(
+                "job {} fails on workers where other jobs succeed; one task of it is tried now and then",
+                spec.job.value()));
+    return {};
 }
 
-// A task that was starting or running under an earlier owner may still run: it holds its worker until a
-// report or the end of its lease settles what became of it.
-void Scheduler::add(TaskRecord record, TimePoint now)
+void Scheduler::add(TaskRecord record, Moment moment)
 {
-    auto id = record.spec.task;
-    auto [position, isNew] = m_tasks.try_emplace(std::move(id));
-    if (!isNew)
-        return;
-    auto& task = position->second;
-    task.record = std::move(record);
-    if (isFinal(task.record.state)) {
-        m_ended.emplace_back(now, task.id());
-        return;
-    }
-    if (task.record.state == TaskState::Queued) {
-        enqueue(task, now);
-        return;
-    }
-    task.step = StartStep::Uncertain;
-    task.startedAt = now;
-    task.checkpointAt = now;
-    task.leaseUntil = now + m_settings.lease;
-    auto need = m_sizes.estimate(task.record.spec);
-    FleetView::place(task, m_fleet.ensure(task.record.worker, task.record.spec.pool, now), need);
-    m_shares.take(task.record.spec.team, need);
+    auto pool = record.spec.pool;
+    if (m_book.add(std::move(record), moment))
+        m_filler.touch(pool);
 }
 
 const TaskRecord* Scheduler::find(const TaskId& id) const
 {
-    auto position = m_tasks.find(id);
-    return position == m_tasks.end() ? nullptr : &position->second.record;
+    const auto* task = m_book.find(id);
+    return task ? &task->record : nullptr;
 }
 
-Task* Scheduler::lookUp(const TaskId& id)
+Result<TaskRecord> Scheduler::cancel(const TaskId& id, Moment moment)
 {
-    auto position = m_tasks.find(id);
-    return position == m_tasks.end() ? nullptr : &position->second;
-}
-
-Result<TaskRecord> Scheduler::cancel(const TaskId& id, TimePoint now, WallTime wallNow)
-{
-    auto* task = lookUp(id);
+    auto* task = m_book.find(id);
     if (!task)
         return notRun(Reason::NotFound, fmt::format("no task {}", id.value()));
     if (isFinal(task->record.state) || task->record.cancelRequested)
         return task->record;
     task->record.cancelRequested = true;
-    if (task->step == StartStep::Uncertain || task->step == StartStep::Confirmed) {
-        task->eviction = Eviction::Cancelled;
-        task->evictionBegan = now;
-        task->record.changed = wallNow;
-        order(*task, TaskOrder::Stop);
-        task->stopOrderedAt = now;
-    } else {
-        end(*task, TaskState::Cancelled, "cancelled before it started", now, wallNow);
-    }
-    markRow(*task, RowUrgency::Now);
+    task->record.changed = moment.wallNow;
+    if (task->step == StartStep::Uncertain || task->step == StartStep::Confirmed)
+        m_evictor.evict(*task, Eviction::Cancelled, {}, moment);
+    else
+        m_book.end(*task, TaskState::Cancelled, "cancelled before it started", moment);
+    m_book.markRow(*task, RowUrgency::Now);
     return task->record;
 }
 
-bool Scheduler::isStored(const TaskId& id) const
-{
-    auto position = m_tasks.find(id);
-    return position == m_tasks.end() || (!position->second.unstored && !position->second.rowOnItsWay);
-}
-
 void Scheduler::setMaintenance(const VmId& id, std::optional<TimePoint> at)
 {
-    if (auto* worker = m_fleet.find(id))
+    if (auto* worker = m_book.fleet().find(id))
         worker->maintenanceAt = at;
 }
 
-void Scheduler::enqueue(Task& task, TimePoint now)
-{
-    assert(!task.waiting && !task.placed);
-    task.record.state = TaskState::Queued;
-    task.step = StartStep::None;
-    task.eviction = Eviction::None;
-    task.stopOrderedAt.reset();
-    task.stopConfirmed = false;
-    task.throttled = false;
-    task.isProbe = false;
-    task.queuedAt = now;
-    task.waiting = true;
-    m_queue.push(task);
-}
-
-void Scheduler::release(Task& task)
-{
-    if (task.waiting) {
-        m_queue.remove(task);
-        task.waiting = false;
-    }
-    if (task.placed) {
-        m_shares.give(task.record.spec.team, task.reserved);
-        FleetView::release(task);
-    }
-    task.waitsFor.clear();
-}
-
-// Books the task on the worker. The worker is called once the row that names this start is stored.
-void Scheduler::place(Task& task, Worker& worker, const Resources& need, TimePoint now, WallTime wallNow)
-{
-    m_queue.remove(task);
-    task.waiting = false;
-    FleetView::place(task, worker, need);
-    m_shares.take(task.record.spec.team, need);
-    task.record.state = TaskState::Starting;
-    task.record.worker = worker.id;
-    task.record.start = OperationId(fmt::format("{}/s{}", m_owner, ++m_operations));
-    task.record.changed = wallNow;
-    ++task.record.starts;
-    task.step = StartStep::Unstored;
-    task.startedAt = now;
-    task.checkpointAt = now;
-    markRow(task, RowUrgency::Now);
-}
-
-void Scheduler::end(Task& task, TaskState state, std::string detail, TimePoint now, WallTime wallNow)
-{
-    assert(isFinal(state));
-    release(task);
-    task.record.state = state;
-    task.record.detail = std::move(detail);
-    task.record.changed = wallNow;
-    task.step = StartStep::None;
-    m_ended.emplace_back(now, task.id());
-    markRow(task, RowUrgency::Soon);
-    note("task-ended", task, fmt::format("{} {}", toString(state), task.record.detail));
-}
-
-void Scheduler::confirm(Task& task, WallTime wallNow)
-{
-    if (task.step == StartStep::Confirmed)
-        return;
-    task.step = StartStep::Confirmed;
-    task.record.state = TaskState::Running;
-    task.record.changed = wallNow;
-    markRow(task, RowUrgency::Later);
-}
-
-// The start's effect or the task's end can no longer be learned. Only what may be repeated is.
-void Scheduler::lose(Task& task, const std::string& cause, TimePoint now, WallTime wallNow)
-{
-    if (task.record.cancelRequested && task.record.spec.idempotent) {
-        end(task, TaskState::Cancelled, "cancelled; " + cause, now, wallNow);
-    } else if (task.record.spec.idempotent) {
-        note("task-requeued", task, cause);
-        release(task);
-        task.record.detail = cause;
-        enqueue(task, now);
-        markRow(task, RowUrgency::Later);
-    } else {
-        end(task, TaskState::MayHaveRun, fmt::format("{}; {}", cause, whoToAsk(task)), now, wallNow);
-    }
-}
-
-void Scheduler::markRow(Task& task, RowUrgency urgency) { m_rows.mark(task, urgency); }
-
-void Scheduler::note(const char* kind, const Task& task, const std::string& detail)
-{
-    m_events.push_back({ kind,
-        { { "task", task.id().value() }, { "job", task.record.spec.job.value() },
-            { "worker", task.record.worker.value() }, { "detail", detail } } });
-}
-
-void Scheduler::order(Task& task, TaskOrder kind)
-{
-    m_orders.push_back(
-        { task.record.worker, task.id(), kind, OperationId(fmt::format("{}/o{}", m_owner, ++m_operations)) });
-}
-
-void Scheduler::onReports(const std::vector<WorkerReport>& reports, TimePoint now, WallTime wallNow)
+void Scheduler::onReports(const std::vector<WorkerReport>& reports, Moment moment)
 {
     for (const auto& report : reports) {
-        auto& worker = m_fleet.update(report, now);
+        auto& worker = m_book.fleet().update(report, moment.now);
         worker.used = {};
         for (const auto& each : report.tasks) {
             worker.used += Resources { each.processorsUsed, double(each.memoryMbUsed), 0 };
-            apply(worker, each, now, wallNow);
+            apply(worker, each, moment);
         }
+        if (m_book.settings().preempts)
+            relieve(worker, moment);
+        m_filler.touch(worker.pool);
     }
-    m_fleet.forget(now - m_settings.missingAfter);
+    m_book.fleet().forget(moment.now - m_book.settings().missingAfter);
 }
 
-// Reports lag: one that is of another start than the latest says nothing about it.
-void Scheduler::apply(Worker& worker, const TaskReport& report, TimePoint now, WallTime wallNow)
+// Reports lag: one that is of another start than the latest says nothing about it. A task given up as
+// may-have-run is settled after all if its worker turns out to have finished it.
+void Scheduler::apply(Worker& worker, const TaskReport& report, Moment moment)
 {
-    auto* task = lookUp(report.task);
+    auto* task = m_book.find(report.task);
     if (!task || task->record.start != report.start || task->record.worker != worker.id)
         return;
+    auto isActive = task->step == StartStep::Uncertain || task->step == StartStep::Confirmed;
+    if (!isActive) {
+        if (task->record.state == TaskState::MayHaveRun && report.phase == TaskPhase::Finished)
+            m_book.end(*task, TaskState::Finished, report.detail, moment);
+        return;
+    }
+    task->reportedAt = moment.now;
     if (!report.checkpoint.empty() && report.checkpoint != task->record.checkpoint) {
         task->record.checkpoint = report.checkpoint;
-        task->checkpointAt = now;
-        if (!isFinal(task->record.state))
-            markRow(*task, RowUrgency::Later);
+        task->checkpointAt = moment.now;
+        m_book.markRow(*task, RowUrgency::Later);
     }
-    auto isActive = task->step == StartStep::Uncertain || task->step == StartStep::Confirmed;
-    auto isDoubtful = task->record.state == TaskState::MayHaveRun;
-    if (!isActive && !isDoubtful)
-        return;
     switch (report.phase) {
     case TaskPhase::Running:
     case TaskPhase::Throttled:
-        if (!isActive)
-            return;
-        confirm(*task, wallNow);
-        task->used = { report.processorsUsed, double(report.memoryMbUsed), task->reserved.accelerators };
-        return;
+        return onRunning(*task, report, moment);
     case TaskPhase::Finished:
-        end(*task, TaskState::Finished, report.detail, now, wallNow);
-        return;
+        return onFinished(*task, report, moment);
     case TaskPhase::Failed:
-        end(*task, TaskState::Failed, report.detail, now, wallNow);
-        return;
+        return onFailed(*task, report.detail, moment);
     case TaskPhase::Stopped:
-        if (isActive)
-            onStopped(*task, now, wallNow);
-        return;
+        return m_evictor.onStopped(*task, moment);
     case TaskPhase::LeaseLapsed:
-        if (isActive)
-            lose(*task, "the worker ended it because its lease lapsed", now, wallNow);
-        return;
+        return m_book.lose(*task, "its worker ended it because its lease lapsed", moment);
     }
 }
 
-void Scheduler::onStopped(Task& task, TimePoint now, WallTime wallNow)
+void Scheduler::onRunning(Task& task, const TaskReport& report, Moment moment)
 {
-    if (task.record.cancelRequested)
-        end(task, TaskState::Cancelled, "cancelled while it ran", now, wallNow);
-    else
-        lose(task, "it was stopped on its worker", now, wallNow);
+    m_book.confirm(task, moment);
+    task.used = { report.processorsUsed, double(report.memoryMbUsed), task.reserved.accelerators };
+    if (task.eviction != Eviction::None || !m_book.settings().learnsSizes)
+        return;
+    const auto& spec = task.record.spec;
+    // A throttled task does not show what it needs.
+    if (!task.throttled && moment.now >= task.startedAt + warmUp)
+        m_book.sizes().observe(spec.job, task.used);
+    m_book.resize(task, m_book.sizes().estimateRunning(spec, task.used));
 }
 
-void Scheduler::onStartResult(
-    const StartAction& action, const Result<void>& result, TimePoint now, WallTime wallNow)
+void Scheduler::onFinished(Task& task, const TaskReport& report, Moment moment)
 {
-    auto* task = lookUp(action.start.task);
-    if (!task || task->record.start != action.start.operation || task->step != StartStep::Uncertain)
-        return;
-    task->leaseUntil = now + m_settings.lease;
-    if (result) {
-        confirm(*task, wallNow);
-        return;
-    }
-    if (result.error().outcome != Outcome::NotRun)
-        return;
-    if (task->record.cancelRequested) {
-        end(*task, TaskState::Cancelled, "cancelled before it started", now, wallNow);
-        return;
-    }
-    release(*task);
-    task->failedOn.insert(action.worker);
-    enqueue(*task, now);
+    const auto& job = task.record.spec.job;
+    m_evidence.onSuccess(job, task.record.worker, moment.now);
+    if (m_quarantine.onSuccess(task.record.worker))
+        m_book.note("worker-released", { { "worker", task.record.worker.value() } });
+    if (m_brokenJobs.erase(job) > 0)
+        m_book.note("job-recovered", { { "job", job.value() } });
+    m_book.end(task, TaskState::Finished, report.detail, moment);
 }
 
-void Scheduler::onRenewResult(const RenewAction& action, const Result<void>& result, TimePoint now)
+void Scheduler::onFailed(Task& task, const std::string& detail, Moment moment)
 {
-    auto mayBeRenewed = result || result.error().outcome != Outcome::NotRun;
-    if (!mayBeRenewed)
-        return;
-    for (const auto& id : action.tasks)
-        if (auto* task = lookUp(id); task && task->placed && task->record.worker == action.worker)
-            task->leaseUntil = std::max(task->leaseUntil, now + m_settings.lease);
+    auto job = task.record.spec.job;
+    auto pool = task.record.spec.pool;
+    m_evidence.onFailure(task.id(), job, task.record.worker, moment.now);
+    m_quarantine.onFailure(task.record.worker, moment.now);
+    if (task.record.cancelRequested)
+        m_book.end(task, TaskState::Cancelled, "failed after it was cancelled: " + detail, moment);
+    else if (task.record.spec.idempotent)
+        retryOrGiveUp(task, detail, moment);
+    else
+        m_book.end(task, TaskState::Failed, detail, moment);
+    if (m_book.settings().judgesFaults)
+        stopJobIfBroken(job, pool, moment);
 }
 
-void Scheduler::onOrderResult(const OrderAction& action, const Result<void>& result, TimePoint now)
+void Scheduler::retryOrGiveUp(Task& task, const std::string& detail, Moment moment)
 {
-    auto* task = lookUp(action.task);
-    if (!task || !task->placed || task->record.worker != action.worker || !result)
-        return;
-    if (action.order == TaskOrder::Stop) {
-        task->stopConfirmed = true;
-        task->stopOrderedAt = now;
+    const auto& spec = task.record.spec;
+    task.failedOn.insert_or_assign(task.record.worker, moment.now);
+    auto provesFault = [&](const auto& failure) {
+        return m_evidence.speaksAgainstJob(spec.job, failure.first, failure.second);
+    };
+    auto needed = workersNeeded(workersPerTask, m_book.fleet().workersOf(spec.pool).size());
+    auto proofs = std::size_t(std::count_if(task.failedOn.begin(), task.failedOn.end(), provesFault));
+    // The newest failure is too young to be told from its worker's fault.
+    if (m_book.settings().judgesFaults && task.failedOn.size() >= needed
+        && proofs >= std::max<std::size_t>(1, needed - 1)) {
+        m_book.end(task, TaskState::CannotRun,
+            fmt::format("failed on {} workers where other jobs succeed: {}", task.failedOn.size(), detail),
+            moment);
+    } else if (task.record.starts >= startsPerTask) {
+        m_book.end(task, TaskState::CannotRun,
+            fmt::format("failed in {} starts: {}", task.record.starts, detail), moment);
+    } else {
+        auto shift = std::min(int(task.record.starts), longestRetryShift);
+        m_book.requeue(task, "failed: " + detail, moment, firstRetryDelay * (1 << shift));
     }
 }
 
-std::vector<RowChange> Scheduler::takeRows(std::size_t max)
+// Ends what waits of a job that fails wherever it runs, so that it does not take the fleet's time.
+void Scheduler::stopJobIfBroken(const JobId& job, const PoolId& pool, Moment moment)
 {
-    std::vector<RowChange> rows;
-    while (rows.size() < max) {
-        auto* task = m_rows.pop([this](const TaskId& id) { return lookUp(id); });
-        if (!task)
+    auto workers = workersNeeded(workersPerBrokenJob, m_book.fleet().workersOf(pool).size());
+    if (m_evidence.against(job) < workers || m_evidence.failedTasks(job) < tasksPerBrokenJob)
+        return;
+    auto isNew = !m_brokenJobs.contains(job);
+    m_brokenJobs[job] = moment.now + brokenJobPause;
+    if (isNew)
+        m_book.note("job-broken", { { "job", job.value() } });
+    for (auto* task : m_book.waitingOf(job))
+        m_book.end(*task, TaskState::CannotRun,
+            fmt::format("not started again: job {} fails on workers where other jobs succeed", job.value()),
+            moment);
+}
+
+void Scheduler::relieve(const Worker& worker, Moment moment)
+{
+    for (auto [task, step] : coolDown(worker)) {
+        switch (step) {
+        case HeatStep::Throttle:
+            task->throttled = true;
+            m_book.order(*task, TaskOrder::Throttle);
+            break;
+        case HeatStep::Resume:
+            task->throttled = false;
+            m_book.order(*task, TaskOrder::Resume);
             break;
-        rows.push_back({ task->record, *task->unstored, false });
-        task->unstored.reset();
-        task->rowOnItsWay = true;
+        case HeatStep::Evict:
+            m_evictor.evict(*task, Eviction::Overheated, {}, moment);
+            break;
+        }
     }
-    return rows;
 }
 
-void Scheduler::onStored(const std::vector<RowChange>& rows, TimePoint)
+void Scheduler::onStartResult(const StartAction& action, const Result<void>& result, Moment moment)
 {
-    for (const auto& row : rows) {
-        auto* task = lookUp(row.record.spec.task);
-        if (task)
-            task->rowOnItsWay = false;
-        if (!task || task->step != StartStep::Unstored || row.record.start != task->record.start)
-            continue;
-        task->step = StartStep::Stored;
-        m_ready.push_back(task->id());
+    auto* task = m_book.find(action.start.task);
+    if (!task || task->record.start != action.start.operation || task->step != StartStep::Uncertain)
+        return;
+    task->leaseUntil = moment.now + m_book.settings().lease;
+    if (result) {
+        m_book.confirm(*task, moment);
+    } else if (result.error().outcome == Outcome::NotRun) {
+        // Proven not to have started, so that even a task that runs at most once may start elsewhere.
+        m_evidence.onFailure(task->id(), task->record.spec.job, action.worker, moment.now);
+        if (task->record.cancelRequested)
+            m_book.end(*task, TaskState::Cancelled, "cancelled before it started", moment);
+        else
+            retryOrGiveUp(*task, result.error().detail, moment);
     }
 }
 
-void Scheduler::onNotStored(const std::vector<RowChange>& rows)
+void Scheduler::onRenewResult(const RenewAction& action, const Result<void>& result, TimePoint now)
 {
-    for (const auto& row : rows)
-        if (auto* task = lookUp(row.record.spec.task)) {
-            task->rowOnItsWay = false;
-            markRow(*task, row.urgency);
-        }
+    auto mayBeRenewed = result || result.error().outcome != Outcome::NotRun;
+    if (!mayBeRenewed)
+        return;
+    for (const auto& id : action.tasks)
+        if (auto* task = m_book.find(id); task && task->placed && task->record.worker == action.worker)
+            task->leaseUntil = std::max(task->leaseUntil, now + m_book.settings().lease);
 }
 
-std::optional<StartAction> Scheduler::takeStart(TimePoint now)
+void Scheduler::onOrderResult(const OrderAction& action, const Result<void>& result, TimePoint now)
 {
-    while (!m_ready.empty()) {
-        auto* task = lookUp(m_ready.front());
-        m_ready.pop_front();
-        if (!task || task->step != StartStep::Stored || task->record.cancelRequested)
-            continue;
-        task->step = StartStep::Uncertain;
-        task->startedAt = now;
-        task->leaseUntil = now + m_settings.lease;
-        return StartAction { task->record.worker,
-            { task->id(), task->record.spec.job, task->record.start, task->reserved.processors,
-                std::uint64_t(task->reserved.memoryMb), std::uint32_t(task->reserved.accelerators),
-                m_settings.lease, task->record.checkpoint } };
-    }
-    return std::nullopt;
+    m_evictor.onOrderResult(action, result, now);
 }
 
 std::optional<RenewAction> Scheduler::takeRenewal(TimePoint now)
 {
+    // A task that its worker no longer reports is left to lapse.
+    auto isRunning = [&](const Task* task) {
+        return task->step == StartStep::Confirmed
+            && now < task->reportedAt + m_book.settings().lease + m_book.settings().reportLag;
+    };
     while (!m_renewals.empty()) {
-        auto* worker = m_fleet.find(m_renewals.front());
+        auto* worker = m_book.fleet().find(m_renewals.front());
         m_renewals.pop_front();
         if (!worker)
             continue;
         worker->renewedAt = now;
         RenewAction action { worker->id, {} };
         for (const auto* task : worker->tasks)
-            if (task->step == StartStep::Confirmed)
+            if (isRunning(task))
                 action.tasks.push_back(task->id());
         if (!action.tasks.empty())
             return action;
@@ -385,92 +299,60 @@
     return std::nullopt;
 }
 
-std::optional<OrderAction> Scheduler::takeOrder()
+void Scheduler::plan(Moment moment)
 {
-    if (m_orders.empty())
-        return std::nullopt;
-    auto action = std::move(m_orders.front());
-    m_orders.pop_front();
-    return action;
+    if (moment.now >= m_sweptAt + sweepInterval)
+        sweep(moment);
+    if (m_book.settings().judgesFaults && moment.now >= m_judgedAt + judgeInterval)
+        judgeWorkers(moment);
+    m_evictor.step(moment);
+    m_book.releaseDelayed(moment);
+    m_filler.fill(moment);
 }
 
-void Scheduler::plan(TimePoint now, WallTime wallNow)
+void Scheduler::judgeWorkers(Moment moment)
 {
-    sweep(now, wallNow);
-    auto& pools = m_queue.pools();
-    for (auto position = pools.begin(); position != pools.end();) {
-        // Filling may take the pool's last waiting task and with it the entry.
-        auto& [pool, lines] = *position++;
-        auto id = pool;
-        fillPool(id, lines, now, wallNow);
-    }
+    m_judgedAt = moment.now;
+    m_evidence.forget(moment.now - evidenceLifetime);
+    for (const auto& [pool, workers] : m_book.fleet().pools())
+        for (const auto& worker : m_quarantine.judge(workers, m_evidence, moment.now))
+            m_book.note("worker-quarantined",
+                { { "worker", worker.value() }, { "pool", pool.value() },
+                    { "jobs", std::to_string(m_evidence.against(worker)) } });
 }
 
-// Once a second: renewals that are due, and tasks whose lease has run out.
-void Scheduler::sweep(TimePoint now, WallTime wallNow)
+// Renewals that are due, and tasks whose lease has run out.
+void Scheduler::sweep(Moment moment)
 {
-    if (now < m_sweptAt + std::chrono::seconds(1))
-        return;
-    m_sweptAt = now;
+    m_sweptAt = moment.now;
     m_renewals.clear();
-    for (auto& [id, worker] : m_fleet.workers()) {
-        if (!worker.tasks.empty() && worker.renewedAt + m_settings.renewInterval <= now)
+    const auto& settings = m_book.settings();
+    for (auto& [id, worker] : m_book.fleet().workers()) {
+        if (worker.tasks.empty())
+            continue;
+        auto isGone = !worker.live || moment.now > worker.listedAt + settings.missingAfter;
+        if (!isGone && moment.now >= worker.renewedAt + settings.renewInterval)
             m_renewals.push_back(id);
         auto tasks = worker.tasks;
         for (auto* task : tasks)
-            sweepTask(*task, now, wallNow);
+            sweepTask(*task, isGone, moment);
     }
-    while (!m_ended.empty() && m_ended.front().first + m_settings.retention <= now)
-        m_ended.pop_front();
+    m_book.expireEnded(moment.now);
 }
 
-void Scheduler::sweepTask(Task& task, TimePoint now, WallTime wallNow)
+// A worker that is gone reports no more; one that is there may still report how the task ended.
+void Scheduler::sweepTask(Task& task, bool workerIsGone, Moment moment)
 {
-    if (task.step != StartStep::Uncertain && task.step != StartStep::Confirmed)
+    auto isSent = task.step == StartStep::Uncertain || task.step == StartStep::Confirmed;
+    if (!isSent) {
+        auto waitsTooLong = !task.waitsFor.empty() && moment.now > task.startedAt + longestWaitForRoom;
+        if (workerIsGone || waitsTooLong)
+            m_book.requeue(task, "its worker did not become free", moment);
         return;
-    if (now >= task.leaseUntil + m_settings.reportLag)
-        lose(task, "its worker has not been heard of beyond its lease", now, wallNow);
-    else if (task.stopConfirmed && now >= *task.stopOrderedAt + stopGrace && task.record.spec.idempotent)
-        onStopped(task, now, wallNow);
-}
-
-void Scheduler::fillPool(const PoolId& pool, PoolLines& lines, TimePoint now, WallTime wallNow)
-{
-    auto hasNormal = !lines.normal.empty();
-    if (!lines.urgent.empty())
-        fillLane(pool, lines.urgent, now, wallNow);
-    if (hasNormal)
-        fillLane(pool, lines.normal, now, wallNow);
-}
-
-// The team with the lowest ratio goes first, until none of the teams can place its oldest task.
-void Scheduler::fillLane(const PoolId&, TeamLines& teams, TimePoint now, WallTime wallNow)
-{
-    std::multimap<double, TeamId> order;
-    for (const auto& [team, line] : teams)
-        order.emplace(m_shares.ratio(team), team);
-    auto left = order.size();
-    while (left > 0) {
-        auto [ratio, team] = *order.begin();
-        order.erase(order.begin());
-        auto& line = teams.at(team);
-        auto isLast = line.size() == 1;
-        if (!tryPlace(**line.begin(), now, wallNow) || isLast)
-            --left;
-        else
-            order.emplace(m_shares.ratio(team), team);
     }
-}
-
-bool Scheduler::tryPlace(Task& task, TimePoint now, WallTime wallNow)
-{
-    const auto& spec = task.record.spec;
-    PlacementRequest request { &spec, m_sizes.estimate(spec), now + spec.expectedRunTime, &task.failedOn };
-    auto* worker = chooseWorker(
-        m_fleet.workersOf(spec.pool), request, m_settings.fill, [](const Worker&) { return true; });
-    if (worker)
-        place(task, *worker, request.need, now, wallNow);
-    return worker != nullptr;
+    auto lapsesAt = task.leaseUntil + (workerIsGone ? Duration::zero() : m_book.settings().reportLag);
+    if (moment.now > lapsesAt)
+        m_book.lose(task, "its worker was not heard of until its lease had lapsed", moment);
 }
 
 } // namespace fulmar
--- /dev/null
+++ b/src/work/task_book.cpp
@@ -0,0 +1,337 @@
+#include "work/task_book.h"
+
+#include <cassert>
+#include <fmt/format.h>
+
+namespace fulmar {
+
+namespace {
+
+std::string whoToAsk(const Task& task)
+{
+    return fmt::format("ask team {} and worker {}, start {}", task.record.spec.team.value(),
+        task.record.worker.value(), task.record.start.value());
+}
+
+// Neither urgent, so it could wait, nor to be stopped once it runs.
+bool isPinned(const TaskSpec& spec) { return !spec.idempotent && !spec.urgent; }
+
+} // namespace
+
+TaskBook::TaskBook(SchedulerSettings settings, std::string owner)
+    : m_settings(settings)
+    , m_owner(std::move(owner))
+    , m_shares(settings.shardShare)
+    , m_restarts(settings.restartsPerSecond, settings.restartBurst)
+{
+}
+
+// A task that was starting or running under an earlier owner may still run: it holds its worker until a
+// report or the end of its lease settles what became of it.
+bool TaskBook::add(TaskRecord record, Moment moment)
+{
+    auto id = record.spec.task;
+    auto [position, isNew] = m_tasks.try_emplace(std::move(id));
+    if (!isNew)
+        return false;
+    auto& task = position->second;
+    task.record = std::move(record);
+    if (isFinal(task.record.state)) {
+        m_ended.emplace_back(moment.now, task.id());
+        return true;
+    }
+    ++m_activeOf[task.record.spec.job];
+    if (task.record.state == TaskState::Queued) {
+        enqueue(task, moment.now);
+        return true;
+    }
+    task.step = StartStep::Uncertain;
+    task.startedAt = moment.now;
+    task.checkpointAt = moment.now;
+    task.reportedAt = moment.now;
+    task.leaseUntil = moment.now + m_settings.lease;
+    auto& worker = m_fleet.ensure(task.record.worker, task.record.spec.pool, moment.now);
+    book(task, worker, m_sizes.estimate(task.record.spec));
+    return true;
+}
+
+Task* TaskBook::find(const TaskId& id)
+{
+    auto position = m_tasks.find(id);
+    return position == m_tasks.end() ? nullptr : &position->second;
+}
+
+const Task* TaskBook::find(const TaskId& id) const
+{
+    auto position = m_tasks.find(id);
+    return position == m_tasks.end() ? nullptr : &position->second;
+}
+
+void TaskBook::resetStart(Task& task)
+{
+    task.step = StartStep::None;
+    task.eviction = Eviction::None;
+    task.stopOrderedAt.reset();
+    task.stopConfirmed = false;
+    task.throttled = false;
+    task.waitsFor.clear();
+}
+
+void TaskBook::enqueue(Task& task, TimePoint now)
+{
+    assert(!task.waiting && !task.placed);
+    resetStart(task);
+    task.record.state = TaskState::Queued;
+    task.queuedAt = now;
+    task.waiting = true;
+    m_queue.push(task);
+}
+
+void TaskBook::book(Task& task, Worker& worker, const Resources& need)
+{
+    FleetView::place(task, worker, need);
+    m_shares.take(task.record.spec.team, need);
+    if (isPinned(task.record.spec))
+        m_pinned[task.record.spec.pool] += need;
+}
+
+void TaskBook::release(Task& task)
+{
+    if (task.waiting) {
+        m_queue.remove(task);
+        task.waiting = false;
+    }
+    if (!task.placed)
+        return;
+    m_shares.give(task.record.spec.team, task.reserved);
+    if (isPinned(task.record.spec))
+        m_pinned[task.record.spec.pool] -= task.reserved;
+    FleetView::release(task);
+}
+
+void TaskBook::place(
+    Task& task, Worker& worker, const Resources& need, Moment moment, std::vector<TaskId> waitsFor)
+{
+    assert(task.waiting && !task.record.cancelRequested);
+    m_queue.remove(task);
+    task.waiting = false;
+    book(task, worker, need);
+    task.waitsFor = std::move(waitsFor);
+    task.record.state = TaskState::Starting;
+    task.record.worker = worker.id;
+    task.record.start = OperationId(fmt::format("{}/s{}", m_owner, ++m_operations));
+    task.record.changed = moment.wallNow;
+    ++task.record.starts;
+    task.step = StartStep::Unstored;
+    task.startedAt = moment.now;
+    task.checkpointAt = moment.now;
+    markRow(task, RowUrgency::Now);
+}
+
+void TaskBook::confirm(Task& task, Moment moment)
+{
+    if (task.step == StartStep::Confirmed)
+        return;
+    task.step = StartStep::Confirmed;
+    task.record.state = TaskState::Running;
+    task.record.changed = moment.wallNow;
+    markRow(task, RowUrgency::Later);
+    note("task-running", task, "");
+}
+
+void TaskBook::requeue(Task& task, const std::string& cause, Moment moment, std::optional<Duration> delay)
+{
+    note("task-requeued", task, cause);
+    release(task);
+    task.record.detail = cause;
+    task.record.changed = moment.wallNow;
+    if (delay) {
+        resetStart(task);
+        task.record.state = TaskState::Queued;
+        m_delayed.insert({ !task.record.spec.urgent, moment.now + *delay, task.id() });
+    } else {
+        enqueue(task, moment.now);
+    }
+    markRow(task, RowUrgency::Later);
+}
+
+void TaskBook::lose(Task& task, const std::string& cause, Moment moment)
+{
+    if (!task.record.spec.idempotent)
+        end(task, TaskState::MayHaveRun, fmt::format("{}; {}", cause, whoToAsk(task)), moment);
+    else if (task.record.cancelRequested)
+        end(task, TaskState::Cancelled, "cancelled; " + cause, moment);
+    else
+        requeue(task, cause, moment, Duration::zero());
+}
+
+void TaskBook::end(Task& task, TaskState state, std::string detail, Moment moment)
+{
+    assert(isFinal(state));
+    auto wasFinal = isFinal(task.record.state);
+    release(task);
+    resetStart(task);
+    task.record.state = state;
+    task.record.detail = std::move(detail);
+    task.record.changed = moment.wallNow;
+    markRow(task, RowUrgency::Soon);
+    note("task-ended", task, fmt::format("{} {}", toString(state), task.record.detail));
+    if (wasFinal)
+        return;
+    m_ended.emplace_back(moment.now, task.id());
+    if (auto active = m_activeOf.find(task.record.spec.job); --active->second == 0)
+        m_activeOf.erase(active);
+}
+
+void TaskBook::resize(Task& task, const Resources& need)
+{
+    m_shares.give(task.record.spec.team, task.reserved);
+    m_shares.take(task.record.spec.team, need);
+    if (isPinned(task.record.spec))
+        m_pinned[task.record.spec.pool] += need - task.reserved;
+    FleetView::resize(task, need);
+}
+
+void TaskBook::releaseDelayed(Moment moment)
+{
+    for (auto position = m_delayed.begin(); position != m_delayed.end();) {
+        auto* task = find(position->task);
+        auto isGone = !task || task->record.state != TaskState::Queued || task->waiting;
+        if (!isGone && position->due > moment.now) {
+            ++position;
+            continue;
+        }
+        if (!isGone && !m_restarts.tryTake(moment.now))
+            return;
+        if (!isGone)
+            enqueue(*task, moment.now);
+        position = m_delayed.erase(position);
+    }
+}
+
+void TaskBook::expireEnded(TimePoint now)
+{
+    for (; !m_ended.empty() && m_ended.front().first + m_settings.retention <= now; m_ended.pop_front())
+        if (auto* task = find(m_ended.front().second)) {
+            task->expired = true;
+            markRow(*task, RowUrgency::Later);
+        }
+}
+
+void TaskBook::order(const Task& task, TaskOrder kind)
+{
+    m_orders.push_back(
+        { task.record.worker, task.id(), kind, OperationId(fmt::format("{}/o{}", m_owner, ++m_operations)) });
+}
+
+void TaskBook::note(const char* kind, const Task& task, const std::string& detail)
+{
+    note(kind,
+        { { "task", task.id().value() }, { "job", task.record.spec.job.value() },
+            { "team", task.record.spec.team.value() }, { "worker", task.record.worker.value() },
+            { "detail", detail } });
+}
+
+std::vector<RowChange> TaskBook::takeRows(std::size_t max)
+{
+    std::vector<RowChange> rows;
+    while (rows.size() < max) {
+        auto* task = m_rows.pop([this](const TaskId& id) { return find(id); });
+        if (!task)
+            break;
+        rows.push_back({ task->record, *task->unstored, task->expired });
+        task->unstored.reset();
+        task->rowOnItsWay = true;
+    }
+    return rows;
+}
+
+void TaskBook::onStored(const std::vector<RowChange>& rows)
+{
+    for (const auto& row : rows) {
+        auto* task = find(row.record.spec.task);
+        if (!task)
+            continue;
+        task->rowOnItsWay = false;
+        if (row.deletes) {
+            m_tasks.erase(row.record.spec.task);
+        } else if (task->step == StartStep::Unstored && row.record.start == task->record.start) {
+            task->step = StartStep::Stored;
+            m_ready.push_back(task->id());
+        }
+    }
+}
+
+void TaskBook::onNotStored(const std::vector<RowChange>& rows)
+{
+    for (const auto& row : rows)
+        if (auto* task = find(row.record.spec.task)) {
+            task->rowOnItsWay = false;
+            markRow(*task, row.urgency);
+        }
+}
+
+bool TaskBook::isStored(const TaskId& id) const
+{
+    const auto* task = find(id);
+    return !task || (!task->unstored && !task->rowOnItsWay);
+}
+
+std::optional<StartAction> TaskBook::takeStart(TimePoint now)
+{
+    std::deque<TaskId> blocked;
+    std::optional<StartAction> action;
+    while (!m_ready.empty() && !action) {
+        auto* task = find(m_ready.front());
+        m_ready.pop_front();
+        if (!task || task->step != StartStep::Stored || task->record.cancelRequested)
+            continue;
+        if (!task->waitsFor.empty()) {
+            blocked.push_back(task->id());
+            continue;
+        }
+        task->step = StartStep::Uncertain;
+        task->startedAt = now;
+        task->reportedAt = now;
+        task->leaseUntil = now + m_settings.lease;
+        action = StartAction { task->record.worker,
+            { task->id(), task->record.spec.job, task->record.start, task->reserved.processors,
+                std::uint64_t(task->reserved.memoryMb), std::uint32_t(task->reserved.accelerators),
+                m_settings.lease, task->record.checkpoint } };
+    }
+    m_ready.insert(m_ready.begin(), blocked.begin(), blocked.end());
+    return action;
+}
+
+std::optional<OrderAction> TaskBook::takeOrder()
+{
+    if (m_orders.empty())
+        return std::nullopt;
+    auto action = std::move(m_orders.front());
+    m_orders.pop_front();
+    return action;
+}
+
+std::size_t TaskBook::activeOf(const JobId& job) const
+{
+    auto position = m_activeOf.find(job);
+    return position == m_activeOf.end() ? 0 : position->second;
+}
+
+std::vector<Task*> TaskBook::waitingOf(const JobId& job)
+{
+    std::vector<Task*> tasks;
+    for (auto& [id, task] : m_tasks)
+        if (task.record.state == TaskState::Queued && task.record.spec.job == job)
+            tasks.push_back(&task);
+    std::sort(tasks.begin(), tasks.end(), ByAcceptance {});
+    return tasks;
+}
+
+Resources TaskBook::pinned(const PoolId& pool) const
+{
+    auto position = m_pinned.find(pool);
+    return position == m_pinned.end() ? Resources {} : position->second;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/work/task_book.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "core/event.h"
+#include "work/actions.h"
+#include "work/fleet_view.h"
+#include "work/row_queue.h"
+#include "work/size_model.h"
+#include "work/task_queue.h"
+#include "work/team_shares.h"
+#include "work/token_bucket.h"
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace fulmar {
+
+// The present time, monotonic for decisions and of the wall clock for rows.
+struct Moment {
+    TimePoint now {};
+    WallTime wallNow {};
+};
+
+// All tasks of a shard and the steps of their life. Every step keeps the queue, the workers' bookings, the
+// teams' usage and the rows to store in agreement. Which step is taken is decided elsewhere.
+class TaskBook {
+public:
+    TaskBook(SchedulerSettings, std::string owner);
+
+    // Takes a task whose row is stored. False if it is known already.
+    bool add(TaskRecord, Moment);
+
+    [[nodiscard]] Task* find(const TaskId&);
+    [[nodiscard]] const Task* find(const TaskId&) const;
+
+    // A waiting task gets a worker. It is called once the row that names this start is stored and the evicted
+    // tasks in `waitsFor` are gone.
+    void place(Task&, Worker&, const Resources& need, Moment, std::vector<TaskId> waitsFor = {});
+    // The worker has confirmed the start.
+    void confirm(Task&, Moment);
+    // Back to the queue, after `delay` and within the restart budget if one is given.
+    void requeue(Task&, const std::string& cause, Moment, std::optional<Duration> delay = std::nullopt);
+    // What became of the task cannot be learned any more: only one that may be repeated is queued again.
+    void lose(Task&, const std::string& cause, Moment);
+    void end(Task&, TaskState, std::string detail, Moment);
+
+    // Changes what is held for a running task.
+    void resize(Task&, const Resources& need);
+
+    // Queues delayed tasks whose time has come, urgent ones first, within the restart budget.
+    void releaseDelayed(Moment);
+    // Marks rows of tasks that ended long ago for deletion.
+    void expireEnded(TimePoint now);
+
+    void order(const Task&, TaskOrder);
+    void note(const char* kind, const Task&, const std::string& detail);
+    void note(const char* kind, std::vector<EventField> fields)
+    {
+        m_events.push_back({ kind, std::move(fields) });
+    }
+    void markRow(Task& task, RowUrgency urgency) { m_rows.mark(task, urgency); }
+
+    [[nodiscard]] std::vector<RowChange> takeRows(std::size_t max);
+    void onStored(const std::vector<RowChange>&);
+    void onNotStored(const std::vector<RowChange>&);
+    [[nodiscard]] bool isStored(const TaskId&) const;
+
+    // The next start whose row is stored; it counts as sent from here on.
+    [[nodiscard]] std::optional<StartAction> takeStart(TimePoint now);
+    [[nodiscard]] std::optional<OrderAction> takeOrder();
+    [[nodiscard]] std::vector<WorkEvent> takeEvents() { return std::exchange(m_events, {}); }
+
+    [[nodiscard]] const SchedulerSettings& settings() const { return m_settings; }
+    [[nodiscard]] FleetView& fleet() { return m_fleet; }
+    [[nodiscard]] const FleetView& fleet() const { return m_fleet; }
+    [[nodiscard]] TaskQueue& queue() { return m_queue; }
+    [[nodiscard]] TeamShares& shares() { return m_shares; }
+    [[nodiscard]] const TeamShares& shares() const { return m_shares; }
+    [[nodiscard]] SizeModel& sizes() { return m_sizes; }
+    [[nodiscard]] std::size_t taskCount() const { return m_tasks.size(); }
+    [[nodiscard]] std::size_t waitingCount() const { return m_queue.size() + m_delayed.size(); }
+    // Tasks of the job that have not ended.
+    [[nodiscard]] std::size_t activeOf(const JobId&) const;
+    // The job's tasks that wait, delayed ones included.
+    [[nodiscard]] std::vector<Task*> waitingOf(const JobId&);
+    // What the pool holds for tasks that can be neither stopped nor repeated.
+    [[nodiscard]] Resources pinned(const PoolId&) const;
+
+private:
+    // Urgent tasks first, then the earliest.
+    struct DelayedKey {
+        bool isNormal { false };
+        TimePoint due {};
+        TaskId task;
+
+        auto operator<=>(const DelayedKey&) const = default;
+    };
+
+    void enqueue(Task&, TimePoint now);
+    void release(Task&);
+    void book(Task&, Worker&, const Resources& need);
+    void resetStart(Task&);
+
+    const SchedulerSettings m_settings;
+    const std::string m_owner;
+    std::uint64_t m_operations { 0 };
+    std::unordered_map<TaskId, Task> m_tasks;
+    std::unordered_map<JobId, std::size_t> m_activeOf;
+    std::unordered_map<PoolId, Resources> m_pinned;
+    FleetView m_fleet;
+    TaskQueue m_queue;
+    TeamShares m_shares;
+    SizeModel m_sizes;
+    RowQueue m_rows;
+    TokenBucket m_restarts;
+    std::set<DelayedKey> m_delayed;
+    std::deque<TaskId> m_ready;
+    std::deque<OrderAction> m_orders;
+    // Ended tasks in the order of their end.
+    std::deque<std::pair<TimePoint, TaskId>> m_ended;
+    std::vector<WorkEvent> m_events;
+};
+
+} // namespace fulmar
--- a/src/work/tests/work_fakes.h
+++ b/src/work/tests/work_fakes.h
@@ -122,6 +122,7 @@
                 position->second.tasks.push_back(run.report);
         }
         std::vector<WorkerReport> list;
+        list.reserve(reports.size());
         for (auto& [id, report] : reports)
             list.push_back(std::move(report));
         return list;
--- a/src/work/work_duty.h
+++ b/src/work/work_duty.h
@@ -71,7 +71,7 @@
     // Null unless owns().
     [[nodiscard]] const Scheduler* scheduler() const { return m_scheduler.get(); }
 
-    void submit(SubmitTask submission)
+    void submit(SubmitTask&& submission)
     {
         if (!usable())
             return submission.done(notRun(Reason::LeaseLost, notOwner));
@@ -80,7 +80,7 @@
                 return submission.done(*known);
             return submission.done(notRun(Reason::Conflict, "a different task has this id"));
         }
-        if (auto admitted = m_scheduler->admit(submission.spec); !admitted)
+        if (auto admitted = m_scheduler->admit(submission.spec, m_clock.now()); !admitted)
             return submission.done(tl::unexpected(admitted.error()));
         m_acceptance.submit(std::move(submission), m_clock.wallNow());
     }
@@ -94,11 +94,11 @@
         return notRun(Reason::NotFound, fmt::format("no task {}", id.value()));
     }
 
-    void cancel(CancelTask request)
+    void cancel(CancelTask&& request)
     {
         if (!usable())
             return request.done(notRun(Reason::LeaseLost, notOwner));
-        auto record = m_scheduler->cancel(request.task, m_clock.now(), m_clock.wallNow());
+        auto record = m_scheduler->cancel(request.task, moment());
         if (!record || m_scheduler->isStored(request.task))
             return request.done(std::move(record));
         m_cancels.emplace(request.task, std::move(request));
@@ -130,7 +130,7 @@
         if (!m_scheduler && !load())
             return;
         listWorkers();
-        m_scheduler->plan(m_clock.now(), m_clock.wallNow());
+        m_scheduler->plan(moment());
         store();
         if (!m_scheduler)
             return;
@@ -150,6 +150,8 @@
 
     [[nodiscard]] bool usable() const { return m_scheduler && m_lease.held(m_clock.now()); }
 
+    [[nodiscard]] Moment moment() const { return { m_clock.now(), m_clock.wallNow() }; }
+
     [[nodiscard]] std::string rowPrefix() const
     {
         return fmt::format("{}{}/", keys::taskPrefix, m_settings.shard);
@@ -186,7 +188,7 @@
             if (row.deleted)
                 continue;
             if (auto record = decodeTask(row.value))
-                m_scheduler->add(std::move(*record), m_clock.now());
+                m_scheduler->add(std::move(*record), moment());
             else
                 m_events.record(m_clock.wallNow(), "task-row-unreadable",
                     { { "key", row.key }, { "error", record.error().detail } });
@@ -234,7 +236,7 @@
         auto reports = m_workers.listWorkers();
         if (!reports)
             return;
-        m_scheduler->onReports(*reports, m_clock.now(), m_clock.wallNow());
+        m_scheduler->onReports(*reports, moment());
         for (const auto& [worker, at] : m_maintenance)
             m_scheduler->setMaintenance(worker, at);
     }
@@ -289,8 +291,8 @@
         auto batch = std::move(m_batch);
         m_batch = {};
         for (const auto& record : batch.submissions)
-            m_scheduler->add(record, m_clock.now());
-        m_scheduler->onStored(batch.changes, m_clock.now());
+            m_scheduler->add(record, moment());
+        m_scheduler->onStored(batch.changes);
         m_acceptance.onCommitted(batch.submissions);
         for (const auto& change : batch.changes)
             if (change.record.cancelRequested || isFinal(change.record.state))
@@ -299,13 +301,8 @@
 
     void answerCancels(const TaskId& id, const Result<TaskRecord>& result)
     {
-        auto [first, last] = m_cancels.equal_range(id);
-        std::vector<TaskReply> replies;
-        for (auto position = first; position != last; ++position)
-            replies.push_back(std::move(position->second.done));
-        m_cancels.erase(first, last);
-        for (auto& reply : replies)
-            reply(result);
+        while (auto node = m_cancels.extract(id))
+            node.mapped().done(result);
     }
 
     // Ownership is checked before every call, as the lease may lapse between two of them.
@@ -322,8 +319,8 @@
                 break;
         while (mayCall())
             if (auto action = m_scheduler->takeStart(m_clock.now()))
-                m_scheduler->onStartResult(*action, m_workers.startTask(action->worker, action->start),
-                    m_clock.now(), m_clock.wallNow());
+                m_scheduler->onStartResult(
+                    *action, m_workers.startTask(action->worker, action->start), moment());
             else
                 break;
         while (mayCall())
--- a/src/work/work_state.h
+++ b/src/work/work_state.h
@@ -3,9 +3,8 @@
 #include "platform/workers.h"
 #include "work/task.h"
 
+#include <map>
 #include <optional>
-#include <set>
-#include <unordered_map>
 #include <vector>
 
 namespace fulmar {
@@ -60,24 +59,27 @@
     TimePoint checkpointAt {};
     // The worker ends the task by itself at this time unless the lease is renewed.
     TimePoint leaseUntil {};
+    // When a report last showed the task, or its start was sent.
+    TimePoint reportedAt {};
     TimePoint evictionBegan {};
     // When a stop was last ordered, and whether the worker confirmed the order.
     std::optional<TimePoint> stopOrderedAt;
     bool stopConfirmed { false };
     // Evicted tasks whose room this start waits for.
     std::vector<TaskId> waitsFor;
-    // Distinct workers on which the task has failed.
-    std::set<VmId> failedOn;
+    // Workers on which the task has failed, and when.
+    std::map<VmId, TimePoint> failedOn;
     std::uint32_t preemptions { 0 };
     bool throttled { false };
-    // Started to find out whether its worker or job has recovered.
-    bool isProbe { false };
+    // In the queue. A task may also be queued with a delay, outside it.
     bool waiting { false };
     // Counted in its team's usage and on its worker.
     bool placed { false };
     // Urgency of storing the row; none if it is stored as it is, or on its way.
     std::optional<RowUrgency> unstored;
     bool rowOnItsWay { false };
+    // The task ended long ago and its row is to be deleted.
+    bool expired { false };
 
     [[nodiscard]] const TaskId& id() const { return record.spec.task; }
 };
