--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "daemon/config_reader.h"
 #include "daemon/control_settings.h"
 #include "daemon/fleet_edges.h"
 #include "daemon/peer_duty.h"
 #include "daemon/work_edges.h"
+#include "daemon/zone_reader.h"
 #include "fleet/fleet_duty.h"
 #include "platform/http_platform.h"
 
@@ -25,7 +25,7 @@
     [[nodiscard]] Result<void> run();
 
 private:
-    using Reader = ConfigReader<HttpPlatform, SystemClock>;
+    using Reader = ZoneReader<HttpPlatform, SystemClock>;
     using Fleet = FleetDuty<HttpPlatform, PeerConfirmer, ConnectProbe, SystemClock>;
 
     PeerDutyHooks makePeerHooks();
--- a/src/daemon/control_settings.h
+++ b/src/daemon/control_settings.h
@@ -9,7 +9,7 @@
 struct ControlSettings {
     ProcessSettings process;
     FleetSettings fleet;
-    WorkSettings work;
+    work::WorkSettings work;
     // How often the zone's reader looks for changed configuration, and for leaving VMs.
     Duration readEvery {};
     Duration listEvery {};
--- a/src/daemon/distribution.cpp
+++ b/src/daemon/distribution.cpp
@@ -1,5 +1,7 @@
 #include "daemon/distribution.h"
 
+#include "fleet/entry_row.h"
+
 #include <algorithm>
 
 namespace fulmar {
@@ -11,18 +13,25 @@
 {
 }
 
-void Distribution::setRegistered(Version version)
+void Distribution::setRegistered()
 {
     std::lock_guard lock(m_mutex);
-    m_registeredAt = version;
     m_self.isRegistered = true;
 }
 
+bool Distribution::holdsOwnRow() const
+{
+    auto position = m_replica.rows().find(entryKey(m_self.process));
+    if (position == m_replica.rows().end() || position->second.deleted)
+        return false;
+    auto record = decode<EntryRecord>(position->second.value);
+    return record && record->incarnation == std::to_string(m_self.incarnation);
+}
+
 bool Distribution::mayRoute() const
 {
     std::lock_guard lock(m_mutex);
-    bool coversRegistration = m_registeredAt && m_replica.version() >= *m_registeredAt;
-    return coversRegistration || m_hasPeerCopy;
+    return m_hasPeerCopy || holdsOwnRow();
 }
 
 bool Distribution::apply(const Changes& changes)
@@ -32,18 +41,15 @@
     return !report.changedKeys.empty() || m_replica.version() > before;
 }
 
-bool Distribution::applyFromPlatform(const Changes& changes)
+void Distribution::applyFromPlatform(const Changes& changes)
 {
-    bool isBehind = false;
     bool hasGrown = false;
     {
         std::lock_guard lock(m_mutex);
-        isBehind = changes.tableVersion < m_replica.version();
         hasGrown = apply(changes);
     }
     if (hasGrown)
         m_onChange();
-    return isBehind;
 }
 
 bool Distribution::mayHandRowsTo(const PeerInfo& peer) const
@@ -173,10 +179,10 @@
     return m_replica.changesSince(since);
 }
 
-std::map<std::string, Row> Distribution::rows() const
+ConfigReplica Distribution::replica() const
 {
     std::lock_guard lock(m_mutex);
-    return m_replica.rows();
+    return m_replica;
 }
 
 PeerInfo Distribution::self() const
--- a/src/daemon/distribution.h
+++ b/src/daemon/distribution.h
@@ -27,14 +27,14 @@
 
     Distribution(PeerInfo self, MembershipSettings, OnChange);
 
-    // The entry's row was committed at this version.
-    void setRegistered(Version);
+    // The entry's row carries its incarnation.
+    void setRegistered();
 
     // The copy is one that an entry may route with.
     [[nodiscard]] bool mayRoute() const;
 
-    // Rows read from the platform. True if the platform is behind this copy.
-    bool applyFromPlatform(const Changes&);
+    // Rows read from the platform.
+    void applyFromPlatform(const Changes&);
 
     // The message that starts an exchange with the process at `address`.
     [[nodiscard]] Exchange makeRequest(const std::string& address, TimePoint now);
@@ -52,10 +52,11 @@
     [[nodiscard]] Version version() const;
     // Rows changed after `since`, and the copy's version.
     [[nodiscard]] Changes changesSince(Version since) const;
-    [[nodiscard]] std::map<std::string, Row> rows() const;
+    [[nodiscard]] ConfigReplica replica() const;
     [[nodiscard]] PeerInfo self() const;
 
 private:
+    [[nodiscard]] bool holdsOwnRow() const;
     [[nodiscard]] bool mayHandRowsTo(const PeerInfo&) const;
     void addRowsFor(const PeerInfo&, Version theirs, Exchange&);
     Exchange makeMessage(TimePoint now) const;
@@ -68,7 +69,6 @@
     Membership m_membership;
     ConfigReplica m_replica;
     const OnChange m_onChange;
-    std::optional<Version> m_registeredAt;
     bool m_hasPeerCopy { false };
     // What each address was known to have at its last exchange.
     struct PeerVersion {
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -123,7 +123,7 @@
     EntryRecord record { m_self.process, m_self.vm, m_self.address, m_self.region, m_self.zone,
         std::to_string(m_self.incarnation) };
     Store::Hooks hooks;
-    hooks.onRegistered = [this](Version version) { m_distribution.setRegistered(version); };
+    hooks.onRegistered = [this] { m_distribution.setRegistered(); };
     hooks.onClaims = [this](std::vector<serve::ClaimDone> done) {
         bool wasPosted = m_inbox.tryPost([this, done = std::move(done)] {
             for (const auto& [request, result] : done)
--- a/src/daemon/store_duty.h
+++ b/src/daemon/store_duty.h
@@ -29,7 +29,7 @@
 public:
     struct Hooks {
         // Called on the duty's thread.
-        std::function<void(Version)> onRegistered;
+        std::function<void()> onRegistered;
         std::function<void(std::vector<serve::ClaimDone>)> onClaims;
     };
 
@@ -120,7 +120,7 @@
     {
         m_isRegistered = true;
         m_events.record(m_clock.wallNow(), "entry.registered", { { "version", std::to_string(version) } });
-        m_hooks.onRegistered(version);
+        m_hooks.onRegistered();
     }
 
     void commitClaims()
--- a/src/daemon/work_edges.cpp
+++ b/src/daemon/work_edges.cpp
@@ -29,7 +29,7 @@
     }
 }
 
-TaskAnswer toAnswer(const TaskCall& call, const Result<TaskRecord>& result)
+TaskAnswer toAnswer(const TaskCall& call, const Result<work::TaskRecord>& result)
 {
     if (result)
         return { {}, call.method == "POST" ? 201U : 200U, Outcome::Ran, describe(*result) };
@@ -41,7 +41,7 @@
 
 } // namespace
 
-WorkService::WorkService(const WorkSettings& settings, const HttpPlatformOptions& platform,
+WorkService::WorkService(const work::WorkSettings& settings, const HttpPlatformOptions& platform,
     Distribution& distribution, EventLog& events)
     : m_distribution(distribution)
     , m_platform(platform)
@@ -70,11 +70,11 @@
     return m_owner;
 }
 
-void WorkService::begin(const TaskCall& call, TaskReply done)
+void WorkService::begin(const TaskCall& call, work::TaskReply done)
 {
     auto deadline = m_clock.now() + callDeadline;
     if (call.method == "POST") {
-        auto spec = parseSubmission(call.task, call.body);
+        auto spec = work::parseSubmission(call.task, call.body);
         if (!spec)
             return done(tl::unexpected(spec.error()));
         return m_duty.submit({ std::move(*spec), deadline, std::move(done) });
@@ -86,11 +86,11 @@
     done(notRun(Reason::BadInput, "tasks take POST, GET and DELETE"));
 }
 
-Result<TaskRecord> WorkService::callHere(const TaskCall& call)
+Result<work::TaskRecord> WorkService::callHere(const TaskCall& call)
 {
-    auto promise = std::make_shared<std::promise<Result<TaskRecord>>>();
+    auto promise = std::make_shared<std::promise<Result<work::TaskRecord>>>();
     auto answer = promise->get_future();
-    auto reply = [promise](Result<TaskRecord> result) { promise->set_value(std::move(result)); };
+    auto reply = [promise](Result<work::TaskRecord> result) { promise->set_value(std::move(result)); };
     if (!m_requests.tryPush([this, call, reply] { begin(call, reply); }))
         return notRun(Reason::Overloaded, "too many requests on tasks wait");
     if (answer.wait_for(callPatience) != std::future_status::ready)
--- a/src/daemon/work_edges.h
+++ b/src/daemon/work_edges.h
@@ -33,12 +33,12 @@
     Keeper& m_keeper;
 };
 
-static_assert(ShardLease<WorkLease>);
+static_assert(work::ShardLease<WorkLease>);
 
 // Runs the work duty and brings callers' requests on tasks to it, or to the process that owns the shard.
 class WorkService {
 public:
-    WorkService(const WorkSettings&, const HttpPlatformOptions&, Distribution&, EventLog&);
+    WorkService(const work::WorkSettings&, const HttpPlatformOptions&, Distribution&, EventLog&);
 
     // One round; called on the duty's thread.
     void step();
@@ -47,10 +47,10 @@
     [[nodiscard]] TaskAnswer call(const TaskCall&, PeerClient&);
 
 private:
-    using Duty = WorkDuty<HttpPlatform, HttpPlatform, SystemClock, WorkLease>;
+    using Duty = work::WorkDuty<HttpPlatform, HttpPlatform, SystemClock, WorkLease>;
 
-    [[nodiscard]] Result<TaskRecord> callHere(const TaskCall&);
-    void begin(const TaskCall&, TaskReply);
+    [[nodiscard]] Result<work::TaskRecord> callHere(const TaskCall&);
+    void begin(const TaskCall&, work::TaskReply);
     [[nodiscard]] ProcessId owner() const;
 
     const SystemClock m_clock {};
--- a/src/daemon/config_reader.h
+++ b/src/daemon/zone_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/config_reader.h"
 #include "core/event.h"
 #include "daemon/distribution.h"
 #include "fleet/lease.h"
@@ -14,10 +15,10 @@
 // Reads the configuration for one availability zone. The processes of the zone share one lease, and only its
 // holder reads; the others get the rows from their peers. Driven by one duty thread; leaving() may be called
 // on any.
-template <PlatformClient P, Clock C> class ConfigReader {
+template <PlatformClient P, Clock C> class ZoneReader {
 public:
-    ConfigReader(P& platform, const C& clock, EventLog& events, Distribution& distribution,
-        Duration readEvery, Duration listEvery)
+    ZoneReader(P& platform, const C& clock, EventLog& events, Distribution& distribution, Duration readEvery,
+        Duration listEvery)
         : m_platform(platform)
         , m_clock(clock)
         , m_events(events)
@@ -51,18 +52,17 @@
     void readRows()
     {
         m_nextRead = m_clock.now() + m_readEvery;
-        auto changes = m_platform.read(keys::configPrefix, m_distribution.version());
-        if (!changes) {
+        auto read = m_reader.poll(m_distribution.replica());
+        if (!read) {
             m_nextRead = m_clock.now() + m_backoff.failed();
             return;
         }
         m_backoff.succeeded();
-        bool isBehind = m_distribution.applyFromPlatform(*changes);
-        if (isBehind && !std::exchange(m_wasBehind, true))
-            m_events.record(m_clock.wallNow(), "config.platform-behind",
-                { { "platform", std::to_string(changes->tableVersion) },
-                    { "ours", std::to_string(m_distribution.version()) } });
-        m_wasBehind = isBehind;
+        if (read->platformWentBack)
+            m_events.record(m_clock.wallNow(), "config.platform-went-back",
+                { { "kept_version", std::to_string(m_distribution.version()) },
+                    { "rows_committed_again", std::to_string(read->rowsCommittedAgain) } });
+        m_distribution.applyFromPlatform(read->changes);
     }
 
     void readList()
@@ -84,12 +84,12 @@
     EventLog& m_events;
     Distribution& m_distribution;
     LeaseKeeper<P, C> m_lease;
+    ConfigReader<P, C> m_reader { m_platform, m_clock, m_distribution.self().process.value() };
     const Duration m_readEvery;
     const Duration m_listEvery;
     Backoff m_backoff { m_distribution.self().process.value() };
     TimePoint m_nextRead {};
     TimePoint m_nextList {};
-    bool m_wasBehind { false };
     mutable std::mutex m_mutex;
     std::vector<VmId> m_leaving;
 };
--- a/src/work/acceptance.cpp
+++ b/src/work/acceptance.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace fulmar {
+namespace fulmar::work {
 
 Acceptance::Acceptance(std::size_t capacity)
     : m_capacity(capacity)
@@ -61,8 +61,9 @@
 // Submissions whose callers were already answered are dropped: they were told that it may have been taken.
 void Acceptance::onNotCommitted(const std::vector<TaskRecord>& batch)
 {
-    for (auto record = batch.rbegin(); record != batch.rend(); ++record) {
-        auto position = m_submissions.find(record->spec.task);
+    std::deque<TaskId> waiting;
+    for (const auto& record : batch) {
+        auto position = m_submissions.find(record.spec.task);
         if (position == m_submissions.end())
             continue;
         if (position->second.replies.empty()) {
@@ -70,8 +71,9 @@
             continue;
         }
         position->second.inBatch = false;
-        m_waiting.push_front(record->spec.task);
+        waiting.push_back(record.spec.task);
     }
+    m_waiting.insert(m_waiting.begin(), waiting.begin(), waiting.end());
 }
 
 void Acceptance::expire(TimePoint now)
@@ -113,4 +115,4 @@
     return notRun(reason, fmt::format("task {} was not accepted: {}", id, cause));
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/acceptance.h
+++ b/src/work/acceptance.h
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 using TaskReply = std::function<void(Result<TaskRecord>)>;
 
@@ -64,4 +64,4 @@
     std::deque<TaskId> m_waiting;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/fleet_view.cpp
+++ b/src/work/fleet_view.cpp
@@ -2,7 +2,7 @@
 
 #include <cassert>
 
-namespace fulmar {
+namespace fulmar::work {
 
 Worker& FleetView::update(const WorkerReport& report, TimePoint now)
 {
@@ -106,4 +106,4 @@
         std::erase(position->second, &worker);
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/fleet_view.h
+++ b/src/work/fleet_view.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // The shard's workers by id and by pool, as the platform's lagging list shows them.
 class FleetView {
@@ -23,6 +23,8 @@
     [[nodiscard]] std::unordered_map<VmId, Worker>& workers() { return m_workers; }
     [[nodiscard]] const std::unordered_map<VmId, Worker>& workers() const { return m_workers; }
 
+    [[nodiscard]] const std::unordered_map<PoolId, std::vector<Worker*>>& pools() const { return m_pools; }
+
     // Capacity of all live workers.
     [[nodiscard]] const Resources& capacity() const { return m_capacity; }
 
@@ -43,4 +45,4 @@
     Resources m_capacity;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/placement.cpp
+++ b/src/work/placement.cpp
@@ -2,7 +2,7 @@
 
 #include <map>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -82,4 +82,4 @@
     return best;
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/placement.h
+++ b/src/work/placement.h
@@ -3,9 +3,10 @@
 #include "work/fleet_view.h"
 
 #include <functional>
+#include <map>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // What a placement must observe.
 struct PlacementRequest {
@@ -14,7 +15,7 @@
     // When the task is expected to end.
     TimePoint expectedEnd {};
     // Workers on which the task has failed already.
-    const std::set<VmId>* avoid { nullptr };
+    const std::map<VmId, TimePoint>* avoid { nullptr };
 };
 
 // True if new tasks may go to the worker at all: it is live, not leaving, and not taken by the next
@@ -26,4 +27,4 @@
 [[nodiscard]] Worker* chooseWorker(const std::vector<Worker*>& workers, const PlacementRequest&,
     const FillLimits&, const std::function<bool(const Worker&)>& admits);
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/row_writer.cpp
+++ b/src/work/row_writer.cpp
@@ -3,7 +3,7 @@
 #include <cassert>
 #include <fmt/format.h>
 
-namespace fulmar {
+namespace fulmar::work {
 
 RowWriter::RowWriter(std::string sequenceKey, std::string writer)
     : m_sequenceKey(std::move(sequenceKey))
@@ -80,4 +80,4 @@
     return fate;
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/size_model.cpp
+++ b/src/work/size_model.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -53,4 +53,4 @@
     return need;
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/size_model.h
+++ b/src/work/size_model.h
@@ -5,7 +5,7 @@
 
 #include <unordered_map>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Learns what a job's tasks really use from lagging reports, because declared sizes are far off.
 class SizeModel {
@@ -32,4 +32,4 @@
     std::unordered_map<JobId, Usage> m_jobs;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/task.h
+++ b/src/work/task.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Life of a task. Starting means that a start may have been sent and its effect is not yet known.
 enum class TaskState : std::uint8_t {
@@ -73,4 +73,4 @@
 [[nodiscard]] std::string encode(const TaskRecord&);
 [[nodiscard]] Result<TaskRecord> decodeTask(const std::string& text);
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/task_queue.h
+++ b/src/work/task_queue.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <set>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Oldest acceptance first, so that a task put back keeps its turn, also under a new owner.
 struct ByAcceptance {
@@ -64,4 +64,4 @@
     std::size_t m_size { 0 };
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/tests/work_duty_test.cpp
+++ b/src/work/tests/work_duty_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace fulmar;
+using namespace fulmar::work;
 using namespace fulmar::test;
 using namespace std::chrono_literals;
 
--- a/src/work/tests/work_fakes.h
+++ b/src/work/tests/work_fakes.h
@@ -11,6 +11,8 @@
 
 namespace fulmar::test {
 
+using namespace fulmar::work;
+
 // The platform's table with outages and lost replies.
 struct FakePlatform {
     Result<Version> commit(const Transaction& transaction)
@@ -122,6 +124,7 @@
                 position->second.tasks.push_back(run.report);
         }
         std::vector<WorkerReport> list;
+        list.reserve(reports.size());
         for (auto& [id, report] : reports)
             list.push_back(std::move(report));
         return list;
