Relays know the zone of a caller by its process

All processes of a demonstration share the loopback address, so a relay in front of a port could only cut everybody off. It now finds the process that owns the calling socket, and passes only connections inside a cut zone or between the others.

--- a/standins/programs/standin_relay.cpp
+++ b/standins/programs/standin_relay.cpp
@@ -1,67 +1,84 @@
 #include "http_host.h"
+#include "process_zones.h"
 #include "relay.h"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
+#include <set>
 
 namespace {
 
-using fulmar::standin::HttpReply;
-using fulmar::standin::HttpRequest;
-using fulmar::standin::Relay;
+using namespace fulmar::standin;
 
-using RelaysByGroup = std::multimap<std::string, Relay>;
-
-// One relay described as "group=listen=to".
-void addRelay(RelaysByGroup& relays, asio::io_context& context, const std::string& text)
-{
-    const auto first = text.find('=');
-    const auto second = text.find('=', first + 1);
-    if (first == std::string::npos || second == std::string::npos)
-        throw std::invalid_argument("not group=listen=to: " + text);
-    const auto group = text.substr(0, first);
-    auto relay = relays.emplace(
-        group, Relay(context, text.substr(first + 1, second - first - 1), text.substr(second + 1)));
-    fmt::print("relay={} listening=127.0.0.1:{}\n", group, relay->second.port());
-}
+// The relays between zones. While a zone is cut off, only connections inside it and between the others pass.
+class ZoneLinks {
+public:
+    explicit ZoneLinks(asio::io_context& context)
+        : m_context(context)
+    {
+    }
 
-// POST /cut?group=NAME and POST /restore?group=NAME.
-HttpReply control(RelaysByGroup& relays, const HttpRequest& request)
-{
-    HttpReply reply;
-    auto group = request.query.find("group");
-    if (group == request.query.end() || (request.path != "/cut" && request.path != "/restore")) {
-        reply.status = 404;
-        return reply;
+    // "zone=listen=to": the relay in front of an address in that zone.
+    void add(const std::string& text)
+    {
+        const auto first = text.find('=');
+        const auto second = text.find('=', first + 1);
+        if (first == std::string::npos || second == std::string::npos)
+            throw std::invalid_argument("not zone=listen=to: " + text);
+        const auto zone = text.substr(0, first);
+        m_relays.emplace_back(m_context, text.substr(first + 1, second - first - 1), text.substr(second + 1),
+            Relay::Rules {
+                [this](const asio::ip::tcp::endpoint& caller) { return m_processes.zoneOf(caller); },
+                [this, zone](
+                    const std::string& from) { return from == zone || !(isCut(from) || isCut(zone)); },
+            });
+        fmt::print("relay={} listening=127.0.0.1:{}\n", zone, m_relays.back().port());
     }
-    auto [begin, end] = relays.equal_range(group->second);
-    for (auto relay = begin; relay != end; ++relay)
-        if (request.path == "/cut")
-            relay->second.cut();
+
+    // POST /process?pid=N&zone=Z, POST /cut?zone=Z, POST /restore?zone=Z.
+    HttpReply control(const HttpRequest& request)
+    {
+        const auto& zone = request.query.at("zone");
+        if (request.path == "/process")
+            m_processes.add(std::stoi(request.query.at("pid")), zone);
+        else if (request.path == "/cut")
+            m_cut.insert(zone);
+        else if (request.path == "/restore")
+            m_cut.erase(zone);
         else
-            relay->second.restore();
-    reply.body = fmt::format("relays={}\n", std::distance(begin, end));
-    return reply;
-}
+            throw std::invalid_argument("no such path: " + request.path);
+        for (auto& relay : m_relays)
+            relay.applyRules();
+        return {};
+    }
+
+private:
+    [[nodiscard]] bool isCut(const std::string& zone) const { return m_cut.contains(zone); }
+
+    asio::io_context& m_context;
+    ProcessZones m_processes;
+    std::set<std::string> m_cut;
+    std::vector<Relay> m_relays;
+};
 
 } // namespace
 
-// TCP relays between stand-ins and daemons, in groups that can be cut and restored.
+// TCP relays between stand-ins and daemons, by which a zone can be cut off.
 int main(int argc, char** argv)
 {
-    cxxopts::Options options("standin_relay", "TCP relays that can be cut.");
-    options.add_options()("relay", "group=host:port=host:port; listens on the first, connects to the second",
+    cxxopts::Options options("standin_relay", "TCP relays that can be cut by zone.");
+    options.add_options()("relay", "zone=host:port=host:port; listens on the first, connects to the second",
         cxxopts::value<std::vector<std::string>>())("control", "host:port of the control interface",
         cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
     try {
         const auto arguments = options.parse(argc, argv);
-        fulmar::standin::HttpHost host;
+        HttpHost host;
         host.stopOnSignals();
-        RelaysByGroup relays;
+        ZoneLinks links(host.context());
         for (const auto& text : arguments["relay"].as<std::vector<std::string>>())
-            addRelay(relays, host.context(), text);
+            links.add(text);
         const auto port = host.listen(arguments["control"].as<std::string>(),
-            [&](const HttpRequest& request) { return control(relays, request); });
+            [&](const HttpRequest& request) { return links.control(request); });
         fmt::print("control=127.0.0.1:{}\n", port);
         std::fflush(stdout);
         host.run();
--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -27,7 +27,8 @@
         m_server.async_connect(to, [self = shared_from_this()](const asio::error_code& error) {
             if (error)
                 return self->close();
-            self->m_server.set_option(tcp::no_delay(true));
+            asio::error_code ignored;
+            self->m_server.set_option(tcp::no_delay(true), ignored);
             self->pass(self->m_caller, self->m_server, self->m_upstream);
             self->pass(self->m_server, self->m_caller, self->m_downstream);
         });
@@ -89,65 +90,80 @@
 
 class Relay::Link : public std::enable_shared_from_this<Link> {
 public:
-    Link(asio::io_context& context, const std::string& listen, const std::string& to)
+    Link(asio::io_context& context, const std::string& listen, const std::string& to, Rules rules)
         : m_context(context)
-        , m_acceptor(context)
-        , m_listen(endpointOf(listen))
+        , m_acceptor(context, endpointOf(listen))
         , m_to(endpointOf(to))
+        , m_rules(std::move(rules))
     {
     }
 
-    void open()
+    void accept()
     {
-        if (m_acceptor.is_open())
-            return;
-        m_acceptor.open(m_listen.protocol());
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-        m_acceptor.bind(m_listen);
-        m_acceptor.listen();
-        m_listen = m_acceptor.local_endpoint();
-        accept();
+        m_acceptor.async_accept(
+            [self = shared_from_this()](const asio::error_code& error, tcp::socket caller) {
+                if (error == asio::error::operation_aborted)
+                    return;
+                if (!error)
+                    self->take(std::move(caller));
+                self->accept();
+            });
+    }
+
+    void applyRules()
+    {
+        std::erase_if(m_passing, [this](const Passing& passing) {
+            auto pipe = passing.pipe.lock();
+            if (pipe && !m_rules.admits(passing.zone))
+                pipe->close();
+            return !pipe || !m_rules.admits(passing.zone);
+        });
     }
 
     void close()
     {
         asio::error_code ignored;
         m_acceptor.close(ignored);
-        for (const auto& weak : m_pipes)
-            if (auto pipe = weak.lock())
+        for (const auto& passing : m_passing)
+            if (auto pipe = passing.pipe.lock())
                 pipe->close();
-        m_pipes.clear();
     }
 
-    [[nodiscard]] std::uint16_t port() const { return m_listen.port(); }
+    [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
 private:
-    void accept()
+    struct Passing {
+        std::string zone;
+        std::weak_ptr<Pipe> pipe;
+    };
+
+    void take(tcp::socket caller)
     {
-        m_acceptor.async_accept(
-            [self = shared_from_this()](const asio::error_code& error, tcp::socket caller) {
-                if (error)
-                    return;
-                caller.set_option(tcp::no_delay(true));
-                std::erase_if(self->m_pipes, [](const std::weak_ptr<Pipe>& pipe) { return pipe.expired(); });
-                auto pipe = std::make_shared<Pipe>(std::move(caller), self->m_context);
-                self->m_pipes.push_back(pipe);
-                pipe->start(self->m_to);
-                self->accept();
-            });
+        asio::error_code error;
+        const auto remote = caller.remote_endpoint(error);
+        if (error)
+            return;
+        auto zone = m_rules.zoneOf(remote);
+        if (!m_rules.admits(zone))
+            return;
+        caller.set_option(tcp::no_delay(true), error);
+        std::erase_if(m_passing, [](const Passing& passing) { return passing.pipe.expired(); });
+        auto pipe = std::make_shared<Pipe>(std::move(caller), m_context);
+        m_passing.push_back({ std::move(zone), pipe });
+        pipe->start(m_to);
     }
 
     asio::io_context& m_context;
     tcp::acceptor m_acceptor;
-    tcp::endpoint m_listen;
     tcp::endpoint m_to;
-    std::vector<std::weak_ptr<Pipe>> m_pipes;
+    Rules m_rules;
+    std::vector<Passing> m_passing;
 };
 
-Relay::Relay(asio::io_context& context, const std::string& listen, const std::string& to)
-    : m_link(std::make_shared<Link>(context, listen, to))
+Relay::Relay(asio::io_context& context, const std::string& listen, const std::string& to, Rules rules)
+    : m_link(std::make_shared<Link>(context, listen, to, std::move(rules)))
 {
-    m_link->open();
+    m_link->accept();
 }
 
 Relay::~Relay()
@@ -156,10 +172,8 @@
         m_link->close();
 }
 Relay::Relay(Relay&&) noexcept = default;
-Relay& Relay::operator=(Relay&&) noexcept = default;
 
-void Relay::cut() { m_link->close(); }
-void Relay::restore() { m_link->open(); }
+void Relay::applyRules() { m_link->applyRules(); }
 std::uint16_t Relay::port() const { return m_link->port(); }
 
 } // namespace fulmar::standin
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -3,23 +3,30 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
 namespace fulmar::standin {
 
-// Passes TCP connections on to another address until it is cut; then it closes those it has and accepts no
-// more. Belongs to the thread that runs the context.
+// Passes TCP connections on to another address, as long as a rule admits the caller's zone. Belongs to the
+// thread that runs the context.
 class Relay {
 public:
+    struct Rules {
+        // The zone that a connection comes from, asked once, when it is accepted.
+        std::function<std::string(const asio::ip::tcp::endpoint&)> zoneOf;
+        // Whether callers of this zone may pass at present.
+        std::function<bool(const std::string& zone)> admits;
+    };
+
     // Addresses are "host:port"; port 0 takes a free one. Throws if the address cannot be bound.
-    Relay(asio::io_context&, const std::string& listen, const std::string& to);
+    Relay(asio::io_context&, const std::string& listen, const std::string& to, Rules);
     ~Relay();
     Relay(Relay&&) noexcept;
-    Relay& operator=(Relay&&) noexcept;
 
-    void cut();
-    void restore();
+    // Closes the connections that are no longer admitted.
+    void applyRules();
 
     [[nodiscard]] std::uint16_t port() const;
 
