Platform requests with text that is not UTF-8 are refused instead of altered

Rows named by callers' idempotency keys may hold any bytes. Such a request is now BadInput, not run.

--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -116,10 +116,14 @@
         ++m_traffic.reads;
         return call(Method::Get, path, {});
     }
-    [[nodiscard]] Result<std::string> send(Method method, const std::string& path, const std::string& body)
+    // A body that could not be written is not sent.
+    [[nodiscard]] Result<std::string> send(
+        Method method, const std::string& path, const Result<std::string>& body)
     {
+        if (!body)
+            return body;
         ++m_traffic.writes;
-        return call(method, path, body);
+        return call(method, path, *body);
     }
 
     [[nodiscard]] std::string escape(const std::string& text) const
@@ -241,8 +245,8 @@
 
 Result<void> HttpPlatform::rebootVm(const VmId& vm, const OperationId& operation)
 {
-    return discardBody(m_session->send(Method::Post, "/v1/vms/reboot?vm=" + m_session->escape(vm.value()),
-        wire::encodeOperation(operation)));
+    return discardBody(m_session->send(
+        Method::Post, "/v1/vms/reboot?vm=" + m_session->escape(vm.value()), wire::encode(operation)));
 }
 
 Result<void> HttpPlatform::startTask(const VmId& worker, const TaskStart& start)
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -115,27 +115,31 @@
     }
 }
 
-// Text that is not UTF-8 is written with replacement characters instead of being refused half-way.
-template <typename T> std::string write(const T& value)
+template <typename T> Result<std::string> write(const T& value)
 {
-    return json(value).dump(-1, ' ', false, json::error_handler_t::replace);
+    try {
+        return json(value).dump();
+    } catch (const json::exception& error) {
+        return notRun(Reason::BadInput, error.what());
+    }
 }
 
 } // namespace
 
-std::string encode(const Transaction& transaction) { return write(transaction); }
-std::string encode(const Changes& changes) { return write(changes); }
-std::string encode(const std::vector<ListedVm>& vms) { return write(vms); }
-std::string encode(const std::vector<WorkerReport>& reports) { return write(reports); }
-std::string encode(const TaskStart& start) { return write(start); }
-std::string encode(const LeaseRenewal& renewal) { return write(renewal); }
-std::string encode(const TaskOrderRequest& request) { return write(request); }
-std::string encodeVersion(Version version) { return json { { versionKey, version } }.dump(); }
-std::string encodeOperation(const OperationId& operation)
+Result<std::string> encode(const Transaction& transaction) { return write(transaction); }
+Result<std::string> encode(const TaskStart& start) { return write(start); }
+Result<std::string> encode(const LeaseRenewal& renewal) { return write(renewal); }
+Result<std::string> encode(const TaskOrderRequest& request) { return write(request); }
+Result<std::string> encode(const OperationId& operation)
 {
-    return json { { operationKey, operation.value() } }.dump();
+    return write(json { { operationKey, operation.value() } });
 }
 
+std::string encode(const Changes& changes) { return json(changes).dump(); }
+std::string encode(const std::vector<ListedVm>& vms) { return json(vms).dump(); }
+std::string encode(const std::vector<WorkerReport>& reports) { return json(reports).dump(); }
+std::string encodeVersion(Version version) { return json { { versionKey, version } }.dump(); }
+
 Result<Transaction> decodeTransaction(const std::string& text) { return parse<Transaction>(text); }
 Result<Changes> decodeChanges(const std::string& text) { return parse<Changes>(text); }
 Result<std::vector<ListedVm>> decodeListedVms(const std::string& text)
--- a/src/platform/wire.h
+++ b/src/platform/wire.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <vector>
 
-// The JSON bodies exchanged with the platform. Parsing reports BadInput (NotRun) with what was wrong.
+// The JSON bodies exchanged with the platform. Parsing, and writing a request whose text is not UTF-8, report
+// BadInput (NotRun) with what was wrong.
 namespace fulmar::wire {
 
 struct LeaseRenewal {
@@ -20,15 +21,17 @@
     OperationId operation;
 };
 
-[[nodiscard]] std::string encode(const Transaction&);
+[[nodiscard]] Result<std::string> encode(const Transaction&);
+[[nodiscard]] Result<std::string> encode(const TaskStart&);
+[[nodiscard]] Result<std::string> encode(const LeaseRenewal&);
+[[nodiscard]] Result<std::string> encode(const TaskOrderRequest&);
+[[nodiscard]] Result<std::string> encode(const OperationId&);
+
+// Replies are made of text that was parsed before.
 [[nodiscard]] std::string encode(const Changes&);
 [[nodiscard]] std::string encode(const std::vector<ListedVm>&);
 [[nodiscard]] std::string encode(const std::vector<WorkerReport>&);
-[[nodiscard]] std::string encode(const TaskStart&);
-[[nodiscard]] std::string encode(const LeaseRenewal&);
-[[nodiscard]] std::string encode(const TaskOrderRequest&);
 [[nodiscard]] std::string encodeVersion(Version);
-[[nodiscard]] std::string encodeOperation(const OperationId&);
 
 [[nodiscard]] Result<Transaction> decodeTransaction(const std::string&);
 [[nodiscard]] Result<Changes> decodeChanges(const std::string&);
