--- a/src/daemon/distribution.cpp
+++ b/src/daemon/distribution.cpp
@@ -74,7 +74,7 @@
     if (theirs >= m_replica.version() || !mayHandRowsTo(peer))
         return;
     if (peer.role == PeerRole::Entry && !peer.isRegistered)
-        m_dependents[peer.process] = { peer, m_replica.version() };
+        m_dependents[peer.process] = peer;
     message.base = theirs;
     message.changes = m_replica.changesSince(theirs);
 }
@@ -133,13 +133,12 @@
         m_onChange();
 }
 
-std::vector<PeerInfo> Distribution::dependents(Version version) const
+std::vector<PeerInfo> Distribution::dependents() const
 {
     std::lock_guard lock(m_mutex);
     std::vector<PeerInfo> peers;
     for (const auto& [process, dependent] : m_dependents)
-        if (dependent.version < version)
-            peers.push_back(dependent.peer);
+        peers.push_back(dependent);
     return peers;
 }
 
--- a/src/daemon/distribution.h
+++ b/src/daemon/distribution.h
@@ -42,8 +42,8 @@
     [[nodiscard]] Exchange onRequest(const Exchange&, TimePoint now);
     void onReply(const std::string& address, const Exchange&, TimePoint now);
 
-    // Unregistered entries that have a copy older than `version` from this process.
-    [[nodiscard]] std::vector<PeerInfo> dependents(Version version) const;
+    // Unregistered entries that have a copy from this process.
+    [[nodiscard]] std::vector<PeerInfo> dependents() const;
 
     [[nodiscard]] std::vector<std::string> dueExchanges(TimePoint now);
     [[nodiscard]] std::vector<PeerInfo> live(PeerRole, TimePoint now) const;
@@ -76,11 +76,7 @@
         Version version { 0 };
     };
     std::map<std::string, PeerVersion> m_peerVersions;
-    struct Dependent {
-        PeerInfo peer;
-        Version version { 0 };
-    };
-    std::map<ProcessId, Dependent> m_dependents;
+    std::map<ProcessId, PeerInfo> m_dependents;
 };
 
 } // namespace fulmar
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -447,12 +447,17 @@
     perform(m_dispatcher.setEntries(entries, m_clock.now()));
 }
 
+// What rules here for one VM, read in one step of the loop that routes.
 Confirmation Entry::confirmLeaving(const ConfirmQuestion& question)
 {
+    Confirmation confirmation { {}, m_appliedVersion, 0, m_self.incarnation, m_distribution.dependents(),
+        {} };
     auto inFlight = m_dispatcher.inFlight();
-    auto position = inFlight.find(question.vm);
-    return { {}, m_appliedVersion, position == inFlight.end() ? 0 : position->second, m_self.incarnation,
-        m_distribution.dependents(question.version) };
+    if (auto position = inFlight.find(question.vm); position != inFlight.end())
+        confirmation.inFlight = position->second;
+    if (auto row = m_rows.find(keys::vmPrefix + question.vm.value()); row != m_rows.end())
+        confirmation.row = row->second.operation;
+    return confirmation;
 }
 
 KeyAnswer Entry::answerKey(const KeyQuestion& question)
--- a/src/daemon/fleet_edges.cpp
+++ b/src/daemon/fleet_edges.cpp
@@ -12,7 +12,7 @@
     auto answer = m_client.confirmLeaving(address, { {}, vm, version }, m_timeout);
     if (!answer)
         return tl::unexpected(answer.error());
-    EntryConfirmation confirmation { answer->appliedVersion, answer->inFlight,
+    EntryConfirmation confirmation { answer->appliedVersion, answer->row, answer->inFlight,
         std::to_string(answer->incarnation), {} };
     for (const auto& peer : answer->dependents)
         confirmation.dependents.push_back({ peer.process, peer.vm, peer.address });
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -65,8 +65,10 @@
     Version appliedVersion { 0 };
     std::uint32_t inFlight { 0 };
     std::uint64_t incarnation { 0 };
-    // Unregistered entries that received a copy older than the version asked for from this one.
+    // Unregistered entries that received a copy from this one.
     std::vector<PeerInfo> dependents;
+    // The operation that wrote the VM's row that is in force.
+    OperationId row;
 };
 
 struct KeyQuestion {
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -204,6 +204,7 @@
     out.set_applied_version(confirmation.appliedVersion);
     out.set_in_flight(confirmation.inFlight);
     out.set_incarnation(confirmation.incarnation);
+    out.set_row(confirmation.row.value());
     for (const auto& peer : confirmation.dependents)
         fill(peer, *out.add_dependents());
 }
