Only workers' reports that changed are fetched

The list of 5,200 idle workers took 829 KB a call, and a task adds 126 bytes, against a budget of 29 KB a second. The client keeps the newest reports and asks for changes since its version. For 1,000 workers a call without changes now moves less than 300 bytes (tested), before 160 KB.

--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -5,6 +5,7 @@
 #include <cassert>
 #include <curl/curl.h>
 #include <fmt/format.h>
+#include <map>
 #include <utility>
 
 namespace fulmar {
@@ -135,6 +136,23 @@
 
     [[nodiscard]] const PlatformTraffic& traffic() const { return m_traffic; }
 
+    [[nodiscard]] Version workersVersion() const { return m_workersVersion; }
+
+    // Brings the copy of the workers' reports up to date and returns all of them.
+    [[nodiscard]] std::vector<WorkerReport> apply(wire::WorkerChanges changes)
+    {
+        if (changes.complete)
+            m_workers.clear();
+        for (auto& report : changes.workers)
+            m_workers.insert_or_assign(report.worker, std::move(report));
+        m_workersVersion = changes.version;
+        std::vector<WorkerReport> reports;
+        reports.reserve(m_workers.size());
+        for (const auto& [worker, report] : m_workers)
+            reports.push_back(report);
+        return reports;
+    }
+
 private:
     Result<std::string> call(Method method, const std::string& path, const std::string& body)
     {
@@ -205,6 +223,9 @@
     std::unique_ptr<CURL, EasyCleanup> m_easy;
     std::unique_ptr<curl_slist, ListCleanup> m_headers;
     PlatformTraffic m_traffic;
+    // The workers' newest reports, so that only changes are fetched.
+    std::map<VmId, WorkerReport> m_workers;
+    Version m_workersVersion { 0 };
 };
 
 HttpPlatform::HttpPlatform(HttpPlatformOptions options)
@@ -273,9 +294,9 @@
 
 Result<std::vector<WorkerReport>> HttpPlatform::listWorkers()
 {
-    return m_session->get("/v1/workers").and_then([](const std::string& body) {
-        return trusted(wire::decodeWorkerReports(body));
-    });
+    return m_session->get(fmt::format("/v1/workers?since={}", m_session->workersVersion()))
+        .and_then([](const std::string& body) { return trusted(wire::decodeWorkerChanges(body)); })
+        .map([this](wire::WorkerChanges changes) { return m_session->apply(std::move(changes)); });
 }
 
 const PlatformTraffic& HttpPlatform::traffic() const { return m_session->traffic(); }
--- a/src/platform/http_platform.h
+++ b/src/platform/http_platform.h
@@ -49,6 +49,7 @@
     [[nodiscard]] Result<void> renewLeases(
         const VmId& worker, const std::vector<TaskId>&, std::chrono::milliseconds lease);
     [[nodiscard]] Result<void> orderTask(const VmId& worker, const TaskId&, TaskOrder, const OperationId&);
+    // Fetches only the reports that changed since the previous call.
     [[nodiscard]] Result<std::vector<WorkerReport>> listWorkers();
 
     [[nodiscard]] const PlatformTraffic& traffic() const;
--- a/src/platform/tests/http_platform_test.cpp
+++ b/src/platform/tests/http_platform_test.cpp
@@ -2,6 +2,7 @@
 
 #include "platform_server.h"
 
+#include <algorithm>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
 #include <asio/read_until.hpp>
@@ -303,4 +304,29 @@
     BOOST_TEST(platform.startTask(VmId("none"), start).error().reason == Reason::NotFound);
 }
 
+BOOST_AUTO_TEST_CASE(onlyChangedWorkersAreFetchedAgain)
+{
+    constexpr std::uint64_t workerCount = 1'000;
+    constexpr std::uint64_t bytesOfAReplyWithoutWorkers = 300;
+    ServedPlatform served;
+    HttpPlatform platform(served.options());
+    served.change([&](auto& state, auto&) {
+        for (std::uint64_t number = 0; number < workerCount; ++number) {
+            standin::WorkerSeed seed;
+            seed.worker = VmId(fmt::format("w-{}", number));
+            state.workers.add(seed);
+        }
+    });
+    BOOST_TEST(platform.listWorkers().value().size() == workerCount);
+    const auto bytesForAll = platform.traffic().bytesReceived;
+    BOOST_TEST(platform.listWorkers().value().size() == workerCount);
+    BOOST_TEST(platform.traffic().bytesReceived - bytesForAll < bytesOfAReplyWithoutWorkers);
+
+    served.change([&](auto& state, auto&) { state.workers.markLeaving(VmId("w-7")); });
+    const auto reports = platform.listWorkers().value();
+    BOOST_TEST(reports.size() == workerCount);
+    BOOST_TEST(std::ranges::count_if(reports, &WorkerReport::leaving) == 1);
+    BOOST_TEST(platform.traffic().bytesReceived - bytesForAll < 4 * bytesOfAReplyWithoutWorkers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -90,6 +90,7 @@
 namespace wire {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseRenewal, tasks, lease)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerChanges, workers, version, complete)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskOrderRequest, task, order, operation)
 
 namespace {
@@ -137,7 +138,7 @@
 
 std::string encode(const Changes& changes) { return json(changes).dump(); }
 std::string encode(const std::vector<ListedVm>& vms) { return json(vms).dump(); }
-std::string encode(const std::vector<WorkerReport>& reports) { return json(reports).dump(); }
+std::string encode(const WorkerChanges& changes) { return json(changes).dump(); }
 std::string encodeVersion(Version version) { return json { { versionKey, version } }.dump(); }
 
 Result<Transaction> decodeTransaction(const std::string& text) { return parse<Transaction>(text); }
@@ -146,10 +147,7 @@
 {
     return parse<std::vector<ListedVm>>(text);
 }
-Result<std::vector<WorkerReport>> decodeWorkerReports(const std::string& text)
-{
-    return parse<std::vector<WorkerReport>>(text);
-}
+Result<WorkerChanges> decodeWorkerChanges(const std::string& text) { return parse<WorkerChanges>(text); }
 Result<TaskStart> decodeTaskStart(const std::string& text) { return parse<TaskStart>(text); }
 Result<LeaseRenewal> decodeLeaseRenewal(const std::string& text) { return parse<LeaseRenewal>(text); }
 Result<TaskOrderRequest> decodeTaskOrder(const std::string& text) { return parse<TaskOrderRequest>(text); }
--- a/src/platform/wire.h
+++ b/src/platform/wire.h
@@ -15,6 +15,13 @@
     std::chrono::milliseconds lease {};
 };
 
+// Workers whose report changed after the version asked for; all of them if `complete`.
+struct WorkerChanges {
+    std::vector<WorkerReport> workers;
+    Version version { 0 };
+    bool complete { false };
+};
+
 struct TaskOrderRequest {
     TaskId task;
     TaskOrder order { TaskOrder::Checkpoint };
@@ -30,13 +37,13 @@
 // Replies are made of text that was parsed before.
 [[nodiscard]] std::string encode(const Changes&);
 [[nodiscard]] std::string encode(const std::vector<ListedVm>&);
-[[nodiscard]] std::string encode(const std::vector<WorkerReport>&);
+[[nodiscard]] std::string encode(const WorkerChanges&);
 [[nodiscard]] std::string encodeVersion(Version);
 
 [[nodiscard]] Result<Transaction> decodeTransaction(const std::string&);
 [[nodiscard]] Result<Changes> decodeChanges(const std::string&);
 [[nodiscard]] Result<std::vector<ListedVm>> decodeListedVms(const std::string&);
-[[nodiscard]] Result<std::vector<WorkerReport>> decodeWorkerReports(const std::string&);
+[[nodiscard]] Result<WorkerChanges> decodeWorkerChanges(const std::string&);
 [[nodiscard]] Result<TaskStart> decodeTaskStart(const std::string&);
 [[nodiscard]] Result<LeaseRenewal> decodeLeaseRenewal(const std::string&);
 [[nodiscard]] Result<TaskOrderRequest> decodeTaskOrder(const std::string&);
--- a/src/platform/workers.h
+++ b/src/platform/workers.h
@@ -31,6 +31,8 @@
     // Name of the newest checkpoint in the object store; empty if there is none.
     std::string checkpoint;
     std::string detail;
+
+    bool operator==(const TaskReport&) const = default;
 };
 
 struct WorkerReport {
@@ -44,6 +46,8 @@
     bool live { true };
     bool leaving { false };
     std::vector<TaskReport> tasks;
+
+    bool operator==(const WorkerReport&) const = default;
 };
 
 // One start of a task. Starting the same operation twice starts it once; the task ends itself when its lease
--- a/standins/platform_server.cpp
+++ b/standins/platform_server.cpp
@@ -128,8 +128,12 @@
                 queryValue(request, "prefix"), std::stoull(queryValue(request, "since")))));
     if (request.path == "/v1/vms")
         return reply(200, wire::encode(m_state.vms.list(now)));
-    if (request.path == "/v1/workers")
-        return reply(200, wire::encode(m_state.workers.report(now)));
+    if (request.path == "/v1/workers") {
+        auto changes = m_state.workers.changesSince(now, std::stoull(queryValue(request, "since")));
+        return reply(200,
+            wire::encode(
+                wire::WorkerChanges { std::move(changes.reports), changes.version, changes.complete }));
+    }
     if (request.path == "/v1/objects") {
         auto object = m_state.objects.find(queryValue(request, "name"));
         return object == m_state.objects.end() ? reply(404, "no such object") : reply(200, object->second);
--- a/standins/worker_fleet.cpp
+++ b/standins/worker_fleet.cpp
@@ -125,16 +125,30 @@
     reports.reserve(m_workers.size());
     for (auto& [id, worker] : m_workers) {
         advance(now, worker);
-        const auto& seed = worker.seed;
-        WorkerReport report { id, seed.pool, seed.zone, seed.rack, seed.processors, seed.memoryMb,
-            seed.accelerators, now >= worker.downUntil, worker.leaving, {} };
-        for (const auto& [taskId, task] : worker.tasks)
-            report.tasks.push_back(reportOf(now, task));
-        reports.push_back(std::move(report));
+        reports.push_back(reportOf(now, worker));
     }
     return reports;
 }
 
+WorkerFleet::Changes WorkerFleet::changesSince(TimePoint now, Version since)
+{
+    Changes changes;
+    changes.complete = since == 0 || since > m_version;
+    const auto version = m_version + 1;
+    for (auto& [id, worker] : m_workers) {
+        advance(now, worker);
+        if (auto report = reportOf(now, worker); worker.changed == 0 || report != worker.told) {
+            worker.told = std::move(report);
+            worker.changed = version;
+            m_version = version;
+        }
+        if (changes.complete || worker.changed > since)
+            changes.reports.push_back(worker.told);
+    }
+    changes.version = m_version;
+    return changes;
+}
+
 WorkerFleet::Worker* WorkerFleet::find(const VmId& id)
 {
     auto position = m_workers.find(id);
@@ -197,4 +211,14 @@
     return report;
 }
 
+WorkerReport WorkerFleet::reportOf(TimePoint now, const Worker& worker) const
+{
+    const auto& seed = worker.seed;
+    WorkerReport report { seed.worker, seed.pool, seed.zone, seed.rack, seed.processors, seed.memoryMb,
+        seed.accelerators, now >= worker.downUntil, worker.leaving, {} };
+    for (const auto& [taskId, task] : worker.tasks)
+        report.tasks.push_back(reportOf(now, task));
+    return report;
+}
+
 } // namespace fulmar::standin
--- a/standins/worker_fleet.h
+++ b/standins/worker_fleet.h
@@ -52,6 +52,14 @@
         TimePoint now, const VmId&, const TaskId&, TaskOrder, const OperationId&);
     [[nodiscard]] std::vector<WorkerReport> report(TimePoint now);
 
+    // The reports that changed after `since`; all of them if `since` is not a version of this fleet.
+    struct Changes {
+        std::vector<WorkerReport> reports;
+        Version version { 0 };
+        bool complete { false };
+    };
+    [[nodiscard]] Changes changesSince(TimePoint now, Version since);
+
     // Starts made so far of each task, for checks of at-most-once.
     [[nodiscard]] const std::map<TaskId, std::uint32_t>& starts() const { return m_starts; }
     // Tasks that ran to their end, with the number of times each did.
@@ -76,6 +84,9 @@
         // The newest start of each task; ended tasks stay until another start replaces them.
         std::map<TaskId, Task> tasks;
         std::set<OperationId> operations;
+        // The report as last told, and the version at which it became so.
+        WorkerReport told;
+        Version changed { 0 };
     };
 
     Worker* find(const VmId&);
@@ -85,10 +96,12 @@
     void saveCheckpoint(Task&);
     [[nodiscard]] Duration progressOf(const std::string& checkpoint) const;
     [[nodiscard]] TaskReport reportOf(TimePoint now, const Task&) const;
+    [[nodiscard]] WorkerReport reportOf(TimePoint now, const Worker&) const;
 
     ObjectStore& m_objects;
     Duration m_usageLag;
     std::map<VmId, Worker> m_workers;
+    Version m_version { 0 };
     std::map<JobId, JobTruth> m_truths;
     std::map<TaskId, std::uint32_t> m_starts;
     std::map<TaskId, std::uint32_t> m_finishes;
