--- /dev/null
+++ b/src/daemon/entry_settings.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "daemon/caller_server.h"
+#include "daemon/process_settings.h"
+
+#include <chrono>
+
+namespace fulmar {
+
+struct EntrySettings {
+    ProcessSettings process;
+    CallerServerLimits callers;
+    std::chrono::milliseconds targetConnectTimeout {};
+    std::size_t maxAnswerBytes { 0 };
+    // How long the balancer may go on sending after the health check fails.
+    std::chrono::milliseconds balancerLag {};
+    // Longest time a graceful stop waits for calls and connections to end.
+    std::chrono::milliseconds drainLimit {};
+};
+
+// Takes every key of fulmar-entry; problems stay in the reader.
+[[nodiscard]] EntrySettings readEntrySettings(SettingsReader&);
+
+} // namespace fulmar
