Operators' service: queries, why, time line and conflicting commands

Queries run over the configuration replica and the facts that the duties give. A command is one conditional transaction on its own row and on the row that commands on the same object share: of two commands at once one wins, and the loser's answer names the winner. A lost reply is settled by reading the command's row.

--- /dev/null
+++ b/src/operate/operator_service.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "operate/answer.h"
+#include "operate/command_decision.h"
+#include "operate/fleet_view.h"
+#include "operate/language.h"
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace fulmar::operate {
+
+// A statement as it arrives from an operator.
+struct OperatorRequest {
+    std::string text;
+    CommandOrigin origin;
+    bool dryRun { false };
+};
+
+// Parses {"text", "id", "who", "basedOn", "dryRun"}; only text is required. Fails with BadInput.
+[[nodiscard]] Result<OperatorRequest> operatorRequestFromJson(const std::string& text);
+[[nodiscard]] std::string toJson(const OperatorRequest&);
+
+// The answer to a statement that changes nothing, or the command that must be decided with fresh rows.
+[[nodiscard]] std::variant<Answer, Command> answerStatement(
+    const OperatorRequest&, const FleetView&, WallTime now);
+
+// Reads one row; empty if there is none.
+template <typename Platform>
+[[nodiscard]] Result<std::optional<Row>> readRow(Platform& platform, const std::string& key)
+{
+    auto changes = platform.read(key, 0);
+    if (!changes)
+        return tl::unexpected(changes.error());
+    auto row = std::find_if(changes->rows.begin(), changes->rows.end(),
+        [&](const Row& each) { return each.key == key && !each.deleted; });
+    return row == changes->rows.end() ? std::nullopt : std::optional<Row>(*row);
+}
+
+template <typename Platform>
+[[nodiscard]] Result<std::optional<CommandRow>> readCommand(Platform& platform, const OperationId& id)
+{
+    auto row = readRow(platform, commandKey(id));
+    if (!row)
+        return tl::unexpected(row.error());
+    if (!row->has_value())
+        return std::optional<CommandRow>();
+    auto command = decodeCommandRow((*row)->value);
+    return command ? std::optional<CommandRow>(std::move(*command)) : std::nullopt;
+}
+
+template <typename Platform>
+[[nodiscard]] Result<CommandContext> readContext(
+    Platform& platform, const OperationId& id, const std::string& guardKey)
+{
+    CommandContext context;
+    auto recorded = readCommand(platform, id);
+    if (!recorded)
+        return tl::unexpected(recorded.error());
+    context.recorded = std::move(*recorded);
+    auto guard = readRow(platform, guardKey);
+    if (!guard)
+        return tl::unexpected(guard.error());
+    context.guard = std::move(*guard);
+    if (!context.guard || context.guard->operation.empty())
+        return context;
+    auto previous = readCommand(platform, context.guard->operation);
+    if (!previous)
+        return tl::unexpected(previous.error());
+    context.previous = std::move(*previous);
+    return context;
+}
+
+// The answer where the platform does not say whether the command is recorded.
+[[nodiscard]] Answer unreachableAnswer(const Failure&, bool mayHaveRun);
+
+// Records a command in the platform's table. Blocks for a few calls of the platform client. Losing a race is
+// a conflict that names the winner; after a lost reply the rows say what happened.
+template <typename Platform>
+[[nodiscard]] Answer orderCommand(
+    Platform& platform, const Command& command, CommandOrigin origin, const FleetView& view, WallTime now)
+{
+    constexpr int maxAttempts = 3;
+    assert(!origin.id.empty());
+    bool mayHaveRun = false;
+    for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+        auto context = readContext(platform, origin.id, guardKeyOf(command.body));
+        if (!context)
+            return unreachableAnswer(context.error(), mayHaveRun);
+        auto decision = decideCommand(command, origin, *context, view, now);
+        if (auto* answer = std::get_if<Answer>(&decision))
+            return std::move(*answer);
+        auto& plan = std::get<CommandPlan>(decision);
+        auto committed = platform.commit(plan.transaction);
+        if (committed) {
+            plan.accepted.version = *committed;
+            return plan.accepted;
+        }
+        // What another command has written since is news to this operator.
+        if (committed.error().reason == Reason::Conflict && !origin.basedOn)
+            origin.basedOn = context->guard ? context->guard->version : 0;
+        mayHaveRun = mayHaveRun || committed.error().outcome != Outcome::NotRun;
+        if (committed.error().outcome == Outcome::NotRun && committed.error().reason != Reason::Conflict)
+            return unreachableAnswer(committed.error(), mayHaveRun);
+    }
+    return unreachableAnswer(
+        Failure { Outcome::NotRun, Reason::StoreUnavailable, "the table kept changing" }, mayHaveRun);
+}
+
+} // namespace fulmar::operate
