Operators' commands are recorded as the fleet duty reads them

Moves, drains and waves become command/<id> rows of the fleet's format; changes of configuration, quarantine and cancellation become order/<id> rows. A command that has not begun is cancelled by one conditional write on its row.

--- a/src/operate/command_decision.cpp
+++ b/src/operate/command_decision.cpp
@@ -28,10 +28,7 @@
     std::string operator()(const StartWave& body) const { return orderedKey("waves", body.pool.value()); }
     std::string operator()(const ControlWave& body) const { return orderedKey("wave", body.wave.value()); }
     std::string operator()(const CancelTask& body) const { return orderedKey("task", body.task.value()); }
-    std::string operator()(const CancelCommand& body) const
-    {
-        return orderedKey("command", body.command.value());
-    }
+    std::string operator()(const CancelCommand& body) const { return commandKey(body.command); }
     template <typename Change> std::string operator()(const Change& change) const
     {
         return configKeyOf(CommandBody(change));
@@ -40,7 +37,7 @@
 
 // Names in the command that the configuration does not know; empty if all exist.
 struct MissingName {
-    const FleetView& view;
+    const OperatorView& view;
 
     std::string operator()(const DrainVm& body) const { return vm(body.vm); }
     std::string operator()(const UndrainVm& body) const { return vm(body.vm); }
@@ -52,12 +49,6 @@
     }
     std::string operator()(const AssignVm& body) const { return pool(body.pool); }
     std::string operator()(const StartWave& body) const { return pool(body.pool); }
-    std::string operator()(const CancelCommand& body) const
-    {
-        if (findRow(view.commands, commandKey(body.command)))
-            return {};
-        return fmt::format("there is no command \"{}\"", body.command.value());
-    }
     template <typename Other> std::string operator()(const Other&) const { return {}; }
 
 private:
@@ -87,39 +78,33 @@
     if (recorded.statement != statement)
         return sentence(AnswerStatus::Conflict,
             "this id was used for another " + describe(recorded) + "; nothing was done");
-    switch (recorded.state) {
-    case CommandState::Waiting:
-    case CommandState::Running:
-        return sentence(AnswerStatus::Waiting, "recorded before: " + describe(recorded));
-    case CommandState::Done:
-        return sentence(AnswerStatus::Ok, "recorded before: " + describe(recorded));
-    case CommandState::Refused:
-    case CommandState::Cancelled:
-        return sentence(AnswerStatus::Conflict, describe(recorded));
-    }
-    return {};
+    auto text = "recorded before: " + describe(recorded);
+    if (!isFinal(recorded.state))
+        return sentence(AnswerStatus::Waiting, std::move(text));
+    return sentence(
+        recorded.state == CommandState::Done ? AnswerStatus::Ok : AnswerStatus::Conflict, std::move(text));
 }
 
 // Whether the newest command on the object forbids this one. A later command on a base that includes it may
 // follow, and so may one of the same operator.
-bool isOvertaken(const CommandOrigin& origin, const CommandContext& context)
+bool isOvertaken(const CommandOrigin& origin, const CommandRows& rows)
 {
-    if (!context.guard)
+    if (!rows.guard)
         return false;
     if (origin.basedOn)
-        return context.guard->version > *origin.basedOn;
-    return context.previous && isOpen(context.previous->state) && context.previous->who != origin.who;
+        return rows.guard->version > *origin.basedOn;
+    return rows.previous && !isFinal(rows.previous->state) && rows.previous->who != origin.who;
 }
 
-Answer answerOvertaken(const CommandContext& context)
+Answer answerOvertaken(const CommandRows& rows)
 {
-    auto winner = context.previous
-        ? describe(*context.previous)
-        : fmt::format("operation {}, which changed {}", context.guard->operation.value(), context.guard->key);
+    auto winner = rows.previous
+        ? describe(*rows.previous)
+        : fmt::format("operation {}, which changed {}", rows.guard->operation.value(), rows.guard->key);
     return sentence(AnswerStatus::Conflict,
         fmt::format(
             "nothing was done: overtaken by {}; base the command on version {} to order it after that",
-            winner, context.guard->version));
+            winner, rows.guard->version));
 }
 
 Answer refusal(const Failure& failure)
@@ -128,43 +113,70 @@
     return sentence(status, "nothing was done: " + failure.detail);
 }
 
+// The row of the command to cancel as it would be afterwards. Only what has not begun can be cancelled.
+Result<std::string> cancelled(const CommandOrigin& origin, const std::optional<Row>& target, WallTime now)
+{
+    if (!target)
+        return notRun(Reason::BadInput, "there is no such command");
+    auto command = decodeCommandRow(*target);
+    if (!command)
+        return tl::unexpected(command.error());
+    if (isFinal(command->state))
+        return notRun(Reason::Conflict, describe(*command) + " has ended");
+    if (command->state == CommandState::Running)
+        return notRun(Reason::Conflict, describe(*command) + " has begun; undrain its VM to take it back");
+    return encodeCancelled(*target, "cancelled by command " + origin.id.value() + " of " + origin.who, now);
+}
+
+CommandPlan planFor(const Command& command, const CommandOrigin& origin, const CommandRows& rows,
+    const CommandRow& row, std::string guardValue)
+{
+    auto ownKey = commandRowKey(command.body, origin.id);
+    auto guardKey = rows.guard ? rows.guard->key : guardKeyOf(command.body);
+    CommandPlan plan;
+    plan.transaction.operation = origin.id;
+    plan.transaction.conditions = { { ownKey, 0 }, { guardKey, rows.guard ? rows.guard->version : 0 } };
+    plan.transaction.writes
+        = { { ownKey, encodeCommand(command, row) }, { guardKey, std::move(guardValue) } };
+    plan.accepted = row.state == CommandState::Done
+        ? sentence(AnswerStatus::Ok, fmt::format("done as command {}", origin.id.value()))
+        : sentence(AnswerStatus::Waiting,
+            fmt::format("recorded as command {0}; follow it with: why command {0}", origin.id.value()));
+    return plan;
+}
+
 } // namespace
 
 std::string guardKeyOf(const CommandBody& body) { return std::visit(OrderedKeyOf {}, body); }
 
-CommandDecision decideCommand(const Command& command, const CommandOrigin& origin,
-    const CommandContext& context, const FleetView& view, WallTime now)
+CommandDecision decideCommand(const Command& command, const CommandOrigin& origin, const CommandRows& rows,
+    const OperatorView& view, WallTime now)
 {
-    auto statement = toText(Command { command.body, false, command.because });
-    if (context.recorded)
-        return answerRecorded(*context.recorded, statement);
-    if (isOvertaken(origin, context))
-        return answerOvertaken(context);
+    CommandRow row { origin.id, toText(Command { command.body, false, command.because }), origin.who,
+        origin.basedOn.value_or(0), CommandState::Pending, {}, now };
+    if (rows.recorded)
+        return answerRecorded(*rows.recorded, row.statement);
+    if (std::holds_alternative<CancelCommand>(command.body)) {
+        auto value = cancelled(origin, rows.guard, now);
+        if (!value)
+            return refusal(value.error());
+        row.state = CommandState::Done;
+        return command.dryRun ? CommandDecision(showEffect(command.body, {}, view))
+                              : planFor(command, origin, rows, row, std::move(*value));
+    }
+    if (isOvertaken(origin, rows))
+        return answerOvertaken(rows);
     if (auto missing = std::visit(MissingName { view }, command.body); !missing.empty())
         return sentence(AnswerStatus::BadStatement, "nothing was done: " + missing);
-    auto change = configChangeOf(command.body, context.guard, view);
+    auto change = configChangeOf(command.body, rows.guard, view);
     if (!change)
         return refusal(change.error());
     if (command.dryRun)
         return showEffect(command.body, *change, view);
-
     // A change of configuration is in force once its row is committed; all else is left to the duties.
-    auto state = change->has_value() ? CommandState::Done : CommandState::Waiting;
-    CommandRow row { origin.id, statement, origin.who, origin.basedOn.value_or(view.version), state, {},
-        now };
-    auto guardKey = guardKeyOf(command.body);
-    CommandPlan plan;
-    plan.transaction.operation = origin.id;
-    plan.transaction.conditions
-        = { { commandKey(origin.id), 0 }, { guardKey, context.guard ? context.guard->version : 0 } };
-    plan.transaction.writes = { { commandKey(origin.id), encode(row) },
-        { guardKey, change->has_value() ? (*change)->after : origin.id.value() } };
-    plan.accepted = state == CommandState::Done
-        ? sentence(AnswerStatus::Ok, fmt::format("done as command {}", origin.id.value()))
-        : sentence(AnswerStatus::Waiting,
-            fmt::format("recorded as command {}; follow it with: why command {}", origin.id.value(),
-                origin.id.value()));
-    return plan;
+    if (change->has_value())
+        row.state = CommandState::Done;
+    return planFor(command, origin, rows, row, change->has_value() ? (*change)->after : origin.id.value());
 }
 
 } // namespace fulmar::operate
--- a/src/operate/command_decision.h
+++ b/src/operate/command_decision.h
@@ -2,8 +2,8 @@
 
 #include "operate/answer.h"
 #include "operate/command_row.h"
-#include "operate/fleet_view.h"
 #include "operate/language.h"
+#include "operate/operator_view.h"
 #include "platform/table.h"
 
 #include <optional>
@@ -21,7 +21,7 @@
 };
 
 // Rows read from the platform just before deciding.
-struct CommandContext {
+struct CommandRows {
     // The command's own row, if it was recorded before.
     std::optional<CommandRow> recorded;
     // The row that commands on the same object exclude one another by.
@@ -38,12 +38,13 @@
 
 using CommandDecision = std::variant<Answer, CommandPlan>;
 
-// The row that commands on the same object exclude one another by.
+// The row that commands on the same object exclude one another by. For a cancellation this is the row of the
+// command to cancel, if the fleet duty executes that; otherwise see orderPrefix.
 [[nodiscard]] std::string guardKeyOf(const CommandBody&);
 
 // Refuses the command, or says what to write. One of several commands on an object wins: each plan depends on
 // the guard row's version, and a guard newer than the command's base is a conflict that names the winner.
 [[nodiscard]] CommandDecision decideCommand(
-    const Command&, const CommandOrigin&, const CommandContext&, const FleetView&, WallTime now);
+    const Command&, const CommandOrigin&, const CommandRows&, const OperatorView&, WallTime now);
 
 } // namespace fulmar::operate
--- a/src/operate/command_row.cpp
+++ b/src/operate/command_row.cpp
@@ -1,46 +1,119 @@
 #include "operate/command_row.h"
 
-#include "config/model.h"
+#include "config/field_reader.h"
 
-#include <algorithm>
-#include <array>
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
+#include <limits>
 
 namespace fulmar::operate {
 
 namespace {
 
-using Json = nlohmann::json;
+constexpr std::array commandStates { CommandState::Pending, CommandState::Waiting, CommandState::Running,
+    CommandState::Done, CommandState::Refused, CommandState::Superseded, CommandState::Cancelled };
 
-constexpr std::array states { CommandState::Waiting, CommandState::Running, CommandState::Done,
-    CommandState::Refused, CommandState::Cancelled };
+// A command as the fleet duty reads it; kinds that it does not execute have none.
+struct FleetOrder {
+    CommandRecord& record;
 
-} // namespace
+    void operator()(const AssignVm& body) const { onVm(CommandKind::AssignVm, body.vm, body.pool); }
+    void operator()(const MoveVm& body) const { onVm(CommandKind::Move, body.vm, body.pool); }
+    void operator()(const DrainVm& body) const { onVm(CommandKind::Drain, body.vm, {}); }
+    void operator()(const UndrainVm& body) const { onVm(CommandKind::Undrain, body.vm, {}); }
+    void operator()(const StartWave& body) const
+    {
+        record.kind = CommandKind::StartWave;
+        record.arguments.wave = waveOf(record.id);
+        record.arguments.pools = { body.pool.value() };
+    }
+    void operator()(const ControlWave& body) const
+    {
+        record.kind = kindOf(body.step);
+        record.arguments.wave = body.wave;
+    }
+    template <typename Other> void operator()(const Other&) const { }
+
+private:
+    void onVm(CommandKind kind, const VmId& vm, const PoolId& pool) const
+    {
+        record.kind = kind;
+        record.arguments.vm = vm;
+        record.arguments.pool = pool;
+    }
+    // Starting a wave that exists lets it go on.
+    static CommandKind kindOf(WaveStep step)
+    {
+        switch (step) {
+        case WaveStep::Pause:
+            return CommandKind::PauseWave;
+        case WaveStep::Resume:
+            return CommandKind::StartWave;
+        case WaveStep::Stop:
+            return CommandKind::StopWave;
+        }
+        return CommandKind::PauseWave;
+    }
+};
+
+CommandBody startedWave(const CommandRecord& record)
+{
+    const auto& [vm, pool, address, wave, pools] = record.arguments;
+    if (wave == waveOf(record.id) && !pools.empty())
+        return StartWave { PoolId(pools.front()) };
+    return ControlWave { wave, WaveStep::Resume };
+}
 
-std::string_view toString(CommandState state)
+CommandBody bodyOf(const CommandRecord& record)
 {
-    switch (state) {
-    case CommandState::Waiting:
-        return "waiting";
-    case CommandState::Running:
-        return "running";
-    case CommandState::Done:
-        return "done";
-    case CommandState::Refused:
-        return "refused";
-    case CommandState::Cancelled:
-        return "cancelled";
+    const auto& arguments = record.arguments;
+    switch (record.kind) {
+    case CommandKind::AssignVm:
+        return AssignVm { arguments.vm, arguments.pool };
+    case CommandKind::Move:
+        return MoveVm { arguments.vm, arguments.pool };
+    case CommandKind::Drain:
+        return DrainVm { arguments.vm };
+    case CommandKind::Undrain:
+        return UndrainVm { arguments.vm };
+    case CommandKind::StartWave:
+        return startedWave(record);
+    case CommandKind::PauseWave:
+        return ControlWave { arguments.wave, WaveStep::Pause };
+    case CommandKind::StopWave:
+        return ControlWave { arguments.wave, WaveStep::Stop };
     }
-    return "waiting";
+    return DrainVm { arguments.vm };
 }
 
-std::string commandKey(const OperationId& id) { return keys::commandPrefix + id.value(); }
+Result<CommandRow> decodeFleetCommand(const std::string& text)
+{
+    auto record = decode<CommandRecord>(text);
+    if (!record)
+        return tl::unexpected(record.error());
+    return CommandRow { record->id, toText(Command { bodyOf(*record), false, {} }), record->who,
+        record->basedOn, record->state, record->reason, record->submitted };
+}
+
+Result<CommandRow> decodeOrder(const std::string& text)
+{
+    constexpr auto maxWhole = std::numeric_limits<std::int64_t>::max();
+    FieldReader reader(text);
+    CommandRow row;
+    std::chrono::milliseconds ordered {};
+    reader.take("id", row.id);
+    reader.take("statement", row.statement, true);
+    reader.take("who", row.who, true);
+    reader.takeWhole("basedOn", row.basedOn, 0, maxWhole);
+    reader.takeEnum("state", row.state, commandStates);
+    reader.take("detail", row.detail);
+    reader.takeWhole("orderedMs", ordered, 0, maxWhole);
+    row.ordered = WallTime(ordered);
+    return reader.finish(std::move(row));
+}
 
-std::string encode(const CommandRow& row)
+std::string encodeOrder(const CommandRow& row)
 {
-    return Json {
-        { "command", row.id.value() },
+    return nlohmann::json {
+        { "id", row.id.value() },
         { "statement", row.statement },
         { "who", row.who },
         { "basedOn", row.basedOn },
@@ -48,28 +121,58 @@
         { "detail", row.detail },
         { "orderedMs", row.ordered.time_since_epoch().count() },
     }
-        .dump(-1, ' ', false, Json::error_handler_t::replace);
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-Result<CommandRow> decodeCommandRow(const std::string& text)
-try {
-    auto json = Json::parse(text);
-    CommandRow row;
-    row.id = OperationId(json.at("command").get<std::string>());
-    row.statement = json.at("statement").get<std::string>();
-    row.who = json.at("who").get<std::string>();
-    row.basedOn = json.at("basedOn").get<Version>();
-    row.detail = json.at("detail").get<std::string>();
-    row.ordered = WallTime(std::chrono::milliseconds(json.at("orderedMs").get<std::int64_t>()));
-    auto name = json.at("state").get<std::string>();
-    const auto* state = std::find_if(
-        states.begin(), states.end(), [&](CommandState each) { return toString(each) == name; });
-    if (state == states.end())
-        return notRun(Reason::BadInput, fmt::format("unknown command state {}", name));
-    row.state = *state;
-    return row;
-} catch (const Json::exception& error) {
-    return notRun(Reason::BadInput, fmt::format("not a command: {}", error.what()));
+} // namespace
+
+bool isFleetCommand(const CommandBody& body)
+{
+    return std::holds_alternative<AssignVm>(body) || std::holds_alternative<MoveVm>(body)
+        || std::holds_alternative<DrainVm>(body) || std::holds_alternative<UndrainVm>(body)
+        || std::holds_alternative<StartWave>(body) || std::holds_alternative<ControlWave>(body);
+}
+
+std::string commandRowKey(const CommandBody& body, const OperationId& id)
+{
+    return isFleetCommand(body) ? commandKey(id) : orderPrefix + id.value();
+}
+
+std::string encodeCommand(const Command& command, const CommandRow& row)
+{
+    if (isFleetCommand(command.body)) {
+        CommandRecord record { row.id, row.basedOn, row.who, {}, {}, row.state, command.because, {},
+            row.ordered, row.ordered };
+        std::visit(FleetOrder { record }, command.body);
+        return encode(record);
+    }
+    return encodeOrder(row);
 }
 
+Result<std::string> encodeCancelled(const Row& row, const std::string& reason, WallTime now)
+{
+    if (row.key.starts_with(orderPrefix)) {
+        auto order = decodeOrder(row.value);
+        if (!order)
+            return tl::unexpected(order.error());
+        order->state = CommandState::Cancelled;
+        order->detail = reason;
+        return encodeOrder(*order);
+    }
+    auto record = decode<CommandRecord>(row.value);
+    if (!record)
+        return tl::unexpected(record.error());
+    record->state = CommandState::Cancelled;
+    record->reason = reason;
+    record->updated = now;
+    return encode(*record);
+}
+
+Result<CommandRow> decodeCommandRow(const Row& row)
+{
+    return row.key.starts_with(orderPrefix) ? decodeOrder(row.value) : decodeFleetCommand(row.value);
+}
+
+WaveId waveOf(const OperationId& command) { return WaveId("w-" + command.value()); }
+
 } // namespace fulmar::operate
--- a/src/operate/command_row.h
+++ b/src/operate/command_row.h
@@ -3,50 +3,51 @@
 #include "core/clock.h"
 #include "core/types.h"
 #include "core/verdict.h"
+#include "fleet/command.h"
+#include "operate/language.h"
+#include "platform/table.h"
 
-#include <cstdint>
 #include <string>
-#include <string_view>
+#include <vector>
 
 namespace fulmar::operate {
 
-enum class CommandState : std::uint8_t {
-    // Recorded; waits for a budget or for its duty.
-    Waiting,
-    Running,
-    Done,
-    Refused,
-    Cancelled,
-};
+// Rows of commands that the fleet duty does not execute: changes of configuration, quarantine, cancellation.
+inline constexpr auto orderPrefix = "order/";
 
-[[nodiscard]] std::string_view toString(CommandState);
+// A row that the newest command on an object leaves, so that commands on it exclude one another:
+// ordered/vm/v17/ holds the command's id.
+inline constexpr auto orderedPrefix = "ordered/";
 
-// A row under command/: who ordered what, and how far it is.
+// Who ordered what, and how far it is.
 struct CommandRow {
     OperationId id;
     // The command in its canonical spelling.
     std::string statement;
     std::string who;
     Version basedOn { 0 };
-    CommandState state { CommandState::Waiting };
+    CommandState state { CommandState::Pending };
     // Progress, or why it waits, was refused or ended.
     std::string detail;
     WallTime ordered {};
 };
 
-[[nodiscard]] inline bool isOpen(CommandState state)
-{
-    return state == CommandState::Waiting || state == CommandState::Running;
-}
+// Whether the fleet duty executes commands of this kind, from rows command/<id>.
+[[nodiscard]] bool isFleetCommand(const CommandBody&);
 
-// The row that the newest command on an object leaves, so that commands on it exclude one another:
-// ordered/vm/v17 holds the command's id.
-inline constexpr auto orderedPrefix = "ordered/";
+// The row that records the command: command/<id> for the fleet duty, order/<id> for all others.
+[[nodiscard]] std::string commandRowKey(const CommandBody&, const OperationId&);
+
+// The value of that row.
+[[nodiscard]] std::string encodeCommand(const Command&, const CommandRow&);
+
+// Reads a row of either kind. Fails with BadInput.
+[[nodiscard]] Result<CommandRow> decodeCommandRow(const Row&);
 
-[[nodiscard]] std::string commandKey(const OperationId&);
+// The row's value once the command is cancelled. Fails with BadInput if the row does not decode.
+[[nodiscard]] Result<std::string> encodeCancelled(const Row&, const std::string& reason, WallTime now);
 
-[[nodiscard]] std::string encode(const CommandRow&);
-// Fails with BadInput.
-[[nodiscard]] Result<CommandRow> decodeCommandRow(const std::string& text);
+// The wave that a "start wave" command begins.
+[[nodiscard]] WaveId waveOf(const OperationId& command);
 
 } // namespace fulmar::operate
--- a/src/operate/config_change.cpp
+++ b/src/operate/config_change.cpp
@@ -69,15 +69,15 @@
 }
 
 // Names that the new row refers to must exist.
-std::string missingReference(const PoolConfig&, const FleetView&) { return {}; }
-std::string missingReference(const TeamConfig&, const FleetView&) { return {}; }
-std::string missingReference(const ServiceConfig& config, const FleetView& view)
+std::string missingReference(const PoolConfig&, const OperatorView&) { return {}; }
+std::string missingReference(const TeamConfig&, const OperatorView&) { return {}; }
+std::string missingReference(const ServiceConfig& config, const OperatorView& view)
 {
     if (findRow(view.config, keys::poolPrefix + config.pool.value()))
         return {};
     return fmt::format("there is no pool \"{}\"", config.pool.value());
 }
-std::string missingReference(const JobConfig& config, const FleetView& view)
+std::string missingReference(const JobConfig& config, const OperatorView& view)
 {
     if (!findRow(view.config, keys::poolPrefix + config.pool.value()))
         return fmt::format("there is no pool \"{}\"", config.pool.value());
@@ -88,7 +88,7 @@
 
 template <typename Config, typename ChangeCommand>
 Change changeRow(const ChangeCommand& change, bool creates, bool mayCreate, const std::optional<Row>& current,
-    const FleetView& view)
+    const OperatorView& view)
 {
     ConfigChange result { KeyOf {}(change), {}, {} };
     if (creates && current)
@@ -115,7 +115,7 @@
 
 struct ChangeOf {
     const std::optional<Row>& current;
-    const FleetView& view;
+    const OperatorView& view;
 
     Change operator()(const ChangePool& change) const
     {
@@ -139,7 +139,7 @@
 } // namespace
 
 Result<std::optional<ConfigChange>> configChangeOf(
-    const CommandBody& body, const std::optional<Row>& current, const FleetView& view)
+    const CommandBody& body, const std::optional<Row>& current, const OperatorView& view)
 {
     return std::visit(ChangeOf { current, view }, body);
 }
--- a/src/operate/config_change.h
+++ b/src/operate/config_change.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/verdict.h"
-#include "operate/fleet_view.h"
 #include "operate/language.h"
+#include "operate/operator_view.h"
 
 #include <optional>
 #include <string>
@@ -20,7 +20,7 @@
 // The row that the command changes. Empty for commands that change no configuration. Fails with BadInput
 // where a name does not exist or a value is out of range, with Conflict where a new row exists already.
 [[nodiscard]] Result<std::optional<ConfigChange>> configChangeOf(
-    const CommandBody&, const std::optional<Row>& current, const FleetView&);
+    const CommandBody&, const std::optional<Row>& current, const OperatorView&);
 
 // The key of the configuration row that the command changes; empty if it changes none.
 [[nodiscard]] std::string configKeyOf(const CommandBody&);
--- a/src/operate/dry_run.cpp
+++ b/src/operate/dry_run.cpp
@@ -23,7 +23,7 @@
     PoolState zone;
 };
 
-Groups groupsAround(const VmRecord& vm, const FleetView& view)
+Groups groupsAround(const VmRecord& vm, const OperatorView& view)
 {
     Groups groups;
     forEachRow<VmRecord>(view.config, keys::vmPrefix, [&](const Row&, const VmRecord& other) {
@@ -48,7 +48,7 @@
 }
 
 // Taking one VM out spends the budgets of its pool, and of its pool in its rack and its zone.
-Answer takingOut(const VmId& id, const FleetView& view)
+Answer takingOut(const VmId& id, const OperatorView& view)
 {
     Answer answer;
     auto vm = findValue<VmRecord>(view.config, keys::vmPrefix + id.value());
@@ -64,18 +64,18 @@
     std::uint32_t more = vm->state == VmState::Serving ? 1 : 0;
     answer.columns = budgetColumns;
     answer.rows = {
-        budgetLine("pool " + vm->pool.value(), groups.pool,
-            allowedUnavailable(config->unavailableShare, total), more),
+        budgetLine(
+            "pool " + vm->pool.value(), groups.pool, allowedVms(config->unavailableShare, total), more),
         budgetLine("rack " + vm->rack.value(), groups.rack,
-            allowedUnavailable(config->unavailableSharePerRack, total), more),
+            allowedVms(config->unavailableSharePerRack, total), more),
         budgetLine("zone " + vm->zone.value(), groups.zone,
-            allowedUnavailable(config->unavailableSharePerZone, total), more),
+            allowedVms(config->unavailableSharePerZone, total), more),
     };
     return answer;
 }
 
 struct BudgetEffect {
-    const FleetView& view;
+    const OperatorView& view;
 
     Answer operator()(const DrainVm& body) const { return takingOut(body.vm, view); }
     Answer operator()(const MoveVm& body) const { return takingOut(body.vm, view); }
@@ -83,7 +83,7 @@
     {
         auto config = findValue<PoolConfig>(view.config, keys::poolPrefix + body.pool.value());
         auto state = poolStates(view)[body.pool];
-        auto allowed = allowedUnavailable(config ? config->unavailableShare : 0, state.vms);
+        auto allowed = allowedVms(config ? config->unavailableShare : 0, state.vms);
         auto free = allowed > state.spent() ? allowed - state.spent() : 0;
         Answer answer;
         answer.columns = budgetColumns;
@@ -115,7 +115,8 @@
 
 } // namespace
 
-Answer showEffect(const CommandBody& body, const std::optional<ConfigChange>& change, const FleetView& view)
+Answer showEffect(
+    const CommandBody& body, const std::optional<ConfigChange>& change, const OperatorView& view)
 {
     auto answer = change ? fieldChanges(*change) : std::visit(BudgetEffect { view }, body);
     answer.message += answer.message.empty() ? "nothing was done (plan)" : "; nothing was done (plan)";
--- a/src/operate/operator_service.cpp
+++ b/src/operate/operator_service.cpp
@@ -14,7 +14,7 @@
 using Json = nlohmann::json;
 
 struct AnswerQuery {
-    const FleetView& view;
+    const OperatorView& view;
     WallTime now;
 
     Answer operator()(const Query& query) const { return runQuery(query, view, now); }
@@ -51,7 +51,7 @@
 }
 
 std::variant<Answer, Command> answerStatement(
-    const OperatorRequest& request, const FleetView& view, WallTime now)
+    const OperatorRequest& request, const OperatorView& view, WallTime now)
 {
     auto statement = parseStatement(request.text);
     if (!statement)
--- a/src/operate/operator_service.h
+++ b/src/operate/operator_service.h
@@ -2,8 +2,8 @@
 
 #include "operate/answer.h"
 #include "operate/command_decision.h"
-#include "operate/fleet_view.h"
 #include "operate/language.h"
+#include "operate/operator_view.h"
 
 #include <algorithm>
 #include <cassert>
@@ -27,7 +27,7 @@
 
 // The answer to a statement that changes nothing, or the command that must be decided with fresh rows.
 [[nodiscard]] std::variant<Answer, Command> answerStatement(
-    const OperatorRequest&, const FleetView&, WallTime now);
+    const OperatorRequest&, const OperatorView&, WallTime now);
 
 // Reads one row; empty if there is none.
 template <typename Platform>
@@ -41,38 +41,48 @@
     return row == changes->rows.end() ? std::nullopt : std::optional<Row>(*row);
 }
 
+// Reads the row that records a command, whichever duty executes it.
+template <typename Platform>
+[[nodiscard]] Result<std::optional<Row>> readCommandRow(Platform& platform, const OperationId& id)
+{
+    if (auto row = readRow(platform, commandKey(id)); !row || row->has_value())
+        return row;
+    return readRow(platform, orderPrefix + id.value());
+}
+
 template <typename Platform>
 [[nodiscard]] Result<std::optional<CommandRow>> readCommand(Platform& platform, const OperationId& id)
 {
-    auto row = readRow(platform, commandKey(id));
+    auto row = readCommandRow(platform, id);
     if (!row)
         return tl::unexpected(row.error());
     if (!row->has_value())
         return std::optional<CommandRow>();
-    auto command = decodeCommandRow((*row)->value);
+    auto command = decodeCommandRow(**row);
     return command ? std::optional<CommandRow>(std::move(*command)) : std::nullopt;
 }
 
 template <typename Platform>
-[[nodiscard]] Result<CommandContext> readContext(
-    Platform& platform, const OperationId& id, const std::string& guardKey)
+[[nodiscard]] Result<CommandRows> readCommandRows(
+    Platform& platform, const OperationId& id, const CommandBody& body)
 {
-    CommandContext context;
+    CommandRows rows;
     auto recorded = readCommand(platform, id);
     if (!recorded)
         return tl::unexpected(recorded.error());
-    context.recorded = std::move(*recorded);
-    auto guard = readRow(platform, guardKey);
+    rows.recorded = std::move(*recorded);
+    const auto* cancel = std::get_if<CancelCommand>(&body);
+    auto guard = cancel ? readCommandRow(platform, cancel->command) : readRow(platform, guardKeyOf(body));
     if (!guard)
         return tl::unexpected(guard.error());
-    context.guard = std::move(*guard);
-    if (!context.guard || context.guard->operation.empty())
-        return context;
-    auto previous = readCommand(platform, context.guard->operation);
+    rows.guard = std::move(*guard);
+    if (!rows.guard || rows.guard->operation.empty())
+        return rows;
+    auto previous = readCommand(platform, rows.guard->operation);
     if (!previous)
         return tl::unexpected(previous.error());
-    context.previous = std::move(*previous);
-    return context;
+    rows.previous = std::move(*previous);
+    return rows;
 }
 
 // The answer where the platform does not say whether the command is recorded.
@@ -82,16 +92,16 @@
 // a conflict that names the winner; after a lost reply the rows say what happened.
 template <typename Platform>
 [[nodiscard]] Answer orderCommand(
-    Platform& platform, const Command& command, CommandOrigin origin, const FleetView& view, WallTime now)
+    Platform& platform, const Command& command, CommandOrigin origin, const OperatorView& view, WallTime now)
 {
     constexpr int maxAttempts = 3;
     assert(!origin.id.empty());
     bool mayHaveRun = false;
     for (int attempt = 0; attempt < maxAttempts; ++attempt) {
-        auto context = readContext(platform, origin.id, guardKeyOf(command.body));
-        if (!context)
-            return unreachableAnswer(context.error(), mayHaveRun);
-        auto decision = decideCommand(command, origin, *context, view, now);
+        auto rows = readCommandRows(platform, origin.id, command.body);
+        if (!rows)
+            return unreachableAnswer(rows.error(), mayHaveRun);
+        auto decision = decideCommand(command, origin, *rows, view, now);
         if (auto* answer = std::get_if<Answer>(&decision))
             return std::move(*answer);
         auto& plan = std::get<CommandPlan>(decision);
@@ -102,7 +112,7 @@
         }
         // What another command has written since is news to this operator.
         if (committed.error().reason == Reason::Conflict && !origin.basedOn)
-            origin.basedOn = context->guard ? context->guard->version : 0;
+            origin.basedOn = rows->guard ? rows->guard->version : 0;
         mayHaveRun = mayHaveRun || committed.error().outcome != Outcome::NotRun;
         if (committed.error().outcome == Outcome::NotRun && committed.error().reason != Reason::Conflict)
             return unreachableAnswer(committed.error(), mayHaveRun);
--- a/src/operate/fleet_view.h
+++ b/src/operate/operator_view.h
@@ -85,9 +85,9 @@
 
 // Everything that a process knows when it answers an operator. The configuration rows are those of its
 // replica; facts come from its own duties and from the peers that answered in time.
-struct FleetView {
+struct OperatorView {
     const std::map<std::string, Row>& config;
-    // Rows under command/ as last read.
+    // Rows under command/ and order/ as last read.
     const std::map<std::string, Row>& commands;
     std::vector<TargetFact> targets {};
     std::vector<WorkerFact> workers {};
--- a/src/operate/pool_state.cpp
+++ b/src/operate/pool_state.cpp
@@ -2,17 +2,8 @@
 
 #include "operate/rows.h"
 
-#include <cmath>
-
 namespace fulmar::operate {
 
-namespace {
-
-// Keeps 0.1 * 30 from being taken for less than 3.
-constexpr double roundingSlack = 1e-9;
-
-} // namespace
-
 void PoolState::add(VmState state)
 {
     ++vms;
@@ -32,12 +23,7 @@
     }
 }
 
-std::uint32_t allowedUnavailable(double share, std::uint32_t vms)
-{
-    return std::uint32_t(std::floor(share * vms + roundingSlack));
-}
-
-std::map<PoolId, PoolState> poolStates(const FleetView& view)
+std::map<PoolId, PoolState> poolStates(const OperatorView& view)
 {
     std::map<PoolId, PoolState> states;
     forEachRow<PoolConfig>(view.config, keys::poolPrefix,
--- a/src/operate/pool_state.h
+++ b/src/operate/pool_state.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "config/model.h"
-#include "operate/fleet_view.h"
+#include "fleet/budget.h"
+#include "operate/operator_view.h"
 
 #include <cstdint>
 #include <map>
@@ -22,10 +23,7 @@
     void add(VmState);
 };
 
-// VMs of a group of `vms` that may be unavailable at once.
-[[nodiscard]] std::uint32_t allowedUnavailable(double share, std::uint32_t vms);
-
 // The state of every pool that has a configuration row or a VM.
-[[nodiscard]] std::map<PoolId, PoolState> poolStates(const FleetView&);
+[[nodiscard]] std::map<PoolId, PoolState> poolStates(const OperatorView&);
 
 } // namespace fulmar::operate
--- a/src/operate/query.cpp
+++ b/src/operate/query.cpp
@@ -140,7 +140,7 @@
 
 } // namespace
 
-Answer runQuery(const Query& query, const FleetView& view, WallTime now)
+Answer runQuery(const Query& query, const OperatorView& view, WallTime now)
 {
     auto filters = typedFilters(query);
     if (!filters)
--- a/src/operate/subject_rows.cpp
+++ b/src/operate/subject_rows.cpp
@@ -33,7 +33,7 @@
 
 template <typename... Values> std::vector<Cell> line(const Values&... values) { return { cell(values)... }; }
 
-Rows vmRows(const FleetView& view, WallTime now)
+Rows vmRows(const OperatorView& view, WallTime now)
 {
     Rows rows;
     forEachRow<VmRecord>(view.config, keys::vmPrefix, [&](const Row& row, const VmRecord& vm) {
@@ -44,7 +44,7 @@
     return rows;
 }
 
-Rows poolRows(const FleetView& view)
+Rows poolRows(const OperatorView& view)
 {
     Rows rows;
     for (const auto& [pool, state] : poolStates(view)) {
@@ -53,13 +53,13 @@
         auto config = findValue<PoolConfig>(view.config, key);
         double share = config ? config->unavailableShare : 0;
         rows.push_back(line(pool, state.vms, state.serving, state.leaving, state.maintenance, state.failed,
-            allowedUnavailable(share, state.vms), state.spent(), yesOrNo(config && config->isSpare),
+            allowedVms(share, state.vms), state.spent(), yesOrNo(config && config->isSpare),
             row ? row->version : 0));
     }
     return rows;
 }
 
-Rows serviceRows(const FleetView& view)
+Rows serviceRows(const OperatorView& view)
 {
     Rows rows;
     forEachRow<ServiceConfig>(
@@ -71,7 +71,7 @@
     return rows;
 }
 
-Rows targetRows(const FleetView& view)
+Rows targetRows(const OperatorView& view)
 {
     Rows rows;
     for (const auto& target : view.targets)
@@ -80,7 +80,7 @@
     return rows;
 }
 
-Rows workerRows(const FleetView& view)
+Rows workerRows(const OperatorView& view)
 {
     Rows rows;
     for (const auto& worker : view.workers)
@@ -89,7 +89,7 @@
     return rows;
 }
 
-Rows taskRows(const FleetView& view, WallTime now)
+Rows taskRows(const OperatorView& view, WallTime now)
 {
     Rows rows;
     for (const auto& task : view.tasks)
@@ -98,7 +98,7 @@
     return rows;
 }
 
-Rows jobRows(const FleetView& view)
+Rows jobRows(const OperatorView& view)
 {
     Rows rows;
     forEachRow<JobConfig>(view.config, keys::jobPrefix, [&](const Row& row, const JobConfig& job) {
@@ -108,7 +108,7 @@
     return rows;
 }
 
-Rows teamRows(const FleetView& view)
+Rows teamRows(const OperatorView& view)
 {
     Rows rows;
     forEachRow<TeamConfig>(view.config, keys::teamPrefix, [&](const Row& row, const TeamConfig& team) {
@@ -117,7 +117,7 @@
     return rows;
 }
 
-Rows waveRows(const FleetView& view, WallTime now)
+Rows waveRows(const OperatorView& view, WallTime now)
 {
     Rows rows;
     for (const auto& wave : view.waves)
@@ -126,7 +126,7 @@
     return rows;
 }
 
-Rows moveRows(const FleetView& view, WallTime now)
+Rows moveRows(const OperatorView& view, WallTime now)
 {
     Rows rows;
     for (const auto& move : view.moves)
@@ -135,7 +135,7 @@
     return rows;
 }
 
-Rows leaseRows(const FleetView& view)
+Rows leaseRows(const OperatorView& view)
 {
     Rows rows;
     for (const auto& lease : view.leases)
@@ -143,7 +143,7 @@
     return rows;
 }
 
-Rows configRows(const FleetView& view)
+Rows configRows(const OperatorView& view)
 {
     Rows rows;
     for (const auto& [key, row] : view.config)
@@ -152,7 +152,7 @@
     return rows;
 }
 
-Rows peerRows(const FleetView& view)
+Rows peerRows(const OperatorView& view)
 {
     Rows rows;
     for (const auto& peer : view.peers)
@@ -160,20 +160,20 @@
     return rows;
 }
 
-Rows commandRows(const FleetView& view, WallTime now)
+Rows commandRows(const OperatorView& view, WallTime now)
 {
     Rows rows;
     for (const auto& [key, row] : view.commands) {
         if (row.deleted)
             continue;
-        if (auto command = decodeCommandRow(row.value))
+        if (auto command = decodeCommandRow(row))
             rows.push_back(line(command->id, command->who, toString(command->state), command->statement,
                 ageOf(command->ordered, now), command->basedOn, command->detail));
     }
     return rows;
 }
 
-Rows buildRows(Subject subject, const FleetView& view, WallTime now)
+Rows buildRows(Subject subject, const OperatorView& view, WallTime now)
 {
     switch (subject) {
     case Subject::Vms:
@@ -210,7 +210,7 @@
 
 } // namespace
 
-std::vector<std::vector<Cell>> rowsOf(Subject subject, const FleetView& view, WallTime now)
+std::vector<std::vector<Cell>> rowsOf(Subject subject, const OperatorView& view, WallTime now)
 {
     auto rows = buildRows(subject, view, now);
     assert(rows.empty() || rows.front().size() == fieldsOf(subject).size());
--- a/src/operate/why.cpp
+++ b/src/operate/why.cpp
@@ -19,7 +19,7 @@
 // Builds an explanation line by line, following causes from one entity to the next.
 class Explanation {
 public:
-    Explanation(const FleetView& view, WallTime now)
+    Explanation(const OperatorView& view, WallTime now)
         : m_view(view)
         , m_now(now)
     {
@@ -110,7 +110,7 @@
         line(fmt::format("pool {} has {} VMs: {} serving, {} leaving, {} in maintenance, {} failed; {} of {} "
                          "may be unavailable",
                  pool.value(), state.vms, state.serving, state.leaving, state.maintenance, state.failed,
-                 state.spent(), allowedUnavailable(config->unavailableShare, state.vms)),
+                 state.spent(), allowedVms(config->unavailableShare, state.vms)),
             std::nullopt, rowSource(m_view.config, key));
     }
 
@@ -200,9 +200,13 @@
     {
         auto key = commandKey(command);
         const auto* row = findRow(m_view.commands, key);
+        if (!row) {
+            key = orderPrefix + command.value();
+            row = findRow(m_view.commands, key);
+        }
         if (!row)
             return;
-        if (auto fact = decodeCommandRow(row->value))
+        if (auto fact = decodeCommandRow(*row))
             line(fmt::format("command {} of {}: {} is {}{}", command.value(), fact->who, fact->statement,
                      toString(fact->state), fact->detail.empty() ? "" : ": " + fact->detail),
                 fact->ordered, rowSource(m_view.commands, key));
@@ -236,7 +240,7 @@
             row->operation.value());
     }
 
-    const FleetView& m_view;
+    const OperatorView& m_view;
     WallTime m_now;
     int m_depth { 0 };
     Answer m_answer;
@@ -244,7 +248,7 @@
 
 } // namespace
 
-Answer explain(const Entity& entity, const FleetView& view, WallTime now)
+Answer explain(const Entity& entity, const OperatorView& view, WallTime now)
 {
     Explanation explanation(view, now);
     explanation.add(entity);
