--- a/src/operate/timeline.cpp
+++ b/src/operate/timeline.cpp
@@ -137,6 +137,24 @@
     return list.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+Result<std::vector<Event>> timelineFromJson(const std::string& text)
+try {
+    std::vector<Event> events;
+    for (const auto& item : nlohmann::json::parse(text)) {
+        Event event;
+        event.stamp.wall = WallTime(std::chrono::milliseconds(item.at("wallMs").get<std::int64_t>()));
+        event.stamp.counter = item.at("counter").get<std::uint32_t>();
+        event.process = ProcessId(item.at("process").get<std::string>());
+        event.kind = item.at("kind").get<std::string>();
+        for (const auto& field : item.at("fields"))
+            event.fields.emplace_back(field.at(0).get<std::string>(), field.at(1).get<std::string>());
+        events.push_back(std::move(event));
+    }
+    return events;
+} catch (const nlohmann::json::exception& error) {
+    return notRun(Reason::BadInput, fmt::format("not a list of events: {}", error.what()));
+}
+
 std::string fieldValue(const Event& event, std::string_view name)
 {
     auto field = std::find_if(
--- a/src/operate/timeline.h
+++ b/src/operate/timeline.h
@@ -25,6 +25,8 @@
 // One "key=value" line for each event.
 [[nodiscard]] std::string timelineText(const std::vector<Event>&);
 [[nodiscard]] std::string timelineJson(const std::vector<Event>&);
+// Reads what timelineJson wrote. Fails with BadInput.
+[[nodiscard]] Result<std::vector<Event>> timelineFromJson(const std::string&);
 // A page that needs nothing but itself: a lane for each process and a table that can be searched.
 [[nodiscard]] std::string timelineHtml(const std::vector<Event>&, const std::string& title);
 
