--- /dev/null
+++ b/src/daemon/distribution.cpp
@@ -0,0 +1,193 @@
+#include "daemon/distribution.h"
+
+#include "fleet/entry_row.h"
+
+#include <algorithm>
+
+namespace fulmar {
+
+Distribution::Distribution(PeerInfo self, MembershipSettings settings, OnChange onChange)
+    : m_self(self)
+    , m_membership(std::move(self), std::move(settings))
+    , m_onChange(std::move(onChange))
+{
+}
+
+void Distribution::setRegistered()
+{
+    std::lock_guard lock(m_mutex);
+    m_self.isRegistered = true;
+}
+
+bool Distribution::holdsOwnRow() const
+{
+    auto position = m_replica.rows().find(entryKey(m_self.process));
+    if (position == m_replica.rows().end() || position->second.deleted)
+        return false;
+    auto record = decode<EntryRecord>(position->second.value);
+    return record && record->incarnation == std::to_string(m_self.incarnation);
+}
+
+bool Distribution::mayRoute() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_hasPeerCopy || holdsOwnRow();
+}
+
+bool Distribution::apply(const Changes& changes)
+{
+    auto before = m_replica.version();
+    auto report = m_replica.apply(changes);
+    return !report.changedKeys.empty() || m_replica.version() > before;
+}
+
+void Distribution::applyFromPlatform(const Changes& changes)
+{
+    bool hasGrown = false;
+    {
+        std::lock_guard lock(m_mutex);
+        hasGrown = apply(changes);
+    }
+    if (hasGrown)
+        m_onChange();
+}
+
+bool Distribution::mayHandRowsTo(const PeerInfo& peer) const
+{
+    if (peer.role == PeerRole::Control || peer.isRegistered)
+        return true;
+    return m_self.role == PeerRole::Entry && m_self.isRegistered;
+}
+
+Exchange Distribution::makeMessage(TimePoint now) const
+{
+    Exchange message;
+    message.from = m_self;
+    message.known = m_membership.contacts(now);
+    message.version = m_replica.version();
+    return message;
+}
+
+// Notes an unregistered entry as a dependent in the same step in which it gets its copy.
+void Distribution::addRowsFor(const PeerInfo& peer, Version theirs, Exchange& message)
+{
+    if (theirs >= m_replica.version() || !mayHandRowsTo(peer))
+        return;
+    if (peer.role == PeerRole::Entry && !peer.isRegistered)
+        m_dependents[peer.process] = peer;
+    message.base = theirs;
+    message.changes = m_replica.changesSince(theirs);
+}
+
+Exchange Distribution::makeRequest(const std::string& address, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    auto message = makeMessage(now);
+    if (auto known = m_peerVersions.find(address); known != m_peerVersions.end())
+        addRowsFor(known->second.peer, known->second.version, message);
+    return message;
+}
+
+// Rows are taken only if nothing is missing between our version and theirs: a process that was replaced under
+// the same address may be handed rows that its predecessor lacked.
+bool Distribution::merge(const Exchange& message, TimePoint now)
+{
+    m_membership.onContact(message.from, now);
+    m_membership.onHearsay(message.known, now);
+    if (message.from.isRegistered)
+        m_dependents.erase(message.from.process);
+    bool isUseful = message.changes.tableVersion > m_replica.version() && message.base <= m_replica.version();
+    if (!isUseful)
+        return false;
+    if (!m_self.isRegistered && message.from.role == PeerRole::Entry)
+        m_hasPeerCopy = true;
+    return apply(message.changes);
+}
+
+Exchange Distribution::onRequest(const Exchange& message, TimePoint now)
+{
+    Exchange reply;
+    bool hasGrown = false;
+    {
+        std::lock_guard lock(m_mutex);
+        hasGrown = merge(message, now);
+        reply = makeMessage(now);
+        addRowsFor(message.from, message.version, reply);
+        m_peerVersions[message.from.address]
+            = { message.from, std::max(message.version, reply.changes.tableVersion) };
+    }
+    if (hasGrown)
+        m_onChange();
+    return reply;
+}
+
+void Distribution::onReply(const std::string& address, const Exchange& message, TimePoint now)
+{
+    bool hasGrown = false;
+    {
+        std::lock_guard lock(m_mutex);
+        hasGrown = merge(message, now);
+        m_peerVersions[address] = { message.from, message.version };
+    }
+    if (hasGrown)
+        m_onChange();
+}
+
+std::vector<PeerInfo> Distribution::dependents() const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<PeerInfo> peers;
+    for (const auto& [process, dependent] : m_dependents)
+        peers.push_back(dependent);
+    return peers;
+}
+
+std::vector<std::string> Distribution::dueExchanges(TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    return m_membership.due(now);
+}
+
+std::vector<PeerInfo> Distribution::live(PeerRole role, TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_membership.live(role, now);
+}
+
+std::vector<PeerInfo> Distribution::contacts(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_membership.contacts(now);
+}
+
+std::optional<PeerInfo> Distribution::find(const ProcessId& process) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_membership.find(process);
+}
+
+Version Distribution::version() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_replica.version();
+}
+
+Changes Distribution::changesSince(Version since) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_replica.changesSince(since);
+}
+
+ConfigReplica Distribution::replica() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_replica;
+}
+
+PeerInfo Distribution::self() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_self;
+}
+
+} // namespace fulmar
