--- /dev/null
+++ b/src/serve/admission.cpp
@@ -0,0 +1,198 @@
+#include "serve/admission.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace fulmar::serve {
+
+namespace {
+
+constexpr Duration demandTime = std::chrono::seconds(5);
+// Short calls never keep more than this share of the slots from long ones.
+constexpr double maxReserveShare = 0.5;
+// Demand below this many slots reserves nothing.
+constexpr double leastDemand = 0.01;
+// Share of the time to a call's deadline that its wait may be expected to take.
+constexpr double waitShare = 0.5;
+
+} // namespace
+
+void FairQueue::push(WaitingCall call)
+{
+    auto& calls = callsOf(call.caller);
+    ++m_size;
+    m_work += call.expectedRun;
+    calls.push_back(std::move(call));
+}
+
+void FairQueue::pushFront(WaitingCall call)
+{
+    auto& calls = callsOf(call.caller);
+    ++m_size;
+    m_work += call.expectedRun;
+    calls.push_front(std::move(call));
+}
+
+const WaitingCall* FairQueue::front() const
+{
+    return m_turns.empty() ? nullptr : &m_calls.at(m_turns.front()).front();
+}
+
+WaitingCall FairQueue::popFront()
+{
+    assert(!m_turns.empty());
+    auto position = m_calls.find(m_turns.front());
+    auto call = std::move(position->second.front());
+    position->second.pop_front();
+    m_turns.splice(m_turns.end(), m_turns, m_turns.begin());
+    removed(call.caller, call);
+    return call;
+}
+
+bool FairQueue::remove(const std::string& caller, RequestId request)
+{
+    auto position = m_calls.find(caller);
+    if (position == m_calls.end())
+        return false;
+    auto& calls = position->second;
+    auto isIt = [request](const WaitingCall& call) { return call.request == request; };
+    auto found = std::find_if(calls.begin(), calls.end(), isIt);
+    if (found == calls.end())
+        return false;
+    auto call = std::move(*found);
+    calls.erase(found);
+    removed(caller, call);
+    return true;
+}
+
+// In each round of turns every caller has one call served, so that a new call waits for all calls of its own
+// caller and for as many of each other.
+Duration FairQueue::workBefore(const std::string& caller) const
+{
+    if (m_size == 0)
+        return {};
+    auto rounds = sizeOf(caller) + 1;
+    std::size_t before = 0;
+    for (const auto& [other, calls] : m_calls)
+        before += other == caller ? calls.size() : std::min(calls.size(), rounds);
+    return m_work * std::int64_t(before) / std::int64_t(m_size);
+}
+
+std::pair<std::string, std::size_t> FairQueue::longestCaller() const
+{
+    std::pair<std::string, std::size_t> longest;
+    for (const auto& caller : m_turns)
+        if (auto size = sizeOf(caller); size > longest.second)
+            longest = { caller, size };
+    return longest;
+}
+
+std::size_t FairQueue::sizeOf(const std::string& caller) const
+{
+    auto position = m_calls.find(caller);
+    return position == m_calls.end() ? 0 : position->second.size();
+}
+
+WaitingCall FairQueue::popNewest(const std::string& caller)
+{
+    auto& calls = m_calls.at(caller);
+    auto call = std::move(calls.back());
+    calls.pop_back();
+    removed(caller, call);
+    return call;
+}
+
+std::deque<WaitingCall>& FairQueue::callsOf(const std::string& caller)
+{
+    auto [position, isNew] = m_calls.try_emplace(caller);
+    if (isNew)
+        m_turns.push_back(caller);
+    return position->second;
+}
+
+void FairQueue::removed(const std::string& caller, const WaitingCall& call)
+{
+    --m_size;
+    m_work -= call.expectedRun;
+    if (auto position = m_calls.find(caller); position->second.empty()) {
+        m_calls.erase(position);
+        m_turns.remove(caller);
+    }
+}
+
+Admitted Admission::offer(WaitingCall call, std::uint32_t slots, std::size_t limit, TimePoint now)
+{
+    if (!call.isLong)
+        countShortDemand(call.expectedRun, now);
+    auto wait = expectedWait(call, slots, now);
+    auto allowed = std::chrono::duration_cast<Duration>(waitShare * (call.deadline - now));
+    if (wait > allowed || now + wait + call.expectedRun > call.deadline)
+        return { false, {}, wait };
+    auto& queue = queueOf(call.isLong);
+    Admitted result { true, {}, wait };
+    if (size() >= limit) {
+        auto [caller, count] = queue.longestCaller();
+        if (count <= queue.sizeOf(call.caller) + 1)
+            return { false, {}, wait };
+        result.evicted = queue.popNewest(caller).request;
+    }
+    queue.push(std::move(call));
+    return result;
+}
+
+void Admission::putBack(WaitingCall call)
+{
+    auto& queue = queueOf(call.isLong);
+    queue.pushFront(std::move(call));
+}
+
+const WaitingCall* Admission::next(std::uint32_t slots, TimePoint now) const
+{
+    const auto* shortCall = m_short.front();
+    const auto* longCall = m_long.front();
+    if (longCall && m_longInFlight >= longLimit(slots, now))
+        longCall = nullptr;
+    if (!shortCall || !longCall)
+        return shortCall ? shortCall : longCall;
+    return shortCall->queued <= longCall->queued ? shortCall : longCall;
+}
+
+void Admission::remove(const WaitingCall& call) { queueOf(call.isLong).remove(call.caller, call.request); }
+
+std::uint32_t Admission::longLimit(std::uint32_t slots, TimePoint now) const
+{
+    auto demand = shortDemand(now);
+    if (demand < leastDemand || slots < 2)
+        return std::max(1U, slots);
+    // Room for the mean and for its usual variation.
+    auto needed = demand + 2 * std::sqrt(demand);
+    auto reserve = std::clamp(needed, 1.0, std::max(1.0, maxReserveShare * slots));
+    return std::max(1U, slots - std::uint32_t(std::ceil(reserve)));
+}
+
+// How long the call would wait, from the work before it and the slots that work on it.
+Duration Admission::expectedWait(const WaitingCall& call, std::uint32_t slots, TimePoint now) const
+{
+    const auto& queue = call.isLong ? m_long : m_short;
+    auto work = queue.workBefore(call.caller);
+    auto lanes = std::max(1U, slots);
+    if (call.isLong)
+        lanes = longLimit(slots, now);
+    else
+        lanes = std::max(1U, lanes - std::min(lanes, m_longInFlight));
+    return work / std::int64_t(lanes);
+}
+
+void Admission::countShortDemand(Duration run, TimePoint now)
+{
+    m_shortDemand = shortDemand(now) + std::chrono::duration<double>(run) / demandTime;
+    m_demandAt = now;
+}
+
+double Admission::shortDemand(TimePoint now) const
+{
+    return m_shortDemand * std::exp(-(std::chrono::duration<double>(now - m_demandAt) / demandTime));
+}
+
+} // namespace fulmar::serve
--- a/src/serve/call.h
+++ b/src/serve/call.h
@@ -124,6 +124,8 @@
     std::string address;
     // The attempt is ended by the daemon at this time if it has not ended before.
     TimePoint deadline;
+    // Connections to this address, idle ones included, that the daemon may keep.
+    std::uint32_t connectionLimit { 0 };
 };
 
 // Close the attempt's connection. Its end is still reported.
--- a/src/serve/dispatcher.h
+++ b/src/serve/dispatcher.h
@@ -3,6 +3,7 @@
 #include "serve/call.h"
 #include "serve/directory.h"
 #include "serve/key_registry.h"
+#include "serve/peer_load.h"
 
 #include <map>
 #include <memory>
@@ -24,27 +25,6 @@
     Duration keyedGrace { std::chrono::seconds(10) };
 };
 
-// An entry VM, ours included. `zone` is where it runs.
-struct EntryVm {
-    ProcessId process;
-    ZoneId zone;
-
-    bool operator==(const EntryVm&) const = default;
-};
-
-// What entry VMs tell each other several times a second.
-struct PeerLoad {
-    // Calls in flight per target.
-    std::map<VmId, std::uint32_t> inFlight;
-    // Calls that wait for a slot, per service.
-    std::map<ServiceId, std::uint32_t> waiting;
-    // Slots of the sender that the receiver may use until `lentFor` after the message was sent.
-    std::map<VmId, std::uint32_t> lent;
-    Duration lentFor {};
-    // Targets of which the sender was told, other than by a peer, that they are leaving.
-    std::vector<VmId> leaving;
-};
-
 // Decides, for one entry VM, which call goes where and when, and what its caller is told. Pure: it owns no
 // socket, thread or clock. The daemon reports each event with the time and carries out the returned actions
 // in order. Not thread-safe: one duty thread feeds it.
@@ -72,17 +52,21 @@
     // When onTick has something to do; empty if only another event can bring about an action.
     [[nodiscard]] std::optional<TimePoint> nextWake() const;
 
-    [[nodiscard]] Actions applyDirectory(ServiceDirectory, TimePoint now);
+    [[nodiscard]] Actions applyDirectory(const ServiceDirectory&, TimePoint now);
 
     // All entry VMs that are registered, whether they can be reached or not; ours included.
     [[nodiscard]] Actions setEntries(const std::vector<EntryVm>&, TimePoint now);
 
-    // The platform's list, an operator or the target itself said that the VM is leaving. It gets no new call
-    // until its row has a higher epoch and says Serving again.
+    // An operator or the target itself said that the VM is leaving. It gets no new call for a minute, by when
+    // its row has to say so, or until a row with a higher epoch says Serving.
     void onTargetLeaving(const VmId&, TimePoint now);
+    // What the platform's list says of a VM, each time it is read. A VM listed as leaving gets no new call
+    // until it is listed as live, or a row with a higher epoch says Serving.
+    void onTargetListed(const VmId&, bool leaving);
 
     [[nodiscard]] Actions onPeerLoad(const ProcessId&, const PeerLoad&, TimePoint now);
-    // The message for one peer; to be made and sent about every 100 ms.
+    // The message for one peer; to be made and sent about every 100 ms, at once after a target was said to be
+    // leaving, and every second to a peer of another zone with which no slots are lent or wanted.
     [[nodiscard]] PeerLoad loadFor(const ProcessId& peer, TimePoint now);
 
     // Attempts in flight per target, for the fleet's check that a VM is empty.
--- /dev/null
+++ b/src/serve/dispatcher_state.cpp
@@ -0,0 +1,447 @@
+#include "serve/dispatcher_state.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <fmt/format.h>
+
+namespace fulmar::serve {
+
+namespace {
+
+constexpr std::size_t maxKeyLength = 255;
+constexpr std::size_t maxAttempts = 3;
+constexpr std::chrono::seconds never { 0 };
+constexpr std::chrono::seconds maxRetryAfter { 30 };
+constexpr Duration firstRetryDelay = std::chrono::milliseconds(10);
+// A call that timed out after this many times its expected run time speaks against its target.
+constexpr int hungFactor = 2;
+// A target may work on a call that was given up for this many times the call's expected run time.
+constexpr int abandonedFactor = 2;
+
+// Methods that RFC 9110 defines as idempotent.
+constexpr std::array<std::string_view, 6> idempotentMethods { "GET", "HEAD", "PUT", "DELETE", "OPTIONS",
+    "TRACE" };
+
+bool isIdempotent(const ServiceConfig& config, const std::string& method)
+{
+    auto has = [&method](const auto& methods) {
+        return std::find(methods.begin(), methods.end(), method) != methods.end();
+    };
+    return has(idempotentMethods) || has(config.idempotentMethods);
+}
+
+// A whole answer by which a target or its gateway says that it did not do the work.
+bool isRetriableStatus(int status) { return status == 502 || status == 503 || status == 504; }
+
+bool isServerError(int status) { return status >= 500; }
+
+} // namespace
+
+Dispatcher::State::State(DispatcherSettings settings)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed)
+    , m_targets({ m_settings.process, m_settings.zone }, m_settings.seed)
+    , m_exchange({ m_settings.process, m_settings.zone }, m_settings.incarnation, m_targets)
+    , m_keyed({ m_settings.process, m_settings.incarnation }, m_settings.keys)
+{
+}
+
+void Dispatcher::State::onCall(RequestId id, const CallInfo& call, TimePoint now)
+{
+    auto service = m_services.find(call.service);
+    if (service == m_services.end()) {
+        emit(Refuse { id, { Outcome::NotRun, Reason::NotFound, "no such service" }, never });
+        return;
+    }
+    if (call.idempotencyKey && (call.idempotencyKey->empty() || call.idempotencyKey->size() > maxKeyLength)) {
+        auto detail = fmt::format("the idempotency key must have 1 to {} characters", maxKeyLength);
+        emit(Refuse { id, { Outcome::NotRun, Reason::BadInput, detail }, never });
+        return;
+    }
+    auto& state = service->second;
+    state.retries.onFreshCall(state.config.retryShare);
+    auto [position, isNew] = m_requests.try_emplace(id);
+    assert(isNew);
+    auto& request = position->second;
+    auto timeout = call.timeout.value_or(state.config.defaultTimeout);
+    request.service = call.service;
+    request.caller = call.caller;
+    request.arrived = now;
+    request.deadline = now + timeout;
+    request.idempotent = isIdempotent(state.config, call.method);
+    request.callClass = m_runTimes.classOf(call.service, call.method, call.path);
+    request.isLong = m_runTimes.isLong(request.callClass);
+    // However slow calls have become, some are let through, so that it is noticed when they are fast again.
+    request.expectedRun = std::min(m_runTimes.expected(request.callClass), timeout / 2);
+    setWake(id, request, request.deadline);
+    if (!call.idempotencyKey || request.idempotent) {
+        enqueue(id, request, now);
+        return;
+    }
+    request.key = scopedKey(call.service, *call.idempotencyKey);
+    request.phase = RequestPhase::LookingUpKey;
+    apply(m_keyed.onCall(id, *request.key, call.fingerprint, now), now);
+}
+
+// Adds a fresh request to its service's queue, or refuses it.
+void Dispatcher::State::enqueue(RequestId id, Request& request, TimePoint now)
+{
+    if (!m_targets.takesCalls(request.service, now)) {
+        fail(id, request, { Outcome::NotRun, Reason::NoTarget, "the service has no target" }, retryAfter({}),
+            now);
+        return;
+    }
+    auto& service = m_services.at(request.service);
+    auto slots = m_targets.slotLimit(request.service, now);
+    auto offer
+        = service.admission.offer(waitingCall(id, request, now), slots, service.config.queueLimit, now);
+    if (!offer.admitted) {
+        fail(id, request, { Outcome::NotRun, Reason::Overloaded, "the call cannot be answered in time" },
+            retryAfter(offer.wait), now);
+        return;
+    }
+    request.phase = RequestPhase::Queued;
+    setWake(id, request, request.deadline);
+    if (offer.evicted)
+        fail(*offer.evicted, m_requests.at(*offer.evicted),
+            { Outcome::NotRun, Reason::Overloaded, "the queue is full of this caller's calls" },
+            retryAfter(offer.wait), now);
+}
+
+void Dispatcher::State::pump(TimePoint now)
+{
+    for (auto& [id, service] : m_services)
+        if (service.admission.size() > 0)
+            pumpService(id, service, now);
+}
+
+void Dispatcher::State::pumpService(const ServiceId& serviceId, ServiceState& service, TimePoint now)
+{
+    auto slots = m_targets.slotLimit(serviceId, now);
+    while (const auto* call = service.admission.next(slots, now)) {
+        auto id = call->request;
+        auto& request = m_requests.at(id);
+        assert(request.phase == RequestPhase::Queued);
+        if (now >= request.deadline) {
+            expire(id, request, now);
+            continue;
+        }
+        if (now + request.expectedRun > request.deadline && service.admission.size() > 1) {
+            service.admission.pop(*call);
+            fail(id, request, { Outcome::NotRun, Reason::DeadlineExceeded, "too little time is left" },
+                retryAfter({}), now);
+            continue;
+        }
+        if (auto* target = m_targets.pick(serviceId, request.tried, now)) {
+            service.admission.pop(*call);
+            start(id, request, service, *target, now);
+            continue;
+        }
+        // A retry whose other targets are all busy must not hold up the calls behind it.
+        if (request.tried.empty() || !m_targets.pick(serviceId, {}, now))
+            return;
+        service.admission.pop(*call);
+        backOff(id, request, now);
+    }
+}
+
+void Dispatcher::State::start(
+    RequestId id, Request& request, ServiceState& service, TargetState& target, TimePoint now)
+{
+    assert(now < request.deadline);
+    assert(request.idempotent || !request.mayHaveRun);
+    auto attempt = ++m_lastAttempt;
+    request.phase = RequestPhase::InFlight;
+    request.attempt = attempt;
+    request.tried.push_back(target.row.vm);
+    setWake(id, request, request.deadline);
+    if (request.key)
+        m_keyed.onSent(*request.key);
+    service.admission.onStart(request.isLong);
+    m_attempts.emplace(attempt,
+        Attempt { id, request.service, target.row.vm, target.slots.take(now), request.callClass,
+            request.isLong, now, false, request.key });
+    auto grace = request.key ? m_settings.keyedGrace : Duration::zero();
+    emit(StartAttempt {
+        id, attempt, target.row.vm, target.row.address, request.deadline + grace, target.connections });
+}
+
+void Dispatcher::State::onAttemptEnd(AttemptId attemptId, const AttemptEnd& end, TimePoint now)
+{
+    auto node = m_attempts.extract(attemptId);
+    // A doubled or late report belongs to nobody.
+    if (!node)
+        return;
+    const auto attempt = std::move(node.mapped());
+    m_services.at(attempt.service).admission.onEnd(attempt.isLong);
+    learn(attempt, end, now);
+    releaseSlot(attempt, end, now);
+
+    auto position = m_requests.find(attempt.request);
+    auto* request
+        = position == m_requests.end() || position->second.attempt != attemptId ? nullptr : &position->second;
+    if (request && mayRetry(*request, end, now)) {
+        request->mayHaveRun |= end.outcome != Outcome::NotRun;
+        backOff(attempt.request, *request, now);
+        return;
+    }
+    if (end.outcome == Outcome::Ran) {
+        if (attempt.key) {
+            apply(m_keyed.onAnswered(*attempt.key, attemptId, end.heldBytes), now);
+        } else if (request) {
+            emit(PassAnswer { attempt.request, attemptId });
+            erase(attempt.request);
+        }
+        return;
+    }
+    Failure failure { end.outcome, end.reason, "the target did not answer in full" };
+    if (end.outcome == Outcome::NotRun)
+        failure.detail = "no target could be reached";
+    if (request) {
+        fail(attempt.request, *request, failure, retryAfter({}), now);
+    } else if (attempt.key) {
+        auto step = end.outcome == Outcome::NotRun ? m_keyed.onUnsent(*attempt.key, failure, never)
+                                                   : m_keyed.onEndUnknown(*attempt.key, failure);
+        apply(std::move(step), now);
+    }
+}
+
+// Takes the attempt's end into the run times and the target's health.
+void Dispatcher::State::learn(const Attempt& attempt, const AttemptEnd& end, TimePoint now)
+{
+    if (end.closing)
+        m_targets.setLeaving(attempt.target, now);
+    auto run = now - attempt.started;
+    auto expected = m_runTimes.expected(attempt.callClass);
+    if (end.outcome == Outcome::Ran && !isServerError(end.status.value_or(0))) {
+        m_runTimes.record(attempt.callClass, run);
+        auto slowness = double(run.count()) / double(std::max<std::int64_t>(1, expected.count()));
+        m_targets.onSuccess(attempt.target, slowness, now);
+        return;
+    }
+    bool gaveUp = attempt.cancelled || end.reason == Reason::DeadlineExceeded;
+    if (gaveUp && run < hungFactor * expected)
+        return;
+    m_targets.onFailure(attempt.target, now);
+    if (gaveUp)
+        m_runTimes.record(attempt.callClass, run);
+}
+
+// Frees the attempt's slot: at once if the target is done with the call, otherwise when it is likely to be.
+void Dispatcher::State::releaseSlot(const Attempt& attempt, const AttemptEnd& end, TimePoint now)
+{
+    auto until = attempt.started + abandonedFactor * m_runTimes.expected(attempt.callClass);
+    if (end.outcome == Outcome::MayHaveRun && until > now)
+        m_heldSlots.emplace(until, HeldSlot { attempt.target, attempt.slot });
+    else if (auto* target = m_targets.find(attempt.target))
+        target->slots.giveBack(attempt.slot);
+}
+
+bool Dispatcher::State::mayRetry(const Request& request, const AttemptEnd& end, TimePoint now)
+{
+    bool possible = !end.answerStarted && request.tried.size() < maxAttempts
+        && now + firstRetryDelay + request.expectedRun < request.deadline;
+    bool safe = request.idempotent || end.outcome == Outcome::NotRun;
+    bool useful = end.outcome != Outcome::Ran || isRetriableStatus(end.status.value_or(0));
+    return possible && safe && useful && m_targets.hasOther(request.service, request.tried, now)
+        && m_services.at(request.service).retries.tryTake();
+}
+
+// Lets the request wait for a while that doubles with each attempt, spread evenly around its mean.
+void Dispatcher::State::backOff(RequestId id, Request& request, TimePoint now)
+{
+    auto mean = firstRetryDelay * (1 << (request.tried.size() - 1));
+    std::uniform_int_distribution<std::int64_t> spread(mean.count() / 2, mean.count() * 3 / 2);
+    request.phase = RequestPhase::BackingOff;
+    setWake(id, request, std::min(request.deadline, now + Duration(spread(m_random))));
+}
+
+void Dispatcher::State::cancel(AttemptId attempt)
+{
+    if (auto position = m_attempts.find(attempt); position != m_attempts.end())
+        position->second.cancelled = true;
+    emit(CancelAttempt { attempt });
+}
+
+// Ends a request that is not in flight. Where any attempt may have run, the failure says so.
+void Dispatcher::State::fail(
+    RequestId id, Request& request, Failure failure, std::chrono::seconds retryAfter, TimePoint now)
+{
+    if (request.mayHaveRun)
+        failure.outcome = Outcome::MayHaveRun;
+    if (!request.key) {
+        emit(Refuse { id, std::move(failure), retryAfter });
+        erase(id);
+        return;
+    }
+    const auto key = *request.key;
+    auto step = failure.outcome == Outcome::NotRun ? m_keyed.onUnsent(key, failure, retryAfter)
+                                                   : m_keyed.onEndUnknown(key, failure);
+    apply(std::move(step), now);
+}
+
+// The deadline has passed: the caller is answered with what is known.
+void Dispatcher::State::expire(RequestId id, Request& request, TimePoint now)
+{
+    Failure failure { Outcome::NotRun, Reason::DeadlineExceeded, "the deadline passed" };
+    bool inFlight = request.phase == RequestPhase::InFlight;
+    if (!request.key) {
+        if (inFlight) {
+            failure.outcome = Outcome::MayHaveRun;
+            cancel(request.attempt);
+        }
+        fail(id, request, std::move(failure), retryAfter({}), now);
+        return;
+    }
+    // A keyed attempt goes on, so that a resend finds its answer.
+    const auto key = *request.key;
+    failure.outcome = inFlight || request.mayHaveRun ? Outcome::MayHaveRun : m_keyed.outcomeSoFar(id, key);
+    emit(Refuse { id, std::move(failure), retryAfter({}) });
+    erase(id);
+    apply(m_keyed.onLeave(id, key), now);
+}
+
+void Dispatcher::State::onCallerGone(RequestId id, TimePoint now)
+{
+    auto position = m_requests.find(id);
+    if (position == m_requests.end())
+        return;
+    auto key = position->second.key;
+    if (!key && position->second.phase == RequestPhase::InFlight)
+        cancel(position->second.attempt);
+    erase(id);
+    if (key)
+        apply(m_keyed.onLeave(id, *key), now);
+}
+
+void Dispatcher::State::onClaim(RequestId id, const ClaimResult& result, TimePoint now)
+{
+    if (auto position = m_requests.find(id); position != m_requests.end())
+        apply(m_keyed.onClaim(id, position->second.key.value(), result), now);
+}
+
+void Dispatcher::State::onOwnerAnswer(RequestId id, const OwnerAnswer& answer, TimePoint now)
+{
+    if (auto position = m_requests.find(id); position != m_requests.end())
+        apply(m_keyed.onOwnerAnswer(id, position->second.key.value(), answer), now);
+}
+
+// Carries out what the keyed calls decided. Actions that end a request remove it here.
+void Dispatcher::State::apply(KeyedStep step, TimePoint now)
+{
+    for (auto& action : step.actions) {
+        if (const auto* refuse = std::get_if<Refuse>(&action))
+            erase(refuse->request);
+        else if (const auto* kept = std::get_if<PassKeptAnswer>(&action))
+            erase(kept->request);
+        else if (const auto* answer = std::get_if<PassAnswer>(&action))
+            erase(answer->request);
+        emit(std::move(action));
+    }
+    if (step.askAgain) {
+        auto& request = m_requests.at(*step.askAgain);
+        setWake(*step.askAgain, request, std::min(request.deadline, now + m_settings.askInterval));
+    }
+    if (step.proceed)
+        enqueue(*step.proceed, m_requests.at(*step.proceed), now);
+}
+
+void Dispatcher::State::onTick(TimePoint now)
+{
+    while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
+        auto id = m_wakes.begin()->second;
+        auto& request = m_requests.at(id);
+        if (now >= request.deadline) {
+            expire(id, request, now);
+            continue;
+        }
+        setWake(id, request, request.deadline);
+        if (request.phase == RequestPhase::BackingOff) {
+            request.phase = RequestPhase::Queued;
+            m_services.at(request.service).admission.putBack(waitingCall(id, request, now));
+        } else if (request.phase == RequestPhase::LookingUpKey) {
+            apply(m_keyed.askAgain(id, *request.key), now);
+        }
+    }
+    while (!m_heldSlots.empty() && m_heldSlots.begin()->first <= now) {
+        const auto& held = m_heldSlots.begin()->second;
+        if (auto* target = m_targets.find(held.target))
+            target->slots.giveBack(held.slot);
+        m_heldSlots.erase(m_heldSlots.begin());
+    }
+    for (auto& action : m_keyed.expire(now))
+        emit(std::move(action));
+}
+
+void Dispatcher::State::setWake(RequestId id, Request& request, TimePoint wake)
+{
+    m_wakes.erase({ request.wake, id });
+    request.wake = wake;
+    m_wakes.emplace(wake, id);
+}
+
+void Dispatcher::State::erase(RequestId id)
+{
+    auto position = m_requests.find(id);
+    if (position == m_requests.end())
+        return;
+    const auto& request = position->second;
+    if (request.phase == RequestPhase::Queued)
+        m_services.at(request.service).admission.remove(waitingCall(id, request, request.arrived));
+    m_wakes.erase({ request.wake, id });
+    m_requests.erase(position);
+}
+
+void Dispatcher::State::applyDirectory(const ServiceDirectory& directory, TimePoint now)
+{
+    for (const auto& [id, service] : directory.services)
+        m_services[id].config = service.config;
+    m_targets.applyDirectory(directory, now);
+    // A service that is gone is kept until its last call has ended.
+    for (auto position = m_services.begin(); position != m_services.end();) {
+        bool inUse = std::any_of(m_requests.begin(), m_requests.end(),
+                         [&](const auto& entry) { return entry.second.service == position->first; })
+            || std::any_of(m_attempts.begin(), m_attempts.end(),
+                [&](const auto& entry) { return entry.second.service == position->first; });
+        bool gone = !directory.services.contains(position->first);
+        position = gone && !inUse ? m_services.erase(position) : std::next(position);
+    }
+}
+
+std::optional<TimePoint> Dispatcher::State::nextWake() const
+{
+    std::optional<TimePoint> wake;
+    if (!m_wakes.empty())
+        wake = m_wakes.begin()->first;
+    if (!m_heldSlots.empty())
+        wake = std::min(wake.value_or(m_heldSlots.begin()->first), m_heldSlots.begin()->first);
+    return wake;
+}
+
+std::map<ServiceId, std::uint32_t> Dispatcher::State::wanted() const
+{
+    std::map<ServiceId, std::uint32_t> counts;
+    for (const auto& [id, service] : m_services)
+        if (auto waiting = service.admission.size(); waiting > 0)
+            counts[id] += std::uint32_t(waiting);
+    for (const auto& [id, attempt] : m_attempts)
+        if (attempt.slot.lender)
+            ++counts[attempt.service];
+    return counts;
+}
+
+WaitingCall Dispatcher::State::waitingCall(RequestId id, const Request& request, TimePoint now)
+{
+    return { id, request.caller, request.isLong, request.expectedRun, request.deadline, now };
+}
+
+// Whole seconds, spread so that refused callers do not come back together.
+std::chrono::seconds Dispatcher::State::retryAfter(Duration wait)
+{
+    auto least = std::chrono::ceil<std::chrono::seconds>(wait) + std::chrono::seconds(1);
+    auto spread = std::chrono::seconds(m_random() % 2);
+    return std::min(maxRetryAfter, least + spread);
+}
+
+} // namespace fulmar::serve
--- /dev/null
+++ b/src/serve/dispatcher_state.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "serve/admission.h"
+#include "serve/dispatcher.h"
+#include "serve/keyed_calls.h"
+#include "serve/retry_budget.h"
+#include "serve/run_times.h"
+#include "serve/slot_exchange.h"
+#include "serve/targets.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace fulmar::serve {
+
+// Where a request stands.
+enum class RequestPhase : std::uint8_t {
+    // Its key's history is being looked up, or a resend of it is under way.
+    LookingUpKey,
+    Queued,
+    InFlight,
+    BackingOff,
+};
+
+struct Request {
+    ServiceId service;
+    std::string caller;
+    TimePoint arrived;
+    TimePoint deadline;
+    // When onTick has to look at the request next.
+    TimePoint wake;
+    RequestPhase phase { RequestPhase::Queued };
+    bool idempotent { false };
+    // Scoped; present for non-idempotent requests with a key.
+    std::optional<std::string> key;
+    ClassId callClass { 0 };
+    // Whether the class was long when the call came.
+    bool isLong { false };
+    Duration expectedRun {};
+    AttemptId attempt { 0 };
+    // Some attempt may have run.
+    bool mayHaveRun { false };
+    std::vector<VmId> tried;
+};
+
+struct Attempt {
+    RequestId request { 0 };
+    ServiceId service;
+    VmId target;
+    SlotUse slot;
+    ClassId callClass { 0 };
+    bool isLong { false };
+    TimePoint started;
+    bool cancelled { false };
+    // Key of the request; the attempt can outlive it.
+    std::optional<std::string> key;
+};
+
+struct ServiceState {
+    ServiceConfig config;
+    Admission admission;
+    RetryBudget retries;
+};
+
+// A slot whose call has ended for us, while the target may still work on it.
+struct HeldSlot {
+    VmId target;
+    SlotUse slot;
+};
+
+// The dispatcher's state and its request flow: a call is looked up by its key, queued, sent, perhaps sent
+// again, and answered.
+class Dispatcher::State {
+public:
+    explicit State(DispatcherSettings);
+
+    void onCall(RequestId, const CallInfo&, TimePoint now);
+    void onAttemptEnd(AttemptId, const AttemptEnd&, TimePoint now);
+    void onCallerGone(RequestId, TimePoint now);
+    void onClaim(RequestId, const ClaimResult&, TimePoint now);
+    void onOwnerAnswer(RequestId, const OwnerAnswer&, TimePoint now);
+    void onTick(TimePoint now);
+    void applyDirectory(const ServiceDirectory&, TimePoint now);
+
+    // Starts waiting calls for as long as there are free slots.
+    void pump(TimePoint now);
+
+    [[nodiscard]] std::optional<TimePoint> nextWake() const;
+    // Calls per service that wait or hold a borrowed slot.
+    [[nodiscard]] std::map<ServiceId, std::uint32_t> wanted() const;
+
+    Actions takeActions() { return std::exchange(m_actions, {}); }
+
+private:
+    friend Dispatcher;
+
+    void enqueue(RequestId, Request&, TimePoint now);
+    void pumpService(const ServiceId&, ServiceState&, TimePoint now);
+    void start(RequestId, Request&, ServiceState&, TargetState&, TimePoint now);
+    void learn(const Attempt&, const AttemptEnd&, TimePoint now);
+    void releaseSlot(const Attempt&, const AttemptEnd&, TimePoint now);
+    [[nodiscard]] bool mayRetry(const Request&, const AttemptEnd&, TimePoint now);
+    void backOff(RequestId, Request&, TimePoint now);
+    void cancel(AttemptId);
+    void fail(RequestId, Request&, Failure, std::chrono::seconds retryAfter, TimePoint now);
+    void expire(RequestId, Request&, TimePoint now);
+    void apply(KeyedStep, TimePoint now);
+    void setWake(RequestId, Request&, TimePoint);
+    void erase(RequestId);
+    void emit(Action action) { m_actions.push_back(std::move(action)); }
+    [[nodiscard]] static WaitingCall waitingCall(RequestId, const Request&, TimePoint now);
+    [[nodiscard]] std::chrono::seconds retryAfter(Duration wait);
+
+    DispatcherSettings m_settings;
+    std::mt19937_64 m_random;
+    Targets m_targets;
+    SlotExchange m_exchange;
+    KeyedCalls m_keyed;
+    RunTimes m_runTimes;
+    std::map<ServiceId, ServiceState> m_services;
+    std::unordered_map<RequestId, Request> m_requests;
+    std::unordered_map<AttemptId, Attempt> m_attempts;
+    std::set<std::pair<TimePoint, RequestId>> m_wakes;
+    std::multimap<TimePoint, HeldSlot> m_heldSlots;
+    Actions m_actions;
+    AttemptId m_lastAttempt { 0 };
+    std::uint64_t m_lastMint { 0 };
+    bool m_draining { false };
+};
+
+} // namespace fulmar::serve
--- /dev/null
+++ b/src/serve/run_times.cpp
@@ -0,0 +1,105 @@
+#include "serve/run_times.h"
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+
+namespace fulmar::serve {
+
+namespace {
+
+constexpr std::size_t maxClasses = 512;
+constexpr std::size_t segmentsInShape = 2;
+constexpr Duration firstGuess = std::chrono::milliseconds(5);
+constexpr double meanWeight = 0.05;
+// A class is long if it runs this many times as long as the fastest, and longer than the floor.
+constexpr double longFactor = 8;
+constexpr double longFloorMicroseconds = 100'000;
+// Share of a service's calls from which a class counts as notably used.
+constexpr double notableShare = 0.05;
+constexpr double useDecay = 0.9;
+constexpr std::uint32_t judgeInterval = 64;
+
+// "/sheets/4711/lines?x=1" becomes "/sheets/#".
+std::string shapeOf(const std::string& path)
+{
+    std::string shape;
+    std::size_t segments = 0;
+    for (char c : path) {
+        if (c == '?' || (c == '/' && ++segments > segmentsInShape))
+            break;
+        bool digit = std::isdigit(static_cast<unsigned char>(c)) != 0;
+        if (digit && !shape.empty() && shape.back() == '#')
+            continue;
+        shape.push_back(digit ? '#' : c);
+    }
+    return shape;
+}
+
+} // namespace
+
+ClassId RunTimes::classOf(const ServiceId& service, const std::string& method, const std::string& path)
+{
+    auto name = service.value() + ' ' + method + ' ' + shapeOf(path);
+    if (auto position = m_ids.find(name); position != m_ids.end())
+        return position->second;
+    if (m_classes.size() < maxClasses)
+        return add(name, service);
+    const auto& shared = service.value();
+    auto position = m_ids.find(shared);
+    return position == m_ids.end() ? add(shared, service) : position->second;
+}
+
+ClassId RunTimes::add(const std::string& name, const ServiceId& service)
+{
+    auto id = ClassId(m_classes.size());
+    Class fresh;
+    fresh.service = service;
+    m_classes.push_back(std::move(fresh));
+    m_ids.emplace(name, id);
+    return id;
+}
+
+void RunTimes::record(ClassId id, Duration run)
+{
+    auto& entry = m_classes[id];
+    ++entry.samples;
+    ++entry.use;
+    // The plain mean of the first samples, then one that follows changes.
+    auto weight = std::max(meanWeight, 1.0 / entry.samples);
+    entry.meanMicroseconds += weight * (double(run.count()) - entry.meanMicroseconds);
+    if (++m_sinceJudged >= judgeInterval) {
+        m_sinceJudged = 0;
+        judge(entry.service);
+    }
+}
+
+Duration RunTimes::expected(ClassId id) const
+{
+    const auto& entry = m_classes[id];
+    return entry.samples == 0 ? firstGuess : Duration(std::int64_t(entry.meanMicroseconds));
+}
+
+bool RunTimes::isLong(ClassId id) const { return m_classes[id].isLong; }
+
+// Sets which classes of the service are long.
+void RunTimes::judge(const ServiceId& service)
+{
+    double total = 0;
+    for (const auto& entry : m_classes)
+        if (entry.service == service)
+            total += entry.use;
+    auto fastest = std::numeric_limits<double>::max();
+    for (const auto& entry : m_classes)
+        if (entry.service == service && entry.use >= notableShare * total)
+            fastest = std::min(fastest, entry.meanMicroseconds);
+    auto bound = std::max(longFloorMicroseconds, longFactor * fastest);
+    for (auto& entry : m_classes) {
+        if (entry.service != service)
+            continue;
+        entry.isLong = entry.samples > 0 && entry.meanMicroseconds > bound;
+        entry.use *= useDecay;
+    }
+}
+
+} // namespace fulmar::serve
--- /dev/null
+++ b/src/serve/slot_exchange.cpp
@@ -0,0 +1,145 @@
+#include "serve/slot_exchange.h"
+
+#include <algorithm>
+
+namespace fulmar::serve {
+
+namespace {
+
+constexpr Duration loanTime = std::chrono::milliseconds(300);
+// A peer heard longer ago than this is not lent to.
+constexpr Duration peerFresh = std::chrono::milliseconds(500);
+// Share of its slots that a lender keeps idle for its own next calls.
+constexpr double reserveShare = 0.1;
+
+} // namespace
+
+SlotExchange::SlotExchange(EntryVm self, std::uint64_t incarnation, Targets& targets)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_targets(targets)
+{
+}
+
+void SlotExchange::onPeerLoad(const ProcessId& process, const PeerLoad& load, TimePoint now)
+{
+    auto& peer = m_peers[process];
+    if (peer.incarnation != load.incarnation) {
+        for (const auto& vm : peer.lent)
+            if (auto* state = m_targets.find(vm))
+                state->slots.forgetPeer(process);
+        peer = {};
+        peer.incarnation = load.incarnation;
+    }
+    for (const auto& mark : load.leaving)
+        m_targets.setLeavingByPeer(mark, now);
+    // A message that was overtaken tells nothing else that is new.
+    if (load.sent < peer.sent)
+        return;
+    peer.heard = now;
+    peer.sent = load.sent;
+    peer.wanted = load.wanted;
+    // An echo from the future is of an earlier life of this process.
+    if (load.echo <= now)
+        for (const auto& [vm, count] : load.lent)
+            if (auto* state = m_targets.find(vm))
+                state->slots.borrow(process, count, load.echo + load.lentFor);
+    std::erase_if(peer.lent, [&](const VmId& vm) {
+        auto* state = m_targets.find(vm);
+        if (!state)
+            return true;
+        auto used = load.borrowed.find(vm);
+        state->slots.onReport(process, used == load.borrowed.end() ? 0 : used->second, load.sent);
+        return state->slots.lentTo(process, now) == 0;
+    });
+}
+
+PeerLoad SlotExchange::loadFor(
+    const ProcessId& peer, const std::map<ServiceId, std::uint32_t>& waiting, TimePoint now)
+{
+    PeerLoad load;
+    load.incarnation = m_incarnation;
+    load.sent = now;
+    load.leaving = m_targets.leaving(now);
+    load.wanted = waiting;
+    for (const auto& [vm, count] : m_targets.inFlight()) {
+        auto used = m_targets.find(vm)->slots.borrowedInUse(peer);
+        if (used > 0)
+            load.borrowed.emplace(vm, used);
+    }
+    auto position = m_peers.find(peer);
+    if (position == m_peers.end() || position->second.heard + peerFresh <= now)
+        return load;
+    load.echo = position->second.sent;
+    load.lentFor = loanTime;
+    for (const auto& [service, wanted] : position->second.wanted)
+        if (wanted > 0 && !waiting.contains(service))
+            lend(peer, service, wanted, load, now);
+    return load;
+}
+
+// Lends up to `wanted` slots, evenly over the targets, keeping a reserve and the other borrowers' part.
+void SlotExchange::lend(
+    const ProcessId& peer, const ServiceId& service, std::uint32_t wanted, PeerLoad& load, TimePoint now)
+{
+    std::uint32_t share = 0;
+    std::uint32_t available = 0;
+    std::map<VmId, std::uint32_t> offers;
+    for (auto* state : m_targets.of(service)) {
+        state->slots.tidy(now);
+        share += state->slots.share(now);
+        if (!state->takesCalls(now) || state->health.isEjected(now))
+            continue;
+        auto offer = state->slots.idle(now) + state->slots.lentTo(peer, now);
+        available += offer;
+        offers.emplace(state->row.vm, offer);
+    }
+    auto reserve = std::max(1U, std::uint32_t(reserveShare * share));
+    auto spare = available > reserve ? available - reserve : 0;
+    auto left = std::min(wanted, spare / sharersOf(peer, service, now));
+    for (bool lentOne = true; left > 0 && lentOne;) {
+        lentOne = false;
+        for (auto& [vm, offer] : offers)
+            if (offer > 0 && left > 0) {
+                ++load.lent[vm];
+                --offer;
+                --left;
+                lentOne = true;
+            }
+    }
+    for (const auto& [vm, offer] : offers)
+        if (auto count = load.lent.find(vm); count != load.lent.end()) {
+            m_targets.find(vm)->slots.lend(peer, count->second, load.echo + loanTime, now);
+            m_peers.at(peer).lent.insert(vm);
+        }
+}
+
+// How many peers the spare slots are divided among: those of the own zone come before the others.
+std::uint32_t SlotExchange::sharersOf(const ProcessId& process, const ServiceId& service, TimePoint now) const
+{
+    std::uint32_t count = 0;
+    for (const auto& [id, peer] : m_peers) {
+        auto wanted = peer.wanted.find(service);
+        bool wants = wanted != peer.wanted.end() && wanted->second > 0 && peer.heard + peerFresh > now;
+        if (wants && (isLocal(id) || !isLocal(process)))
+            ++count;
+    }
+    return std::max(1U, count);
+}
+
+bool SlotExchange::isLocal(const ProcessId& process) const
+{
+    const auto& entries = m_targets.entries();
+    return std::any_of(entries.begin(), entries.end(),
+        [&](const EntryVm& entry) { return entry.process == process && entry.zone == m_self.zone; });
+}
+
+void SlotExchange::keepOnly(const std::vector<EntryVm>& entries)
+{
+    std::erase_if(m_peers, [&entries](const auto& peer) {
+        return std::none_of(entries.begin(), entries.end(),
+            [&](const EntryVm& entry) { return entry.process == peer.first; });
+    });
+}
+
+} // namespace fulmar::serve
--- a/src/serve/targets.cpp
+++ b/src/serve/targets.cpp
@@ -1,81 +1,263 @@
 #include "serve/targets.h"
 
 #include <algorithm>
-#include <cassert>
+#include <tuple>
 
 namespace fulmar::serve {
 
-Targets::Targets(ZoneId ownZone, std::uint64_t seed)
-    : m_ownZone(std::move(ownZone))
+namespace {
+
+// How long entry VMs may differ in their view of who shares the slots.
+constexpr Duration settleTime = std::chrono::seconds(2);
+// How long a target's own or an operator's word holds without a row that confirms it, and a peer's word
+// without being repeated.
+constexpr Duration leavingHold = std::chrono::seconds(60);
+constexpr Duration peerLeavingHold = std::chrono::seconds(10);
+
+const std::vector<TargetState*> noTargets;
+
+bool contains(const std::vector<VmId>& vms, const VmId& vm)
+{
+    return std::find(vms.begin(), vms.end(), vm) != vms.end();
+}
+
+} // namespace
+
+Targets::Targets(EntryVm self, std::uint64_t seed)
+    : m_self(std::move(self))
     , m_random(seed)
+    , m_entries({ m_self })
 {
 }
 
-void Targets::applyDirectory(const ServiceDirectory& directory)
+void Targets::applyDirectory(const ServiceDirectory& directory, TimePoint now)
 {
+    m_services.clear();
+    m_configs.clear();
+    for (auto& [vm, state] : m_states)
+        state.row.serving = false;
     for (const auto& [id, service] : directory.services)
         for (const auto& target : service.targets) {
             auto& state = m_states[target.vm];
-            state.epoch = std::max(state.epoch, target.epoch);
-            if (state.leavingSince && target.serving && target.epoch > *state.leavingSince)
-                state.leavingSince.reset();
+            if (target.serving && target.epoch > state.markedEpoch) {
+                state.listedLeaving = false;
+                state.leavingUntil = {};
+            }
+            state.row = target;
+            m_services[id].push_back(&state);
+            m_configs[target.vm] = service.config;
         }
+    std::erase_if(m_states, [this](const auto& entry) {
+        return !m_configs.contains(entry.first) && entry.second.slots.inFlight() == 0;
+    });
+    deal(now);
+}
+
+void Targets::setEntries(std::vector<EntryVm> entries, TimePoint now)
+{
+    if (std::find(entries.begin(), entries.end(), m_self) == entries.end())
+        entries.push_back(m_self);
+    auto byProcess = [](const EntryVm& a, const EntryVm& b) { return a.process < b.process; };
+    std::sort(entries.begin(), entries.end(), byProcess);
+    if (entries == m_entries)
+        return;
+    for (const auto& entry : m_entries)
+        if (std::find(entries.begin(), entries.end(), entry) == entries.end())
+            for (auto& [vm, state] : m_states)
+                state.slots.forgetPeer(entry.process);
+    m_entries = std::move(entries);
+    m_settled = now + settleTime;
+    deal(now);
 }
 
-void Targets::setLeaving(const VmId& vm)
+// Gives each target's slots to the entry VMs of its zone; to all of them where the zone has none.
+void Targets::deal(TimePoint now)
 {
-    auto& state = m_states[vm];
-    state.leavingSince = state.epoch;
+    for (const auto& [vm, config] : m_configs) {
+        auto& state = m_states.at(vm);
+        std::vector<ProcessId> all;
+        std::vector<ProcessId> local;
+        for (const auto& entry : m_entries) {
+            all.push_back(entry.process);
+            if (entry.zone == state.row.zone)
+                local.push_back(entry.process);
+        }
+        const auto& sharers = local.empty() ? all : local;
+        bool sharing = std::find(sharers.begin(), sharers.end(), m_self.process) != sharers.end();
+        auto share = sharing ? dealtSlots(vm, config.slotsPerTarget, sharers, m_self.process) : 0;
+        state.slots.setShare(share, m_settled, now);
+
+        // Half of the connections are for the zone's own entry VMs, half for all.
+        auto half = config.connectionsPerTarget / 2;
+        state.connections = dealtSlots(vm, half, all, m_self.process);
+        if (sharing)
+            state.connections += dealtSlots(vm, config.connectionsPerTarget - half, sharers, m_self.process);
+    }
 }
 
-std::vector<VmId> Targets::leaving() const
+void Targets::setLeaving(const VmId& vm, TimePoint now)
 {
-    std::vector<VmId> vms;
+    if (auto* state = find(vm)) {
+        state->leavingUntil = now + leavingHold;
+        state->heardOurselves = true;
+        state->markedEpoch = state->row.epoch;
+    }
+}
+
+void Targets::setListed(const VmId& vm, bool leaving)
+{
+    if (auto* state = find(vm)) {
+        state->listedLeaving = leaving;
+        if (leaving)
+            state->markedEpoch = state->row.epoch;
+    }
+}
+
+void Targets::setLeavingByPeer(const LeavingMark& mark, TimePoint now)
+{
+    auto* state = find(mark.vm);
+    if (!state || mark.epoch < state->row.epoch || state->isLeaving(now + peerLeavingHold))
+        return;
+    state->leavingUntil = now + peerLeavingHold;
+    state->heardOurselves = false;
+    state->markedEpoch = mark.epoch;
+}
+
+std::vector<LeavingMark> Targets::leaving(TimePoint now) const
+{
+    std::vector<LeavingMark> marks;
     for (const auto& [vm, state] : m_states)
-        if (state.leavingSince)
-            vms.push_back(vm);
-    return vms;
+        if (state.listedLeaving || (state.heardOurselves && now < state.leavingUntil))
+            marks.push_back({ vm, state.markedEpoch });
+    return marks;
 }
 
-const Target* Targets::pick(const ServiceEntry& service, const std::vector<VmId>& avoid)
+TargetState* Targets::pick(const ServiceId& service, const std::vector<VmId>& tried, TimePoint now)
 {
-    const Target* best = nullptr;
-    auto cost = [this](const Target& target) {
-        return std::make_pair(target.zone != m_ownZone, m_states[target.vm].inFlight);
+    const auto& targets = of(service);
+    bool panic = inPanic(targets, now);
+    bool otherOnly = !tried.empty() && hasOther(service, tried, now);
+    auto triedRack = [&](const TargetState& state) {
+        return std::any_of(tried.begin(), tried.end(), [&](const VmId& vm) {
+            auto position = m_states.find(vm);
+            return position != m_states.end() && position->second.row.rack == state.row.rack;
+        });
     };
-    auto offset = service.targets.empty() ? 0 : m_random() % service.targets.size();
-    for (std::size_t i = 0; i < service.targets.size(); ++i) {
-        const auto& target = service.targets[(i + offset) % service.targets.size()];
-        const auto& state = m_states[target.vm];
-        if (!target.serving || state.leavingSince || state.inFlight >= limit(service.config))
-            continue;
-        if (std::find(avoid.begin(), avoid.end(), target.vm) != avoid.end())
+    auto cost = [&](const TargetState& state) {
+        auto load = (state.slots.inFlight() + 1) * state.health.slowness();
+        return std::make_tuple(triedRack(state), state.row.zone != m_self.zone, load);
+    };
+    TargetState* best = nullptr;
+    auto offset = targets.empty() ? 0 : m_random() % targets.size();
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        auto* state = targets[(i + offset) % targets.size()];
+        if (!isUsable(*state, panic, now) || (otherOnly && contains(tried, state->row.vm)))
             continue;
-        if (!best || cost(target) < cost(*best))
-            best = &target;
+        if (!best || cost(*state) < cost(*best))
+            best = state;
     }
     return best;
 }
 
-void Targets::onEnd(const VmId& vm)
+bool Targets::hasOther(const ServiceId& service, const std::vector<VmId>& tried, TimePoint now) const
 {
-    auto& state = m_states[vm];
-    assert(state.inFlight > 0);
-    --state.inFlight;
+    const auto& targets = of(service);
+    return std::any_of(targets.begin(), targets.end(), [&](const TargetState* state) {
+        return state->takesCalls(now) && state->slots.limit(now) > 0 && !contains(tried, state->row.vm);
+    });
+}
+
+// The target may get a call now.
+bool Targets::isUsable(const TargetState& state, bool panic, TimePoint now) const
+{
+    if (!state.takesCalls(now) || state.slots.free(now) == 0 || state.slots.inFlight() >= state.connections)
+        return false;
+    if (panic)
+        return true;
+    return !state.health.isEjected(now) && (!state.health.isOnTrial(now) || state.slots.inFlight() == 0);
+}
+
+bool Targets::inPanic(const std::vector<TargetState*>& targets, TimePoint now) const
+{
+    std::uint32_t healthy = 0;
+    for (const auto* state : targets)
+        healthy += state->takesCalls(now) && !state->health.isEjected(now) ? 1 : 0;
+    return isPanic(healthy, std::uint32_t(targets.size()));
+}
+
+void Targets::onSuccess(const VmId& vm, double slowness, TimePoint now)
+{
+    if (auto* state = find(vm)) {
+        state->health.onSuccess(slowness, now);
+        ejectIfOutlier(*state, now);
+    }
+}
+
+void Targets::onFailure(const VmId& vm, TimePoint now)
+{
+    if (auto* state = find(vm)) {
+        state->health.onFailure(now);
+        ejectIfOutlier(*state, now);
+    }
+}
+
+// Ejects a suspect unless too many targets of one of its services are ejected already.
+void Targets::ejectIfOutlier(TargetState& suspect, TimePoint now)
+{
+    if (!suspect.health.isSuspect() || suspect.health.isEjected(now))
+        return;
+    for (const auto& [service, targets] : m_services) {
+        if (std::find(targets.begin(), targets.end(), &suspect) == targets.end())
+            continue;
+        std::uint32_t serving = 0;
+        std::uint32_t ejected = 0;
+        for (const auto* state : targets) {
+            serving += state->takesCalls(now) ? 1 : 0;
+            ejected += state->health.isEjected(now) ? 1 : 0;
+        }
+        if (ejected >= ejectionCap(serving))
+            return;
+    }
+    suspect.health.eject(now);
+}
+
+std::uint32_t Targets::slotLimit(const ServiceId& service, TimePoint now) const
+{
+    const auto& targets = of(service);
+    bool panic = inPanic(targets, now);
+    std::uint32_t limit = 0;
+    for (const auto* state : targets)
+        if (state->takesCalls(now) && (panic || !state->health.isEjected(now)))
+            limit += state->slots.limit(now);
+    return limit;
+}
+
+bool Targets::takesCalls(const ServiceId& service, TimePoint now) const
+{
+    const auto& targets = of(service);
+    return std::any_of(
+        targets.begin(), targets.end(), [now](const TargetState* state) { return state->takesCalls(now); });
+}
+
+TargetState* Targets::find(const VmId& vm)
+{
+    auto position = m_states.find(vm);
+    return position == m_states.end() ? nullptr : &position->second;
+}
+
+const std::vector<TargetState*>& Targets::of(const ServiceId& service) const
+{
+    auto position = m_services.find(service);
+    return position == m_services.end() ? noTargets : position->second;
 }
 
 std::map<VmId, std::uint32_t> Targets::inFlight() const
 {
     std::map<VmId, std::uint32_t> counts;
     for (const auto& [vm, state] : m_states)
-        if (state.inFlight > 0)
-            counts.emplace(vm, state.inFlight);
+        if (auto count = state.slots.inFlight(); count > 0)
+            counts.emplace(vm, count);
     return counts;
 }
 
-std::uint32_t Targets::limit(const ServiceConfig& config) const
-{
-    return std::max(1U, config.slotsPerTarget / std::max(1U, m_sharers));
-}
-
 } // namespace fulmar::serve
--- a/src/serve/targets.h
+++ b/src/serve/targets.h
@@ -1,46 +1,79 @@
 #pragma once
 
 #include "serve/directory.h"
+#include "serve/outlier.h"
+#include "serve/peer_load.h"
+#include "serve/slot_account.h"
 
-#include <optional>
 #include <random>
 #include <unordered_map>
 
 namespace fulmar::serve {
 
-// The targets of all services: which are in use, how many of our calls each has, and which gets the next.
+// Everything known of one target, whichever services use it.
+struct TargetState {
+    Target row;
+    std::uint32_t connections { 0 };
+    SlotAccount slots;
+    Outlier health;
+    // Said to be leaving by the platform's list, or until a time by the target, an operator or a peer. A row
+    // with a higher epoch that says Serving clears both.
+    bool listedLeaving { false };
+    TimePoint leavingUntil;
+    // The statement came from elsewhere than a peer.
+    bool heardOurselves { false };
+    Epoch markedEpoch { 0 };
+
+    [[nodiscard]] bool isLeaving(TimePoint now) const { return listedLeaving || now < leavingUntil; }
+    [[nodiscard]] bool takesCalls(TimePoint now) const { return row.serving && !isLeaving(now); }
+};
+
+// The targets of all services: which are in use, whose slots are whose, and which target gets the next call.
 class Targets {
 public:
-    Targets(ZoneId ownZone, std::uint64_t seed);
+    Targets(EntryVm self, std::uint64_t seed);
+
+    void applyDirectory(const ServiceDirectory&, TimePoint now);
+    void setEntries(std::vector<EntryVm>, TimePoint now);
 
-    void applyDirectory(const ServiceDirectory&);
-    // How many entry VMs share the targets' slots.
-    void setSharers(std::uint32_t sharers) { m_sharers = sharers; }
-    // No new call until the VM's row has a higher epoch and says Serving.
-    void setLeaving(const VmId&);
-    [[nodiscard]] std::vector<VmId> leaving() const;
+    void setLeaving(const VmId&, TimePoint now);
+    void setListed(const VmId&, bool leaving);
+    void setLeavingByPeer(const LeavingMark&, TimePoint now);
+    [[nodiscard]] std::vector<LeavingMark> leaving(TimePoint now) const;
 
-    // A target with a free slot; own zone first, not one of `avoid`. Null if there is none.
-    [[nodiscard]] const Target* pick(const ServiceEntry&, const std::vector<VmId>& avoid);
+    // A target with a free slot: not one of `tried`, another rack than theirs and our own zone if possible.
+    // Null if there is none now.
+    [[nodiscard]] TargetState* pick(const ServiceId&, const std::vector<VmId>& tried, TimePoint now);
+    // Some target that takes calls is not one of `tried`.
+    [[nodiscard]] bool hasOther(const ServiceId&, const std::vector<VmId>& tried, TimePoint now) const;
 
-    void onStart(const VmId& vm) { ++m_states[vm].inFlight; }
-    void onEnd(const VmId&);
+    // A call to the target ended. `slowness`: run time over the expected one, for whole answers.
+    void onSuccess(const VmId&, double slowness, TimePoint now);
+    void onFailure(const VmId&, TimePoint now);
+
+    // Slots that calls of the service may hold now, busy ones included.
+    [[nodiscard]] std::uint32_t slotLimit(const ServiceId&, TimePoint now) const;
+    [[nodiscard]] bool takesCalls(const ServiceId&, TimePoint now) const;
+
+    [[nodiscard]] TargetState* find(const VmId&);
+    [[nodiscard]] const std::vector<TargetState*>& of(const ServiceId&) const;
     [[nodiscard]] std::map<VmId, std::uint32_t> inFlight() const;
+    [[nodiscard]] const std::vector<EntryVm>& entries() const { return m_entries; }
 
 private:
-    struct State {
-        std::uint32_t inFlight { 0 };
-        // Epoch of the row when the VM was said to leave.
-        std::optional<Epoch> leavingSince;
-        Epoch epoch { 0 };
-    };
-
-    [[nodiscard]] std::uint32_t limit(const ServiceConfig&) const;
+    void deal(TimePoint now);
+    void ejectIfOutlier(TargetState&, TimePoint now);
+    [[nodiscard]] bool isUsable(const TargetState&, bool panic, TimePoint now) const;
+    [[nodiscard]] bool inPanic(const std::vector<TargetState*>&, TimePoint now) const;
 
-    ZoneId m_ownZone;
-    std::uint32_t m_sharers { 1 };
+    EntryVm m_self;
     std::mt19937_64 m_random;
-    std::unordered_map<VmId, State> m_states;
+    std::vector<EntryVm> m_entries;
+    // Until then other entry VMs may still count on slots that are ours by the newest list of entry VMs.
+    TimePoint m_settled;
+    std::unordered_map<VmId, TargetState> m_states;
+    std::unordered_map<ServiceId, std::vector<TargetState*>> m_services;
+    std::unordered_map<VmId, ServiceConfig> m_configs;
 };
 
 } // namespace fulmar::serve
--- a/src/serve/tests/dispatcher_test.cpp
+++ b/src/serve/tests/dispatcher_test.cpp
@@ -94,11 +94,28 @@
 {
     auto dispatcher = makeDispatcher(1);
     dispatcher.onTargetLeaving(VmId("vm0"), t0);
-    BOOST_TEST(dispatcher.onCall(1, callOf("GET"), t0).empty());
-    auto expired = dispatcher.onTick(t0 + 10s);
-    const auto* refuse = only<Refuse>(expired);
+    auto refused = dispatcher.onCall(1, callOf("GET"), t0);
+    const auto* refuse = only<Refuse>(refused);
     BOOST_REQUIRE(refuse);
     BOOST_TEST(refuse->failure.outcome == Outcome::NotRun);
+    BOOST_TEST(refuse->failure.reason == Reason::NoTarget);
+
+    // A row that is as old as the statement changes nothing; a newer one that says Serving ends it.
+    std::ignore = dispatcher.applyDirectory(directoryOf(1), t0);
+    BOOST_TEST(only<Refuse>(dispatcher.onCall(2, callOf("GET"), t0)));
+    auto newer = directoryOf(1);
+    newer.services.begin()->second.targets.front().epoch = 2;
+    std::ignore = dispatcher.applyDirectory(newer, t0);
+    BOOST_TEST(only<StartAttempt>(dispatcher.onCall(3, callOf("GET"), t0)));
+}
+
+BOOST_AUTO_TEST_CASE(APeersWordOnALeavingTargetCounts)
+{
+    auto first = makeDispatcher(1);
+    auto second = makeDispatcher(1);
+    first.onTargetListed(VmId("vm0"), true);
+    std::ignore = second.onPeerLoad(ProcessId("e0"), first.loadFor(ProcessId("e1"), t0), t0);
+    BOOST_TEST(only<Refuse>(second.onCall(1, callOf("GET"), t0)));
 }
 
 BOOST_AUTO_TEST_CASE(AKeyIsClaimedBeforeItIsSentAndItsAnswerKept)
