Directory: take changed rows, hand out only the services that they touch

At 5,200 VM rows and a hundred changes a second, rebuilding the whole directory for each batch of rows would decode every row again.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -62,9 +62,9 @@
 
 std::optional<TimePoint> Dispatcher::nextWake() const { return m_state->nextWake(); }
 
-Actions Dispatcher::applyDirectory(const ServiceDirectory& directory, TimePoint now)
+Actions Dispatcher::applyDirectory(const DirectoryChange& change, TimePoint now)
 {
-    m_state->applyDirectory(directory, now);
+    m_state->applyDirectory(change, now);
     m_state->pump(now);
     return m_state->takeActions();
 }
--- a/src/serve/dispatcher.h
+++ b/src/serve/dispatcher.h
@@ -52,7 +52,9 @@
     // When onTick has something to do; empty if only another event can bring about an action.
     [[nodiscard]] std::optional<TimePoint> nextWake() const;
 
-    [[nodiscard]] Actions applyDirectory(const ServiceDirectory&, TimePoint now);
+    // Takes services in their newest form. Until setEntries is called all slots count as ours, so that the
+    // entry VMs should be set first.
+    [[nodiscard]] Actions applyDirectory(const DirectoryChange&, TimePoint now);
 
     // All entry VMs that are registered, whether they can be reached or not; ours included.
     [[nodiscard]] Actions setEntries(const std::vector<EntryVm>&, TimePoint now);
--- a/src/serve/dispatcher_state.cpp
+++ b/src/serve/dispatcher_state.cpp
@@ -50,7 +50,7 @@
 void Dispatcher::State::onCall(RequestId id, const CallInfo& call, TimePoint now)
 {
     auto service = m_services.find(call.service);
-    if (service == m_services.end()) {
+    if (service == m_services.end() || service->second.removed) {
         emit(Refuse { id, { Outcome::NotRun, Reason::NotFound, "no such service" }, never });
         return;
     }
@@ -63,6 +63,7 @@
     state.retries.onFreshCall(state.config.retryShare);
     auto [position, isNew] = m_requests.try_emplace(id);
     assert(isNew);
+    ++state.uses;
     auto& request = position->second;
     auto timeout = call.timeout.value_or(state.config.defaultTimeout);
     request.service = call.service;
@@ -111,14 +112,25 @@
 
 void Dispatcher::State::pump(TimePoint now)
 {
-    for (auto& [id, service] : m_services)
+    for (auto position = m_services.begin(); position != m_services.end();) {
+        // Ending its last call can remove the service.
+        auto& [id, service] = *position++;
         if (service.admission.size() > 0)
             pumpService(id, service, now);
+    }
 }
 
 void Dispatcher::State::pumpService(const ServiceId& serviceId, ServiceState& service, TimePoint now)
 {
     auto slots = m_targets.slotLimit(serviceId, now);
+    ++service.uses;
+    pumpWaiting(serviceId, service, slots, now);
+    release(serviceId);
+}
+
+void Dispatcher::State::pumpWaiting(
+    const ServiceId& serviceId, ServiceState& service, std::uint32_t slots, TimePoint now)
+{
     while (const auto* call = service.admission.next(slots, now)) {
         auto id = call->request;
         auto& request = m_requests.at(id);
@@ -159,6 +171,7 @@
     if (request.key)
         m_keyed.onSent(*request.key);
     service.admission.onStart(request.isLong);
+    ++service.uses;
     m_attempts.emplace(attempt,
         Attempt { id, request.service, target.row.vm, target.slots.take(now), request.callClass,
             request.isLong, now, false, request.key });
@@ -175,6 +188,7 @@
         return;
     const auto attempt = std::move(node.mapped());
     m_services.at(attempt.service).admission.onEnd(attempt.isLong);
+    release(attempt.service);
     learn(attempt, end, now);
     releaseSlot(attempt, end, now);
 
@@ -386,29 +400,42 @@
     auto position = m_requests.find(id);
     if (position == m_requests.end())
         return;
-    const auto& request = position->second;
+    const auto request = std::move(position->second);
+    m_requests.erase(position);
     if (request.phase == RequestPhase::Queued)
         m_services.at(request.service).admission.remove(waitingCall(id, request, request.arrived));
     m_wakes.erase({ request.wake, id });
-    m_requests.erase(position);
+    release(request.service);
 }
 
-void Dispatcher::State::applyDirectory(const ServiceDirectory& directory, TimePoint now)
+void Dispatcher::State::applyDirectory(const DirectoryChange& change, TimePoint now)
 {
-    for (const auto& [id, service] : directory.services)
-        m_services[id].config = service.config;
-    m_targets.applyDirectory(directory, now);
-    // A service that is gone is kept until its last call has ended.
-    for (auto position = m_services.begin(); position != m_services.end();) {
-        bool inUse = std::any_of(m_requests.begin(), m_requests.end(),
-                         [&](const auto& entry) { return entry.second.service == position->first; })
-            || std::any_of(m_attempts.begin(), m_attempts.end(),
-                [&](const auto& entry) { return entry.second.service == position->first; });
-        bool gone = !directory.services.contains(position->first);
-        position = gone && !inUse ? m_services.erase(position) : std::next(position);
+    for (const auto& entry : change.changed) {
+        auto& service = m_services[entry.config.service];
+        service.config = entry.config;
+        service.removed = false;
+        m_targets.setService(entry, now);
+    }
+    for (const auto& id : change.removed) {
+        m_targets.removeService(id);
+        if (auto position = m_services.find(id); position != m_services.end()) {
+            position->second.removed = true;
+            ++position->second.uses;
+            release(id);
+        }
     }
 }
 
+// A request or attempt of the service has ended. A removed service is kept until the last one has.
+void Dispatcher::State::release(const ServiceId& id)
+{
+    auto position = m_services.find(id);
+    auto& service = position->second;
+    assert(service.uses > 0);
+    if (--service.uses == 0 && service.removed)
+        m_services.erase(position);
+}
+
 std::optional<TimePoint> Dispatcher::State::nextWake() const
 {
     std::optional<TimePoint> wake;
--- a/src/serve/dispatcher_state.h
+++ b/src/serve/dispatcher_state.h
@@ -63,6 +63,9 @@
     ServiceConfig config;
     Admission admission;
     RetryBudget retries;
+    // Requests and attempts that refer to the service, and whether it was removed.
+    std::size_t uses { 0 };
+    bool removed { false };
 };
 
 // A slot whose call has ended for us, while the target may still work on it.
@@ -83,7 +86,7 @@
     void onClaim(RequestId, const ClaimResult&, TimePoint now);
     void onOwnerAnswer(RequestId, const OwnerAnswer&, TimePoint now);
     void onTick(TimePoint now);
-    void applyDirectory(const ServiceDirectory&, TimePoint now);
+    void applyDirectory(const DirectoryChange&, TimePoint now);
 
     // Starts waiting calls for as long as there are free slots.
     void pump(TimePoint now);
@@ -99,6 +102,7 @@
 
     void enqueue(RequestId, Request&, TimePoint now);
     void pumpService(const ServiceId&, ServiceState&, TimePoint now);
+    void pumpWaiting(const ServiceId&, ServiceState&, std::uint32_t slots, TimePoint now);
     void start(RequestId, Request&, ServiceState&, TargetState&, TimePoint now);
     void learn(const Attempt&, const AttemptEnd&, TimePoint now);
     void releaseSlot(const Attempt&, const AttemptEnd&, TimePoint now);
@@ -110,6 +114,7 @@
     void apply(KeyedStep, TimePoint now);
     void setWake(RequestId, Request&, TimePoint);
     void erase(RequestId);
+    void release(const ServiceId&);
     void emit(Action action) { m_actions.push_back(std::move(action)); }
     [[nodiscard]] static WaitingCall waitingCall(RequestId, const Request&, TimePoint now);
     [[nodiscard]] std::chrono::seconds retryAfter(Duration wait);
--- a/src/serve/targets.cpp
+++ b/src/serve/targets.cpp
@@ -30,27 +30,55 @@
 {
 }
 
-void Targets::applyDirectory(const ServiceDirectory& directory, TimePoint now)
+void Targets::setService(const ServiceEntry& service, TimePoint now)
 {
-    m_services.clear();
-    m_configs.clear();
-    for (auto& [vm, state] : m_states)
-        state.row.serving = false;
-    for (const auto& [id, service] : directory.services)
-        for (const auto& target : service.targets) {
-            auto& state = m_states[target.vm];
-            if (target.serving && target.epoch > state.markedEpoch) {
-                state.listedLeaving = false;
-                state.leavingUntil = {};
-            }
-            state.row = target;
-            m_services[id].push_back(&state);
-            m_configs[target.vm] = service.config;
+    auto& targets = m_services[service.config.service];
+    auto before = std::move(targets);
+    targets.clear();
+    for (const auto& target : service.targets) {
+        auto& state = m_states[target.vm];
+        if (target.serving && target.epoch > state.markedEpoch) {
+            state.listedLeaving = false;
+            state.leavingUntil = {};
+        }
+        state.row = target;
+        state.slotsInAll = service.config.slotsPerTarget;
+        state.connectionsInAll = service.config.connectionsPerTarget;
+        ++state.users;
+        deal(state, now);
+        targets.push_back(&state);
+    }
+    unuse(before);
+}
+
+void Targets::removeService(const ServiceId& service)
+{
+    if (auto node = m_services.extract(service))
+        unuse(node.mapped());
+}
+
+// The targets have one user less. Those without any are dropped once their last call has ended.
+void Targets::unuse(const std::vector<TargetState*>& targets)
+{
+    for (auto* state : targets)
+        if (--state->users == 0) {
+            state->row.serving = false;
+            m_unused.push_back(state->row.vm);
         }
-    std::erase_if(m_states, [this](const auto& entry) {
-        return !m_configs.contains(entry.first) && entry.second.slots.inFlight() == 0;
+    dropUnused();
+}
+
+void Targets::dropUnused()
+{
+    std::erase_if(m_unused, [this](const VmId& vm) {
+        auto position = m_states.find(vm);
+        if (position == m_states.end() || position->second.users > 0)
+            return true;
+        if (position->second.slots.inFlight() > 0)
+            return false;
+        m_states.erase(position);
+        return true;
     });
-    deal(now);
 }
 
 void Targets::setEntries(std::vector<EntryVm> entries, TimePoint now)
@@ -67,32 +95,31 @@
                 state.slots.forgetPeer(entry.process);
     m_entries = std::move(entries);
     m_settled = now + settleTime;
-    deal(now);
+    for (auto& [vm, state] : m_states)
+        deal(state, now);
 }
 
-// Gives each target's slots to the entry VMs of its zone; to all of them where the zone has none.
-void Targets::deal(TimePoint now)
+// Gives the target's slots to the entry VMs of its zone; to all of them where the zone has none.
+void Targets::deal(TargetState& state, TimePoint now)
 {
-    for (const auto& [vm, config] : m_configs) {
-        auto& state = m_states.at(vm);
-        std::vector<ProcessId> all;
-        std::vector<ProcessId> local;
-        for (const auto& entry : m_entries) {
-            all.push_back(entry.process);
-            if (entry.zone == state.row.zone)
-                local.push_back(entry.process);
-        }
-        const auto& sharers = local.empty() ? all : local;
-        bool sharing = std::find(sharers.begin(), sharers.end(), m_self.process) != sharers.end();
-        auto share = sharing ? dealtSlots(vm, config.slotsPerTarget, sharers, m_self.process) : 0;
-        state.slots.setShare(share, m_settled, now);
-
-        // Half of the connections are for the zone's own entry VMs, half for all.
-        auto half = config.connectionsPerTarget / 2;
-        state.connections = dealtSlots(vm, half, all, m_self.process);
-        if (sharing)
-            state.connections += dealtSlots(vm, config.connectionsPerTarget - half, sharers, m_self.process);
+    const auto& vm = state.row.vm;
+    std::vector<ProcessId> all;
+    std::vector<ProcessId> local;
+    for (const auto& entry : m_entries) {
+        all.push_back(entry.process);
+        if (entry.zone == state.row.zone)
+            local.push_back(entry.process);
     }
+    const auto& sharers = local.empty() ? all : local;
+    bool sharing = std::find(sharers.begin(), sharers.end(), m_self.process) != sharers.end();
+    auto share = sharing ? dealtSlots(vm, state.slotsInAll, sharers, m_self.process) : 0;
+    state.slots.setShare(share, m_settled, now);
+
+    // Half of the connections are for the zone's own entry VMs, half for all.
+    auto half = state.connectionsInAll / 2;
+    state.connections = dealtSlots(vm, half, all, m_self.process);
+    if (sharing)
+        state.connections += dealtSlots(vm, state.connectionsInAll - half, sharers, m_self.process);
 }
 
 void Targets::setLeaving(const VmId& vm, TimePoint now)
--- a/src/serve/targets.h
+++ b/src/serve/targets.h
@@ -13,6 +13,12 @@
 // Everything known of one target, whichever services use it.
 struct TargetState {
     Target row;
+    // Limits of the service that was applied last.
+    std::uint32_t slotsInAll { 0 };
+    std::uint32_t connectionsInAll { 0 };
+    // Services that use it.
+    std::uint32_t users { 0 };
+    // Connections that are ours.
     std::uint32_t connections { 0 };
     SlotAccount slots;
     Outlier health;
@@ -33,7 +39,9 @@
 public:
     Targets(EntryVm self, std::uint64_t seed);
 
-    void applyDirectory(const ServiceDirectory&, TimePoint now);
+    // Takes a service's configuration and targets in their newest form.
+    void setService(const ServiceEntry&, TimePoint now);
+    void removeService(const ServiceId&);
     void setEntries(std::vector<EntryVm>, TimePoint now);
 
     void setLeaving(const VmId&, TimePoint now);
@@ -61,7 +69,9 @@
     [[nodiscard]] const std::vector<EntryVm>& entries() const { return m_entries; }
 
 private:
-    void deal(TimePoint now);
+    void deal(TargetState&, TimePoint now);
+    void unuse(const std::vector<TargetState*>&);
+    void dropUnused();
     void ejectIfOutlier(TargetState&, TimePoint now);
     [[nodiscard]] bool isUsable(const TargetState&, bool panic, TimePoint now) const;
     [[nodiscard]] bool inPanic(const std::vector<TargetState*>&, TimePoint now) const;
@@ -73,7 +83,8 @@
     TimePoint m_settled;
     std::unordered_map<VmId, TargetState> m_states;
     std::unordered_map<ServiceId, std::vector<TargetState*>> m_services;
-    std::unordered_map<VmId, ServiceConfig> m_configs;
+    // Targets that no service uses any more; some may have calls in flight.
+    std::vector<VmId> m_unused;
 };
 
 } // namespace fulmar::serve
--- a/src/serve/tests/at_most_once_test.cpp
+++ b/src/serve/tests/at_most_once_test.cpp
@@ -100,8 +100,8 @@
     service.config.slotsPerTarget = 1;
     for (const auto* vm : { "v1", "v2" })
         service.targets.push_back({ VmId(vm), "127.0.0.1:1", ZoneId("a"), RackId("r"), true, 1 });
-    ServiceDirectory directory;
-    directory.services.emplace(service.config.service, service);
+    DirectoryChange directory;
+    directory.changed.push_back(service);
     std::ignore = entry.dispatcher->applyDirectory(directory, m_now);
 }
 
--- a/src/serve/tests/dispatcher_test.cpp
+++ b/src/serve/tests/dispatcher_test.cpp
@@ -10,7 +10,7 @@
 
 const TimePoint t0 { 1000s };
 
-ServiceDirectory directoryOf(std::size_t targets)
+DirectoryChange directoryOf(std::size_t targets)
 {
     ServiceEntry entry;
     entry.config.service = ServiceId("plans");
@@ -19,8 +19,8 @@
     for (std::size_t i = 0; i < targets; ++i)
         entry.targets.push_back({ VmId("vm" + std::to_string(i)), "127.0.0.1:1", ZoneId("a"),
             RackId("r" + std::to_string(i)), true, 1 });
-    ServiceDirectory directory;
-    directory.services.emplace(entry.config.service, entry);
+    DirectoryChange directory;
+    directory.changed.push_back(entry);
     return directory;
 }
 
@@ -104,7 +104,7 @@
     std::ignore = dispatcher.applyDirectory(directoryOf(1), t0);
     BOOST_TEST(only<Refuse>(dispatcher.onCall(2, callOf("GET"), t0)));
     auto newer = directoryOf(1);
-    newer.services.begin()->second.targets.front().epoch = 2;
+    newer.changed.front().targets.front().epoch = 2;
     std::ignore = dispatcher.applyDirectory(newer, t0);
     BOOST_TEST(only<StartAttempt>(dispatcher.onCall(3, callOf("GET"), t0)));
 }
--- a/src/serve/tests/slots_test.cpp
+++ b/src/serve/tests/slots_test.cpp
@@ -33,8 +33,8 @@
         service.config.queueLimit = 20;
         for (const auto* vm : { "v1", "v2" })
             service.targets.push_back({ VmId(vm), "127.0.0.1:1", ZoneId("a"), RackId(vm), true, 1 });
-        ServiceDirectory directory;
-        directory.services.emplace(service.config.service, service);
+        DirectoryChange directory;
+        directory.changed.push_back(service);
         std::vector<EntryVm> entries;
         entries.reserve(4);
         for (int i = 0; i < 4; ++i)
--- a/src/serve/tests/verdict_test.cpp
+++ b/src/serve/tests/verdict_test.cpp
@@ -116,8 +116,8 @@
         service.config.retryShare = 1;
         for (const auto* vm : { "v1", "v2", "v3" })
             service.targets.push_back({ VmId(vm), "127.0.0.1:1", ZoneId("a"), RackId(vm), true, 1 });
-        ServiceDirectory directory;
-        directory.services.emplace(service.config.service, service);
+        DirectoryChange directory;
+        directory.changed.push_back(service);
         handle(m_dispatcher.applyDirectory(directory, m_now));
     }
 
