--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -36,14 +36,7 @@
 PeerDutyHooks Control::makePeerHooks()
 {
     PeerDutyHooks hooks;
-    hooks.loadFor = [this](const PeerInfo&) -> std::optional<serve::PeerLoad> {
-        auto leaving = m_reader.leaving();
-        if (leaving.empty())
-            return std::nullopt;
-        serve::PeerLoad load;
-        load.leaving = std::move(leaving);
-        return load;
-    };
+    hooks.listed = [this] { return m_reader.listed(); };
     hooks.callTask = [this](const TaskCall& call) { return m_work.call(call, m_peers->client()); };
     return hooks;
 }
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -147,18 +147,20 @@
 {
     PeerDutyHooks hooks;
     hooks.loadFor = [this](const PeerInfo& peer) -> std::optional<serve::PeerLoad> {
-        if (peer.role != PeerRole::Entry || peer.zone != m_self.zone)
+        if (peer.role != PeerRole::Entry || peer.region != m_self.region)
             return std::nullopt;
         return m_inbox.ask<serve::PeerLoad>(
             [this, process = peer.process] { return m_dispatcher.loadFor(process, m_clock.now()); },
             loopAnswerTimeout);
     };
     hooks.onLoad = [this](const PeerInfo& peer, const serve::PeerLoad& load) {
-        std::ignore = m_inbox.tryPost([this, peer, load] {
-            for (const auto& vm : load.leaving)
-                m_dispatcher.onTargetLeaving(vm, m_clock.now());
-            if (peer.role == PeerRole::Entry && peer.zone == m_self.zone)
-                perform(m_dispatcher.onPeerLoad(peer.process, load, m_clock.now()));
+        std::ignore = m_inbox.tryPost(
+            [this, peer, load] { perform(m_dispatcher.onPeerLoad(peer.process, load, m_clock.now())); });
+    };
+    hooks.onListed = [this](const std::vector<ListedTarget>& listed) {
+        std::ignore = m_inbox.tryPost([this, listed] {
+            for (const auto& [vm, isLeaving] : listed)
+                m_dispatcher.onTargetListed(vm, isLeaving);
         });
     };
     hooks.confirmLeaving = [this](const ConfirmQuestion& question) {
@@ -422,29 +424,38 @@
     auto changes = m_distribution.changesSince(m_appliedVersion);
     if (changes.tableVersion <= m_appliedVersion)
         return;
-    for (auto& row : changes.rows)
-        m_rows[row.key] = row;
+    for (const auto& row : changes.rows) {
+        m_directory.apply(row);
+        noteRow(row);
+    }
     m_appliedVersion = changes.tableVersion;
     if (changes.rows.empty())
         return;
-    setEntriesFromRows();
-    perform(m_dispatcher.applyDirectory(serve::buildDirectory(m_rows), m_clock.now()));
+    perform(m_dispatcher.setEntries(registeredEntries(), m_clock.now()));
+    perform(m_dispatcher.applyDirectory(m_directory.takeChange(), m_clock.now()));
     m_events.record(m_clock.wallNow(), "config.applied",
         { { "version", std::to_string(m_appliedVersion) }, { "rows", std::to_string(changes.rows.size()) } });
 }
 
-void Entry::setEntriesFromRows()
+// Keeps what confirmations and the dispatcher need of the rows.
+void Entry::noteRow(const Row& row)
+{
+    if (row.key.starts_with(keys::vmPrefix))
+        m_vmRows[row.key] = row.operation;
+    if (!row.key.starts_with(keys::entryPrefix))
+        return;
+    m_entryRows.erase(row.key);
+    if (auto record = decode<EntryRecord>(row.value); record && !row.deleted)
+        m_entryRows.emplace(row.key, serve::EntryVm { record->process, record->zone });
+}
+
+std::vector<serve::EntryVm> Entry::registeredEntries() const
 {
     std::vector<serve::EntryVm> entries { { m_self.process, m_self.zone } };
-    for (auto position = m_rows.lower_bound(keys::entryPrefix); position != m_rows.end(); ++position) {
-        const auto& [key, row] = *position;
-        if (!key.starts_with(keys::entryPrefix))
-            break;
-        auto record = decode<EntryRecord>(row.value);
-        if (!row.deleted && record && record->process != m_self.process)
-            entries.push_back({ record->process, record->zone });
-    }
-    perform(m_dispatcher.setEntries(entries, m_clock.now()));
+    for (const auto& [key, entry] : m_entryRows)
+        if (entry.process != m_self.process)
+            entries.push_back(entry);
+    return entries;
 }
 
 // What rules here for one VM, read in one step of the loop that routes.
@@ -455,8 +466,8 @@
     auto inFlight = m_dispatcher.inFlight();
     if (auto position = inFlight.find(question.vm); position != inFlight.end())
         confirmation.inFlight = position->second;
-    if (auto row = m_rows.find(keys::vmPrefix + question.vm.value()); row != m_rows.end())
-        confirmation.row = row->second.operation;
+    if (auto row = m_vmRows.find(keys::vmPrefix + question.vm.value()); row != m_vmRows.end())
+        confirmation.row = row->second;
     return confirmation;
 }
 
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -75,7 +75,8 @@
     void forgetIfDone(serve::RequestId);
 
     void applyConfig();
-    void setEntriesFromRows();
+    void noteRow(const Row&);
+    [[nodiscard]] std::vector<serve::EntryVm> registeredEntries() const;
     [[nodiscard]] Confirmation confirmLeaving(const ConfirmQuestion&);
     [[nodiscard]] KeyAnswer answerKey(const KeyQuestion&);
     [[nodiscard]] bool isServing() const;
@@ -105,7 +106,10 @@
     std::unordered_map<std::string, HttpAnswer> m_keptAnswers;
 
     Distribution m_distribution;
-    std::map<std::string, Row> m_rows;
+    serve::DirectoryBuilder m_directory;
+    // The operation that wrote each VM's row in force, and the registered entries, by row key.
+    std::unordered_map<std::string, OperationId> m_vmRows;
+    std::map<std::string, serve::EntryVm> m_entryRows;
     // Version of the configuration that the dispatcher routes by.
     Version m_appliedVersion { 0 };
     TimePoint m_configDue { TimePoint::max() };
--- a/src/daemon/peer_duty.cpp
+++ b/src/daemon/peer_duty.cpp
@@ -68,20 +68,30 @@
     return handlers;
 }
 
-void PeerDuty::addLoad(Exchange& message, const PeerInfo& peer) const
+// What entries want to hear beyond the configuration.
+void PeerDuty::addNews(Exchange& message, const PeerInfo& peer) const
 {
     if (m_hooks.loadFor)
         message.load = m_hooks.loadFor(peer);
+    if (m_hooks.listed && peer.role == PeerRole::Entry)
+        message.listed = m_hooks.listed();
 }
 
-Exchange PeerDuty::answerExchange(const Exchange& message)
+void PeerDuty::takeNews(const Exchange& message) const
 {
     m_events.observe(message.stamp);
     if (message.load && m_hooks.onLoad)
         m_hooks.onLoad(message.from, *message.load);
+    if (!message.listed.empty() && m_hooks.onListed)
+        m_hooks.onListed(message.listed);
+}
+
+Exchange PeerDuty::answerExchange(const Exchange& message)
+{
+    takeNews(message);
     auto reply = m_distribution.onRequest(message, m_clock.now());
     reply.stamp = m_events.stampForMessage(m_clock.wallNow());
-    addLoad(reply, message.from);
+    addNews(reply, message.from);
     return reply;
 }
 
@@ -91,14 +101,12 @@
     message.stamp = m_events.stampForMessage(m_clock.wallNow());
     for (const auto& peer : m_distribution.contacts(m_clock.now()))
         if (peer.address == address)
-            addLoad(message, peer);
+            addNews(message, peer);
     m_client.exchange(address, message, exchangeTimeout, [this, address](Result<Exchange> reply) {
         if (!reply)
             return;
-        m_events.observe(reply->stamp);
+        takeNews(*reply);
         m_distribution.onReply(address, *reply, m_clock.now());
-        if (reply->load && m_hooks.onLoad)
-            m_hooks.onLoad(reply->from, *reply->load);
     });
 }
 
--- a/src/daemon/peer_duty.h
+++ b/src/daemon/peer_duty.h
@@ -19,6 +19,9 @@
     // The load to tell a peer; empty if there is nothing to tell.
     std::function<std::optional<serve::PeerLoad>(const PeerInfo&)> loadFor;
     std::function<void(const PeerInfo&, const serve::PeerLoad&)> onLoad;
+    // What the platform's list says, for entries.
+    std::function<std::vector<ListedTarget>()> listed;
+    std::function<void(const std::vector<ListedTarget>&)> onListed;
     std::function<Confirmation(const ConfirmQuestion&)> confirmLeaving;
     std::function<KeyAnswer(const KeyQuestion&)> askKey;
     std::function<TaskAnswer(const TaskCall&)> callTask;
@@ -45,7 +48,8 @@
     Exchange answerExchange(const Exchange&);
     void run();
     void startExchange(const std::string& address);
-    void addLoad(Exchange&, const PeerInfo& peer) const;
+    void addNews(Exchange&, const PeerInfo& peer) const;
+    void takeNews(const Exchange&) const;
 
     Distribution& m_distribution;
     EventLog& m_events;
--- a/src/daemon/zone_reader.h
+++ b/src/daemon/zone_reader.h
@@ -7,13 +7,14 @@
 #include "platform/table.h"
 
 #include <fmt/format.h>
+#include <map>
 #include <mutex>
 #include <vector>
 
 namespace fulmar {
 
 // Reads the configuration for one availability zone. The processes of the zone share one lease, and only its
-// holder reads; the others get the rows from their peers. Driven by one duty thread; leaving() may be called
+// holder reads; the others get the rows from their peers. Driven by one duty thread; listed() may be called
 // on any.
 template <PlatformClient P, Clock C> class ZoneReader {
 public:
@@ -41,11 +42,14 @@
             readList();
     }
 
-    // VMs that the platform lists as leaving; empty unless this process is the zone's reader.
-    [[nodiscard]] std::vector<VmId> leaving() const
+    // VMs that the platform lists as leaving, and those that were listed so before and are live again.
+    [[nodiscard]] std::vector<ListedTarget> listed() const
     {
         std::lock_guard lock(m_mutex);
-        return m_leaving;
+        std::vector<ListedTarget> listed;
+        for (const auto& [vm, isLeaving] : m_listed)
+            listed.push_back({ vm, isLeaving });
+        return listed;
     }
 
 private:
@@ -71,12 +75,12 @@
         auto list = m_platform.listVms();
         if (!list)
             return;
-        std::vector<VmId> leaving;
+        std::lock_guard lock(m_mutex);
         for (const auto& vm : *list)
             if (vm.presence == VmPresence::Leaving)
-                leaving.push_back(vm.vm);
-        std::lock_guard lock(m_mutex);
-        m_leaving = std::move(leaving);
+                m_listed[vm.vm] = true;
+            else if (auto known = m_listed.find(vm.vm); known != m_listed.end())
+                known->second = false;
     }
 
     P& m_platform;
@@ -91,7 +95,7 @@
     TimePoint m_nextRead {};
     TimePoint m_nextList {};
     mutable std::mutex m_mutex;
-    std::vector<VmId> m_leaving;
+    std::map<VmId, bool> m_listed;
 };
 
 } // namespace fulmar
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -39,6 +39,14 @@
     bool operator==(const PeerInfo&) const = default;
 };
 
+// What the platform's list says of a VM.
+struct ListedTarget {
+    VmId vm;
+    bool isLeaving { false };
+
+    bool operator==(const ListedTarget&) const = default;
+};
+
 // What two processes tell each other.
 struct Exchange {
     PeerInfo from;
@@ -48,9 +56,11 @@
     // All rows changed after `base`, up to changes.tableVersion; of use only to a receiver that has `base`.
     Version base { 0 };
     Changes changes;
-    // From entries to entries; from a control process only with the VMs that the platform lists as leaving.
+    // From entries to entries.
     std::optional<serve::PeerLoad> load;
     std::vector<PeerInfo> known;
+    // From control processes: VMs that the platform's list shows as leaving, or again as live.
+    std::vector<ListedTarget> listed;
 };
 
 struct ConfirmQuestion {
--- a/src/peer/tests/peer_test.cpp
+++ b/src/peer/tests/peer_test.cpp
@@ -27,8 +27,9 @@
     Exchange sent { somePeer(), { WallTime(5ms), 2 }, 11, 8 };
     sent.changes = { { { "config/a", "1", 4, OperationId("o"), true } }, 9 };
     sent.known = { somePeer() };
-    sent.load = serve::PeerLoad { { { VmId("v"), 3 } }, { { ServiceId("s"), 5 } }, { { VmId("w"), 2 } }, 4ms,
-        { VmId("x") } };
+    sent.load = serve::PeerLoad { 7, TimePoint(3s), TimePoint(2s), { { VmId("w"), 2 } }, 4ms,
+        { { VmId("v"), 3 } }, { { ServiceId("s"), 5 } }, { { VmId("x"), 6 } } };
+    sent.listed = { { VmId("y"), true }, { VmId("z"), false } };
     Exchange received;
     auto server = PeerServer::start("127.0.0.1:0", { [&](const Exchange& message) {
         received = message;
@@ -49,11 +50,13 @@
         BOOST_TEST(each.version == 11U);
         BOOST_TEST(each.base == 8U);
         BOOST_TEST(each.changes.tableVersion == 9U);
-        BOOST_TEST((each.load->inFlight == sent.load->inFlight));
-        BOOST_TEST((each.load->lent == sent.load->lent));
-        BOOST_TEST((each.load->waiting == sent.load->waiting));
+        BOOST_TEST(each.load->incarnation == 7U);
+        BOOST_TEST((each.load->sent == sent.load->sent && each.load->echo == sent.load->echo));
+        BOOST_TEST((each.load->lent == sent.load->lent && each.load->lentFor == sent.load->lentFor));
+        BOOST_TEST((each.load->borrowed == sent.load->borrowed));
+        BOOST_TEST((each.load->wanted == sent.load->wanted));
         BOOST_TEST((each.load->leaving == sent.load->leaving));
-        BOOST_TEST((each.load->lentFor == sent.load->lentFor));
+        BOOST_TEST((each.listed == sent.listed));
         BOOST_TEST((each.known == sent.known));
     }
 }
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -85,8 +85,16 @@
     return { { ProcessId(in.process()), in.incarnation() }, in.serial() };
 }
 
+std::int64_t toWire(TimePoint time) { return time.time_since_epoch().count(); }
+
+TimePoint readTime(std::int64_t microseconds) { return TimePoint(Duration(microseconds)); }
+
 void fill(const serve::PeerLoad& load, wire::Load& out)
 {
+    out.set_incarnation(load.incarnation);
+    out.set_sent_us(toWire(load.sent));
+    out.set_echo_us(toWire(load.echo));
+    out.set_lent_for_us(load.lentFor.count());
     std::map<VmId, wire::TargetLoad*> targets;
     auto target = [&](const VmId& vm) -> wire::TargetLoad& {
         auto& known = targets[vm];
@@ -96,34 +104,39 @@
         }
         return *known;
     };
-    for (const auto& [vm, count] : load.inFlight)
-        target(vm).set_in_flight(count);
     for (const auto& [vm, count] : load.lent)
         target(vm).set_lent(count);
-    for (const auto& [service, waiting] : load.waiting) {
+    for (const auto& [vm, count] : load.borrowed)
+        target(vm).set_borrowed(count);
+    for (const auto& [service, wanted] : load.wanted) {
         auto& each = *out.add_services();
         each.set_service(service.value());
-        each.set_waiting(waiting);
+        each.set_wanted(wanted);
+    }
+    for (const auto& mark : load.leaving) {
+        auto& each = *out.add_leaving();
+        each.set_vm(mark.vm.value());
+        each.set_epoch(mark.epoch);
     }
-    out.set_lent_us(load.lentFor.count());
-    for (const auto& vm : load.leaving)
-        out.add_leaving(vm.value());
 }
 
 serve::PeerLoad read(const wire::Load& in)
 {
     serve::PeerLoad load;
+    load.incarnation = in.incarnation();
+    load.sent = readTime(in.sent_us());
+    load.echo = readTime(in.echo_us());
+    load.lentFor = Duration(in.lent_for_us());
     for (const auto& target : in.targets()) {
-        if (target.in_flight())
-            load.inFlight[VmId(target.vm())] = target.in_flight();
         if (target.lent())
             load.lent[VmId(target.vm())] = target.lent();
+        if (target.borrowed())
+            load.borrowed[VmId(target.vm())] = target.borrowed();
     }
     for (const auto& each : in.services())
-        load.waiting[ServiceId(each.service())] = each.waiting();
-    load.lentFor = Duration(in.lent_us());
-    for (const auto& vm : in.leaving())
-        load.leaving.emplace_back(vm);
+        load.wanted[ServiceId(each.service())] = each.wanted();
+    for (const auto& mark : in.leaving())
+        load.leaving.push_back({ VmId(mark.vm()), mark.epoch() });
     return load;
 }
 
@@ -156,6 +169,11 @@
     out.set_complete(message.changes.tableVersion);
     if (message.load)
         fill(*message.load, *out.mutable_load());
+    for (const auto& [vm, isLeaving] : message.listed) {
+        auto& each = *out.add_listed();
+        each.set_vm(vm.value());
+        each.set_leaving(isLeaving);
+    }
     for (const auto& row : message.changes.rows) {
         auto& each = *out.add_rows();
         each.set_key(row.key);
@@ -178,6 +196,8 @@
     message.changes.tableVersion = in.complete();
     if (in.has_load())
         message.load = read(in.load());
+    for (const auto& each : in.listed())
+        message.listed.push_back({ VmId(each.vm()), each.leaving() });
     for (const auto& row : in.rows())
         message.changes.rows.push_back(
             { row.key(), row.value(), row.version(), OperationId(row.operation()), row.deleted() });
