--- a/src/peer/tests/peer_test.cpp
+++ b/src/peer/tests/peer_test.cpp
@@ -15,7 +15,8 @@
 
 PeerInfo somePeer()
 {
-    return { ProcessId("e1"), PeerRole::Entry, RegionId("n"), ZoneId("a"), "127.0.0.1:1", 3 };
+    return { ProcessId("e1"), PeerRole::Entry, RegionId("n"), ZoneId("a"), "127.0.0.1:1", 3, VmId("vm1"),
+        true };
 }
 
 } // namespace
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -34,7 +34,7 @@
 {
     auto role = in.role() == toString(PeerRole::Control) ? PeerRole::Control : PeerRole::Entry;
     return { ProcessId(in.id()), role, RegionId(in.region()), ZoneId(in.zone()), in.address(),
-        in.incarnation() };
+        in.incarnation(), VmId(in.vm()), in.registered() };
 }
 
 Outcome readOutcome(const std::string& text)
--- a/standins/process_zones.cpp
+++ b/standins/process_zones.cpp
@@ -1,64 +1,108 @@
 #include "process_zones.h"
 
+#include <array>
+#include <charconv>
+#include <cstring>
 #include <filesystem>
 #include <fmt/format.h>
-#include <fstream>
-#include <sstream>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace fulmar::standin {
 
 namespace {
 
-// The kernel lists an address as the hexadecimal number that its bytes make in memory.
-std::string kernelName(const asio::ip::tcp::endpoint& end)
+using asio::ip::tcp;
+
+constexpr std::string_view socketPrefix = "socket:[";
+
+struct DiagnosisRequest {
+    nlmsghdr header {};
+    inet_diag_req_v2 query {};
+};
+
+DiagnosisRequest requestFor(const tcp::endpoint& caller, const tcp::endpoint& called)
 {
-    const auto bytes = end.address().to_v4().to_bytes();
-    return fmt::format("{:02X}{:02X}{:02X}{:02X}:{:04X}", bytes[3], bytes[2], bytes[1], bytes[0], end.port());
+    DiagnosisRequest request;
+    request.header.nlmsg_len = sizeof(request);
+    request.header.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+    request.header.nlmsg_flags = NLM_F_REQUEST;
+    request.query.sdiag_family = AF_INET;
+    request.query.sdiag_protocol = IPPROTO_TCP;
+    request.query.idiag_states = ~0U;
+    request.query.id.idiag_sport = htons(caller.port());
+    request.query.id.idiag_dport = htons(called.port());
+    request.query.id.idiag_src[0] = htonl(caller.address().to_v4().to_uint());
+    request.query.id.idiag_dst[0] = htonl(called.address().to_v4().to_uint());
+    request.query.id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+    request.query.id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+    return request;
 }
 
-// The inode of the socket with this local end, or an empty string.
-std::string inodeOf(const std::string& localEnd)
+// Asks the kernel for the inode of the caller's socket; 0 if there is none.
+std::uint32_t inodeOf(const tcp::endpoint& caller, const tcp::endpoint& called)
 {
-    std::ifstream table("/proc/net/tcp");
-    std::string line;
-    while (std::getline(table, line)) {
-        std::istringstream fields(line);
-        std::string number;
-        std::string local;
-        fields >> number >> local;
-        if (local != localEnd)
-            continue;
-        std::string field;
-        // Remote end, state, queues, timer, retransmits, user, timeout, inode.
-        for (int column = 0; column < 8; ++column)
-            fields >> field;
-        return field;
-    }
-    return {};
+    const int channel = socket(AF_NETLINK, SOCK_RAW, NETLINK_SOCK_DIAG);
+    if (channel < 0)
+        return 0;
+    const auto request = requestFor(caller, called);
+    std::array<char, 4096> reply {};
+    ssize_t bytes = send(channel, &request, sizeof(request), 0);
+    if (bytes > 0)
+        bytes = recv(channel, reply.data(), reply.size(), 0);
+    close(channel);
+    nlmsghdr header {};
+    inet_diag_msg answer {};
+    if (bytes < static_cast<ssize_t>(NLMSG_HDRLEN + sizeof(answer)))
+        return 0;
+    std::memcpy(&header, reply.data(), sizeof(header));
+    if (header.nlmsg_type != SOCK_DIAG_BY_FAMILY)
+        return 0;
+    std::memcpy(&answer, reply.data() + NLMSG_HDRLEN, sizeof(answer));
+    return answer.idiag_inode;
 }
 
-bool ownsSocket(int pid, const std::string& socketName)
+// The inode in a link such as "socket:[1234]"; 0 for other links.
+std::uint32_t inodeInLink(const std::string& link)
 {
-    std::error_code error;
-    for (const auto& entry : std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", pid), error)) {
-        std::error_code ignored;
-        if (std::filesystem::read_symlink(entry.path(), ignored) == socketName)
-            return true;
-    }
-    return false;
+    std::uint32_t inode = 0;
+    if (link.starts_with(socketPrefix))
+        std::from_chars(link.data() + socketPrefix.size(), link.data() + link.size(), inode);
+    return inode;
 }
 
 } // namespace
 
 void ProcessZones::add(int pid, std::string zone) { m_zones[pid] = std::move(zone); }
 
-std::string ProcessZones::zoneOf(const asio::ip::tcp::endpoint& end) const
+std::string ProcessZones::zoneOf(const tcp::endpoint& caller, const tcp::endpoint& called)
 {
-    const auto socketName = fmt::format("socket:[{}]", inodeOf(kernelName(end)));
-    for (const auto& [pid, zone] : m_zones)
-        if (ownsSocket(pid, socketName))
-            return zone;
-    return {};
+    const auto inode = inodeOf(caller, called);
+    if (inode == 0)
+        return {};
+    if (!m_sockets.contains(inode))
+        scanProcesses();
+    auto position = m_sockets.find(inode);
+    return position == m_sockets.end() ? std::string() : position->second;
+}
+
+void ProcessZones::scanProcesses()
+{
+    m_sockets.clear();
+    for (const auto& [pid, zone] : m_zones) {
+        std::error_code error;
+        for (const auto& entry :
+            std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", pid), error)) {
+            std::error_code ignored;
+            const auto link = std::filesystem::read_symlink(entry.path(), ignored);
+            if (auto inode = inodeInLink(link.string()))
+                m_sockets[inode] = zone;
+        }
+    }
 }
 
 } // namespace fulmar::standin
--- a/standins/process_zones.h
+++ b/standins/process_zones.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio/ip/tcp.hpp>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -12,11 +13,17 @@
 public:
     void add(int pid, std::string zone);
 
-    // The zone of the process whose socket has this local end; empty if it is none of those known.
-    [[nodiscard]] std::string zoneOf(const asio::ip::tcp::endpoint& end) const;
+    // The zone of the process that opened the connection between these ends; empty if it is none of those
+    // known.
+    [[nodiscard]] std::string zoneOf(
+        const asio::ip::tcp::endpoint& caller, const asio::ip::tcp::endpoint& called);
 
 private:
+    void scanProcesses();
+
     std::map<int, std::string> m_zones;
+    // Zones of the sockets that the known processes had at the last scan, by inode.
+    std::map<std::uint32_t, std::string> m_sockets;
 };
 
 } // namespace fulmar::standin
--- a/standins/programs/standin_relay.cpp
+++ b/standins/programs/standin_relay.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using namespace fulmar::standin;
+using Endpoint = asio::ip::tcp::endpoint;
 
 // The relays between zones. While a zone is cut off, only connections inside it and between the others pass.
 class ZoneLinks {
@@ -27,11 +28,9 @@
             throw std::invalid_argument("not zone=listen=to: " + text);
         const auto zone = text.substr(0, first);
         m_relays.emplace_back(m_context, text.substr(first + 1, second - first - 1), text.substr(second + 1),
-            Relay::Rules {
-                [this](const asio::ip::tcp::endpoint& caller) { return m_processes.zoneOf(caller); },
-                [this, zone](
-                    const std::string& from) { return from == zone || !(isCut(from) || isCut(zone)); },
-            });
+            Relay::Rules { [this, zone](const Endpoint& caller, const Endpoint& called) {
+                return m_cut.empty() || admits(m_processes.zoneOf(caller, called), zone);
+            } });
         fmt::print("relay={} listening=127.0.0.1:{}\n", zone, m_relays.back().port());
     }
 
@@ -53,7 +52,10 @@
     }
 
 private:
-    [[nodiscard]] bool isCut(const std::string& zone) const { return m_cut.contains(zone); }
+    [[nodiscard]] bool admits(const std::string& from, const std::string& to) const
+    {
+        return from == to || !(m_cut.contains(from) || m_cut.contains(to));
+    }
 
     asio::io_context& m_context;
     ProcessZones m_processes;
--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -114,9 +114,10 @@
     {
         std::erase_if(m_passing, [this](const Passing& passing) {
             auto pipe = passing.pipe.lock();
-            if (pipe && !m_rules.admits(passing.zone))
+            const bool passes = pipe && m_rules.admits(passing.caller, passing.called);
+            if (pipe && !passes)
                 pipe->close();
-            return !pipe || !m_rules.admits(passing.zone);
+            return !passes;
         });
     }
 
@@ -133,7 +134,8 @@
 
 private:
     struct Passing {
-        std::string zone;
+        tcp::endpoint caller;
+        tcp::endpoint called;
         std::weak_ptr<Pipe> pipe;
     };
 
@@ -141,15 +143,13 @@
     {
         asio::error_code error;
         const auto remote = caller.remote_endpoint(error);
-        if (error)
-            return;
-        auto zone = m_rules.zoneOf(remote);
-        if (!m_rules.admits(zone))
+        const auto local = error ? tcp::endpoint() : caller.local_endpoint(error);
+        if (error || !m_rules.admits(remote, local))
             return;
         caller.set_option(tcp::no_delay(true), error);
         std::erase_if(m_passing, [](const Passing& passing) { return passing.pipe.expired(); });
         auto pipe = std::make_shared<Pipe>(std::move(caller), m_context);
-        m_passing.push_back({ std::move(zone), pipe });
+        m_passing.push_back({ remote, local, pipe });
         pipe->start(m_to);
     }
 
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -9,15 +9,14 @@
 
 namespace fulmar::standin {
 
-// Passes TCP connections on to another address, as long as a rule admits the caller's zone. Belongs to the
+// Passes TCP connections on to another address, as long as a rule admits the caller. Belongs to the
 // thread that runs the context.
 class Relay {
 public:
     struct Rules {
-        // The zone that a connection comes from, asked once, when it is accepted.
-        std::function<std::string(const asio::ip::tcp::endpoint&)> zoneOf;
-        // Whether callers of this zone may pass at present.
-        std::function<bool(const std::string& zone)> admits;
+        // Whether this caller, connected to this end of ours, may pass at present.
+        std::function<bool(const asio::ip::tcp::endpoint& caller, const asio::ip::tcp::endpoint& called)>
+            admits;
     };
 
     // Addresses are "host:port"; port 0 takes a free one. Throws if the address cannot be bound.
