An entry's word on a leaving VM keeps its row on the wire

Drains and waves waited for ever in the demonstration: the operation of the row in force was written to the wire and not read from it, so no entry ever confirmed.

--- a/src/peer/tests/peer_test.cpp
+++ b/src/peer/tests/peer_test.cpp
@@ -108,6 +108,18 @@
     BOOST_TEST((copy.answer.headers == answer.answer.headers));
 }
 
+BOOST_AUTO_TEST_CASE(ConfirmationSurvivesTheWire)
+{
+    const Confirmation sent { { WallTime(1ms), 1 }, 5, 3, 9, { somePeer() }, OperationId("o") };
+    peer::wire::Confirmation wire;
+    peer::toWire(sent, wire);
+    auto copy = peer::fromWire(wire);
+    BOOST_TEST((copy.stamp == sent.stamp && copy.row == sent.row && copy.dependents == sent.dependents));
+    BOOST_TEST(copy.appliedVersion == sent.appliedVersion);
+    BOOST_TEST(copy.inFlight == sent.inFlight);
+    BOOST_TEST(copy.incarnation == sent.incarnation);
+}
+
 // Whatever bytes arrive, parsing and conversion end in a message or a refusal.
 RC_BOOST_PROP(AnyBytesParseOrFail, (const std::string& bytes))
 {
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -231,8 +231,8 @@
 
 Confirmation fromWire(const wire::Confirmation& in)
 {
-    Confirmation confirmation { read(in.stamp()), in.applied_version(), in.in_flight(), in.incarnation(),
-        {} };
+    Confirmation confirmation { read(in.stamp()), in.applied_version(), in.in_flight(), in.incarnation(), {},
+        OperationId(in.row()) };
     for (const auto& peer : in.dependents())
         confirmation.dependents.push_back(read(peer));
     return confirmation;
