Bench: naive and present serving decisions on the same calls in virtual time

Six entry VMs in three zones before ten targets of eight slots; 90% of the calls run 50 ms in the mean, 10% a second; callers give up after 2 s. Useful is the run time of calls answered in time, over what the sound targets can give or over what was asked. A target does not notice that a caller gave up, so that late work is counted as wasted.

--- /dev/null
+++ b/src/bench/serve_bench.cpp
@@ -0,0 +1,104 @@
+#include "bench/serve_bench.h"
+
+#include "bench/serve_naive.h"
+#include "bench/serve_world.h"
+#include "serve/dispatcher.h"
+
+#include <fmt/format.h>
+
+namespace fulmar::bench {
+
+namespace {
+
+// The dispatcher as the bench drives it.
+class PresentEntry {
+public:
+    PresentEntry(const serve::EntryVm& self, const std::vector<serve::EntryVm>& entries,
+        const serve::ServiceEntry& service, TimePoint now)
+        : m_dispatcher(settingsOf(self))
+    {
+        serve::DirectoryChange directory;
+        directory.changed.push_back(service);
+        std::ignore = m_dispatcher.setEntries(entries, now);
+        std::ignore = m_dispatcher.applyDirectory(directory, now);
+    }
+
+    [[nodiscard]] serve::Actions onCall(serve::RequestId id, const serve::CallInfo& call, TimePoint now)
+    {
+        return m_dispatcher.onCall(id, call, now);
+    }
+    [[nodiscard]] serve::Actions onAttemptEnd(
+        serve::AttemptId id, const serve::AttemptEnd& end, TimePoint now)
+    {
+        return m_dispatcher.onAttemptEnd(id, end, now);
+    }
+    [[nodiscard]] serve::Actions onCallerGone(serve::RequestId id, TimePoint now)
+    {
+        return m_dispatcher.onCallerGone(id, now);
+    }
+    [[nodiscard]] serve::Actions onTick(TimePoint now) { return m_dispatcher.onTick(now); }
+    [[nodiscard]] std::optional<TimePoint> nextWake() const { return m_dispatcher.nextWake(); }
+    [[nodiscard]] serve::PeerLoad loadFor(const ProcessId& peer, TimePoint now)
+    {
+        return m_dispatcher.loadFor(peer, now);
+    }
+    [[nodiscard]] serve::Actions onPeerLoad(const ProcessId& peer, const serve::PeerLoad& load, TimePoint now)
+    {
+        return m_dispatcher.onPeerLoad(peer, load, now);
+    }
+
+private:
+    static serve::DispatcherSettings settingsOf(const serve::EntryVm& self)
+    {
+        serve::DispatcherSettings settings;
+        settings.zone = self.zone;
+        settings.process = self.process;
+        settings.incarnation = 1;
+        return settings;
+    }
+
+    serve::Dispatcher m_dispatcher;
+};
+
+double milliseconds(Duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
+
+void printRow(std::ostream& out, const ServeCase& which, const char* version, const ServeFigures& figures)
+{
+    constexpr double percent = 100;
+    out << fmt::format("{:<14} {:<8} {:>7.1f} {:>7.1f} {:>6.1f} {:>8.1f} {:>7.1f} {:>9.1f} {:>9.1f} "
+                       "{:>10.1f} {:>8} {:>7.2f} {:>8} "
+                       "{:>8.2f}\n",
+        which.name, version, percent * figures.useful, percent * figures.wasted, percent * figures.lateShare,
+        percent * figures.refusedShare, percent * figures.failedShare, milliseconds(figures.medianWait),
+        milliseconds(figures.p99Wait), milliseconds(figures.p99ShortWait), figures.retries,
+        figures.beyondLimit, figures.doubled, figures.fairness);
+}
+
+} // namespace
+
+ServeComparison compareServe(const ServeCase& which)
+{
+    return { ServeWorld<NaiveEntry>(which).run(), ServeWorld<PresentEntry>(which).run() };
+}
+
+void runServeBench(std::ostream& out)
+{
+    out << fmt::format(
+        "{:<14} {:<8} {:>7} {:>7} {:>6} {:>8} {:>7} {:>9} {:>9} {:>10} {:>8} {:>7} {:>8} {:>8}\n", "case",
+        "version", "useful%", "wasted%", "late%", "refused%", "failed%", "wait50ms", "wait99ms", "short99ms",
+        "retries", "beyond", "doubled", "fairness");
+    std::uint64_t signature = 0;
+    for (auto load : { 0.5, 1.0, 5.0 })
+        for (const auto& [fault, failing, slow] :
+            { std::tuple("sound", 0U, 0U), std::tuple("failing", 1U, 0U), std::tuple("slow", 0U, 1U) }) {
+            ServeCase which { fmt::format("{}x-{}", load, fault), load, failing, slow };
+            auto [naive, present] = compareServe(which);
+            printRow(out, which, "naive", naive);
+            printRow(out, which, "present", present);
+            for (auto part : { naive.signature, present.signature })
+                signature = XXH3_64bits_withSeed(&part, sizeof part, signature);
+        }
+    out << fmt::format("serve-signature={:016x}\n", signature);
+}
+
+} // namespace fulmar::bench
