--- a/src/serve/admission.cpp
+++ b/src/serve/admission.cpp
@@ -127,7 +127,7 @@
         countShortDemand(call.expectedRun, now);
     auto wait = expectedWait(call, slots, now);
     auto allowed = std::chrono::duration_cast<Duration>(waitShare * (call.deadline - now));
-    if (wait > allowed || now + wait + call.expectedRun > call.deadline)
+    if (wait > allowed || now + wait + call.upperRun > call.deadline)
         return { false, {}, wait };
     auto& queue = queueOf(call.isLong);
     Admitted result { true, {}, wait };
--- a/src/serve/admission.h
+++ b/src/serve/admission.h
@@ -15,7 +15,9 @@
     RequestId request { 0 };
     std::string caller;
     bool isLong { false };
+    // Mean run time of calls like this, and a time that most of them stay below.
     Duration expectedRun {};
+    Duration upperRun {};
     TimePoint deadline;
     TimePoint queued;
 };
--- a/src/serve/dispatcher_state.cpp
+++ b/src/serve/dispatcher_state.cpp
@@ -75,6 +75,7 @@
     request.isLong = m_runTimes.isLong(request.callClass);
     // However slow calls have become, some are let through, so that it is noticed when they are fast again.
     request.expectedRun = std::min(m_runTimes.expected(request.callClass), timeout / 2);
+    request.upperRun = std::min(m_runTimes.upper(request.callClass), timeout * 3 / 4);
     setWake(id, request, request.deadline);
     if (!call.idempotencyKey || request.idempotent) {
         enqueue(id, request, now);
@@ -139,7 +140,7 @@
             expire(id, request, now);
             continue;
         }
-        if (now + request.expectedRun > request.deadline && service.admission.size() > 1) {
+        if (now + request.upperRun > request.deadline && service.admission.size() > 1) {
             service.admission.pop(*call);
             fail(id, request, { Outcome::NotRun, Reason::DeadlineExceeded, "too little time is left" },
                 retryAfter({}), now);
@@ -255,7 +256,7 @@
 bool Dispatcher::State::mayRetry(const Request& request, const AttemptEnd& end, TimePoint now)
 {
     bool possible = !end.answerStarted && request.tried.size() < maxAttempts
-        && now + firstRetryDelay + request.expectedRun < request.deadline;
+        && now + firstRetryDelay + request.upperRun < request.deadline;
     bool safe = request.idempotent || end.outcome == Outcome::NotRun;
     bool useful = end.outcome != Outcome::Ran || isRetriableStatus(end.status.value_or(0));
     return possible && safe && useful && m_targets.hasOther(request.service, request.tried, now)
@@ -460,7 +461,8 @@
 
 WaitingCall Dispatcher::State::waitingCall(RequestId id, const Request& request, TimePoint now)
 {
-    return { id, request.caller, request.isLong, request.expectedRun, request.deadline, now };
+    return { id, request.caller, request.isLong, request.expectedRun, request.upperRun, request.deadline,
+        now };
 }
 
 // Whole seconds, spread so that refused callers do not come back together.
--- a/src/serve/dispatcher_state.h
+++ b/src/serve/dispatcher_state.h
@@ -39,7 +39,9 @@
     ClassId callClass { 0 };
     // Whether the class was long when the call came.
     bool isLong { false };
+    // Mean run time of its class, and a time that most of its calls stay below.
     Duration expectedRun {};
+    Duration upperRun {};
     AttemptId attempt { 0 };
     // Some attempt may have run.
     bool mayHaveRun { false };
--- a/src/serve/run_times.cpp
+++ b/src/serve/run_times.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
 #include <limits>
 
 namespace fulmar::serve {
@@ -12,6 +13,8 @@
 constexpr std::size_t segmentsInShape = 2;
 constexpr Duration firstGuess = std::chrono::milliseconds(5);
 constexpr double meanWeight = 0.05;
+// Four fifths or more of the calls of the usual distributions run less than the mean and this many spreads.
+constexpr double upperSpreads = 1.5;
 // A class is long if it runs this many times as long as the fastest, and longer than the floor.
 constexpr double longFactor = 8;
 constexpr double longFloorMicroseconds = 100'000;
@@ -67,7 +70,9 @@
     ++entry.use;
     // The plain mean of the first samples, then one that follows changes.
     auto weight = std::max(meanWeight, 1.0 / entry.samples);
-    entry.meanMicroseconds += weight * (double(run.count()) - entry.meanMicroseconds);
+    auto distance = double(run.count()) - entry.meanMicroseconds;
+    entry.meanMicroseconds += weight * distance;
+    entry.spreadMicroseconds += weight * (std::abs(distance) - entry.spreadMicroseconds);
     if (++m_sinceJudged >= judgeInterval) {
         m_sinceJudged = 0;
         judge(entry.service);
@@ -80,6 +85,14 @@
     return entry.samples == 0 ? firstGuess : Duration(std::int64_t(entry.meanMicroseconds));
 }
 
+Duration RunTimes::upper(ClassId id) const
+{
+    const auto& entry = m_classes[id];
+    if (entry.samples == 0)
+        return firstGuess;
+    return Duration(std::int64_t(entry.meanMicroseconds + upperSpreads * entry.spreadMicroseconds));
+}
+
 bool RunTimes::isLong(ClassId id) const { return m_classes[id].isLong; }
 
 // Sets which classes of the service are long.
--- a/src/serve/run_times.h
+++ b/src/serve/run_times.h
@@ -25,6 +25,9 @@
     // Mean run time; a short guess before the first call has ended.
     [[nodiscard]] Duration expected(ClassId) const;
 
+    // Run time that most of its calls stay below.
+    [[nodiscard]] Duration upper(ClassId) const;
+
     // The class holds its slot many times as long as the fastest class that its service uses notably.
     [[nodiscard]] bool isLong(ClassId) const;
 
@@ -32,6 +35,8 @@
     struct Class {
         ServiceId service;
         double meanMicroseconds { 0 };
+        // Mean distance of the run times from their mean.
+        double spreadMicroseconds { 0 };
         std::uint32_t samples { 0 };
         // Share of the service's recent calls, in arbitrary units that decay.
         double use { 0 };
