Admission: refuse waiting calls as soon as they cannot be in time, and let calls wait for a quarter of their time

A waiting call was looked at only when its turn came, so that at 5x 3.8% of the calls were told at their deadline what was certain earlier. It is now refused when too little time is left for a run. The expected wait may take a quarter of the time to the deadline instead of half.

--- a/src/serve/admission.cpp
+++ b/src/serve/admission.cpp
@@ -14,7 +14,7 @@
 // Demand below this many slots reserves nothing.
 constexpr double leastDemand = 0.01;
 // Share of the time to a call's deadline that its wait may be expected to take.
-constexpr double waitShare = 0.5;
+constexpr double waitShare = 0.25;
 
 } // namespace
 
--- a/src/serve/dispatcher_state.cpp
+++ b/src/serve/dispatcher_state.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t maxAttempts = 3;
 constexpr std::chrono::seconds never { 0 };
 constexpr std::chrono::seconds maxRetryAfter { 30 };
+constexpr Duration shortestPause = std::chrono::milliseconds(1);
 constexpr Duration firstRetryDelay = std::chrono::milliseconds(10);
 // A call that timed out after this many times its expected run time speaks against its target.
 constexpr int hungFactor = 2;
@@ -34,6 +35,9 @@
 // A whole answer by which a target or its gateway says that it did not do the work.
 bool isRetriableStatus(int status) { return status == 502 || status == 503 || status == 504; }
 
+// When a waiting call must have been started, so that it can be expected to end in time.
+TimePoint lastStart(const Request& request) { return request.deadline - request.upperRun; }
+
 bool isServerError(int status) { return status >= 500; }
 
 } // namespace
@@ -73,9 +77,8 @@
     request.idempotent = isIdempotent(state.config, call.method);
     request.callClass = m_runTimes.classOf(call.service, call.method, call.path);
     request.isLong = m_runTimes.isLong(request.callClass);
-    // However slow calls have become, some are let through, so that it is noticed when they are fast again.
-    request.expectedRun = std::min(m_runTimes.expected(request.callClass), timeout / 2);
-    request.upperRun = std::min(m_runTimes.upper(request.callClass), timeout * 3 / 4);
+    request.expectedRun = m_runTimes.expected(request.callClass);
+    request.upperRun = m_runTimes.upper(request.callClass);
     setWake(id, request, request.deadline);
     if (!call.idempotencyKey || request.idempotent) {
         enqueue(id, request, now);
@@ -94,6 +97,10 @@
             now);
         return;
     }
+    // However slow calls have become, some are let through, so that it is noticed when they are fast again.
+    auto left = request.deadline - now;
+    request.expectedRun = std::min(request.expectedRun, left / 2);
+    request.upperRun = std::min(request.upperRun, left * 3 / 4);
     auto& service = m_services.at(request.service);
     auto slots = m_targets.slotLimit(request.service, now);
     auto offer
@@ -104,7 +111,7 @@
         return;
     }
     request.phase = RequestPhase::Queued;
-    setWake(id, request, request.deadline);
+    setWake(id, request, lastStart(request));
     if (offer.evicted)
         fail(*offer.evicted, m_requests.at(*offer.evicted),
             { Outcome::NotRun, Reason::Overloaded, "the queue is full of this caller's calls" },
@@ -140,10 +147,9 @@
             expire(id, request, now);
             continue;
         }
-        if (now + request.upperRun > request.deadline && service.admission.size() > 1) {
+        if (now > lastStart(request)) {
             service.admission.pop(*call);
-            fail(id, request, { Outcome::NotRun, Reason::DeadlineExceeded, "too little time is left" },
-                retryAfter({}), now);
+            giveUp(id, request, now);
             continue;
         }
         if (auto* target = m_targets.pick(serviceId, request.tried, now)) {
@@ -296,6 +302,13 @@
     apply(std::move(step), now);
 }
 
+// A call that waits for a slot has too little time left for a run.
+void Dispatcher::State::giveUp(RequestId id, Request& request, TimePoint now)
+{
+    fail(id, request, { Outcome::NotRun, Reason::DeadlineExceeded, "too little time is left" },
+        retryAfter({}), now);
+}
+
 // The deadline has passed: the caller is answered with what is known.
 void Dispatcher::State::expire(RequestId id, Request& request, TimePoint now)
 {
@@ -372,8 +385,11 @@
             continue;
         }
         setWake(id, request, request.deadline);
-        if (request.phase == RequestPhase::BackingOff) {
+        if (request.phase == RequestPhase::Queued) {
+            giveUp(id, request, now);
+        } else if (request.phase == RequestPhase::BackingOff) {
             request.phase = RequestPhase::Queued;
+            setWake(id, request, std::max(now + shortestPause, lastStart(request)));
             m_services.at(request.service).admission.putBack(waitingCall(id, request, now));
         } else if (request.phase == RequestPhase::LookingUpKey) {
             apply(m_keyed.askAgain(id, *request.key), now);
--- a/src/serve/dispatcher_state.h
+++ b/src/serve/dispatcher_state.h
@@ -112,6 +112,7 @@
     void backOff(RequestId, Request&, TimePoint now);
     void cancel(AttemptId);
     void fail(RequestId, Request&, Failure, std::chrono::seconds retryAfter, TimePoint now);
+    void giveUp(RequestId, Request&, TimePoint now);
     void expire(RequestId, Request&, TimePoint now);
     void apply(KeyedStep, TimePoint now);
     void setWake(RequestId, Request&, TimePoint);
