Admission: short calls first, long ones keep their part, and idle reserves shrink under load

Slots were reserved for short calls up to half of all, used or not: 15% of the capacity was idle at 1x. Now short calls go first up to what leaves long ones their demand or half of the slots, and the reserve has room for the variation of the short demand only as far as long calls do not ask for the slots.

Tests: turns over callers and the choice of a target against plain versions, admission against the work ahead, ejection under its cap, panic, trial calls, learned classes.

--- a/src/serve/admission.cpp
+++ b/src/serve/admission.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr Duration demandTime = std::chrono::seconds(5);
-// Short calls never keep more than this share of the slots from long ones.
-constexpr double maxReserveShare = 0.5;
+// The part of the slots that short and long calls each have for sure when both ask for more.
+constexpr double maxPart = 0.5;
 // Demand below this many slots reserves nothing.
 constexpr double leastDemand = 0.01;
 // Share of the time to a call's deadline that its wait may be expected to take.
@@ -123,13 +123,13 @@
 
 Admitted Admission::offer(WaitingCall call, std::uint32_t slots, std::size_t limit, TimePoint now)
 {
-    if (!call.isLong)
-        countShortDemand(call.expectedRun, now);
+    auto& lane = laneOf(call.isLong);
+    lane.countDemand(call.expectedRun, now);
     auto wait = expectedWait(call, slots, now);
     auto allowed = std::chrono::duration_cast<Duration>(waitShare * (call.deadline - now));
     if (wait > allowed || now + wait + call.upperRun > call.deadline)
         return { false, {}, wait };
-    auto& queue = queueOf(call.isLong);
+    auto& queue = lane.queue;
     Admitted result { true, {}, wait };
     if (size() >= limit) {
         auto [caller, count] = queue.longestCaller();
@@ -143,56 +143,68 @@
 
 void Admission::putBack(WaitingCall call)
 {
-    auto& queue = queueOf(call.isLong);
-    queue.pushFront(std::move(call));
+    auto& lane = laneOf(call.isLong);
+    lane.queue.pushFront(std::move(call));
 }
 
+// Short calls go first, up to the limit that leaves long ones their part.
 const WaitingCall* Admission::next(std::uint32_t slots, TimePoint now) const
 {
-    const auto* shortCall = m_short.front();
-    const auto* longCall = m_long.front();
-    if (longCall && m_longInFlight >= longLimit(slots, now))
+    const auto* shortCall = m_short.queue.front();
+    const auto* longCall = m_long.queue.front();
+    if (longCall && m_long.inFlight >= longLimit(slots, now))
         longCall = nullptr;
     if (!shortCall || !longCall)
         return shortCall ? shortCall : longCall;
-    return shortCall->queued <= longCall->queued ? shortCall : longCall;
+    return m_short.inFlight < shortLimit(slots, now) ? shortCall : longCall;
 }
 
-void Admission::remove(const WaitingCall& call) { queueOf(call.isLong).remove(call.caller, call.request); }
+void Admission::remove(const WaitingCall& call)
+{
+    laneOf(call.isLong).queue.remove(call.caller, call.request);
+}
 
+// Keeps slots free for short calls: with room for their usual variation as far as long calls do not ask for
+// the slots, and otherwise only what short calls hold nearly always.
 std::uint32_t Admission::longLimit(std::uint32_t slots, TimePoint now) const
 {
-    auto demand = shortDemand(now);
-    if (demand < leastDemand || slots < 2)
+    auto shortDemand = m_short.demandNow(now);
+    if (shortDemand < leastDemand || slots < 2)
         return std::max(1U, slots);
-    // Room for the mean and for its usual variation.
-    auto needed = demand + 2 * std::sqrt(demand);
-    auto reserve = std::clamp(needed, 1.0, std::max(1.0, maxReserveShare * slots));
-    return std::max(1U, slots - std::uint32_t(std::ceil(reserve)));
+    auto longDemand = m_long.demandNow(now);
+    auto spare = slots - longDemand - std::sqrt(longDemand);
+    auto least = shortDemand - std::sqrt(shortDemand);
+    auto most = shortDemand + 2 * std::sqrt(shortDemand);
+    auto reserve = std::clamp(std::clamp(spare, least, most), 1.0, std::max(1.0, maxPart * slots));
+    return slots - std::uint32_t(std::ceil(reserve));
+}
+
+// Leaves long calls what they ask for, up to their part.
+std::uint32_t Admission::shortLimit(std::uint32_t slots, TimePoint now) const
+{
+    auto part = std::min(m_long.demandNow(now), maxPart * slots);
+    return std::max(1U, slots - std::min(slots, std::uint32_t(part)));
 }
 
 // How long the call would wait, from the work before it and the slots that work on it.
 Duration Admission::expectedWait(const WaitingCall& call, std::uint32_t slots, TimePoint now) const
 {
-    const auto& queue = call.isLong ? m_long : m_short;
-    auto work = queue.workBefore(call.caller);
-    auto lanes = std::max(1U, slots);
-    if (call.isLong)
-        lanes = longLimit(slots, now);
-    else
-        lanes = std::max(1U, lanes - std::min(lanes, m_longInFlight));
-    return work / std::int64_t(lanes);
+    const auto& lane = call.isLong ? m_long : m_short;
+    const auto& other = call.isLong ? m_short : m_long;
+    auto left = slots > other.inFlight ? slots - other.inFlight : 0;
+    auto lanes = call.isLong ? std::min(left, longLimit(slots, now)) : left;
+    return lane.queue.workBefore(call.caller) / std::int64_t(std::max(1U, lanes));
 }
 
-void Admission::countShortDemand(Duration run, TimePoint now)
+void Admission::Lane::countDemand(Duration run, TimePoint now)
 {
-    m_shortDemand = shortDemand(now) + std::chrono::duration<double>(run) / demandTime;
-    m_demandAt = now;
+    demand = demandNow(now) + std::chrono::duration<double>(run) / demandTime;
+    demandAt = now;
 }
 
-double Admission::shortDemand(TimePoint now) const
+double Admission::Lane::demandNow(TimePoint now) const
 {
-    return m_shortDemand * std::exp(-(std::chrono::duration<double>(now - m_demandAt) / demandTime));
+    return demand * std::exp(-(std::chrono::duration<double>(now - demandAt) / demandTime));
 }
 
 } // namespace fulmar::serve
--- a/src/serve/admission.h
+++ b/src/serve/admission.h
@@ -77,28 +77,35 @@
 
     // The call to start next, if it may start now; null otherwise.
     [[nodiscard]] const WaitingCall* next(std::uint32_t slots, TimePoint now) const;
-    WaitingCall pop(const WaitingCall& call) { return queueOf(call.isLong).popFront(); }
+    WaitingCall pop(const WaitingCall& call) { return laneOf(call.isLong).queue.popFront(); }
     void remove(const WaitingCall&);
 
-    void onStart(bool isLong) { m_longInFlight += isLong ? 1 : 0; }
-    void onEnd(bool isLong) { m_longInFlight -= isLong ? 1 : 0; }
+    void onStart(bool isLong) { ++laneOf(isLong).inFlight; }
+    void onEnd(bool isLong) { --laneOf(isLong).inFlight; }
 
-    [[nodiscard]] std::size_t size() const { return m_short.size() + m_long.size(); }
-    // How many of `slots` long calls may hold.
+    [[nodiscard]] std::size_t size() const { return m_short.queue.size() + m_long.queue.size(); }
+    // How many of `slots` calls of this kind may hold while calls of the other kind wait or may come.
     [[nodiscard]] std::uint32_t longLimit(std::uint32_t slots, TimePoint now) const;
+    [[nodiscard]] std::uint32_t shortLimit(std::uint32_t slots, TimePoint now) const;
 
 private:
-    FairQueue& queueOf(bool isLong) { return isLong ? m_long : m_short; }
+    // The short calls of a service, or the long ones.
+    struct Lane {
+        FairQueue queue;
+        std::uint32_t inFlight { 0 };
+        // Slots that calls of this kind ask for, as a mean that decays.
+        double demand { 0 };
+        TimePoint demandAt;
+
+        void countDemand(Duration run, TimePoint now);
+        [[nodiscard]] double demandNow(TimePoint) const;
+    };
+
+    Lane& laneOf(bool isLong) { return isLong ? m_long : m_short; }
     [[nodiscard]] Duration expectedWait(const WaitingCall&, std::uint32_t slots, TimePoint now) const;
-    void countShortDemand(Duration run, TimePoint now);
-    [[nodiscard]] double shortDemand(TimePoint now) const;
-
-    FairQueue m_short;
-    FairQueue m_long;
-    std::uint32_t m_longInFlight { 0 };
-    // Slots that short calls ask for, as a decaying mean.
-    double m_shortDemand { 0 };
-    TimePoint m_demandAt;
+
+    Lane m_short;
+    Lane m_long;
 };
 
 } // namespace fulmar::serve
