--- a/src/serve/dispatcher_state.cpp
+++ b/src/serve/dispatcher_state.cpp
@@ -19,6 +19,7 @@
 constexpr int hungFactor = 2;
 // A target may work on a call that was given up for this many times the call's expected run time.
 constexpr int abandonedFactor = 2;
+constexpr Duration longestHold = std::chrono::seconds(30);
 
 // Methods that RFC 9110 defines as idempotent.
 constexpr std::array<std::string_view, 6> idempotentMethods { "GET", "HEAD", "PUT", "DELETE", "OPTIONS",
@@ -38,6 +39,12 @@
 // When a waiting call must have been started, so that it can be expected to end in time.
 TimePoint lastStart(const Request& request) { return request.deadline - request.upperRun; }
 
+// We ended the attempt, while the target may go on with it.
+bool wasGivenUp(const Attempt& attempt, const AttemptEnd& end)
+{
+    return attempt.cancelled || end.reason == Reason::DeadlineExceeded || end.reason == Reason::Cancelled;
+}
+
 bool isServerError(int status) { return status >= 500; }
 
 } // namespace
@@ -241,7 +248,7 @@
         m_targets.onSuccess(attempt.target, slowness, now);
         return;
     }
-    bool gaveUp = attempt.cancelled || end.reason == Reason::DeadlineExceeded;
+    bool gaveUp = wasGivenUp(attempt, end);
     if (gaveUp && run < hungFactor * expected)
         return;
     m_targets.onFailure(attempt.target, now);
@@ -249,13 +256,19 @@
         m_runTimes.record(attempt.callClass, run);
 }
 
-// Frees the attempt's slot: at once if the target is done with the call, otherwise when it is likely to be.
+// Frees the attempt's slot: at once if the target is done with the call, otherwise when it is likely to be. A
+// call that already ran long is likely to run as long again.
 void Dispatcher::State::releaseSlot(const Attempt& attempt, const AttemptEnd& end, TimePoint now)
 {
-    auto until = attempt.started + abandonedFactor * m_runTimes.expected(attempt.callClass);
-    if (end.outcome == Outcome::MayHaveRun && until > now)
-        m_heldSlots.emplace(until, HeldSlot { attempt.target, attempt.slot });
-    else if (auto* target = m_targets.find(attempt.target))
+    auto* target = m_targets.find(attempt.target);
+    if (!target)
+        return;
+    bool abandoned = end.outcome == Outcome::MayHaveRun && wasGivenUp(attempt, end);
+    auto usual = attempt.started + abandonedFactor * m_runTimes.expected(attempt.callClass);
+    auto asLongAgain = now + std::min<Duration>(now - attempt.started, longestHold);
+    if (abandoned)
+        m_heldSlots.emplace(std::max(usual, asLongAgain), HeldSlot { attempt.target, attempt.slot });
+    else
         target->slots.giveBack(attempt.slot);
 }
 
