Fleet: properties of one pool and budgets under random schedules

Four defects are each noticed: confirming unasked, commits without conditions, dependents unnamed, and silence taken for absence. The budget of a pool that VMs are leaving is now checked for the smaller pool too: a move could have left a rack over its share. The ledger is counted once for each change instead of once for each command.

--- a/src/fleet/budget.cpp
+++ b/src/fleet/budget.cpp
@@ -11,10 +11,10 @@
 // Keeps shares like 0.1 * 30 from being rounded down to 2.
 constexpr double roundingTolerance = 1e-9;
 
-template <typename Counts, typename Key> std::uint32_t countOf(const Counts& counts, const Key& key)
+template <typename Counts, typename Key> auto countOf(const Counts& counts, const Key& key)
 {
     auto position = counts.find(key);
-    return position == counts.end() ? 0 : position->second;
+    return position == counts.end() ? typename Counts::mapped_type {} : position->second;
 }
 
 } // namespace
@@ -38,42 +38,79 @@
         take(vm);
 }
 
+void BudgetLedger::addDeparture(const VmRecord& vm)
+{
+    auto& pool = m_pools[vm.pool];
+    ++pool.whole.departing;
+    ++pool.racks[vm.rack].departing;
+    ++pool.zones[vm.zone].departing;
+}
+
+// A departure from the domain itself lowers its count by one and the allowance by one at most, so only those
+// from elsewhere matter.
+std::uint32_t BudgetLedger::allowedIn(const PoolCount& pool, const DomainCount& domain, double share)
+{
+    return allowedVms(share, pool.total - (pool.whole.departing - domain.departing));
+}
+
 std::string BudgetLedger::refusal(const VmRecord& vm) const
 {
     auto position = m_pools.find(vm.pool);
     if (position == m_pools.end() || !position->second.configured)
         return fmt::format("pool {} is not configured", vm.pool.value());
     const auto& pool = position->second;
-    if (auto allowed = allowedVms(pool.config.unavailableShare, pool.total); pool.unavailable >= allowed)
+    if (auto allowed = allowedVms(pool.config.unavailableShare, pool.total);
+        pool.whole.unavailable >= allowed)
         return fmt::format("budget of pool {}: {} of {} VMs unavailable, {} allowed", vm.pool.value(),
-            pool.unavailable, pool.total, allowed);
-    auto inZone = countOf(pool.unavailableByZone, vm.zone);
-    if (auto allowed = allowedVms(pool.config.unavailableSharePerZone, pool.total); inZone >= allowed)
+            pool.whole.unavailable, pool.total, allowed);
+    auto zone = countOf(pool.zones, vm.zone);
+    if (auto allowed = allowedIn(pool, zone, pool.config.unavailableSharePerZone);
+        zone.unavailable >= allowed)
         return fmt::format("budget of pool {} in zone {}: {} VMs unavailable, {} allowed", vm.pool.value(),
-            vm.zone.value(), inZone, allowed);
-    auto inRack = countOf(pool.unavailableByRack, vm.rack);
-    if (auto allowed = allowedVms(pool.config.unavailableSharePerRack, pool.total);
-        !vm.rack.empty() && inRack >= allowed)
+            vm.zone.value(), zone.unavailable, allowed);
+    auto rack = countOf(pool.racks, vm.rack);
+    if (auto allowed = allowedIn(pool, rack, pool.config.unavailableSharePerRack);
+        !vm.rack.empty() && rack.unavailable >= allowed)
         return fmt::format("budget of pool {} in rack {}: {} VMs unavailable, {} allowed", vm.pool.value(),
-            vm.rack.value(), inRack, allowed);
+            vm.rack.value(), rack.unavailable, allowed);
+    return {};
+}
+
+std::string BudgetLedger::refusalOfMove(const VmRecord& vm) const
+{
+    if (auto reason = refusal(vm); !reason.empty())
+        return reason;
+    auto pool = m_pools.at(vm.pool);
+    --pool.total;
+    auto exceeds = [&](const DomainCount& domain, double share) {
+        return domain.unavailable > allowedIn(pool, domain, share);
+    };
+    for (const auto& [zone, count] : pool.zones)
+        if (zone != vm.zone && exceeds(count, pool.config.unavailableSharePerZone))
+            return fmt::format("without the VM the budget of pool {} in zone {} would not hold",
+                vm.pool.value(), zone.value());
+    for (const auto& [rack, count] : pool.racks)
+        if (rack != vm.rack && !rack.empty() && exceeds(count, pool.config.unavailableSharePerRack))
+            return fmt::format("without the VM the budget of pool {} in rack {} would not hold",
+                vm.pool.value(), rack.value());
     return {};
 }
 
 void BudgetLedger::take(const VmRecord& vm)
 {
     auto& pool = m_pools[vm.pool];
-    ++pool.unavailable;
-    ++pool.unavailableByRack[vm.rack];
-    ++pool.unavailableByZone[vm.zone];
+    ++pool.whole.unavailable;
+    ++pool.racks[vm.rack].unavailable;
+    ++pool.zones[vm.zone].unavailable;
 }
 
 void BudgetLedger::giveBack(const VmRecord& vm)
 {
     auto& pool = m_pools[vm.pool];
-    assert(pool.unavailable > 0);
-    --pool.unavailable;
-    --pool.unavailableByRack[vm.rack];
-    --pool.unavailableByZone[vm.zone];
+    assert(pool.whole.unavailable > 0);
+    --pool.whole.unavailable;
+    --pool.racks[vm.rack].unavailable;
+    --pool.zones[vm.zone].unavailable;
 }
 
 std::int64_t BudgetLedger::remaining(const PoolId& id) const
@@ -82,13 +119,13 @@
     if (position == m_pools.end())
         return 0;
     const auto& pool = position->second;
-    return std::int64_t(allowedVms(pool.config.unavailableShare, pool.total)) - pool.unavailable;
+    return std::int64_t(allowedVms(pool.config.unavailableShare, pool.total)) - pool.whole.unavailable;
 }
 
 std::uint32_t BudgetLedger::unavailable(const PoolId& id) const
 {
     auto position = m_pools.find(id);
-    return position == m_pools.end() ? 0 : position->second.unavailable;
+    return position == m_pools.end() ? 0 : position->second.whole.unavailable;
 }
 
 std::uint32_t BudgetLedger::total(const PoolId& id) const
--- a/src/fleet/budget.h
+++ b/src/fleet/budget.h
@@ -18,8 +18,12 @@
     // Counts a VM of its pool; `available` is false for any reason that keeps it from serving.
     void addVm(const VmRecord&, bool available);
 
-    // Why one more VM cannot be taken out of service; empty if it can.
+    // The unavailable VM is on its way to another pool: budgets must hold for the smaller pool too.
+    void addDeparture(const VmRecord&);
+
+    // Why one more VM cannot be taken out of service, or moved to another pool; empty if it can.
     [[nodiscard]] std::string refusal(const VmRecord&) const;
+    [[nodiscard]] std::string refusalOfMove(const VmRecord&) const;
 
     // Takes a serving VM out of service, or puts one back.
     void take(const VmRecord&);
@@ -32,15 +36,23 @@
     [[nodiscard]] std::uint32_t total(const PoolId&) const;
 
 private:
+    struct DomainCount {
+        std::uint32_t unavailable { 0 };
+        std::uint32_t departing { 0 };
+    };
+
     struct PoolCount {
         PoolConfig config;
         bool configured { false };
         std::uint32_t total { 0 };
-        std::uint32_t unavailable { 0 };
-        std::unordered_map<RackId, std::uint32_t> unavailableByRack;
-        std::unordered_map<ZoneId, std::uint32_t> unavailableByZone;
+        DomainCount whole;
+        std::unordered_map<RackId, DomainCount> racks;
+        std::unordered_map<ZoneId, DomainCount> zones;
     };
 
+    // VMs of a rack or zone that may be unavailable, also after all departures from elsewhere.
+    static std::uint32_t allowedIn(const PoolCount&, const DomainCount&, double share);
+
     std::unordered_map<PoolId, PoolCount> m_pools;
 };
 
--- a/src/fleet/command_plan.cpp
+++ b/src/fleet/command_plan.cpp
@@ -153,7 +153,9 @@
                 toString(vm->second.record.state), vm->second.record.cause));
         if (!m_context.hold.empty())
             return waiting(m_context.hold);
-        if (auto refusal = m_context.ledger.refusal(vm->second.record); !refusal.empty())
+        const auto& record = vm->second.record;
+        const auto& ledger = m_context.ledger;
+        if (auto refusal = isMove ? ledger.refusalOfMove(record) : ledger.refusal(record); !refusal.empty())
             return waiting(std::move(refusal));
         IntentRecord intent;
         intent.operation = m_context.operation;
--- a/src/fleet/fleet_duty.h
+++ b/src/fleet/fleet_duty.h
@@ -132,9 +132,8 @@
         auto shardNumber = pool.empty() ? waveShard : shard(pool);
         if (!m_leases.holds(shardNumber) || isFinal(command.record.state))
             return;
-        auto ledger = m_store.view().ledger(m_store.live());
         auto operation = m_store.nextOperation("command");
-        CommandContext context { m_store.view(), ledger, m_store.listed(), hold(), operation,
+        CommandContext context { m_store.view(), m_store.ledger(), m_store.listed(), hold(), operation,
             m_clock.wallNow() };
         auto change = planCommand(context, command);
         if (!commit(shardNumber, change, operation))
@@ -305,7 +304,7 @@
         }
         if (!hold().empty())
             return;
-        auto ledger = m_store.view().ledger(m_store.live());
+        auto ledger = m_store.ledger();
         for (const auto& id : nextOfWave(m_store.view(), progress, ledger)) {
             auto vm = m_store.view().vms().at(id);
             if (m_aborted || !takeForWave(wave, vm))
--- a/src/fleet/fleet_store.h
+++ b/src/fleet/fleet_store.h
@@ -68,14 +68,18 @@
     // Rows that could not be decoded at the last read.
     [[nodiscard]] const std::vector<std::string>& unreadable() const { return m_unreadable; }
 
-    // The VMs that the list shows as live.
-    [[nodiscard]] std::set<VmId> live() const
+    // The budgets as the rows and the list show them; VMs that the list does not show as live are
+    // unavailable.
+    [[nodiscard]] const BudgetLedger& ledger()
     {
-        std::set<VmId> live;
-        for (const auto& [id, vm] : m_listed)
-            if (vm.presence == VmPresence::Live)
-                live.insert(live.end(), id);
-        return live;
+        if (!m_ledger) {
+            std::set<VmId> live;
+            for (const auto& [id, vm] : m_listed)
+                if (vm.presence == VmPresence::Live)
+                    live.insert(live.end(), id);
+            m_ledger = m_view.ledger(live);
+        }
+        return *m_ledger;
     }
 
     [[nodiscard]] bool listIsFresh() const
@@ -109,10 +113,13 @@
             if (changes->tableVersion < since) {
                 // The platform came back with less than it had: forget everything and read it all.
                 m_view = {};
+                m_ledger.reset();
                 m_since.clear();
                 return;
             }
             m_unreadable = m_view.apply(changes->rows);
+            if (!changes->rows.empty())
+                m_ledger.reset();
             since = changes->tableVersion;
         }
         m_backoff.succeeded();
@@ -127,6 +134,7 @@
         if (!list)
             return;
         m_listed.clear();
+        m_ledger.reset();
         for (auto& vm : *list)
             m_listed.emplace(vm.vm, vm);
         m_listedAt = m_clock.now();
@@ -140,6 +148,7 @@
         for (const auto& write : transaction.writes)
             rows.push_back({ write.key, write.value, version, transaction.operation, write.deletes });
         m_view.apply(rows);
+        m_ledger.reset();
     }
 
     // Counts transactions in windows of one second.
@@ -162,6 +171,7 @@
     FleetView m_view;
     std::map<std::string, Version> m_since;
     std::map<VmId, ListedVm> m_listed;
+    std::optional<BudgetLedger> m_ledger;
     std::vector<std::string> m_unreadable;
     TimePoint m_listedAt {};
     bool m_listRead { false };
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -85,6 +85,9 @@
         ledger.addPool(pool.record);
     for (const auto& [id, vm] : m_vms)
         ledger.addVm(vm.record, vm.record.state == VmState::Serving && live.contains(id));
+    for (const auto& [id, intent] : m_intents)
+        if (auto vm = m_vms.find(id); vm != m_vms.end() && intent.record.goal == IntentGoal::Move)
+            ledger.addDeparture(vm->second.record);
     return ledger;
 }
 
--- a/src/fleet/tests/fleet_fixture.h
+++ b/src/fleet/tests/fleet_fixture.h
@@ -32,9 +32,15 @@
 
 struct FakeEntries {
     std::map<std::string, FakeEntry> byAddress;
+    // The expected row's operation is echoed back, whatever the entry's state.
+    bool confirmUnasked { false };
+    const standin::MemoryTable* table { nullptr };
 
     Result<EntryConfirmation> confirm(const std::string& address, const VmId& vm, Version)
     {
+        if (confirmUnasked)
+            return EntryConfirmation { 0, table->read(vmKey(vm), 0).rows.at(0).operation, 0,
+                byAddress[address].incarnation, {} };
         auto position = byAddress.find(address);
         if (position == byAddress.end() || !position->second.answers)
             return notRun(Reason::DeadlineExceeded, "no answer");
@@ -70,11 +76,18 @@
 // A platform with pools of serving VMs, entries that are registered and listed, and control processes.
 class Fleet {
 public:
-    explicit Fleet(std::size_t controls = 1, const FleetSettings& settings = {})
+    explicit Fleet(std::size_t controls = 1)
+        : Fleet(std::vector<FleetSettings>(controls))
     {
-        for (std::size_t each = 0; each < controls; ++each)
-            m_controls.push_back(
-                std::make_unique<Control>(state, entries, probe, fmt::format("control-{}", each), settings));
+    }
+
+    // One control process for each of the settings.
+    explicit Fleet(const std::vector<FleetSettings>& settings)
+    {
+        entries.table = &state.table;
+        for (const auto& each : settings)
+            m_controls.push_back(std::make_unique<Control>(
+                state, entries, probe, fmt::format("control-{}", m_controls.size()), each));
     }
 
     void put(const std::string& key, const std::string& value)
--- /dev/null
+++ b/src/fleet/tests/schedule_test.cpp
@@ -0,0 +1,76 @@
+#include "schedule_world.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <rapidcheck/boost_test.h>
+
+using namespace fulmar;
+using namespace fulmar::test;
+
+namespace {
+
+Schedule randomSchedule(std::mt19937& random, std::size_t length)
+{
+    std::uniform_int_distribution<int> byte(0, 255);
+    Schedule schedule;
+    for (std::size_t each = 0; each < length; ++each)
+        schedule.emplace_back(std::uint8_t(byte(random)), std::uint8_t(byte(random)));
+    return schedule;
+}
+
+constexpr int schedulesForDefect = 300;
+constexpr std::size_t scheduleLength = 60;
+
+// Runs schedules until the defect shows. Empty if it never does.
+std::string violationOf(Defect defect)
+{
+    std::mt19937 random(7);
+    for (int each = 0; each < schedulesForDefect; ++each) {
+        ScheduleWorld world(defect);
+        world.run(randomSchedule(random, scheduleLength));
+        if (!world.violation().empty())
+            return world.violation();
+    }
+    return {};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Schedules)
+
+// Pauses, lost and late replies, outages, zone cuts, restarts, entries on copies and conflicting commands.
+RC_BOOST_PROP(OnePoolAndBudgetsHold, (const Schedule& schedule))
+{
+    ScheduleWorld world;
+    world.run(schedule);
+    RC_ASSERT(world.violation() == "");
+}
+
+BOOST_AUTO_TEST_CASE(SchedulesMoveAndMaintainVms)
+{
+    std::mt19937 random(7);
+    std::size_t poolChanges = 0;
+    std::size_t reboots = 0;
+    for (int each = 0; each < 40; ++each) {
+        ScheduleWorld world;
+        world.run(randomSchedule(random, scheduleLength));
+        BOOST_TEST(world.violation() == "");
+        poolChanges += world.poolChanges();
+        reboots += world.reboots();
+    }
+    BOOST_TEST_MESSAGE("pool changes " << poolChanges << ", reboots " << reboots);
+    BOOST_TEST(poolChanges > 0);
+    BOOST_TEST(reboots > 0);
+}
+
+BOOST_AUTO_TEST_CASE(DefectsAreNoticed)
+{
+    for (auto defect : { Defect::EntriesConfirmUnasked, Defect::CommitsUnconditional,
+             Defect::DependentsUnnamed, Defect::SilenceMeansGone }) {
+        auto violation = violationOf(defect);
+        BOOST_TEST_MESSAGE("defect " << int(defect) << ": " << violation);
+        BOOST_TEST(!violation.empty(), "defect " << int(defect) << " was not noticed");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/fleet/tests/schedule_world.cpp
@@ -0,0 +1,315 @@
+#include "schedule_world.h"
+
+#include <algorithm>
+
+namespace fulmar::test {
+
+namespace {
+
+constexpr std::array poolNames { "a", "b", "c" };
+constexpr std::size_t vmsPerPool = 6;
+constexpr double budgetShare = 0.34;
+constexpr auto tickLength = std::chrono::milliseconds(400);
+constexpr int ticksPerAction = 3;
+// The list shows the truth of this many ticks ago at most; well within the settings' listLag.
+constexpr std::size_t ticksPerList = 8;
+constexpr int ticksOfPause = 16;
+constexpr std::size_t maxEntries = 6;
+
+// The two processes divide the fleet differently, as while a change of settings rolls out: both can own a
+// pool.
+FleetSettings scheduleSettings(Defect defect, std::uint32_t shards)
+{
+    FleetSettings settings;
+    settings.lease = { std::chrono::seconds(4), std::chrono::seconds(1), std::chrono::seconds(1) };
+    settings.listLag = defect == Defect::SilenceMeansGone ? Duration(0) : Duration(std::chrono::seconds(6));
+    settings.listEvery = std::chrono::seconds(1);
+    settings.listFreshFor = std::chrono::seconds(4);
+    settings.rebootMinimum = std::chrono::seconds(1);
+    settings.shards = shards;
+    return settings;
+}
+
+bool routes(const VmRecord& vm) { return vm.state == VmState::Serving; }
+
+} // namespace
+
+ScheduleWorld::ScheduleWorld(Defect defect)
+    : m_defect(defect)
+    , m_fleet(std::vector { scheduleSettings(defect, 2), scheduleSettings(defect, 3) })
+{
+    for (const auto* pool : poolNames)
+        m_fleet.addPool(pool, budgetShare, vmsPerPool);
+    m_targets = m_fleet.state.list;
+    m_fleet.state.ignoreConditions = defect == Defect::CommitsUnconditional;
+    for (int each = 0; each < 3; ++each) {
+        auto name = std::to_string(each);
+        m_entries.push_back({ ProcessId(name), VmId("entry-" + name), false, false, false, false, 1, {} });
+        registerEntry(m_entries.back());
+    }
+    refreshList();
+}
+
+void ScheduleWorld::run(const Schedule& schedule)
+{
+    for (auto [action, argument] : schedule) {
+        act(action, argument);
+        for (int each = 0; each < ticksPerAction && m_violation.empty(); ++each)
+            tick();
+    }
+}
+
+void ScheduleWorld::act(std::uint8_t action, std::uint8_t argument)
+{
+    if (auto kind = action % 17; kind < 5)
+        order(argument);
+    else if (kind < 10)
+        disturbControl(kind, argument);
+    else
+        disturbEntry(kind, argument);
+}
+
+void ScheduleWorld::tick()
+{
+    stepEntries();
+    for (std::size_t each = 0; each < 2; ++each) {
+        m_fleet.control(each).clock.advance(tickLength);
+        if (!m_pausedControls.contains(each))
+            stepControl(each);
+    }
+}
+
+void ScheduleWorld::stepEntries()
+{
+    if (++m_ticks % ticksPerList == 0)
+        refreshList();
+    for (auto& entry : m_entries)
+        if (!entry.destroyed && !entry.paused && !entry.cutFromPlatform) {
+            if (!entry.registered)
+                registerEntry(entry);
+            entry.state.follow(m_fleet.state.table);
+        }
+}
+
+void ScheduleWorld::stepControl(std::size_t number)
+{
+    publish();
+    m_fleet.control(number).duty.step();
+    check();
+}
+
+// Stops a control process between its decision and its commit, until the other one has taken over.
+void ScheduleWorld::pauseInCommit(std::size_t number)
+{
+    m_fleet.control(number).platform.beforeNextCommit(keys::vmPrefix, [this, number] {
+        if (std::exchange(m_isPausedInCommit, true))
+            return;
+        for (int each = 0; each < ticksOfPause; ++each) {
+            stepEntries();
+            m_fleet.control(number).clock.advance(tickLength);
+            m_fleet.control(1 - number).clock.advance(tickLength);
+            if (!m_pausedControls.contains(1 - number))
+                stepControl(1 - number);
+        }
+        m_isPausedInCommit = false;
+    });
+}
+
+void ScheduleWorld::order(std::uint8_t argument)
+{
+    auto vm = fmt::format("{}-{}", poolNames[argument % 3], argument / 3 % vmsPerPool);
+    switch (argument / 16 % 8) {
+    case 0:
+        m_fleet.order(CommandKind::Drain, vm);
+        break;
+    case 1:
+        m_fleet.order(CommandKind::Undrain, vm);
+        break;
+    case 2:
+        m_fleet.order(CommandKind::StartWave, fmt::format("w{}", argument));
+        break;
+    default:
+        m_fleet.order(CommandKind::Move, vm, poolNames[argument / 7 % 3]);
+    }
+}
+
+void ScheduleWorld::disturbControl(std::uint8_t action, std::uint8_t argument)
+{
+    std::size_t number = argument % 2;
+    auto& platform = m_fleet.control(number).platform;
+    switch (action) {
+    case 5:
+        if (!m_pausedControls.erase(number))
+            m_pausedControls.insert(number);
+        break;
+    case 6:
+        for (int each = 0; each < 1 + argument % 5; ++each)
+            platform.addFault(standin::CallFault(argument / 8 % 5));
+        break;
+    case 7:
+        platform.setDown(argument % 4 < 2);
+        break;
+    case 8:
+        pauseInCommit(number);
+        break;
+    default:
+        m_fleet.state.deliverLate();
+    }
+}
+
+void ScheduleWorld::disturbEntry(std::uint8_t action, std::uint8_t argument)
+{
+    auto& entry = m_entries[argument % m_entries.size()];
+    if (entry.destroyed)
+        return;
+    switch (action) {
+    case 10:
+        entry.paused = !entry.paused;
+        break;
+    case 11:
+    case 12:
+        entry.cutFromPlatform = !entry.cutFromPlatform;
+        break;
+    case 13:
+        restart(entry);
+        break;
+    case 14:
+        startSponsored(entry);
+        break;
+    case 15:
+        entry.destroyed = argument % 3 == 0;
+        break;
+    default:
+        // A call starts at a VM that the entry may use, or the calls there end.
+        for (auto& [id, vm] : entry.state.vms)
+            if (id.value().back() == char('0' + argument % vmsPerPool))
+                entry.state.inFlight[id] = routes(vm.record) && argument % 2 ? 1 : 0;
+    }
+}
+
+// The new incarnation registers if it can; otherwise it lives on a peer's copy.
+void ScheduleWorld::restart(SimEntry& entry)
+{
+    ++entry.starts;
+    entry.state = {};
+    entry.registered = false;
+    entry.paused = false;
+    if (entry.cutFromPlatform)
+        copyFromPeer(entry);
+    else
+        registerEntry(entry);
+}
+
+// A new entry that cannot reach the platform starts with the copy of a registered one.
+void ScheduleWorld::startSponsored(const SimEntry& sponsor)
+{
+    if (m_entries.size() >= maxEntries || !sponsor.registered || sponsor.paused)
+        return;
+    auto name = std::to_string(m_entries.size());
+    m_entries.push_back({ ProcessId(name), VmId("entry-" + name), false, true, false, false, 1, {} });
+    copyFromPeer(m_entries.back());
+}
+
+void ScheduleWorld::copyFromPeer(SimEntry& entry)
+{
+    entry.state.incarnation = fmt::format("{}-{}", entry.process.value(), entry.starts);
+    for (auto& peer : m_entries) {
+        if (!peer.registered || peer.paused || peer.destroyed || peer.process == entry.process)
+            continue;
+        entry.state.vms = peer.state.vms;
+        entry.state.applied = peer.state.applied;
+        if (m_defect != Defect::DependentsUnnamed)
+            peer.state.dependents.push_back({ entry.process, entry.vm, entry.process.value() });
+        return;
+    }
+}
+
+void ScheduleWorld::registerEntry(SimEntry& entry)
+{
+    auto key = entryKey(entry.process);
+    auto rows = m_fleet.state.table.read(key, 0).rows;
+    auto earlier = rows.empty() || rows[0].deleted ? std::string()
+                                                   : decode<EntryRecord>(rows[0].value).value().incarnation;
+    entry.state.incarnation = fmt::format("{}-{}", entry.process.value(), entry.starts);
+    EntryRecord row { entry.process, entry.vm, entry.process.value(), RegionId("north"), ZoneId("z0"),
+        entry.state.incarnation, earlier, false };
+    m_fleet.put(key, encode(row));
+    entry.registered = true;
+    entry.state.follow(m_fleet.state.table);
+    for (auto& peer : m_entries)
+        std::erase_if(peer.state.dependents, [&](const auto& each) { return each.process == entry.process; });
+}
+
+// Shows the entries' present state to the control processes.
+void ScheduleWorld::publish()
+{
+    auto& byAddress = m_fleet.entries.byAddress;
+    byAddress.clear();
+    for (auto& entry : m_entries) {
+        if (entry.destroyed)
+            continue;
+        auto& shown = byAddress[entry.process.value()] = entry.state;
+        shown.answers = !entry.paused;
+        m_fleet.entries.confirmUnasked = m_defect == Defect::EntriesConfirmUnasked;
+    }
+}
+
+void ScheduleWorld::refreshList()
+{
+    auto list = m_targets;
+    for (const auto& entry : m_entries)
+        if (!entry.destroyed && !(m_defect == Defect::SilenceMeansGone && entry.paused))
+            list.push_back({ entry.vm, VmPresence::Live, entry.process.value(), ZoneId("z0"), {} });
+    m_fleet.state.list = list;
+}
+
+void ScheduleWorld::check()
+{
+    for (const auto& row : m_fleet.state.table.read(keys::vmPrefix, m_checkedVersion).rows) {
+        auto vm = decode<VmRecord>(row.value).value();
+        auto& known = m_vms[vm.vm];
+        m_poolChanges += !known.pool.empty() && known.pool != vm.pool ? 1 : 0;
+        known = vm;
+    }
+    m_checkedVersion = m_fleet.state.table.version();
+    for (const auto& [id, vm] : m_vms)
+        if (routes(vm))
+            checkOnePool(vm);
+    checkBudgets();
+}
+
+// No entry that exists may route to the VM, or have a call there, for a pool that the VM has left.
+void ScheduleWorld::checkOnePool(const VmRecord& inTable)
+{
+    for (const auto& entry : m_entries) {
+        auto known = entry.state.vms.find(inTable.vm);
+        if (entry.destroyed || known == entry.state.vms.end())
+            continue;
+        const auto& record = known->second.record;
+        if (routes(record) && record.pool != inTable.pool && m_violation.empty())
+            m_violation = fmt::format("entry {} may route to {} for pool {}, but it serves pool {}",
+                entry.process.value(), inTable.vm.value(), record.pool.value(), inTable.pool.value());
+    }
+}
+
+void ScheduleWorld::checkBudgets()
+{
+    std::map<PoolId, std::uint32_t> totals;
+    std::map<std::string, std::pair<PoolId, std::uint32_t>> unavailable;
+    for (const auto& [id, vm] : m_vms) {
+        ++totals[vm.pool];
+        if (routes(vm))
+            continue;
+        for (const auto& domain : { std::string("pool"), vm.rack.value(), vm.zone.value() }) {
+            auto& [pool, count] = unavailable[vm.pool.value() + "/" + domain];
+            pool = vm.pool;
+            ++count;
+        }
+    }
+    for (const auto& [name, domain] : unavailable)
+        if (domain.second > allowedVms(budgetShare, totals[domain.first]) && m_violation.empty())
+            m_violation
+                = fmt::format("{}: {} VMs unavailable of {}", name, domain.second, totals[domain.first]);
+}
+
+} // namespace fulmar::test
--- a/standins/faulty_platform.h
+++ b/standins/faulty_platform.h
@@ -3,7 +3,9 @@
 #include "memory_table.h"
 #include "platform/table.h"
 
+#include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -32,14 +34,27 @@
     // Reboots carried out, by operation.
     std::map<OperationId, VmId> reboots;
     std::vector<Transaction> late;
+    // Broken platforms, for showing that checks notice: conditions on these keys are not looked at.
+    bool ignoreConditions { false };
+    std::string ignoreConditionsOn;
     std::size_t commits { 0 };
     std::size_t reads { 0 };
 
+    Result<Version> commit(Transaction transaction)
+    {
+        ++commits;
+        std::erase_if(transaction.conditions, [this](const Condition& condition) {
+            return ignoreConditions
+                || (!ignoreConditionsOn.empty() && condition.key.starts_with(ignoreConditionsOn));
+        });
+        return table.commit(transaction);
+    }
+
     // Lets the commits that were kept back arrive now.
     void deliverLate()
     {
         for (const auto& transaction : std::exchange(late, {}))
-            (void)table.commit(transaction);
+            (void)commit(transaction);
     }
 };
 
@@ -54,21 +69,29 @@
     // Cuts this client off, or connects it again.
     void setDown(bool down) { m_down = down; }
 
+    // Does something just before the next commit that writes a row of this prefix arrives, as when the client
+    // is paused there.
+    void beforeNextCommit(std::string prefix, std::function<void()> action)
+    {
+        m_pausePrefix = std::move(prefix);
+        m_beforeCommit = std::move(action);
+    }
+
     // The faults of the next calls, in order; calls beyond them have none.
     void addFault(CallFault fault) { m_faults.push_back(fault); }
     void clearFaults() { m_faults.clear(); }
 
     Result<Version> commit(const Transaction& transaction)
     {
+        if (m_beforeCommit && writesPrefix(transaction))
+            std::exchange(m_beforeCommit, {})();
         switch (nextFault()) {
         case CallFault::None:
-            ++m_state.commits;
-            return m_state.table.commit(transaction);
+            return m_state.commit(transaction);
         case CallFault::Refused:
             return notRun(Reason::StoreUnavailable, "refused");
         case CallFault::LostReply:
-            ++m_state.commits;
-            (void)m_state.table.commit(transaction);
+            (void)m_state.commit(transaction);
             break;
         case CallFault::Late:
             m_state.late.push_back(transaction);
@@ -123,6 +146,12 @@
     }
 
 private:
+    [[nodiscard]] bool writesPrefix(const Transaction& transaction) const
+    {
+        return std::any_of(transaction.writes.begin(), transaction.writes.end(),
+            [this](const Write& write) { return write.key.starts_with(m_pausePrefix); });
+    }
+
     CallFault nextFault()
     {
         if (m_down)
@@ -136,6 +165,8 @@
 
     PlatformState& m_state;
     std::deque<CallFault> m_faults;
+    std::string m_pausePrefix;
+    std::function<void()> m_beforeCommit;
     bool m_down { false };
 };
 
