Fleet: its own namespace

Three slices each had a FleetView in namespace fulmar, which breaks the one-definition rule once they are linked together. The fleet's names move to fulmar::fleet; those that other slices share are also known in fulmar.

--- a/src/fleet/backoff.h
+++ b/src/fleet/backoff.h
@@ -7,7 +7,7 @@
 #include <random>
 #include <string>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // Waiting times between tries against a platform that fails: doubling, with full jitter, so that processes
 // that failed together do not return together.
@@ -38,4 +38,11 @@
     Duration m_step { first };
 };
 
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+// Names that other slices share.
+using fleet::Backoff;
+
 } // namespace fulmar
--- a/src/fleet/budget.cpp
+++ b/src/fleet/budget.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <fmt/format.h>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 namespace {
 
@@ -134,4 +134,4 @@
     return position == m_pools.end() ? 0 : position->second.total;
 }
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/budget.h
+++ b/src/fleet/budget.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // Counts the unavailable VMs of each pool, rack and zone against the pools' availability budgets. Every
 // reason counts alike: failed, leaving, in maintenance, moving, cut off, unknown.
@@ -59,4 +59,12 @@
 // VMs that a share of a pool allows, rounded down.
 [[nodiscard]] std::uint32_t allowedVms(double share, std::uint32_t poolSize);
 
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+// Names that other slices share.
+using fleet::allowedVms;
+using fleet::BudgetLedger;
+
 } // namespace fulmar
--- a/src/fleet/command.cpp
+++ b/src/fleet/command.cpp
@@ -4,7 +4,7 @@
 
 #include <limits>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 namespace {
 
@@ -85,23 +85,27 @@
         .dump();
 }
 
-template <> Result<CommandRecord> decode(const std::string& text)
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+template <> Result<fleet::CommandRecord> decode(const std::string& text)
 {
     constexpr auto maxWhole = std::numeric_limits<std::int64_t>::max();
     FieldReader reader(text);
-    CommandRecord record;
+    fleet::CommandRecord record;
     std::chrono::milliseconds submitted {};
     std::chrono::milliseconds updated {};
     reader.take("id", record.id);
     reader.takeWhole("basedOn", record.basedOn, 0, maxWhole);
     reader.take("who", record.who);
-    reader.takeEnum("kind", record.kind, commandKinds);
+    reader.takeEnum("kind", record.kind, fleet::commandKinds);
     reader.take("vm", record.arguments.vm, false);
     reader.take("pool", record.arguments.pool, false);
     reader.take("address", record.arguments.address);
     reader.take("wave", record.arguments.wave, false);
     reader.take("pools", record.arguments.pools);
-    reader.takeEnum("state", record.state, commandStates);
+    reader.takeEnum("state", record.state, fleet::commandStates);
     reader.take("reason", record.reason);
     reader.take("supersededBy", record.supersededBy, false);
     reader.takeWhole("submittedMs", submitted, 0, maxWhole);
--- a/src/fleet/command.h
+++ b/src/fleet/command.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // What an operator can order. The duties find orders as rows command/<id> and report there how they fare.
 enum class CommandKind : std::uint8_t {
@@ -72,6 +72,19 @@
 [[nodiscard]] bool isFinal(CommandState);
 
 [[nodiscard]] std::string encode(const CommandRecord&);
-template <> Result<CommandRecord> decode(const std::string& text);
+
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+// Names that other slices share.
+using fleet::CommandArguments;
+using fleet::commandKey;
+using fleet::CommandKind;
+using fleet::CommandRecord;
+using fleet::CommandState;
+using fleet::isFinal;
+
+template <> Result<fleet::CommandRecord> decode(const std::string& text);
 
 } // namespace fulmar
--- a/src/fleet/command_plan.cpp
+++ b/src/fleet/command_plan.cpp
@@ -5,7 +5,7 @@
 #include <fmt/format.h>
 #include <utility>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 namespace {
 
@@ -278,4 +278,4 @@
     return vm == view.vms().end() ? PoolId {} : vm->second.record.pool;
 }
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/command_plan.h
+++ b/src/fleet/command_plan.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // What a command needs to know beyond the rows.
 struct CommandContext {
@@ -27,4 +27,4 @@
 // The pool whose shard executes the command; empty for commands about waves.
 [[nodiscard]] PoolId poolOf(const FleetView&, const CommandRecord&);
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/drain_round.h
+++ b/src/fleet/drain_round.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // The outcome of asking every entry about one VM.
 struct DrainStatus {
@@ -84,4 +84,4 @@
     std::set<ProcessId> m_silent;
 };
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/entry_presence.cpp
+++ b/src/fleet/entry_presence.cpp
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 namespace {
 
@@ -111,4 +111,4 @@
     return processes;
 }
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/entry_presence.h
+++ b/src/fleet/entry_presence.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // Keeps track of which entries may route calls, from their rows and the platform's lagging list. All times
 // are of this process's own clock.
@@ -52,4 +52,4 @@
     std::vector<ListedVm> m_unregistered;
 };
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/entry_row.cpp
+++ b/src/fleet/entry_row.cpp
@@ -2,7 +2,7 @@
 
 #include "config/field_reader.h"
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 std::string entryKey(const ProcessId& process) { return keys::entryPrefix + process.value(); }
 
@@ -21,10 +21,14 @@
         .dump();
 }
 
-template <> Result<EntryRecord> decode(const std::string& text)
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+template <> Result<fleet::EntryRecord> decode(const std::string& text)
 {
     FieldReader reader(text);
-    EntryRecord record;
+    fleet::EntryRecord record;
     reader.take("process", record.process);
     reader.take("vm", record.vm);
     reader.take("address", record.address, true);
--- a/src/fleet/entry_row.h
+++ b/src/fleet/entry_row.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // The value of a row entry/<process>. An entry commits its row with a new incarnation each time it starts,
 // then reads the configuration up to at least that commit's version, and only then routes calls. An entry
@@ -75,6 +75,19 @@
 [[nodiscard]] std::string entryKey(const ProcessId&);
 
 [[nodiscard]] std::string encode(const EntryRecord&);
-template <> Result<EntryRecord> decode(const std::string& text);
+
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+// Names that other slices share.
+using fleet::EntryConfirmation;
+using fleet::EntryConfirmer;
+using fleet::EntryDependent;
+using fleet::entryKey;
+using fleet::EntryRecord;
+using fleet::VmProbe;
+
+template <> Result<fleet::EntryRecord> decode(const std::string& text);
 
 } // namespace fulmar
--- a/src/fleet/fleet_duty.cpp
+++ b/src/fleet/fleet_duty.cpp
@@ -3,7 +3,7 @@
 #include <cassert>
 #include <xxhash.h>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 std::uint32_t shardOf(const PoolId& pool, std::uint32_t shards)
 {
@@ -11,4 +11,4 @@
     return std::uint32_t(XXH64(pool.value().data(), pool.value().size(), 0) % shards);
 }
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/fleet_duty.h
+++ b/src/fleet/fleet_duty.h
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // The shard that owns a pool.
 [[nodiscard]] std::uint32_t shardOf(const PoolId&, std::uint32_t shards);
@@ -365,4 +365,11 @@
     bool m_aborted { false };
 };
 
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+// Names that other slices share.
+using fleet::FleetDuty;
+
 } // namespace fulmar
--- a/src/fleet/fleet_settings.h
+++ b/src/fleet/fleet_settings.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 struct FleetSettings {
     LeaseSettings lease;
@@ -34,4 +34,11 @@
     std::uint32_t writesPerSecond { 30 };
 };
 
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+// Names that other slices share.
+using fleet::FleetSettings;
+
 } // namespace fulmar
--- a/src/fleet/fleet_store.h
+++ b/src/fleet/fleet_store.h
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // The fleet's rows and the platform's list as last read, and the only way to change rows. After a write whose
 // outcome is unknown nothing is decided before the rows have been read again: the rows then show whether it
@@ -185,4 +185,4 @@
     Backoff m_backoff;
 };
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/fleet_view.cpp
+++ b/src/fleet/fleet_view.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 namespace {
 
@@ -102,4 +102,4 @@
     return change;
 }
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // A decoded row with what a conditional write needs.
 template <typename Record> struct Stored {
@@ -81,4 +81,4 @@
 [[nodiscard]] FleetChange takeOut(
     const FleetView&, const Stored<VmRecord>&, const IntentRecord&, const std::string& cause, WallTime now);
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/lease.cpp
+++ b/src/fleet/lease.cpp
@@ -4,7 +4,7 @@
 
 #include <limits>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 std::string encode(const LeaseRecord& record)
 {
@@ -16,11 +16,15 @@
         .dump();
 }
 
-template <> Result<LeaseRecord> decode(const std::string& text)
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+template <> Result<fleet::LeaseRecord> decode(const std::string& text)
 {
     constexpr auto maxWhole = std::numeric_limits<std::int64_t>::max();
     FieldReader reader(text);
-    LeaseRecord record;
+    fleet::LeaseRecord record;
     reader.take("holder", record.holder);
     reader.takeWhole("epoch", record.epoch, 0, maxWhole);
     reader.takeWhole("renewals", record.renewals, 0, maxWhole);
--- a/src/fleet/lease.h
+++ b/src/fleet/lease.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // The value of a row lease/<duty>/<shard>.
 struct LeaseRecord {
@@ -24,7 +24,6 @@
 };
 
 [[nodiscard]] std::string encode(const LeaseRecord&);
-template <> Result<LeaseRecord> decode(const std::string& text);
 
 struct LeaseSettings {
     // Another process takes over after seeing no renewal for this long on its own clock.
@@ -222,4 +221,15 @@
     std::uint64_t m_operationCounter { 0 };
 };
 
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+// Names that other slices share.
+using fleet::LeaseKeeper;
+using fleet::LeaseRecord;
+using fleet::LeaseSettings;
+
+template <> Result<fleet::LeaseRecord> decode(const std::string& text);
+
 } // namespace fulmar
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -4,7 +4,7 @@
 
 #include <limits>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 namespace {
 
@@ -80,21 +80,6 @@
         .dump();
 }
 
-template <> Result<IntentRecord> decode(const std::string& text)
-{
-    FieldReader reader(text);
-    IntentRecord record;
-    reader.take("operation", record.operation);
-    reader.take("vm", record.vm);
-    reader.takeEnum("goal", record.goal, goals);
-    reader.takeEnum("phase", record.phase, phases);
-    reader.take("toPool", record.toPool, false);
-    reader.take("command", record.command, false);
-    reader.take("wave", record.wave, false);
-    reader.takeWhole("validForMs", record.validFor, 1, maxWhole);
-    return reader.finish(std::move(record));
-}
-
 std::string encode(const WaveRecord& record)
 {
     return nlohmann::json {
@@ -108,17 +93,36 @@
         .dump();
 }
 
-template <> Result<WaveRecord> decode(const std::string& text)
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+template <> Result<fleet::IntentRecord> decode(const std::string& text)
+{
+    FieldReader reader(text);
+    fleet::IntentRecord record;
+    reader.take("operation", record.operation);
+    reader.take("vm", record.vm);
+    reader.takeEnum("goal", record.goal, fleet::goals);
+    reader.takeEnum("phase", record.phase, fleet::phases);
+    reader.take("toPool", record.toPool, false);
+    reader.take("command", record.command, false);
+    reader.take("wave", record.wave, false);
+    reader.takeWhole("validForMs", record.validFor, 1, fleet::maxWhole);
+    return reader.finish(std::move(record));
+}
+
+template <> Result<fleet::WaveRecord> decode(const std::string& text)
 {
     FieldReader reader(text);
-    WaveRecord record;
+    fleet::WaveRecord record;
     std::chrono::milliseconds started {};
     reader.take("wave", record.wave);
     reader.take("pools", record.pools);
-    reader.takeEnum("state", record.state, waveStates);
+    reader.takeEnum("state", record.state, fleet::waveStates);
     reader.take("reason", record.reason);
     reader.take("command", record.command, false);
-    reader.takeWhole("startedMs", started, 0, maxWhole);
+    reader.takeWhole("startedMs", started, 0, fleet::maxWhole);
     record.started = WallTime(started);
     return reader.finish(std::move(record));
 }
--- a/src/fleet/records.h
+++ b/src/fleet/records.h
@@ -7,11 +7,11 @@
 #include <string_view>
 #include <vector>
 
-namespace fulmar {
-
-namespace keys {
+namespace fulmar::keys {
 inline constexpr auto budgetPrefix = "budget/";
-} // namespace keys
+} // namespace fulmar::keys
+
+namespace fulmar::fleet {
 
 // What a VM is taken out of service for.
 enum class IntentGoal : std::uint8_t {
@@ -84,7 +84,12 @@
 
 [[nodiscard]] std::string encode(const IntentRecord&);
 [[nodiscard]] std::string encode(const WaveRecord&);
-template <> Result<IntentRecord> decode(const std::string& text);
-template <> Result<WaveRecord> decode(const std::string& text);
+
+} // namespace fulmar::fleet
+
+namespace fulmar {
+
+template <> Result<fleet::IntentRecord> decode(const std::string& text);
+template <> Result<fleet::WaveRecord> decode(const std::string& text);
 
 } // namespace fulmar
--- a/src/fleet/tests/budget_test.cpp
+++ b/src/fleet/tests/budget_test.cpp
@@ -5,7 +5,8 @@
 #include <rapidcheck/boost_test.h>
 
 using namespace fulmar;
-using namespace fulmar::test;
+using namespace fulmar::fleet;
+using namespace fulmar::fleet::test;
 
 namespace {
 
--- a/src/fleet/tests/duty_test.cpp
+++ b/src/fleet/tests/duty_test.cpp
@@ -3,7 +3,8 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace fulmar;
-using namespace fulmar::test;
+using namespace fulmar::fleet;
+using namespace fulmar::fleet::test;
 using std::chrono::seconds;
 
 BOOST_AUTO_TEST_SUITE(Duty)
--- a/src/fleet/tests/fleet_fixture.h
+++ b/src/fleet/tests/fleet_fixture.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar::test {
+namespace fulmar::fleet::test {
 
 // An entry as the fleet duty sees it: its configuration follows the table when `follow` is called.
 struct FakeEntry {
@@ -176,4 +176,4 @@
     std::uint64_t m_setups { 0 };
 };
 
-} // namespace fulmar::test
+} // namespace fulmar::fleet::test
--- a/src/fleet/tests/schedule_world.cpp
+++ b/src/fleet/tests/schedule_world.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace fulmar::test {
+namespace fulmar::fleet::test {
 
 namespace {
 
@@ -312,4 +312,4 @@
                 = fmt::format("{}: {} VMs unavailable of {}", name, domain.second, totals[domain.first]);
 }
 
-} // namespace fulmar::test
+} // namespace fulmar::fleet::test
--- a/src/fleet/tests/schedule_world.h
+++ b/src/fleet/tests/schedule_world.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-namespace fulmar::test {
+namespace fulmar::fleet::test {
 
 using Schedule = std::vector<std::pair<std::uint8_t, std::uint8_t>>;
 
@@ -83,4 +83,4 @@
     std::string m_violation;
 };
 
-} // namespace fulmar::test
+} // namespace fulmar::fleet::test
--- a/src/fleet/vm_transition.cpp
+++ b/src/fleet/vm_transition.cpp
@@ -4,7 +4,7 @@
 #include <fmt/format.h>
 #include <utility>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 namespace {
 
@@ -97,4 +97,4 @@
     return write(std::move(served), std::nullopt);
 }
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/vm_transition.h
+++ b/src/fleet/vm_transition.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // What is known about a VM that is being taken out of service.
 struct TransitionFacts {
@@ -49,4 +49,4 @@
 [[nodiscard]] TransitionStep cancelTransition(
     const VmRecord&, const IntentRecord&, const std::string& cause, WallTime now);
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/wave_plan.cpp
+++ b/src/fleet/wave_plan.cpp
@@ -5,7 +5,7 @@
 #include <fmt/ranges.h>
 #include <set>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 namespace {
 
@@ -68,4 +68,4 @@
     return next;
 }
 
-} // namespace fulmar
+} // namespace fulmar::fleet
--- a/src/fleet/wave_plan.h
+++ b/src/fleet/wave_plan.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::fleet {
 
 // Where a wave stands, from the rows alone.
 struct WaveProgress {
@@ -32,4 +32,4 @@
 // refused are passed over, and taken in a later round when others have returned. Spends the ledger.
 [[nodiscard]] std::vector<VmId> nextOfWave(const FleetView&, const WaveProgress&, BudgetLedger&);
 
-} // namespace fulmar
+} // namespace fulmar::fleet
