--- a/src/work/fault_evidence.cpp
+++ b/src/work/fault_evidence.cpp
@@ -8,12 +8,14 @@
 
 // Bounds the memory of a job that fails again and again.
 constexpr std::size_t keptFailures = 16;
+constexpr auto recently = std::chrono::minutes(10);
 
 } // namespace
 
 void FaultEvidence::onSuccess(const JobId& job, const VmId& worker, TimePoint now)
 {
     auto& workerFacts = m_workers[worker];
+    m_lastSuccess = now;
     workerFacts.failures.clear();
     workerFacts.successes.add(job, now);
     workerFacts.touched = now;
@@ -86,7 +88,7 @@
     if (position == m_workers.end())
         return false;
     auto success = position->second.successes.besides(job);
-    return success && *success > failedAt;
+    return success && isTelling(*success, failedAt);
 }
 
 bool FaultEvidence::speaksAgainstWorker(const VmId& worker, const JobId& job, TimePoint failedAt) const
@@ -95,7 +97,13 @@
     if (position == m_jobs.end())
         return false;
     auto success = position->second.successes.besides(worker);
-    return success && *success > failedAt;
+    return success && isTelling(*success, failedAt);
+}
+
+// Either proven since, or proven not long before while things still succeed somewhere.
+bool FaultEvidence::isTelling(TimePoint success, TimePoint failedAt) const
+{
+    return success > failedAt || (failedAt - success < recently && m_lastSuccess > failedAt);
 }
 
 void FaultEvidence::forget(TimePoint before)
--- a/src/work/fault_evidence.h
+++ b/src/work/fault_evidence.h
@@ -12,9 +12,9 @@
 namespace fulmar {
 
 // Tells a worker that fails everything from a job that can never run. A failure speaks against the worker
-// once the same job has succeeded elsewhere afterwards, and against the job once another job has succeeded on
-// the same worker afterwards. So a job's fault is not charged to workers, nor a worker's to jobs, and an
-// outage under which everything fails is charged to neither.
+// if the same job succeeds elsewhere, and against the job if other jobs succeed on the same worker:
+// afterwards, or shortly before while something has succeeded since. So a job's fault is not charged to
+// workers, nor a worker's to jobs, and an outage under which everything fails is charged to neither.
 class FaultEvidence {
 public:
     void onSuccess(const JobId&, const VmId&, TimePoint now);
@@ -78,8 +78,11 @@
 
     [[nodiscard]] bool speaksAgainstWorker(const VmId&, const JobId&, TimePoint failedAt) const;
 
+    [[nodiscard]] bool isTelling(TimePoint success, TimePoint failedAt) const;
+
     std::unordered_map<VmId, WorkerFacts> m_workers;
     std::unordered_map<JobId, JobFacts> m_jobs;
+    TimePoint m_lastSuccess {};
 };
 
 } // namespace fulmar
--- a/src/work/heat.cpp
+++ b/src/work/heat.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 // Shares of a worker's capacity in use.
-constexpr double hotProcessors = 1.0;
-constexpr double coolProcessors = 0.85;
+constexpr double hotProcessors = 1.15;
+constexpr double scorchingProcessors = 1.5;
+constexpr double fullProcessors = 1.0;
 constexpr double hotMemory = 0.95;
 constexpr double memoryAfterEviction = 0.9;
 // Throttled tasks use this share of the processors that they used before, at most.
@@ -58,7 +59,7 @@
 std::vector<HeatAction> relieveProcessors(const Worker& worker, const std::vector<Task*>& tasks)
 {
     std::vector<HeatAction> actions;
-    auto excess = worker.used.processors - worker.capacity.processors * hotProcessors;
+    auto excess = worker.used.processors - worker.capacity.processors * fullProcessors;
     for (auto* task : tasks) {
         if (excess <= 0)
             return actions;
@@ -68,12 +69,27 @@
         excess -= task->used.processors * (1 - throttledShare);
     }
     // All that is left to throttle is throttled and it is still hot.
-    if (actions.empty())
+    if (actions.empty() && worker.used.processors > worker.capacity.processors * scorchingProcessors)
         if (auto victim = std::find_if(tasks.begin(), tasks.end(), isEvictable); victim != tasks.end())
             actions.push_back({ *victim, HeatStep::Evict });
     return actions;
 }
 
+// A resumed task uses as much again as it does now.
+std::vector<HeatAction> resumeWhatFits(const Worker& worker, const std::vector<Task*>& tasks)
+{
+    std::vector<HeatAction> actions;
+    auto idle = worker.capacity.processors * fullProcessors - worker.used.processors;
+    for (auto task = tasks.rbegin(); task != tasks.rend(); ++task) {
+        auto regained = (*task)->used.processors * (1 / throttledShare - 1);
+        if (!(*task)->throttled || regained > idle)
+            continue;
+        actions.push_back({ *task, HeatStep::Resume });
+        idle -= regained;
+    }
+    return actions;
+}
+
 } // namespace
 
 std::vector<HeatAction> coolDown(const Worker& worker)
@@ -83,12 +99,7 @@
         return relieveMemory(worker, tasks);
     if (worker.used.processors > worker.capacity.processors * hotProcessors)
         return relieveProcessors(worker, tasks);
-    if (worker.used.processors < worker.capacity.processors * coolProcessors)
-        if (auto task
-            = std::find_if(tasks.rbegin(), tasks.rend(), [](const Task* each) { return each->throttled; });
-            task != tasks.rend())
-            return { { *task, HeatStep::Resume } };
-    return {};
+    return resumeWhatFits(worker, tasks);
 }
 
 } // namespace fulmar
--- a/src/work/heat.h
+++ b/src/work/heat.h
@@ -18,10 +18,9 @@
     HeatStep step { HeatStep::Throttle };
 };
 
-// What to do about a worker's reported usage, lowest value first: one task at a time is throttled when the
-// processors are short; when that is not enough, or memory runs out, tasks that can continue elsewhere are
-// evicted; when it has cooled, one task at a time is resumed. Tasks that cannot be repeated are only
-// throttled.
+// What to do about a worker's reported usage, lowest value first: tasks are throttled when the processors are
+// well short; when that is not enough, or memory runs out, tasks that can continue elsewhere are evicted;
+// throttled tasks are resumed as far as there is room. Tasks that cannot be repeated are only throttled.
 [[nodiscard]] std::vector<HeatAction> coolDown(const Worker&);
 
 } // namespace fulmar
--- a/src/work/queue_filler.cpp
+++ b/src/work/queue_filler.cpp
@@ -132,7 +132,9 @@
 bool QueueFiller::tryPreempt(PoolRound& round, Task& task, const PlacementRequest& request, Moment moment)
 {
     const auto& spec = task.record.spec;
-    auto ratio = m_book.shares().ratio(spec.team, request.need);
+    const auto& shares = m_book.shares();
+    auto ratio
+        = spec.urgent ? shares.urgentRatio(spec.team, request.need) : shares.ratio(spec.team, request.need);
     if (ratio > 1 || round.preemptions >= preemptionsPerRound)
         return false;
     auto& reclaimedAt = m_reclaimedAt[spec.pool];
--- a/src/work/scheduler.cpp
+++ b/src/work/scheduler.cpp
@@ -12,7 +12,7 @@
 constexpr auto judgeInterval = std::chrono::seconds(5);
 constexpr auto evidenceLifetime = std::chrono::hours(1);
 // A task's usage is typical after this time.
-constexpr auto warmUp = std::chrono::seconds(10);
+constexpr auto warmUp = std::chrono::seconds(30);
 // A start whose row is stored but that waits for room is placed anew after this time.
 constexpr auto longestWaitForRoom = std::chrono::seconds(10);
 // Distinct workers on which a task fails before it is given up, and tries in any case.
--- a/src/work/size_model.cpp
+++ b/src/work/size_model.cpp
@@ -9,9 +9,9 @@
 
 constexpr std::uint32_t samplesToTrust = 6;
 constexpr double newestWeight = 0.1;
-constexpr double processorDeviations = 2.0;
-constexpr double processorMargin = 1.05;
-constexpr double memoryMargin = 1.1;
+constexpr double processorDeviations = 0.5;
+constexpr double processorMargin = 1.0;
+constexpr double memoryMargin = 1.05;
 constexpr double memoryDecay = 0.001;
 constexpr double leastProcessors = 0.05;
 constexpr double leastMemoryMb = 16;
--- a/src/work/task_book.cpp
+++ b/src/work/task_book.cpp
@@ -90,7 +90,7 @@
 void TaskBook::book(Task& task, Worker& worker, const Resources& need)
 {
     FleetView::place(task, worker, need);
-    m_shares.take(task.record.spec.team, need);
+    m_shares.take(task.record.spec, need);
     if (isPinned(task.record.spec))
         m_pinned[task.record.spec.pool] += need;
 }
@@ -103,7 +103,7 @@
     }
     if (!task.placed)
         return;
-    m_shares.give(task.record.spec.team, task.reserved);
+    m_shares.give(task.record.spec, task.reserved);
     if (isPinned(task.record.spec))
         m_pinned[task.record.spec.pool] -= task.reserved;
     FleetView::release(task);
@@ -185,8 +185,8 @@
 
 void TaskBook::resize(Task& task, const Resources& need)
 {
-    m_shares.give(task.record.spec.team, task.reserved);
-    m_shares.take(task.record.spec.team, need);
+    m_shares.give(task.record.spec, task.reserved);
+    m_shares.take(task.record.spec, need);
     if (isPinned(task.record.spec))
         m_pinned[task.record.spec.pool] += need - task.reserved;
     FleetView::resize(task, need);
--- a/src/work/team_shares.h
+++ b/src/work/team_shares.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "config/model.h"
-#include "work/resources.h"
+#include "work/task.h"
 
 #include <unordered_map>
 
@@ -24,8 +24,15 @@
             * m_shardShare;
     }
 
-    void take(const TeamId& team, const Resources& amount) { m_teams[team].usage += amount; }
-    void give(const TeamId& team, const Resources& amount) { m_teams[team].usage -= amount; }
+    void take(const TaskSpec& spec, const Resources& amount)
+    {
+        auto& team = m_teams[spec.team];
+        team.usage += amount;
+        if (spec.urgent)
+            team.urgentUsage += amount;
+    }
+
+    void give(const TaskSpec& spec, const Resources& amount) { take(spec, Resources {} - amount); }
 
     // The ratio once the team held `extra` more.
     [[nodiscard]] double ratio(const TeamId& team, const Resources& extra = {}) const
@@ -36,6 +43,15 @@
         return dominantShare(position->second.usage + extra, position->second.quota);
     }
 
+    // The same of the team's urgent tasks alone: what a team borrows for others does not hold them up.
+    [[nodiscard]] double urgentRatio(const TeamId& team, const Resources& extra) const
+    {
+        auto position = m_teams.find(team);
+        if (position == m_teams.end())
+            return dominantShare(extra, {});
+        return dominantShare(position->second.urgentUsage + extra, position->second.quota);
+    }
+
     [[nodiscard]] Resources usage(const TeamId& team) const
     {
         auto position = m_teams.find(team);
@@ -46,6 +62,7 @@
     struct Team {
         Resources quota;
         Resources usage;
+        Resources urgentUsage;
     };
 
     double m_shardShare;
