Long work under random faults: a refused submission could have been accepted

A property runs lapses, paused owners, lost replies, outages and dead workers at random. It found that a batch whose reply was lost was taken for dropped when another owner had rewritten the sequence row since: five submissions were told not-run and ran. Such a batch now stays unknown and its callers are told may-have-run. Four sabotaged variants (forgotten starts, dropped writes, forgotten cancellations, workers shown too large) are each noticed.

--- a/src/bench/work_bench.cpp
+++ b/src/bench/work_bench.cpp
@@ -44,7 +44,8 @@
     double slowestWave { 0 };
     std::size_t memoryKills { 0 };
     std::size_t quarantined { 0 };
-    std::size_t cannotRun { 0 };
+    std::size_t brokenJobs { 0 };
+    std::size_t refused { 0 };
     double processorSeconds { 0 };
     double memoryMb { 0 };
     std::uint64_t signature { 0 };
@@ -163,7 +164,7 @@
             start(action);
         if constexpr (requires { m_scheduler->takeEvents(); })
             for (const auto& event : m_scheduler->takeEvents())
-                m_figures.cannotRun += event.kind == "job-broken";
+                m_figures.brokenJobs += event.kind == "job-broken";
     }
 
     void renew()
@@ -187,6 +188,11 @@
             TaskRecord record;
             record.spec = arrival.spec;
             record.accepted = moment().wallNow;
+            if constexpr (requires { m_scheduler->admit(record.spec, m_now); })
+                if (!m_scheduler->admit(record.spec, m_now)) {
+                    ++m_figures.refused;
+                    continue;
+                }
             m_scheduler->add(std::move(record), moment());
             if (arrival.spec.urgent)
                 m_urgent.emplace(arrival.spec.task, m_now);
@@ -283,11 +289,11 @@
         "work {:>5} workers {:<8} useful {:5.3f} thrown-away {:5.3f} urgent-start p50 {:6.1f} s p99 {:6.1f} "
         "s "
         "max {:6.1f} s unstarted {} starts {} doubled {} started-after-cancel {} wave-settled {:4.1f} s "
-        "memory-kills {} quarantined {} broken-jobs {} signature {:016x}\n",
+        "memory-kills {} quarantined {} broken-jobs {} refused {} signature {:016x}\n",
         workers, name, figures.useful, figures.thrownAway, percentile(figures.urgentStarts, 0.5),
         percentile(figures.urgentStarts, 0.99), percentile(figures.urgentStarts, 1), figures.urgentUnstarted,
         figures.starts, figures.doubled, figures.startedAfterCancel, figures.slowestWave, figures.memoryKills,
-        figures.quarantined, figures.cannotRun, figures.signature);
+        figures.quarantined, figures.brokenJobs, figures.refused, figures.signature);
 }
 
 void printCost(
--- a/src/work/actions.h
+++ b/src/work/actions.h
@@ -20,7 +20,8 @@
     std::chrono::milliseconds reportLag { 10'000 };
     // A worker absent from the list for this long gets no tasks.
     std::chrono::milliseconds missingAfter { 30'000 };
-    // Rows of ended tasks are deleted after this time.
+    // An ended task is held in memory for this time, and its row is deleted after the second.
+    std::chrono::seconds endedInMemory { 30 };
     std::chrono::seconds retention { 900 };
     // Restarts after failures: average per second, and at once.
     double restartsPerSecond { 50 };
--- a/src/work/queue_filler.cpp
+++ b/src/work/queue_filler.cpp
@@ -47,8 +47,10 @@
 
 void QueueFiller::fillPool(const PoolId& pool, Moment moment)
 {
-    PoolRound round { pool, {}, {}, 0 };
-    for (const auto* worker : m_book.fleet().workersOf(pool)) {
+    PoolRound round { m_book.fleet().workersOf(pool), {}, {}, {}, 0 };
+    for (const auto* worker : round.workers) {
+        if (worker->live && !worker->leaving)
+            round.capacity += worker->capacity;
         auto most = usable(*worker, m_book.settings().fill);
         round.largest.processors = std::max(round.largest.processors, most.processors);
         round.largest.memoryMb = std::max(round.largest.memoryMb, most.memoryMb);
@@ -62,9 +64,10 @@
 }
 
 // The learned size, but never more than a whole worker: a task admitted can always be placed.
-Resources QueueFiller::needOf(const TaskSpec& spec, const Resources& largest) const
+Resources QueueFiller::needOf(const Task& task, const Resources& largest) const
 {
-    auto need = m_book.settings().learnsSizes ? m_book.sizes().estimate(spec) : spec.size;
+    const auto& spec = task.record.spec;
+    auto need = m_book.settings().learnsSizes ? estimateSize(*task.usage, spec.size) : spec.size;
     need.processors = std::min(need.processors, std::max(largest.processors, spec.size.processors));
     need.memoryMb = std::min(need.memoryMb, std::max(largest.memoryMb, spec.size.memoryMb));
     return need;
@@ -103,14 +106,14 @@
 {
     const auto& spec = task.record.spec;
     const auto& settings = m_book.settings();
-    const auto& workers = m_book.fleet().workersOf(spec.pool);
-    PlacementRequest request { &spec, needOf(spec, round.largest), moment.now + spec.expectedRunTime,
+    const auto& workers = round.workers;
+    PlacementRequest request { &spec, needOf(task, round.largest), moment.now + spec.expectedRunTime,
         &task.failedOn };
     auto isHopeless = [&](const Refusal& refusal) {
         return fits(refusal.need, request.need) && refusal.runTime <= spec.expectedRunTime;
     };
     if (std::any_of(round.refusals.begin(), round.refusals.end(), isHopeless)
-        || isPinnedOut(spec, request.need))
+        || isPinnedOut(round, spec, request.need))
         return false;
     auto* worker = chooseWorker(workers, request, limitsFor(spec),
         [&](const Worker& each) { return admits(each, task, moment.now); });
@@ -123,7 +126,7 @@
         task.failedOn.clear();
     if (settings.preempts && tryPreempt(round, task, request, moment))
         return true;
-    reserveFor(task, request, moment);
+    reserveFor(round, task, request, moment);
     if (task.failedOn.empty())
         round.refusals.push_back({ request.need, spec.expectedRunTime });
     return false;
@@ -142,7 +145,7 @@
         && (moment.now < task.queuedAt + reclaimAfter || moment.now < reclaimedAt + reclaimInterval))
         return false;
     auto plan = choosePreemption(
-        m_book.fleet().workersOf(spec.pool), request, limitsFor(spec),
+        round.workers, request, limitsFor(spec),
         [&](const Worker& worker) { return admits(worker, task, moment.now); },
         [&](const Task& victim) { return mayDisplace(victim, task, ratio, moment.now); }, moment.now);
     if (!plan)
@@ -172,7 +175,8 @@
 
 // Keeps the worker with the most room free of further tasks, so that smaller ones do not pass the large task
 // for ever.
-void QueueFiller::reserveFor(const Task& task, const PlacementRequest& request, Moment moment)
+void QueueFiller::reserveFor(
+    const PoolRound& round, const Task& task, const PlacementRequest& request, Moment moment)
 {
     const auto& spec = task.record.spec;
     if (moment.now < task.queuedAt + reserveAfter)
@@ -184,7 +188,7 @@
     const Worker* best = nullptr;
     double bestShare = 0;
     auto limits = limitsFor(spec);
-    for (const auto* worker : m_book.fleet().workersOf(spec.pool)) {
+    for (const auto* worker : round.workers) {
         if (!accepts(*worker, request) || !fits(request.need, usable(*worker, limits)))
             continue;
         auto share = dominantShare(worker->reserved, worker->capacity);
@@ -197,18 +201,14 @@
         reservation = { task.id(), best->id, moment.now + longestReservation };
 }
 
-bool QueueFiller::isPinnedOut(const TaskSpec& spec, const Resources& need) const
+bool QueueFiller::isPinnedOut(const PoolRound& round, const TaskSpec& spec, const Resources& need) const
 {
     const auto share = m_book.settings().pinnedShare;
     if (spec.idempotent || spec.urgent || share >= 1)
         return false;
-    Resources capacity;
-    for (const auto* worker : m_book.fleet().workersOf(spec.pool))
-        if (worker->live && !worker->leaving)
-            capacity += worker->capacity;
     auto pinned = m_book.pinned(spec.pool);
     // A pool that holds no such task takes one of any size.
-    return pinned.processors > resourceTolerance && !fits(pinned + need, capacity * share);
+    return pinned.processors > resourceTolerance && !fits(pinned + need, round.capacity * share);
 }
 
 FillLimits QueueFiller::limitsFor(const TaskSpec& spec) const
--- a/src/work/queue_filler.h
+++ b/src/work/queue_filler.h
@@ -34,9 +34,11 @@
     };
 
     struct PoolRound {
-        PoolId pool;
+        const std::vector<Worker*>& workers;
         // The most that a worker of the pool can hold.
         Resources largest;
+        // Of the workers that take tasks.
+        Resources capacity;
         std::vector<Refusal> refusals;
         std::size_t preemptions { 0 };
     };
@@ -48,15 +50,15 @@
         TimePoint until {};
     };
 
-    [[nodiscard]] Resources needOf(const TaskSpec&, const Resources& largest) const;
+    [[nodiscard]] Resources needOf(const Task&, const Resources& largest) const;
     void fillPool(const PoolId&, Moment);
     void fillLane(PoolRound&, TeamLines&, Moment);
     // Places one of the team's oldest tasks; null if none can be placed.
     Task* placeOneOf(PoolRound&, const TeamLine&, Moment);
     bool tryPlace(PoolRound&, Task&, Moment);
     bool tryPreempt(PoolRound&, Task&, const PlacementRequest&, Moment);
-    void reserveFor(const Task&, const PlacementRequest&, Moment);
-    [[nodiscard]] bool isPinnedOut(const TaskSpec&, const Resources& need) const;
+    void reserveFor(const PoolRound&, const Task&, const PlacementRequest&, Moment);
+    [[nodiscard]] bool isPinnedOut(const PoolRound&, const TaskSpec&, const Resources& need) const;
     [[nodiscard]] FillLimits limitsFor(const TaskSpec&) const;
     [[nodiscard]] bool admits(const Worker&, const Task&, TimePoint now) const;
     [[nodiscard]] bool mayDisplace(const Task& victim, const Task& task, double ratio, TimePoint now) const;
--- a/src/work/row_writer.cpp
+++ b/src/work/row_writer.cpp
@@ -56,8 +56,9 @@
     return BatchFate::NotCommitted;
 }
 
-// A condition has failed, and versions only grow, so no attempt of this batch can commit from now on: what
-// the sequence row shows is final.
+// A condition has failed, and versions only grow, so no attempt of this batch can commit from now on. What
+// the sequence row shows is final, unless another owner has rewritten it since an attempt whose reply was
+// lost.
 BatchFate RowWriter::onReadBack(const Result<Changes>& reply)
 {
     assert(!idle());
@@ -69,15 +70,16 @@
     for (const auto& each : reply->rows)
         if (each.key == m_sequenceKey && !each.deleted)
             row = each;
-    auto fate = BatchFate::NotCommitted;
     if (row.operation == m_pending->operation) {
         m_sequence = row.version;
-        fate = BatchFate::Committed;
-    } else if (row.version != m_sequence) {
-        m_displaced = true;
+        m_pending.reset();
+        return BatchFate::Committed;
     }
+    m_displaced = row.version != m_sequence;
+    if (m_displaced && m_uncertain)
+        return BatchFate::Unknown;
     m_pending.reset();
-    return fate;
+    return BatchFate::NotCommitted;
 }
 
 } // namespace fulmar
--- a/src/work/row_writer.h
+++ b/src/work/row_writer.h
@@ -21,7 +21,8 @@
 
 // Writes one batch of a shard's rows at a time and settles lost replies. Every batch carries two conditions:
 // the owner's lease row, and the version of a sequence row that the batch itself rewrites. So a batch that
-// was not seen to commit either did, which the sequence row's operation shows, or never will.
+// was not seen to commit either did, which the sequence row's operation shows, or never will. Only when
+// another owner has taken over meanwhile does its fate stay unknown.
 class RowWriter {
 public:
     // `sequenceKey` is the row that orders the shard's batches; `writer` names this owner's operations.
--- a/src/work/scheduler.cpp
+++ b/src/work/scheduler.cpp
@@ -2,6 +2,7 @@
 #include "work/heat.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace fulmar {
@@ -31,6 +32,16 @@
     return std::clamp<std::size_t>(poolSize, 1, wanted);
 }
 
+// Estimates move a little with every report; what is held follows in steps.
+bool isWorthResizing(const Resources& held, const Resources& need)
+{
+    constexpr double step = 0.02;
+    auto differs = [](double before, double after) {
+        return std::abs(after - before) > step * std::max(before, after);
+    };
+    return differs(held.processors, need.processors) || differs(held.memoryMb, need.memoryMb);
+}
+
 } // namespace
 
 Scheduler::Scheduler(SchedulerSettings settings, std::string owner)
@@ -101,46 +112,53 @@
         worker.used = {};
         for (const auto& each : report.tasks) {
             worker.used += Resources { each.processorsUsed, double(each.memoryMbUsed), 0 };
-            apply(worker, each, moment);
+            if (auto* task = taskOf(worker, each))
+                apply(*task, each, moment);
         }
         if (m_book.settings().preempts)
             relieve(worker, moment);
         m_filler.touch(worker.pool);
     }
-    m_book.fleet().forget(moment.now - m_book.settings().missingAfter);
 }
 
-// Reports lag: one that is of another start than the latest says nothing about it. A task given up as
-// may-have-run is settled after all if its worker turns out to have finished it.
-void Scheduler::apply(Worker& worker, const TaskReport& report, Moment moment)
+// Reports lag: one that is of another start than the latest says nothing about it.
+Task* Scheduler::taskOf(const Worker& worker, const TaskReport& report)
 {
-    auto* task = m_book.find(report.task);
-    if (!task || task->record.start != report.start || task->record.worker != worker.id)
-        return;
-    auto isActive = task->step == StartStep::Uncertain || task->step == StartStep::Confirmed;
+    for (auto* task : worker.tasks)
+        if (task->record.start == report.start)
+            return task;
+    auto isEnd = report.phase != TaskPhase::Running && report.phase != TaskPhase::Throttled;
+    auto* task = isEnd ? m_book.find(report.task) : nullptr;
+    return task && task->record.start == report.start ? task : nullptr;
+}
+
+// A task given up as may-have-run is settled after all if its worker turns out to have finished it.
+void Scheduler::apply(Task& task, const TaskReport& report, Moment moment)
+{
+    auto isActive = task.step == StartStep::Uncertain || task.step == StartStep::Confirmed;
     if (!isActive) {
-        if (task->record.state == TaskState::MayHaveRun && report.phase == TaskPhase::Finished)
-            m_book.end(*task, TaskState::Finished, report.detail, moment);
+        if (task.record.state == TaskState::MayHaveRun && report.phase == TaskPhase::Finished)
+            m_book.end(task, TaskState::Finished, report.detail, moment);
         return;
     }
-    task->reportedAt = moment.now;
-    if (!report.checkpoint.empty() && report.checkpoint != task->record.checkpoint) {
-        task->record.checkpoint = report.checkpoint;
-        task->checkpointAt = moment.now;
-        m_book.markRow(*task, RowUrgency::Later);
+    task.reportedAt = moment.now;
+    if (!report.checkpoint.empty() && report.checkpoint != task.record.checkpoint) {
+        task.record.checkpoint = report.checkpoint;
+        task.checkpointAt = moment.now;
+        m_book.markRow(task, RowUrgency::Later);
     }
     switch (report.phase) {
     case TaskPhase::Running:
     case TaskPhase::Throttled:
-        return onRunning(*task, report, moment);
+        return onRunning(task, report, moment);
     case TaskPhase::Finished:
-        return onFinished(*task, report, moment);
+        return onFinished(task, report, moment);
     case TaskPhase::Failed:
-        return onFailed(*task, report.detail, moment);
+        return onFailed(task, report.detail, moment);
     case TaskPhase::Stopped:
-        return m_evictor.onStopped(*task, moment);
+        return m_evictor.onStopped(task, moment);
     case TaskPhase::LeaseLapsed:
-        return m_book.lose(*task, "its worker ended it because its lease lapsed", moment);
+        return m_book.lose(task, "its worker ended it because its lease lapsed", moment);
     }
 }
 
@@ -153,8 +171,9 @@
     const auto& spec = task.record.spec;
     // A throttled task does not show what it needs.
     if (!task.throttled && moment.now >= task.startedAt + warmUp)
-        m_book.sizes().observe(spec.job, task.used);
-    m_book.resize(task, m_book.sizes().estimateRunning(spec, task.used));
+        observe(*task.usage, task.used);
+    if (auto need = estimateRunning(*task.usage, spec.size, task.used); isWorthResizing(task.reserved, need))
+        m_book.resize(task, need);
 }
 
 void Scheduler::onFinished(Task& task, const TaskReport& report, Moment moment)
@@ -194,7 +213,9 @@
     auto needed = workersNeeded(workersPerTask, m_book.fleet().workersOf(spec.pool).size());
     auto proofs = std::size_t(std::count_if(task.failedOn.begin(), task.failedOn.end(), provesFault));
     // The newest failure is too young to be told from its worker's fault.
-    if (m_book.settings().judgesFaults && task.failedOn.size() >= needed
+    if (m_brokenJobs.contains(spec.job)) {
+        m_book.end(task, TaskState::CannotRun, "its job fails wherever it runs: " + detail, moment);
+    } else if (m_book.settings().judgesFaults && task.failedOn.size() >= needed
         && proofs >= std::max<std::size_t>(1, needed - 1)) {
         m_book.end(task, TaskState::CannotRun,
             fmt::format("failed on {} workers where other jobs succeed: {}", task.failedOn.size(), detail),
@@ -216,8 +237,9 @@
         return;
     auto isNew = !m_brokenJobs.contains(job);
     m_brokenJobs[job] = moment.now + brokenJobPause;
-    if (isNew)
-        m_book.note("job-broken", { { "job", job.value() } });
+    if (!isNew)
+        return;
+    m_book.note("job-broken", { { "job", job.value() } });
     for (auto* task : m_book.waitingOf(job))
         m_book.end(*task, TaskState::CannotRun,
             fmt::format("not started again: job {} fails on workers where other jobs succeed", job.value()),
@@ -313,6 +335,7 @@
 void Scheduler::judgeWorkers(Moment moment)
 {
     m_judgedAt = moment.now;
+    m_book.fleet().forget(moment.now - m_book.settings().missingAfter);
     m_evidence.forget(moment.now - evidenceLifetime);
     for (const auto& [pool, workers] : m_book.fleet().pools())
         for (const auto& worker : m_quarantine.judge(workers, m_evidence, moment.now))
--- a/src/work/scheduler.h
+++ b/src/work/scheduler.h
@@ -35,6 +35,9 @@
     // one that may run is stopped. The result counts once its row is stored.
     [[nodiscard]] Result<TaskRecord> cancel(const TaskId&, Moment);
 
+    // True if the task has ended and is known by its row alone.
+    [[nodiscard]] bool isArchived(const TaskId& id) const { return m_book.isArchived(id); }
+
     // True if the task's row in the table is as it is here.
     [[nodiscard]] bool isStored(const TaskId& id) const { return m_book.isStored(id); }
 
@@ -68,7 +71,8 @@
     [[nodiscard]] const TaskBook& book() const { return m_book; }
 
 private:
-    void apply(Worker&, const TaskReport&, Moment);
+    [[nodiscard]] Task* taskOf(const Worker&, const TaskReport&);
+    void apply(Task&, const TaskReport&, Moment);
     void onRunning(Task&, const TaskReport&, Moment);
     void onFinished(Task&, const TaskReport&, Moment);
     void onFailed(Task&, const std::string& detail, Moment);
--- a/src/work/size_model.cpp
+++ b/src/work/size_model.cpp
@@ -10,7 +10,6 @@
 constexpr std::uint32_t samplesToTrust = 6;
 constexpr double newestWeight = 0.1;
 constexpr double processorDeviations = 0.5;
-constexpr double processorMargin = 1.0;
 constexpr double memoryMargin = 1.05;
 constexpr double memoryDecay = 0.001;
 constexpr double leastProcessors = 0.05;
@@ -18,9 +17,8 @@
 
 } // namespace
 
-void SizeModel::observe(const JobId& job, const Resources& used)
+void observe(JobUsage& usage, const Resources& used)
 {
-    auto& usage = m_jobs[job];
     ++usage.samples;
     auto weight = std::max(newestWeight, 1.0 / usage.samples);
     auto difference = used.processors - usage.meanProcessors;
@@ -29,25 +27,24 @@
     usage.peakMemoryMb = std::max(used.memoryMb, usage.peakMemoryMb * (1 - memoryDecay));
 }
 
-Resources SizeModel::estimate(const TaskSpec& spec) const
+// The worker's tasks vary against each other, so that processors need little margin each; memory that is
+// short ends a task, so that its peak counts.
+Resources estimateSize(const JobUsage& usage, const Resources& declared)
 {
-    auto position = m_jobs.find(spec.job);
-    if (position == m_jobs.end())
-        return spec.size;
-    const auto& usage = position->second;
-    auto processors = (usage.meanProcessors + processorDeviations * std::sqrt(usage.varianceProcessors))
-        * processorMargin;
+    if (usage.samples == 0)
+        return declared;
+    auto processors = usage.meanProcessors + processorDeviations * std::sqrt(usage.varianceProcessors);
     Resources learned { std::max(processors, leastProcessors),
-        std::max(usage.peakMemoryMb * memoryMargin, leastMemoryMb), spec.size.accelerators };
+        std::max(usage.peakMemoryMb * memoryMargin, leastMemoryMb), declared.accelerators };
     if (usage.samples >= samplesToTrust)
         return learned;
-    return { std::max(learned.processors, spec.size.processors),
-        std::max(learned.memoryMb, spec.size.memoryMb), spec.size.accelerators };
+    return { std::max(learned.processors, declared.processors), std::max(learned.memoryMb, declared.memoryMb),
+        declared.accelerators };
 }
 
-Resources SizeModel::estimateRunning(const TaskSpec& spec, const Resources& used) const
+Resources estimateRunning(const JobUsage& usage, const Resources& declared, const Resources& used)
 {
-    auto need = estimate(spec);
+    auto need = estimateSize(usage, declared);
     need.memoryMb = std::max(need.memoryMb, used.memoryMb * memoryMargin);
     need.processors = std::max(need.processors, used.processors);
     return need;
--- a/src/work/task_book.cpp
+++ b/src/work/task_book.cpp
@@ -36,6 +36,7 @@
         return false;
     auto& task = position->second;
     task.record = std::move(record);
+    task.usage = &m_sizes.of(task.record.spec.job);
     if (isFinal(task.record.state)) {
         m_ended.emplace_back(moment.now, task.id());
         return true;
@@ -51,7 +52,7 @@
     task.reportedAt = moment.now;
     task.leaseUntil = moment.now + m_settings.lease;
     auto& worker = m_fleet.ensure(task.record.worker, task.record.spec.pool, moment.now);
-    book(task, worker, m_sizes.estimate(task.record.spec));
+    book(task, worker, estimateSize(*task.usage, task.record.spec.size));
     return true;
 }
 
@@ -185,8 +186,7 @@
 
 void TaskBook::resize(Task& task, const Resources& need)
 {
-    m_shares.give(task.record.spec, task.reserved);
-    m_shares.take(task.record.spec, need);
+    m_shares.take(task.record.spec, need - task.reserved);
     if (isPinned(task.record.spec))
         m_pinned[task.record.spec.pool] += need - task.reserved;
     FleetView::resize(task, need);
@@ -211,11 +211,21 @@
 
 void TaskBook::expireEnded(TimePoint now)
 {
-    for (; !m_ended.empty() && m_ended.front().first + m_settings.retention <= now; m_ended.pop_front())
-        if (auto* task = find(m_ended.front().second)) {
-            task->expired = true;
-            markRow(*task, RowUrgency::Later);
+    while (!m_ended.empty() && m_ended.front().first + m_settings.endedInMemory <= now) {
+        auto [endedAt, id] = std::move(m_ended.front());
+        m_ended.pop_front();
+        if (!isStored(id)) {
+            m_ended.emplace_back(endedAt, std::move(id));
+            break;
         }
+        m_tasks.erase(id);
+        m_archived.insert(id);
+        m_expiring.emplace_back(endedAt, std::move(id));
+    }
+    while (!m_expiring.empty() && m_expiring.front().first + m_settings.retention <= now) {
+        m_deletions.push_back(std::move(m_expiring.front().second));
+        m_expiring.pop_front();
+    }
 }
 
 void TaskBook::order(const Task& task, TaskOrder kind)
@@ -239,23 +249,28 @@
         auto* task = m_rows.pop([this](const TaskId& id) { return find(id); });
         if (!task)
             break;
-        rows.push_back({ task->record, *task->unstored, task->expired });
+        rows.push_back({ task->record, *task->unstored, false });
         task->unstored.reset();
         task->rowOnItsWay = true;
     }
+    for (; rows.size() < max && !m_deletions.empty(); m_deletions.pop_back()) {
+        RowChange deletion { {}, RowUrgency::Later, true };
+        deletion.record.spec.task = std::move(m_deletions.back());
+        rows.push_back(std::move(deletion));
+    }
     return rows;
 }
 
 void TaskBook::onStored(const std::vector<RowChange>& rows)
 {
     for (const auto& row : rows) {
+        if (row.deletes)
+            m_archived.erase(row.record.spec.task);
         auto* task = find(row.record.spec.task);
         if (!task)
             continue;
         task->rowOnItsWay = false;
-        if (row.deletes) {
-            m_tasks.erase(row.record.spec.task);
-        } else if (task->step == StartStep::Unstored && row.record.start == task->record.start) {
+        if (task->step == StartStep::Unstored && row.record.start == task->record.start) {
             task->step = StartStep::Stored;
             m_ready.push_back(task->id());
         }
@@ -265,7 +280,9 @@
 void TaskBook::onNotStored(const std::vector<RowChange>& rows)
 {
     for (const auto& row : rows)
-        if (auto* task = find(row.record.spec.task)) {
+        if (row.deletes) {
+            m_deletions.push_back(row.record.spec.task);
+        } else if (auto* task = find(row.record.spec.task)) {
             task->rowOnItsWay = false;
             markRow(*task, row.urgency);
         }
--- a/src/work/task_book.h
+++ b/src/work/task_book.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -53,8 +54,10 @@
 
     // Queues delayed tasks whose time has come, urgent ones first, within the restart budget.
     void releaseDelayed(Moment);
-    // Marks rows of tasks that ended long ago for deletion.
+    // Forgets tasks that ended a while ago, and has the rows of those that ended long ago deleted.
     void expireEnded(TimePoint now);
+    // True if the task has ended and is known by its row alone.
+    [[nodiscard]] bool isArchived(const TaskId& id) const { return m_archived.contains(id); }
 
     void order(const Task&, TaskOrder);
     void note(const char* kind, const Task&, const std::string& detail);
@@ -80,7 +83,6 @@
     [[nodiscard]] TaskQueue& queue() { return m_queue; }
     [[nodiscard]] TeamShares& shares() { return m_shares; }
     [[nodiscard]] const TeamShares& shares() const { return m_shares; }
-    [[nodiscard]] SizeModel& sizes() { return m_sizes; }
     [[nodiscard]] std::size_t taskCount() const { return m_tasks.size(); }
     [[nodiscard]] std::size_t waitingCount() const { return m_queue.size() + m_delayed.size(); }
     // Tasks of the job that have not ended.
@@ -120,8 +122,11 @@
     std::set<DelayedKey> m_delayed;
     std::deque<TaskId> m_ready;
     std::deque<OrderAction> m_orders;
-    // Ended tasks in the order of their end.
+    // Ended tasks in the order of their end: still in m_tasks, then known by their rows alone.
     std::deque<std::pair<TimePoint, TaskId>> m_ended;
+    std::deque<std::pair<TimePoint, TaskId>> m_expiring;
+    std::unordered_set<TaskId> m_archived;
+    std::vector<TaskId> m_deletions;
     std::vector<WorkEvent> m_events;
 };
 
--- a/src/work/tests/work_fakes.h
+++ b/src/work/tests/work_fakes.h
@@ -11,12 +11,27 @@
 
 namespace fulmar::test {
 
+// A mechanism taken out on purpose, to show that a property notices.
+enum class Sabotage {
+    None,
+    // A new owner reads started tasks as waiting.
+    ForgetsStarts,
+    // The table confirms some writes that it drops.
+    DropsWrites,
+    // A new owner reads cancelled tasks as waiting.
+    ForgetsCancels,
+    // The list shows workers larger than they are.
+    InflatesWorkers,
+};
+
 // The platform's table with outages and lost replies.
 struct FakePlatform {
     Result<Version> commit(const Transaction& transaction)
     {
         if (!available || takesFault())
             return notRun(Reason::StoreUnavailable, "out");
+        if (sabotage == Sabotage::DropsWrites && ++commits % 3 == 0)
+            return table.version();
         auto result = table.commit(transaction);
         if (result)
             rowWrites += transaction.writes.size();
@@ -33,7 +48,25 @@
     {
         if (!available)
             return notRun(Reason::StoreUnavailable, "out");
-        return table.read(prefix, since);
+        auto changes = table.read(prefix, since);
+        for (auto& row : changes.rows)
+            row.value = tamper(row.value);
+        return changes;
+    }
+
+    [[nodiscard]] std::string tamper(const std::string& value) const
+    {
+        auto record = decodeTask(value);
+        if (!record)
+            return value;
+        auto wasCancelled = record->state == TaskState::Cancelled || record->cancelRequested;
+        auto wasStarted = record->state == TaskState::Starting || record->state == TaskState::Running;
+        if ((sabotage == Sabotage::ForgetsCancels && wasCancelled)
+            || (sabotage == Sabotage::ForgetsStarts && wasStarted)) {
+            record->state = TaskState::Queued;
+            record->cancelRequested = false;
+        }
+        return encode(*record);
     }
 
     Result<void> putObject(const std::string&, const std::string&) { return {}; }
@@ -49,6 +82,8 @@
     std::mt19937_64* random { nullptr };
     double faultShare { 0 };
     std::size_t rowWrites { 0 };
+    Sabotage sabotage { Sabotage::None };
+    int commits { 0 };
 };
 
 // Workers that run what they are given until told otherwise, and that end tasks whose lease lapses.
@@ -113,8 +148,10 @@
     Result<std::vector<WorkerReport>> listWorkers()
     {
         std::map<VmId, WorkerReport> reports;
-        for (const auto& [id, worker] : machines)
+        for (const auto& [id, worker] : machines) {
             reports[id] = worker;
+            reports[id].processors *= sabotage == Sabotage::InflatesWorkers ? 2 : 1;
+        }
         for (auto& [operation, run] : runs) {
             if (isActive(run) && run.leaseUntil < clock.now())
                 run.report.phase = TaskPhase::LeaseLapsed;
@@ -158,6 +195,7 @@
     int loseNextReplies { 0 };
     std::mt19937_64* random { nullptr };
     double faultShare { 0 };
+    Sabotage sabotage { Sabotage::None };
 };
 
 // A lease row in the table, held until taken away.
@@ -183,8 +221,9 @@
 
 // A table, workers, and one owner of the shard after the other, in virtual time.
 struct Site {
-    explicit Site(int workerCount)
-        : workers { clock, {}, {}, {}, {}, {}, 0, nullptr, 0 }
+    explicit Site(int workerCount, WorkSettings workSettings = {})
+        : settings(std::move(workSettings))
+        , workers { clock, {}, {}, {}, {}, {}, 0, nullptr, 0, Sabotage::None }
         , events(ProcessId("test"), 1'000)
     {
         addWorkers(workerCount);
@@ -219,14 +258,19 @@
         }
     }
 
-    // The lease row is rewritten, so that nothing of the earlier owner can be stored any more.
+    // The lease row is rewritten, so that nothing of the earlier owner can be stored any more. That owner was
+    // paused and still believes for a few steps that it holds the lease.
     void changeOwner()
     {
+        if (pausedDuty)
+            pausedDuty->shutDown();
+        pausedDuty = std::move(duty);
+        pausedLease = std::move(lease);
         Transaction take { OperationId("take"), {}, { { "lease/work/0", "owner", false } } };
         lease = std::make_unique<FakeLease>();
         lease->version = *platform.table.commit(take);
-        duty = std::make_unique<Duty>(WorkSettings {}, ProcessId("c" + std::to_string(++owners)), platform,
-            workers, clock, *lease, events);
+        duty = std::make_unique<Duty>(
+            settings, ProcessId("c" + std::to_string(++owners)), platform, workers, clock, *lease, events);
         duty->step();
     }
 
@@ -236,7 +280,7 @@
             duty->step();
     }
 
-    std::string stateOf(const std::string& id) const
+    std::string stateOf(const std::string& id)
     {
         auto record = duty->status(TaskId(id));
         return record ? std::string(toString(record->state)) : std::string(toString(record.error().reason));
@@ -244,12 +288,15 @@
 
     using Duty = WorkDuty<FakePlatform, FakeWorkers, ManualClock, FakeLease>;
 
+    WorkSettings settings;
     ManualClock clock;
     FakePlatform platform;
     FakeWorkers workers;
     EventLog events;
     std::unique_ptr<FakeLease> lease;
+    std::unique_ptr<FakeLease> pausedLease;
     std::unique_ptr<Duty> duty;
+    std::unique_ptr<Duty> pausedDuty;
     int owners { 0 };
 };
 
--- a/src/work/work_duty.h
+++ b/src/work/work_duty.h
@@ -75,22 +75,26 @@
     {
         if (!usable())
             return submission.done(notRun(Reason::LeaseLost, notOwner));
-        if (const auto* known = m_scheduler->find(submission.spec.task)) {
-            if (known->spec == submission.spec)
-                return submission.done(*known);
+        if (auto known = status(submission.spec.task); known && known->spec == submission.spec)
+            return submission.done(std::move(known));
+        else if (known)
             return submission.done(notRun(Reason::Conflict, "a different task has this id"));
-        }
+        else if (known.error().reason != Reason::NotFound)
+            return submission.done(std::move(known));
         if (auto admitted = m_scheduler->admit(submission.spec, m_clock.now()); !admitted)
             return submission.done(tl::unexpected(admitted.error()));
         m_acceptance.submit(std::move(submission), m_clock.wallNow());
     }
 
-    [[nodiscard]] Result<TaskRecord> status(const TaskId& id) const
+    // Ended tasks are read from the table; the call then takes as long as that.
+    [[nodiscard]] Result<TaskRecord> status(const TaskId& id)
     {
         if (!usable())
             return notRun(Reason::LeaseLost, notOwner);
         if (const auto* record = m_scheduler->find(id))
             return *record;
+        if (m_scheduler->isArchived(id))
+            return readRow(id);
         return notRun(Reason::NotFound, fmt::format("no task {}", id.value()));
     }
 
@@ -98,6 +102,8 @@
     {
         if (!usable())
             return request.done(notRun(Reason::LeaseLost, notOwner));
+        if (m_scheduler->isArchived(request.task))
+            return request.done(readRow(request.task));
         auto record = m_scheduler->cancel(request.task, moment());
         if (!record || m_scheduler->isStored(request.task))
             return request.done(std::move(record));
@@ -119,6 +125,9 @@
             m_scheduler->setMaintenance(worker, at);
     }
 
+    // The process is to end: answers all that wait.
+    void shutDown() { release("the process is shutting down"); }
+
     // One round: settles and stores rows, listens to the workers, decides, and calls workers.
     void step()
     {
@@ -197,6 +206,18 @@
             { { "shard", m_settings.shard }, { "tasks", std::to_string(m_scheduler->taskCount()) } });
     }
 
+    Result<TaskRecord> readRow(const TaskId& id)
+    {
+        auto key = rowPrefix() + id.value();
+        auto changes = m_platform.read(key, 0);
+        if (!changes)
+            return tl::unexpected(changes.error());
+        for (const auto& row : changes->rows)
+            if (row.key == key && !row.deleted)
+                return decodeTask(row.value);
+        return notRun(Reason::NotFound, fmt::format("no task {}", id.value()));
+    }
+
     static Version versionOf(const Changes& changes, const std::string& key)
     {
         for (const auto& row : changes.rows)
@@ -277,11 +298,11 @@
             onCommitted();
         else
             backOff();
-        if (fate != BatchFate::NotCommitted)
-            return;
-        m_acceptance.onNotCommitted(m_batch.submissions);
-        m_scheduler->onNotStored(m_batch.changes);
-        m_batch = {};
+        if (fate == BatchFate::NotCommitted) {
+            m_acceptance.onNotCommitted(m_batch.submissions);
+            m_scheduler->onNotStored(m_batch.changes);
+            m_batch = {};
+        }
         if (m_writer->displaced())
             release("another process has written the shard");
     }
--- a/src/work/work_state.h
+++ b/src/work/work_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "platform/workers.h"
+#include "work/size_model.h"
 #include "work/task.h"
 
 #include <map>
@@ -50,6 +51,8 @@
     StartStep step { StartStep::None };
     Eviction eviction { Eviction::None };
     Worker* worker { nullptr };
+    // What the tasks of its job have been seen to use.
+    JobUsage* usage { nullptr };
     // Held on the worker for this task.
     Resources reserved;
     // Latest reported usage.
@@ -78,8 +81,6 @@
     // Urgency of storing the row; none if it is stored as it is, or on its way.
     std::optional<RowUrgency> unstored;
     bool rowOnItsWay { false };
-    // The task ended long ago and its row is to be deleted.
-    bool expired { false };
 
     [[nodiscard]] const TaskId& id() const { return record.spec.task; }
 };
