--- a/src/bench/work_bench.cpp
+++ b/src/bench/work_bench.cpp
@@ -11,11 +11,12 @@
 #include <random>
 #include <xxhash.h>
 
-namespace fulmar {
+namespace fulmar::bench {
 
 namespace {
 
-using namespace bench;
+using namespace longwork;
+using namespace fulmar::work;
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t seed = 20'260;
@@ -333,4 +334,4 @@
     fmt::print(out, "work signature {:016x}\n", signature);
 }
 
-} // namespace fulmar
+} // namespace fulmar::bench
--- a/src/bench/work_fleet.cpp
+++ b/src/bench/work_fleet.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace fulmar::bench {
+namespace fulmar::bench::longwork {
 
 namespace {
 
@@ -186,4 +186,4 @@
     return position == m_starts.end() ? 0 : position->second;
 }
 
-} // namespace fulmar::bench
+} // namespace fulmar::bench::longwork
--- a/src/bench/work_fleet.h
+++ b/src/bench/work_fleet.h
@@ -10,7 +10,9 @@
 #include <unordered_map>
 #include <vector>
 
-namespace fulmar::bench {
+namespace fulmar::bench::longwork {
+
+using namespace fulmar::work;
 
 // What a task really needs and does, unknown to the scheduler.
 struct TrueTask {
@@ -94,4 +96,4 @@
     std::size_t m_memoryKills { 0 };
 };
 
-} // namespace fulmar::bench
+} // namespace fulmar::bench::longwork
--- a/src/bench/work_load.cpp
+++ b/src/bench/work_load.cpp
@@ -5,7 +5,7 @@
 #include <fmt/format.h>
 #include <random>
 
-namespace fulmar::bench {
+namespace fulmar::bench::longwork {
 
 namespace {
 
@@ -145,4 +145,4 @@
     return load;
 }
 
-} // namespace fulmar::bench
+} // namespace fulmar::bench::longwork
--- a/src/bench/work_load.h
+++ b/src/bench/work_load.h
@@ -7,7 +7,9 @@
 #include <cstdint>
 #include <vector>
 
-namespace fulmar::bench {
+namespace fulmar::bench::longwork {
+
+using namespace fulmar::work;
 
 struct WorkLoadSize {
     std::size_t workers { 0 };
@@ -37,4 +39,4 @@
 
 [[nodiscard]] WorkLoad makeWorkLoad(const WorkLoadSize&, std::uint64_t seed);
 
-} // namespace fulmar::bench
+} // namespace fulmar::bench::longwork
--- a/src/bench/work_naive.cpp
+++ b/src/bench/work_naive.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace fulmar::bench {
+namespace fulmar::bench::longwork {
 
 namespace {
 
@@ -141,4 +141,4 @@
     return position == m_tasks.end() ? nullptr : &position->second;
 }
 
-} // namespace fulmar::bench
+} // namespace fulmar::bench::longwork
--- a/src/bench/work_naive.h
+++ b/src/bench/work_naive.h
@@ -8,7 +8,9 @@
 #include <unordered_map>
 #include <vector>
 
-namespace fulmar::bench {
+namespace fulmar::bench::longwork {
+
+using namespace fulmar::work;
 
 // The plain way, to compare with: each pool's tasks in the order of arrival, urgent ones in front, each on
 // the first worker that has room for its declared size; a failed task that may be repeated goes to the back
@@ -54,4 +56,4 @@
     std::uint64_t m_operations { 0 };
 };
 
-} // namespace fulmar::bench
+} // namespace fulmar::bench::longwork
--- a/src/config/field_reader.h
+++ b/src/config/field_reader.h
@@ -5,13 +5,13 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdint>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace fulmar {
@@ -79,19 +79,19 @@
             field = Whole(number);
     }
 
-    // An enumeration written as toString() shows it; `values` lists all of them.
+    // The field's text must be toString() of one of the values.
     template <typename Enum, std::size_t count>
     void takeEnum(const char* name, Enum& field, const std::array<Enum, count>& values)
     {
         std::string text;
         take(name, text, true);
-        const auto value
+        const auto* value
             = std::find_if(values.begin(), values.end(), [&](Enum each) { return toString(each) == text; });
-        std::vector<std::string_view> names;
-        names.reserve(count);
+        std::vector<std::string_view> allowed;
+        allowed.reserve(count);
         for (auto each : values)
-            names.push_back(toString(each));
-        if (expect(name, value != values.end(), fmt::format("one of {}", fmt::join(names, ", "))))
+            allowed.push_back(toString(each));
+        if (expect(name, value != values.end(), fmt::format("one of {}", fmt::join(allowed, ", "))))
             field = *value;
     }
 
--- a/src/config/model.cpp
+++ b/src/config/model.cpp
@@ -1,8 +1,10 @@
 #include "config/model.h"
+
 #include "config/field_reader.h"
 
 #include <array>
 #include <limits>
+#include <nlohmann/json.hpp>
 
 namespace fulmar {
 
--- a/src/work/acceptance.cpp
+++ b/src/work/acceptance.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace fulmar {
+namespace fulmar::work {
 
 Acceptance::Acceptance(std::size_t capacity)
     : m_capacity(capacity)
@@ -115,4 +115,4 @@
     return notRun(reason, fmt::format("task {} was not accepted: {}", id, cause));
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/actions.h
+++ b/src/work/actions.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 struct SchedulerSettings {
     FillLimits fill;
@@ -60,4 +60,4 @@
     std::vector<EventField> fields;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/evictor.cpp
+++ b/src/work/evictor.cpp
@@ -2,7 +2,7 @@
 
 #include <cassert>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -93,4 +93,4 @@
         std::erase(beneficiary->waitsFor, entry.task);
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/evictor.h
+++ b/src/work/evictor.h
@@ -4,7 +4,7 @@
 
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Takes running tasks off their workers: a checkpoint first where the task will continue, then a stop,
 // ordered again until the worker confirms it.
@@ -41,4 +41,4 @@
     std::vector<Entry> m_entries;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/fault_evidence.cpp
+++ b/src/work/fault_evidence.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -112,4 +112,4 @@
     std::erase_if(m_jobs, [&](const auto& entry) { return entry.second.touched < before; });
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/fault_evidence.h
+++ b/src/work/fault_evidence.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Tells a worker that fails everything from a job that can never run. A failure speaks against the worker
 // if the same job succeeds elsewhere, and against the job if other jobs succeed on the same worker:
@@ -85,4 +85,4 @@
     TimePoint m_lastSuccess {};
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/fleet_view.h
+++ b/src/work/fleet_view.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // The shard's workers by id and by pool, as the platform's lagging list shows them.
 class FleetView {
@@ -45,4 +45,4 @@
     Resources m_capacity;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/heat.cpp
+++ b/src/work/heat.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -80,11 +80,12 @@
 {
     std::vector<HeatAction> actions;
     auto idle = worker.capacity.processors * fullProcessors - worker.used.processors;
-    for (auto task = tasks.rbegin(); task != tasks.rend(); ++task) {
-        auto regained = (*task)->used.processors * (1 / throttledShare - 1);
-        if (!(*task)->throttled || regained > idle)
+    const std::vector<Task*> dearestFirst(tasks.rbegin(), tasks.rend());
+    for (auto* task : dearestFirst) {
+        auto regained = task->used.processors * (1 / throttledShare - 1);
+        if (!task->throttled || regained > idle)
             continue;
-        actions.push_back({ *task, HeatStep::Resume });
+        actions.push_back({ task, HeatStep::Resume });
         idle -= regained;
     }
     return actions;
@@ -102,4 +103,4 @@
     return resumeWhatFits(worker, tasks);
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/heat.h
+++ b/src/work/heat.h
@@ -4,7 +4,7 @@
 
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 enum class HeatStep : std::uint8_t {
     Throttle,
@@ -23,4 +23,4 @@
 // throttled tasks are resumed as far as there is room. Tasks that cannot be repeated are only throttled.
 [[nodiscard]] std::vector<HeatAction> coolDown(const Worker&);
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/placement.h
+++ b/src/work/placement.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // What a placement must observe.
 struct PlacementRequest {
@@ -27,4 +27,4 @@
 [[nodiscard]] Worker* chooseWorker(const std::vector<Worker*>& workers, const PlacementRequest&,
     const FillLimits&, const std::function<bool(const Worker&)>& admits);
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/preemption.cpp
+++ b/src/work/preemption.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -69,4 +69,4 @@
     return best;
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/preemption.h
+++ b/src/work/preemption.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Tasks to evict from one worker so that a request fits there.
 struct PreemptionPlan {
@@ -25,4 +25,4 @@
     const PlacementRequest&, const FillLimits&, const std::function<bool(const Worker&)>& admits,
     const std::function<bool(const Task&)>& mayEvict, TimePoint now);
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/quarantine.cpp
+++ b/src/work/quarantine.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -71,4 +71,4 @@
     return false;
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/quarantine.h
+++ b/src/work/quarantine.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // How far a worker is trusted with tasks.
 enum class Trust : std::uint8_t {
@@ -46,4 +46,4 @@
     std::unordered_map<VmId, Entry> m_workers;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/queue_filler.cpp
+++ b/src/work/queue_filler.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -234,4 +234,4 @@
     return !m_book.settings().judgesFaults || m_quarantine.admits(worker, spec.idempotent, m_evidence, now);
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/queue_filler.h
+++ b/src/work/queue_filler.h
@@ -11,7 +11,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Gives waiting tasks a worker: urgent ones first, then by team, the one with the lowest share of its quota
 // first. Teams borrow what others leave idle. An urgent task of a team within its quota displaces tasks that
@@ -73,4 +73,4 @@
     TimePoint m_filledAllAt {};
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/resources.h
+++ b/src/work/resources.h
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // An amount of what a worker offers and a task takes. Memory is in megabytes; accelerators are whole.
 struct Resources {
@@ -61,4 +61,4 @@
         share(part.accelerators, whole.accelerators) });
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/row_queue.h
+++ b/src/work/row_queue.h
@@ -6,7 +6,7 @@
 #include <deque>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // A row as it is to be stored.
 struct RowChange {
@@ -43,4 +43,4 @@
     std::array<std::deque<TaskId>, 3> m_lanes;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/row_writer.h
+++ b/src/work/row_writer.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // What is known of a batch of rows.
 enum class BatchFate : std::uint8_t {
@@ -61,4 +61,4 @@
     bool m_displaced { false };
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/scheduler.cpp
+++ b/src/work/scheduler.cpp
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <fmt/format.h>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -378,4 +378,4 @@
         m_book.lose(task, "its worker was not heard of until its lease had lapsed", moment);
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/scheduler.h
+++ b/src/work/scheduler.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Decides for one shard which task runs where. Pure: what happens is fed in with the time, what is to be done
 // is taken out. The caller stores rows, calls workers and reports the results back.
@@ -96,4 +96,4 @@
     TimePoint m_judgedAt {};
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/size_model.cpp
+++ b/src/work/size_model.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -50,4 +50,4 @@
     return need;
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/size_model.h
+++ b/src/work/size_model.h
@@ -5,7 +5,7 @@
 
 #include <unordered_map>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // What a job's tasks have been seen to use.
 struct JobUsage {
@@ -36,4 +36,4 @@
     std::unordered_map<JobId, JobUsage> m_jobs;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/task.cpp
+++ b/src/work/task.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <limits>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -139,4 +139,4 @@
     return reader.finish(std::move(record));
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/task.h
+++ b/src/work/task.h
@@ -7,10 +7,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ostream>
 #include <string>
 #include <string_view>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Life of a task. Starting means that a start may have been sent and its effect is not yet known.
 enum class TaskState : std::uint8_t {
@@ -58,6 +59,7 @@
 };
 
 [[nodiscard]] std::string_view toString(TaskState);
+inline std::ostream& operator<<(std::ostream& out, TaskState state) { return out << toString(state); }
 
 // True for states that a task never leaves, but for MayHaveRun, which later evidence can settle.
 [[nodiscard]] bool isFinal(TaskState);
@@ -73,4 +75,4 @@
 [[nodiscard]] std::string encode(const TaskRecord&);
 [[nodiscard]] Result<TaskRecord> decodeTask(const std::string& text);
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/task_book.cpp
+++ b/src/work/task_book.cpp
@@ -3,7 +3,7 @@
 #include <cassert>
 #include <fmt/format.h>
 
-namespace fulmar {
+namespace fulmar::work {
 
 namespace {
 
@@ -351,4 +351,4 @@
     return position == m_pinned.end() ? Resources {} : position->second;
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/task_book.h
+++ b/src/work/task_book.h
@@ -18,7 +18,7 @@
 #include <utility>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // The present time, monotonic for decisions and of the wall clock for rows.
 struct Moment {
@@ -130,4 +130,4 @@
     std::vector<WorkEvent> m_events;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/team_shares.h
+++ b/src/work/team_shares.h
@@ -5,7 +5,7 @@
 
 #include <unordered_map>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // What each team holds, set against its quota. A team's ratio is its dominant share of its quota: up to 1 it
 // uses what is its own, above 1 it borrows.
@@ -69,4 +69,4 @@
     std::unordered_map<TeamId, Team> m_teams;
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/tests/work_fakes.h
+++ b/src/work/tests/work_fakes.h
@@ -11,6 +11,8 @@
 
 namespace fulmar::test {
 
+using namespace fulmar::work;
+
 // A mechanism taken out on purpose, to show that a property notices.
 enum class Sabotage {
     None,
--- a/src/work/token_bucket.h
+++ b/src/work/token_bucket.h
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // Allows `perSecond` actions on average and `burst` at once.
 class TokenBucket {
@@ -34,4 +34,4 @@
     TimePoint m_refilledAt {};
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/work_duty.h
+++ b/src/work/work_duty.h
@@ -12,7 +12,7 @@
 #include <memory>
 #include <unordered_map>
 
-namespace fulmar {
+namespace fulmar::work {
 
 // The lease by which this process owns a shard.
 template <typename L>
@@ -75,11 +75,10 @@
     {
         if (!usable())
             return submission.done(notRun(Reason::LeaseLost, notOwner));
-        if (auto known = status(submission.spec.task); known && known->spec == submission.spec)
-            return submission.done(std::move(known));
-        else if (known)
-            return submission.done(notRun(Reason::Conflict, "a different task has this id"));
-        else if (known.error().reason != Reason::NotFound)
+        auto known = status(submission.spec.task);
+        if (known && known->spec != submission.spec)
+            known = notRun(Reason::Conflict, "a different task has this id");
+        if (known || known.error().reason != Reason::NotFound)
             return submission.done(std::move(known));
         if (auto admitted = m_scheduler->admit(submission.spec, m_clock.now()); !admitted)
             return submission.done(tl::unexpected(admitted.error()));
@@ -281,6 +280,7 @@
     [[nodiscard]] std::vector<Write> writes() const
     {
         std::vector<Write> result;
+        result.reserve(m_batch.submissions.size() + m_batch.changes.size() + 1);
         for (const auto& record : m_batch.submissions)
             result.push_back({ rowPrefix() + record.spec.task.value(), encode(record), false });
         for (const auto& change : m_batch.changes)
@@ -390,4 +390,4 @@
     TimePoint m_tableRetryAt {};
 };
 
-} // namespace fulmar
+} // namespace fulmar::work
--- a/src/work/work_state.h
+++ b/src/work/work_state.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <vector>
 
-namespace fulmar {
+namespace fulmar::work {
 
 struct Worker;
 
@@ -120,4 +120,4 @@
     return usable(worker, limits) - worker.reserved;
 }
 
-} // namespace fulmar
+} // namespace fulmar::work
