--- a/src/operate/command_decision.cpp
+++ b/src/operate/command_decision.cpp
@@ -21,10 +21,6 @@
     std::string operator()(const UndrainVm& body) const { return orderedKey("vm", body.vm.value()); }
     std::string operator()(const MoveVm& body) const { return orderedKey("vm", body.vm.value()); }
     std::string operator()(const AssignVm& body) const { return orderedKey("vm", body.vm.value()); }
-    std::string operator()(const QuarantineVm& body) const
-    {
-        return orderedKey("quarantine", body.vm.value());
-    }
     std::string operator()(const StartWave& body) const { return orderedKey("waves", body.pool.value()); }
     std::string operator()(const ControlWave& body) const { return orderedKey("wave", body.wave.value()); }
     std::string operator()(const CancelTask& body) const { return orderedKey("task", body.task.value()); }
@@ -128,8 +124,9 @@
     return encodeCancelled(*target, "cancelled by command " + origin.id.value() + " of " + origin.who, now);
 }
 
+// The command's own row and the guard are written together; an empty guard value deletes it.
 CommandPlan planFor(const Command& command, const CommandOrigin& origin, const CommandRows& rows,
-    const CommandRow& row, std::string guardValue)
+    const CommandRow& row, const std::string& guardValue)
 {
     auto ownKey = commandRowKey(command.body, origin.id);
     auto guardKey = rows.guard ? rows.guard->key : guardKeyOf(command.body);
@@ -137,7 +134,7 @@
     plan.transaction.operation = origin.id;
     plan.transaction.conditions = { { ownKey, 0 }, { guardKey, rows.guard ? rows.guard->version : 0 } };
     plan.transaction.writes
-        = { { ownKey, encodeCommand(command, row) }, { guardKey, std::move(guardValue) } };
+        = { { ownKey, encodeCommand(command, row) }, { guardKey, guardValue, guardValue.empty() } };
     plan.accepted = row.state == CommandState::Done
         ? sentence(AnswerStatus::Ok, fmt::format("done as command {}", origin.id.value()))
         : sentence(AnswerStatus::Waiting,
@@ -162,7 +159,7 @@
             return refusal(value.error());
         row.state = CommandState::Done;
         return command.dryRun ? CommandDecision(showEffect(command.body, {}, view))
-                              : planFor(command, origin, rows, row, std::move(*value));
+                              : planFor(command, origin, rows, row, *value);
     }
     if (isOvertaken(origin, rows))
         return answerOvertaken(rows);
--- a/src/operate/command_row.cpp
+++ b/src/operate/command_row.cpp
@@ -110,20 +110,6 @@
     return reader.finish(std::move(row));
 }
 
-std::string encodeOrder(const CommandRow& row)
-{
-    return nlohmann::json {
-        { "id", row.id.value() },
-        { "statement", row.statement },
-        { "who", row.who },
-        { "basedOn", row.basedOn },
-        { "state", toString(row.state) },
-        { "detail", row.detail },
-        { "orderedMs", row.ordered.time_since_epoch().count() },
-    }
-        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 } // namespace
 
 bool isFleetCommand(const CommandBody& body)
@@ -138,6 +124,20 @@
     return isFleetCommand(body) ? commandKey(id) : orderPrefix + id.value();
 }
 
+std::string encodeOrder(const CommandRow& row)
+{
+    return nlohmann::json {
+        { "id", row.id.value() },
+        { "statement", row.statement },
+        { "who", row.who },
+        { "basedOn", row.basedOn },
+        { "state", toString(row.state) },
+        { "detail", row.detail },
+        { "orderedMs", row.ordered.time_since_epoch().count() },
+    }
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string encodeCommand(const Command& command, const CommandRow& row)
 {
     if (isFleetCommand(command.body)) {
--- a/src/operate/command_row.h
+++ b/src/operate/command_row.h
@@ -10,8 +10,13 @@
 #include <string>
 #include <vector>
 
+namespace fulmar::fleet {
+}
+
 namespace fulmar::operate {
 
+using namespace fleet;
+
 // Rows of commands that the fleet duty does not execute: changes of configuration, quarantine, cancellation.
 inline constexpr auto orderPrefix = "order/";
 
@@ -41,6 +46,9 @@
 // The value of that row.
 [[nodiscard]] std::string encodeCommand(const Command&, const CommandRow&);
 
+// The value of a row order/<id>.
+[[nodiscard]] std::string encodeOrder(const CommandRow&);
+
 // Reads a row of either kind. Fails with BadInput.
 [[nodiscard]] Result<CommandRow> decodeCommandRow(const Row&);
 
--- a/src/operate/config_change.cpp
+++ b/src/operate/config_change.cpp
@@ -1,8 +1,9 @@
 #include "operate/config_change.h"
 
-#include "operate/rows.h"
+#include "config/validation.h"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace fulmar::operate {
 
@@ -18,6 +19,7 @@
     }
     std::string operator()(const ChangeJob& change) const { return keys::jobPrefix + change.job.value(); }
     std::string operator()(const ChangeQuota& change) const { return keys::teamPrefix + change.team.value(); }
+    std::string operator()(const QuarantineVm& body) const { return quarantinePrefix + body.vm.value(); }
     template <typename Other> std::string operator()(const Other&) const { return {}; }
 };
 
@@ -68,24 +70,6 @@
     assign(config.accelerators, change.accelerators);
 }
 
-// Names that the new row refers to must exist.
-std::string missingReference(const PoolConfig&, const OperatorView&) { return {}; }
-std::string missingReference(const TeamConfig&, const OperatorView&) { return {}; }
-std::string missingReference(const ServiceConfig& config, const OperatorView& view)
-{
-    if (findRow(view.config, keys::poolPrefix + config.pool.value()))
-        return {};
-    return fmt::format("there is no pool \"{}\"", config.pool.value());
-}
-std::string missingReference(const JobConfig& config, const OperatorView& view)
-{
-    if (!findRow(view.config, keys::poolPrefix + config.pool.value()))
-        return fmt::format("there is no pool \"{}\"", config.pool.value());
-    if (!findRow(view.config, keys::teamPrefix + config.team.value()))
-        return fmt::format("there is no team \"{}\"", config.team.value());
-    return {};
-}
-
 template <typename Config, typename ChangeCommand>
 Change changeRow(const ChangeCommand& change, bool creates, bool mayCreate, const std::optional<Row>& current,
     const OperatorView& view)
@@ -104,11 +88,8 @@
         config = std::move(*known);
     }
     apply(config, change);
-    if (auto missing = missingReference(config, view); !missing.empty())
-        return notRun(Reason::BadInput, missing);
     result.after = encode(config);
-    // The strict reader knows the range of every field.
-    if (auto checked = decode<Config>(result.after); !checked)
+    if (auto checked = validateChange(view.config, { { result.key, result.after } }); !checked)
         return tl::unexpected(checked.error());
     return result;
 }
@@ -133,6 +114,17 @@
     {
         return changeRow<TeamConfig>(change, false, true, current, view);
     }
+    Change operator()(const QuarantineVm& body) const
+    {
+        ConfigChange change { KeyOf {}(body), current ? current->value : "", "" };
+        if (body.lifts && !current)
+            return notRun(Reason::BadInput, fmt::format("VM {} is not in quarantine", body.vm.value()));
+        if (!body.lifts && current)
+            return notRun(Reason::Conflict, fmt::format("VM {} is in quarantine already", body.vm.value()));
+        if (!body.lifts)
+            change.after = nlohmann::json { { "vm", body.vm.value() } }.dump();
+        return change;
+    }
     template <typename Other> Change operator()(const Other&) const { return std::nullopt; }
 };
 
--- a/src/operate/config_change.h
+++ b/src/operate/config_change.h
@@ -14,9 +14,13 @@
     std::string key;
     // Empty where the row does not exist yet.
     std::string before;
+    // Empty where the row is deleted.
     std::string after;
 };
 
+// VMs that operators bar from new tasks: config/quarantine/<vm>, as the work duty reads them.
+inline constexpr auto quarantinePrefix = "config/quarantine/";
+
 // The row that the command changes. Empty for commands that change no configuration. Fails with BadInput
 // where a name does not exist or a value is out of range, with Conflict where a new row exists already.
 [[nodiscard]] Result<std::optional<ConfigChange>> configChangeOf(
--- a/src/operate/dry_run.cpp
+++ b/src/operate/dry_run.cpp
@@ -102,14 +102,17 @@
     Answer answer;
     answer.columns = changeColumns;
     auto before = nlohmann::json::parse(change.before.empty() ? "{}" : change.before, nullptr, false);
-    auto after = nlohmann::json::parse(change.after, nullptr, false);
+    auto after = nlohmann::json::parse(change.after.empty() ? "{}" : change.after, nullptr, false);
     for (const auto& [field, value] : after.items()) {
         auto known = before.find(field);
         auto old = known == before.end() ? std::string() : known->dump();
         if (old != value.dump())
             answer.rows.push_back({ field, old, value.dump() });
     }
-    answer.message = fmt::format("{} would {}", change.key, change.before.empty() ? "be created" : "change");
+    const auto* effect = change.before.empty() ? "be created"
+        : change.after.empty()                 ? "be deleted"
+                                               : "change";
+    answer.message = fmt::format("{} would {}", change.key, effect);
     return answer;
 }
 
--- a/src/operate/operator_service.h
+++ b/src/operate/operator_service.h
@@ -121,4 +121,23 @@
         Failure { Outcome::NotRun, Reason::StoreUnavailable, "the table kept changing" }, mayHaveRun);
 }
 
+// Writes how an order that this process executes has ended. False if the row could not be written; sending
+// the command again then settles it.
+template <typename Platform>
+[[nodiscard]] bool closeOrder(
+    Platform& platform, const OperationId& id, CommandState state, const std::string& detail)
+{
+    auto row = readRow(platform, orderPrefix + id.value());
+    if (!row || !row->has_value())
+        return false;
+    auto order = decodeCommandRow(**row);
+    if (!order)
+        return false;
+    order->state = state;
+    order->detail = detail;
+    Transaction transaction { OperationId(id.value() + "-end"), { { (*row)->key, (*row)->version } },
+        { { (*row)->key, encodeOrder(*order) } } };
+    return platform.commit(transaction).has_value();
+}
+
 } // namespace fulmar::operate
--- a/src/operate/tests/fixture.h
+++ b/src/operate/tests/fixture.h
@@ -105,6 +105,18 @@
             return notRun(Reason::StoreUnavailable, "connection refused");
         return table.read(prefix, since);
     }
+
+    // The operators' duty uses nothing else of the platform.
+    static Result<void> putObject(const std::string&, const std::string&)
+    {
+        return notRun(Reason::Internal, "unused");
+    }
+    static Result<std::string> getObject(const std::string&) { return notRun(Reason::Internal, "unused"); }
+    static Result<std::vector<ListedVm>> listVms() { return notRun(Reason::Internal, "unused"); }
+    static Result<void> rebootVm(const VmId&, const OperationId&)
+    {
+        return notRun(Reason::Internal, "unused");
+    }
 };
 
 } // namespace fulmar::operate::test
--- a/src/operate/tests/operator_service_test.cpp
+++ b/src/operate/tests/operator_service_test.cpp
@@ -140,7 +140,10 @@
     BOOST_TEST(messageOf("move vm v1 to pool x") == "nothing was done: there is no pool \"x\"");
     BOOST_TEST(messageOf("create pool plans") == "nothing was done: config/pool/plans exists already");
     BOOST_TEST(messageOf("declare service s pool = plans slots = 0")
-        == "nothing was done: slotsPerTarget must be from 1 to 1000");
+        == "nothing was done: config/service/s: slotsPerTarget must be from 1 to 1000");
+    BOOST_TEST(messageOf("set pool plans spare = yes")
+        == "nothing was done: only one pool can be the spare: plans, spare");
+    BOOST_TEST(messageOf("release vm v1") == "nothing was done: VM v1 is not in quarantine");
     BOOST_TEST(fleet.table.version() == 1);
 }
 
