--- a/src/programs/fulmar_bench.cpp
+++ b/src/programs/fulmar_bench.cpp
@@ -1,7 +1,73 @@
-#include "core/log.h"
+#include "bench/slopes.h"
 
-int main()
+#include <algorithm>
+#include <fmt/format.h>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <vector>
+#include <xxhash.h>
+
+using namespace fulmar;
+
+namespace {
+
+struct Part {
+    const char* name;
+    const char* about;
+    void (*run)(std::ostream&);
+};
+
+constexpr Part parts[] = {
+    { "slopes", "costs by fleet size, for docs/CAPACITY.md", bench::runSlopes },
+};
+
+// The lines of a part's output that change only if behaviour does.
+std::string signatureLines(const std::string& output)
+{
+    std::istringstream lines(output);
+    std::string kept;
+    for (std::string line; std::getline(lines, line);)
+        if (line.find("signature") != std::string::npos)
+            kept += line + '\n';
+    return kept;
+}
+
+int usage()
+{
+    std::cerr << "usage: fulmar-bench [PART...]\n";
+    for (const auto& part : parts)
+        std::cerr << fmt::format("  {:<8} {}\n", part.name, part.about);
+    return 2;
+}
+
+bool isKnown(std::string_view name)
+{
+    for (const auto& part : parts)
+        if (name == part.name)
+            return true;
+    return false;
+}
+
+} // namespace
+
+// Runs all parts, or those named, and ends with one signature over theirs.
+int main(int argc, char** argv)
 {
-    fulmar::initializeLog("fulmar-bench");
+    std::vector<std::string_view> wanted(argv + 1, argv + argc);
+    for (auto name : wanted)
+        if (!isKnown(name))
+            return usage();
+    std::string signatures;
+    for (const auto& part : parts) {
+        if (!wanted.empty() && std::find(wanted.begin(), wanted.end(), part.name) == wanted.end())
+            continue;
+        std::ostringstream output;
+        part.run(output);
+        std::cout << fmt::format("== {}: {}\n{}\n", part.name, part.about, output.str()) << std::flush;
+        signatures += signatureLines(output.str());
+    }
+    std::cout << fmt::format("signature={:016x}\n", XXH3_64bits(signatures.data(), signatures.size()));
     return 0;
 }
