--- a/src/operate/operator_duty.h
+++ b/src/operate/operator_duty.h
@@ -66,9 +66,16 @@
             (*work)();
     }
 
-    // Wakes step() for good; statements that still wait are dropped with their connections.
+    // Wakes step() for good and refuses further statements.
     void stop() { m_work.close(); }
 
+    // Drops the statements that still wait, and their connections. Not while step() runs.
+    void dropWaiting()
+    {
+        while (m_work.tryPop())
+            ;
+    }
+
 private:
     static constexpr std::size_t maxWaiting = 64;
     static constexpr Duration idleWait = std::chrono::milliseconds(100);
