A change of configuration is checked without the VMs' rows

Validating one change against every row took 44 ms at 5,200 VMs, so a burst of 100 in a second could not be decided in four seconds.

--- a/src/bench/slopes.cpp
+++ b/src/bench/slopes.cpp
@@ -201,6 +201,33 @@
         / 1e3;
 }
 
+// Deciding on an operator's change of configuration, after the platform's rows have been read.
+double decisionMicroseconds(std::size_t vms)
+{
+    StatementWorld world(vms);
+    operate::OperatorView view { world.replica.rows(), world.commands };
+    operate::Command command { operate::ChangePool { PoolId("pool-000"), false, 0.2, {}, {}, {} } };
+    operate::CommandRows rows { {}, world.replica.rows().at("config/pool/pool-000"), {} };
+    operate::CommandOrigin origin { OperationId("c1"), "operator", {} };
+    return processorNanoseconds(
+               [&] {
+                   auto decision = operate::decideCommand(command, origin, rows, view, WallTime {});
+                   sink += std::get<operate::CommandPlan>(decision).transaction.writes.size();
+               },
+               3)
+        / 1e3;
+}
+
+double copyMicroseconds(std::size_t vms)
+{
+    ConfigReplica replica;
+    replica.apply(configurationRows({ vms }));
+    return processorNanoseconds([&] {
+        auto copy = replica;
+        sink += copy.rows().size();
+    }) / 1e3;
+}
+
 using FleetRows = FleetView;
 
 double fleetViewBytes(std::size_t vms)
@@ -251,6 +278,7 @@
     return { exact(fleetSlope("rows: keys and values", "bytes", rowBytes)),
         fleetSlope("replica: heap", "bytes", replicaBytes),
         fleetSlope("replica: apply every row", "us", applyMicroseconds),
+        fleetSlope("replica: copy", "us", copyMicroseconds),
         fleetSlope("replica: 100 changes in and on to a peer", "us", burstMicroseconds),
         fleetSlope("directory of an entry: heap", "bytes", directoryBytes),
         fleetSlope("directory of an entry: 100 changed VMs", "us", directoryChangeMicroseconds) };
@@ -275,7 +303,8 @@
 {
     return { statementSlope("show vms limit 20"), statementSlope("count vms by state"),
         statementSlope("show pools where spent > 0"), statementSlope("why vm vm-00017"),
-        fleetSlope("validate a change of configuration", "us", validationMicroseconds),
+        fleetSlope("validate a change against every row", "us", validationMicroseconds),
+        fleetSlope("decide on a change of configuration", "us", decisionMicroseconds),
         exact(fleetSlope("answer to show vms: JSON", "bytes", [](std::size_t vms) {
             return double(toJson(StatementWorld(vms).ask("show vms limit 100000")).size());
         })) };
--- a/src/operate/config_change.cpp
+++ b/src/operate/config_change.cpp
@@ -2,6 +2,7 @@
 
 #include "config/validation.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -70,6 +71,19 @@
     assign(config.accelerators, change.accelerators);
 }
 
+// The rows that a change can be at odds with. No command deletes a pool, so VMs' rows, which are by far the
+// most, cannot be among them.
+std::map<std::string, Row> rowsBesideVms(const std::map<std::string, Row>& rows)
+{
+    const std::string vmPrefix = keys::vmPrefix;
+    auto firstVm = rows.lower_bound(vmPrefix);
+    auto pastVms = std::find_if(
+        firstVm, rows.end(), [&](const auto& entry) { return !entry.first.starts_with(vmPrefix); });
+    std::map<std::string, Row> beside(rows.begin(), firstVm);
+    beside.insert(pastVms, rows.end());
+    return beside;
+}
+
 template <typename Config, typename ChangeCommand>
 Change changeRow(const ChangeCommand& change, bool creates, bool mayCreate, const std::optional<Row>& current,
     const OperatorView& view)
@@ -89,7 +103,7 @@
     }
     apply(config, change);
     result.after = encode(config);
-    if (auto checked = validateChange(view.config, { { result.key, result.after } }); !checked)
+    if (auto checked = validateChange(rowsBesideVms(view.config), { { result.key, result.after } }); !checked)
         return tl::unexpected(checked.error());
     return result;
 }
--- a/src/operate/operator_server.h
+++ b/src/operate/operator_server.h
@@ -24,9 +24,9 @@
     // Throws std::runtime_error if the address cannot be bound. The platform client belongs to this server
     // alone; its timeout should be well under the two seconds that operators wait for an answer.
     OperatorServer(const OperatorHttpSettings& settings, P& platform, const C& clock, EventLog& events,
-        OperatorSources sources, OperatorProbes probes)
+        OperatorSources sources, const OperatorProbes& probes)
         : m_duty(platform, clock, events, std::move(sources))
-        , m_http(std::make_unique<OperatorHttp>(settings, handlers(std::move(probes))))
+        , m_http(std::make_unique<OperatorHttp>(settings, handlers(probes)))
         , m_thread([this] {
             while (!m_isStopping)
                 m_duty.step();
@@ -50,12 +50,12 @@
     [[nodiscard]] std::uint16_t port() const { return m_http->port(); }
 
 private:
-    OperatorHandlers handlers(OperatorProbes probes)
+    OperatorHandlers handlers(const OperatorProbes& probes)
     {
         auto handlers = m_duty.handlers();
-        handlers.metrics = std::move(probes.metrics);
-        handlers.isHealthy = std::move(probes.isHealthy);
-        handlers.isReady = std::move(probes.isReady);
+        handlers.metrics = probes.metrics;
+        handlers.isHealthy = probes.isHealthy;
+        handlers.isReady = probes.isReady;
         return handlers;
     }
 
