--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -335,8 +335,14 @@
     this->answer(pass.request, std::move(answer));
 }
 
+// A call whose end is unknown is worth an event; plain refusals are counted only, as overload brings many.
 void Entry::perform(const serve::Refuse& refuse)
 {
+    if (refuse.failure.outcome == Outcome::MayHaveRun)
+        m_events.record(m_clock.wallNow(), "call.unknown",
+            { { "request", std::to_string(refuse.request) },
+                { "reason", std::string(toString(refuse.failure.reason)) },
+                { "detail", refuse.failure.detail } });
     answer(refuse.request, problemAnswer(refuse.failure, refuse.retryAfter));
 }
 
