--- a/src/serve/dispatcher_state.cpp
+++ b/src/serve/dispatcher_state.cpp
@@ -211,6 +211,8 @@
         = position == m_requests.end() || position->second.attempt != attemptId ? nullptr : &position->second;
     if (request && mayRetry(*request, end, now)) {
         request->mayHaveRun |= end.outcome != Outcome::NotRun;
+        if (request->key)
+            m_keyed.onReturned(*request->key);
         backOff(attempt.request, *request, now);
         return;
     }
--- a/src/serve/keyed_calls.cpp
+++ b/src/serve/keyed_calls.cpp
@@ -219,6 +219,13 @@
     state->phase = KeyPhase::Sent;
 }
 
+void KeyedCalls::onReturned(const std::string& key)
+{
+    auto* state = m_registry.find(key);
+    assert(state && state->phase == KeyPhase::Sent);
+    state->phase = KeyPhase::Owned;
+}
+
 KeyedStep KeyedCalls::onUnsent(
     const std::string& key, const Failure& failure, std::chrono::seconds retryAfter)
 {
--- a/src/serve/keyed_calls.h
+++ b/src/serve/keyed_calls.h
@@ -34,6 +34,8 @@
 
     // An attempt for the key is about to start.
     void onSent(const std::string& key);
+    // The attempt is proven not to have run, and another one may follow.
+    void onReturned(const std::string& key);
     // It is proven that no attempt ran, and no further one will start.
     [[nodiscard]] KeyedStep onUnsent(const std::string& key, const Failure&, std::chrono::seconds retryAfter);
     [[nodiscard]] KeyedStep onAnswered(
--- a/src/serve/tests/at_most_once_test.cpp
+++ b/src/serve/tests/at_most_once_test.cpp
@@ -42,6 +42,9 @@
     [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
     [[nodiscard]] std::size_t answered() const { return m_answered; }
 
+    // Ends all faults and all that is under way. Afterwards every key must be answered for at once.
+    void settle();
+
 private:
     struct Entry {
         std::unique_ptr<Dispatcher> dispatcher;
@@ -54,6 +57,8 @@
 
     void replace(std::size_t index);
     void send(Entry&, std::uint8_t detail);
+    void send(Entry&, const std::string& key);
+    void endAll();
     void commit(Entry&, std::uint8_t detail);
     void ask(Entry&, std::uint8_t detail);
     void endAttempt(Entry&, std::uint8_t detail);
@@ -135,8 +140,10 @@
         handle(entry, entry.dispatcher->onTick(m_now));
         break;
     case 13:
-        if (!entry.requests.empty())
-            handle(entry, entry.dispatcher->onCallerGone(entry.requests.begin()->first, m_now));
+        if (!entry.requests.empty()) {
+            auto gone = entry.requests.extract(entry.requests.begin()).key();
+            handle(entry, entry.dispatcher->onCallerGone(gone, m_now));
+        }
         break;
     case 14:
         m_tableDown = step.detail % 2 == 0;
@@ -151,14 +158,57 @@
     }
 }
 
+void World::settle()
+{
+    m_tableDown = false;
+    m_partitioned = false;
+    for (int second = 0; second < 30; ++second) {
+        endAll();
+        m_now += 1s;
+        for (auto& entry : m_entries)
+            handle(entry, entry.dispatcher->onTick(m_now));
+    }
+    for (auto& entry : m_entries)
+        check(entry.dispatcher->isIdle(), "something is under way for ever");
+    auto keys = m_minted;
+    for (const auto* key : { "k0", "k1", "k2", "k3" })
+        keys.emplace_back(key);
+    for (auto& entry : m_entries)
+        for (const auto& key : keys) {
+            send(entry, key);
+            endAll();
+            check(entry.requests.empty(), "key " + key + " waits for a run that is not under way");
+        }
+}
+
+// Lets claims, questions and attempts end well until none is left.
+void World::endAll()
+{
+    constexpr std::uint8_t well = 7;
+    for (int round = 0; round < 20; ++round)
+        for (auto& entry : m_entries) {
+            commit(entry, well);
+            for (std::size_t i = entry.asks.size(); i > 0; --i)
+                ask(entry, well);
+            while (!entry.attempts.empty())
+                endAttempt(entry, well);
+        }
+}
+
 void World::send(Entry& entry, std::uint8_t detail)
+{
+    if (detail % 8 >= 4 && !m_minted.empty())
+        send(entry, m_minted[detail % m_minted.size()]);
+    else
+        send(entry, "k" + std::to_string(detail % 4));
+}
+
+void World::send(Entry& entry, const std::string& key)
 {
     CallInfo call;
     call.service = ServiceId("s");
     call.method = "POST";
-    call.idempotencyKey = "k" + std::to_string(detail % 4);
-    if (detail % 8 >= 4 && !m_minted.empty())
-        call.idempotencyKey = m_minted[detail % m_minted.size()];
+    call.idempotencyKey = key;
     auto request = ++m_lastRequest;
     entry.requests[request] = *call.idempotencyKey;
     handle(entry, entry.dispatcher->onCall(request, call, m_now));
@@ -272,6 +322,8 @@
     World world(fault);
     for (const auto& step : steps)
         world.run(step);
+    if (fault == Fault::None)
+        world.settle();
     return world;
 }
 
--- a/src/serve/tests/keyed_calls_test.cpp
+++ b/src/serve/tests/keyed_calls_test.cpp
@@ -157,6 +157,18 @@
     BOOST_TEST(std::get<PassKeptAnswer>(step.actions[1]).request == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsNotKeptIsSaidToHaveRun)
+{
+    auto minted = mintedBy(here);
+    KeyedCalls calls(here, {});
+    std::ignore = calls.onCall(1, minted, 7, t0);
+    calls.onSent(minted);
+    BOOST_TEST(only<PassAnswer>(calls.onAnswered(minted, 5, {})));
+    expectRefusal(calls.onCall(2, minted, 7, t0), Outcome::Ran, Reason::KeyUnknown);
+    KeyQuestion question { minted, 7, { here, 0 }, { there, 1 } };
+    BOOST_TEST((calls.onPeerAsk(question, t0).knowledge == KeyKnowledge::RanAnswerLost));
+}
+
 BOOST_AUTO_TEST_CASE(ClaimsShareATransactionAndAConflictSparesTheOthers)
 {
     ClaimBatch batch;
