--- a/src/work/queue_filler.cpp
+++ b/src/work/queue_filler.cpp
@@ -8,8 +8,10 @@
 namespace {
 
 constexpr auto fillAllInterval = std::chrono::seconds(1);
-// Tasks of a team that are tried before the team is passed over.
-constexpr std::size_t lookAhead = 8;
+// Oldest tasks of a team that are looked at before the team is passed over, and how many of them may cost a
+// search of the pool's workers.
+constexpr std::size_t lookAhead = 64;
+constexpr std::size_t searchesPerTeam = 8;
 constexpr std::size_t preemptionsPerRound = 8;
 // A team within its quota takes room back from borrowers after this wait, in each pool once per interval.
 constexpr auto reclaimAfter = std::chrono::seconds(15);
@@ -47,7 +49,7 @@
 
 void QueueFiller::fillPool(const PoolId& pool, Moment moment)
 {
-    PoolRound round { m_book.fleet().workersOf(pool), {}, {}, {}, 0 };
+    PoolRound round { m_book.fleet().workersOf(pool), {}, {}, {}, 0, 0 };
     for (const auto* worker : round.workers) {
         if (worker->live && !worker->leaving)
             round.capacity += worker->capacity;
@@ -92,9 +94,10 @@
 
 Task* QueueFiller::placeOneOf(PoolRound& round, const TeamLine& line, Moment moment)
 {
-    std::size_t tried = 0;
+    std::size_t looked = 0;
+    round.searches = 0;
     for (auto* task : line) {
-        if (++tried > lookAhead)
+        if (++looked > lookAhead || round.searches >= searchesPerTeam)
             break;
         if (tryPlace(round, *task, moment))
             return task;
@@ -115,6 +118,7 @@
     if (std::any_of(round.refusals.begin(), round.refusals.end(), isHopeless)
         || isPinnedOut(round, spec, request.need))
         return false;
+    ++round.searches;
     auto* worker = chooseWorker(workers, request, limitsFor(spec),
         [&](const Worker& each) { return admits(each, task, moment.now); });
     if (worker) {
--- a/src/work/queue_filler.h
+++ b/src/work/queue_filler.h
@@ -41,6 +41,8 @@
         Resources capacity;
         std::vector<Refusal> refusals;
         std::size_t preemptions { 0 };
+        // Searches made for the present team.
+        std::size_t searches { 0 };
     };
 
     // A worker that takes no other tasks until the large task fits.
--- /dev/null
+++ b/src/work/tests/scheduler_test.cpp
@@ -0,0 +1,260 @@
+#include "work_fakes.h"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <rapidcheck/boost_test.h>
+
+using namespace fulmar;
+using namespace fulmar::work;
+using namespace fulmar::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+TeamConfig quota(const std::string& team, double processors)
+{
+    return { TeamId(team), processors, std::uint64_t(processors * 2'000), 0 };
+}
+
+TaskSpec taskOf(const std::string& team, const std::string& id, double processors)
+{
+    auto spec = taskSpec(id, processors, true);
+    spec.team = TeamId(team);
+    spec.job = JobId("job-" + team);
+    return spec;
+}
+
+// Workers full of a team's idempotent tasks of 4 processors each.
+void fillWith(Site& site, const std::string& team, int tasks)
+{
+    for (int i = 0; i < tasks; ++i)
+        site.submit(taskOf(team, fmt::format("{}-{}", team, i), 4));
+    site.run(5s);
+}
+
+WorkSettings declaredSizesOnly()
+{
+    WorkSettings settings;
+    settings.scheduler.learnsSizes = false;
+    return settings;
+}
+
+// Tasks of one size, so that a waiting one could have had the place of any other: no team has started a task
+// while its ratio was above that of a team that still waits.
+bool isShareFair(const std::vector<std::uint8_t>& teams, std::array<double, 2> trueQuotas,
+    std::array<double, 2> quotasTold)
+{
+    constexpr double size = 4;
+    Site site(2, declaredSizesOnly());
+    for (std::size_t team = 0; team < 2; ++team)
+        site.duty->setQuota(quota(fmt::format("t{}", team), quotasTold[team]));
+    std::array<double, 2> held {};
+    std::array<bool, 2> waits {};
+    for (std::size_t i = 0; i < teams.size(); ++i)
+        site.submit(taskOf(fmt::format("t{}", teams[i] % 2), fmt::format("x{}", i), size));
+    site.run(5s);
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+        if (site.stateOf(fmt::format("x{}", i)) == "queued")
+            waits[teams[i] % 2] = true;
+        else
+            held[teams[i] % 2] += size;
+    }
+    for (std::size_t team = 0; team < 2; ++team) {
+        auto other = 1 - team;
+        if (waits[team] && held[other] > 0
+            && (held[other] - size) / trueQuotas[other] > held[team] / trueQuotas[team] + resourceTolerance)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkScheduler)
+
+BOOST_AUTO_TEST_CASE(AnUrgentTaskStartsWithinTheBoundOnBusyWorkers)
+{
+    Site site(4, declaredSizesOnly());
+    site.duty->setQuota(quota("batch", 64));
+    site.duty->setQuota(quota("urgent", 16));
+    fillWith(site, "batch", 20);
+    BOOST_REQUIRE(site.duty->scheduler()->waitingCount() > 0);
+    auto spec = taskOf("urgent", "now", 8);
+    spec.urgent = true;
+    spec.idempotent = false;
+    site.submit(spec);
+    site.run(6'500ms);
+    BOOST_TEST(site.workers.startsOf("now") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ATeamTakesItsQuotaBackFromBorrowersWithoutThrashing)
+{
+    Site site(4, declaredSizesOnly());
+    site.duty->setQuota(quota("a", 32));
+    site.duty->setQuota(quota("b", 32));
+    fillWith(site, "a", 24);
+    BOOST_TEST(site.duty->scheduler()->book().shares().usage(TeamId("a")).processors > 56);
+    fillWith(site, "b", 24);
+    site.run(300s);
+    auto usage = site.duty->scheduler()->book().shares().usage(TeamId("b")).processors;
+    BOOST_TEST(usage >= 28);
+    BOOST_TEST(usage <= 36);
+    auto starts = site.workers.runs.size();
+    site.run(300s);
+    BOOST_TEST(site.workers.runs.size() == starts);
+}
+
+BOOST_AUTO_TEST_CASE(ALargeTaskIsNotStarvedBySmallOnes)
+{
+    Site site(2, declaredSizesOnly());
+    site.duty->setQuota(quota("a", 1'000));
+    int next = 0;
+    auto submitSmall = [&] {
+        auto spec = taskOf("a", fmt::format("s{}", next++), 4);
+        spec.idempotent = false;
+        site.submit(spec);
+    };
+    for (int i = 0; i < 12; ++i)
+        submitSmall();
+    auto large = taskOf("a", "large", 13);
+    site.run(2s);
+    site.submit(large);
+    // One small task ends and another arrives, every few seconds.
+    for (int i = 0; i < 100 && site.workers.startsOf("large") == 0; ++i) {
+        for (auto& [operation, run] : site.workers.runs)
+            if (FakeWorkers::isActive(run)) {
+                run.report.phase = TaskPhase::Finished;
+                break;
+            }
+        submitSmall();
+        site.run(4s);
+    }
+    BOOST_TEST(site.workers.startsOf("large") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ATaskTooLargeForAnyWorkerIsRefusedAtOnce)
+{
+    Site site(2);
+    site.run(3s);
+    auto reply = site.submit(taskSpec("huge", 17));
+    BOOST_REQUIRE(reply->has_value() && !(*reply)->has_value());
+    BOOST_TEST((*reply)->error().reason == Reason::BadInput);
+}
+
+BOOST_AUTO_TEST_CASE(AWaveOfCancellationsIsSettledInBoundedTimeAndWrites)
+{
+    Site site(4, declaredSizesOnly());
+    for (int i = 0; i < 4'000; ++i)
+        site.submit(taskOf("a", fmt::format("t{}", i), 4));
+    site.run(10s);
+    site.platform.commits = 0;
+    auto before = site.platform.table.version();
+    std::vector<Site::Reply> replies;
+    for (int i = 0; i < 4'000; ++i)
+        replies.push_back(site.cancel(fmt::format("t{}", i)));
+    site.run(3s);
+    auto settled = std::count_if(replies.begin(), replies.end(),
+        [](const Site::Reply& reply) { return reply->has_value() && (*reply)->has_value(); });
+    BOOST_TEST(settled == 4'000);
+    BOOST_TEST(site.platform.table.version() - before <= 30);
+    auto starts = site.workers.runs.size();
+    site.run(60s);
+    BOOST_TEST(site.workers.runs.size() == starts);
+}
+
+BOOST_AUTO_TEST_CASE(ACancelledTaskThatFinishedFirstSaysSo)
+{
+    Site site(2);
+    site.submit(taskSpec("t1"));
+    site.run(4s);
+    site.workers.finishAll();
+    auto reply = site.cancel("t1");
+    site.run(6s);
+    BOOST_TEST(site.stateOf("t1") == "finished");
+}
+
+BOOST_AUTO_TEST_CASE(AnUncertainStartOfANonIdempotentTaskIsReportedWithWhomToAsk)
+{
+    Site site(1);
+    site.run(3s);
+    site.workers.loseNextReplies = 1;
+    site.submit(taskSpec("t1"));
+    site.run(1s);
+    site.workers.runs.clear();
+    site.run(60s);
+    BOOST_TEST(site.stateOf("t1") == "may-have-run");
+    BOOST_TEST(
+        site.duty->status(TaskId("t1"))->detail.find("ask team team and worker w0") != std::string::npos);
+    BOOST_TEST(site.workers.startsOf("t1") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ALostReplyAndATakeoverAreReportedAsMayHaveRun)
+{
+    Site site(1);
+    site.run(3s);
+    site.platform.loseNextReplies = 1;
+    auto reply = site.submit(taskSpec("t1"));
+    site.run(100ms);
+    site.changeOwner();
+    site.submit(taskSpec("t2"));
+    site.run(1s);
+    for (int i = 0; i < 10; ++i, site.run(100ms))
+        site.pausedDuty->step();
+    BOOST_REQUIRE(reply->has_value() && !(*reply)->has_value());
+    BOOST_TEST((*reply)->error().outcome == Outcome::MayHaveRun);
+}
+
+BOOST_AUTO_TEST_CASE(EndedTasksAreForgottenInMemoryAndLaterInTheTable)
+{
+    Site site(1);
+    site.submit(taskSpec("t1"));
+    site.run(4s);
+    site.workers.finishAll();
+    site.run(60s);
+    BOOST_TEST(site.duty->scheduler()->taskCount() == 0);
+    BOOST_TEST(site.stateOf("t1") == "finished");
+    auto again = site.submit(taskSpec("t1"));
+    BOOST_REQUIRE(again->has_value() && (*again)->has_value());
+    BOOST_TEST((**again)->state == TaskState::Finished);
+    site.run(900s);
+    BOOST_TEST(site.stateOf("t1") == "not-found");
+}
+
+// Every worker that has room for a waiting task gets it.
+RC_BOOST_PROP(NoTaskWaitsThatWouldFit, (const std::vector<std::uint8_t>& sizes))
+{
+    Site site(3, declaredSizesOnly());
+    std::vector<TaskSpec> specs;
+    for (std::size_t i = 0; i < sizes.size(); ++i)
+        specs.push_back(
+            taskOf(fmt::format("t{}", sizes[i] % 3), fmt::format("x{}", i), 1 + sizes[i] / 3 % 8));
+    for (const auto& spec : specs)
+        site.submit(spec);
+    site.run(5s);
+    for (const auto& spec : specs) {
+        if (site.stateOf(spec.task.value()) != "queued")
+            continue;
+        const auto& workers = site.duty->scheduler()->book().fleet().workersOf(spec.pool);
+        RC_ASSERT(std::none_of(workers.begin(), workers.end(),
+            [&](const Worker* worker) { return fits(spec.size, room(*worker, {})); }));
+    }
+}
+
+RC_BOOST_PROP(TeamsGetWhatTheirQuotasEntitleThemTo,
+    (const std::vector<std::uint8_t>& teams, std::uint8_t first, std::uint8_t second))
+{
+    std::array quotas { 4.0 + first % 32, 4.0 + second % 32 };
+    RC_ASSERT(isShareFair(teams, quotas, quotas));
+}
+
+BOOST_AUTO_TEST_CASE(TheFairnessCheckNoticesASchedulerWithTheWrongQuotas)
+{
+    std::vector<std::uint8_t> teams;
+    for (std::uint8_t i = 0; i < 24; ++i)
+        teams.push_back(i % 2);
+    BOOST_TEST(isShareFair(teams, { 8, 40 }, { 8, 40 }));
+    BOOST_TEST(!isShareFair(teams, { 8, 40 }, { 40, 8 }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/work/tests/work_chaos_test.cpp
+++ b/src/work/tests/work_chaos_test.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 using namespace fulmar;
+using namespace fulmar::work;
 using namespace fulmar::test;
 using namespace std::chrono_literals;
 
