--- a/src/bench/slopes.cpp
+++ b/src/bench/slopes.cpp
@@ -228,7 +228,7 @@
     }) / 1e3;
 }
 
-using FleetRows = FleetView;
+using FleetRows = fleet::FleetView;
 
 double fleetViewBytes(std::size_t vms)
 {
--- a/src/operate/command_decision.cpp
+++ b/src/operate/command_decision.cpp
@@ -24,7 +24,7 @@
     std::string operator()(const StartWave& body) const { return orderedKey("waves", body.pool.value()); }
     std::string operator()(const ControlWave& body) const { return orderedKey("wave", body.wave.value()); }
     std::string operator()(const CancelTask& body) const { return orderedKey("task", body.task.value()); }
-    std::string operator()(const CancelCommand& body) const { return commandKey(body.command); }
+    std::string operator()(const CancelCommand& body) const { return fleet::commandKey(body.command); }
     template <typename Change> std::string operator()(const Change& change) const
     {
         return configKeyOf(CommandBody(change));
@@ -77,8 +77,8 @@
     auto text = "recorded before: " + describe(recorded);
     if (!isFinal(recorded.state))
         return sentence(AnswerStatus::Waiting, std::move(text));
-    return sentence(
-        recorded.state == CommandState::Done ? AnswerStatus::Ok : AnswerStatus::Conflict, std::move(text));
+    return sentence(recorded.state == fleet::CommandState::Done ? AnswerStatus::Ok : AnswerStatus::Conflict,
+        std::move(text));
 }
 
 // Whether the newest command on the object forbids this one. A later command on a base that includes it may
@@ -119,7 +119,7 @@
         return tl::unexpected(command.error());
     if (isFinal(command->state))
         return notRun(Reason::Conflict, describe(*command) + " has ended");
-    if (command->state == CommandState::Running)
+    if (command->state == fleet::CommandState::Running)
         return notRun(Reason::Conflict, describe(*command) + " has begun; undrain its VM to take it back");
     return encodeCancelled(*target, "cancelled by command " + origin.id.value() + " of " + origin.who, now);
 }
@@ -135,7 +135,7 @@
     plan.transaction.conditions = { { ownKey, 0 }, { guardKey, rows.guard ? rows.guard->version : 0 } };
     plan.transaction.writes
         = { { ownKey, encodeCommand(command, row) }, { guardKey, guardValue, guardValue.empty() } };
-    plan.accepted = row.state == CommandState::Done
+    plan.accepted = row.state == fleet::CommandState::Done
         ? sentence(AnswerStatus::Ok, fmt::format("done as command {}", origin.id.value()))
         : sentence(AnswerStatus::Waiting,
             fmt::format("recorded as command {0}; follow it with: why command {0}", origin.id.value()));
@@ -150,14 +150,14 @@
     const OperatorView& view, WallTime now)
 {
     CommandRow row { origin.id, toText(Command { command.body, false, command.because }), origin.who,
-        origin.basedOn.value_or(0), CommandState::Pending, {}, now };
+        origin.basedOn.value_or(0), fleet::CommandState::Pending, {}, now };
     if (rows.recorded)
         return answerRecorded(*rows.recorded, row.statement);
     if (std::holds_alternative<CancelCommand>(command.body)) {
         auto value = cancelled(origin, rows.guard, now);
         if (!value)
             return refusal(value.error());
-        row.state = CommandState::Done;
+        row.state = fleet::CommandState::Done;
         return command.dryRun ? CommandDecision(showEffect(command.body, {}, view))
                               : planFor(command, origin, rows, row, *value);
     }
@@ -172,7 +172,7 @@
         return showEffect(command.body, *change, view);
     // A change of configuration is in force once its row is committed; all else is left to the duties.
     if (change->has_value())
-        row.state = CommandState::Done;
+        row.state = fleet::CommandState::Done;
     return planFor(command, origin, rows, row, change->has_value() ? (*change)->after : origin.id.value());
 }
 
--- a/src/operate/command_row.cpp
+++ b/src/operate/command_row.cpp
@@ -8,20 +8,21 @@
 
 namespace {
 
-constexpr std::array commandStates { CommandState::Pending, CommandState::Waiting, CommandState::Running,
-    CommandState::Done, CommandState::Refused, CommandState::Superseded, CommandState::Cancelled };
+constexpr std::array commandStates { fleet::CommandState::Pending, fleet::CommandState::Waiting,
+    fleet::CommandState::Running, fleet::CommandState::Done, fleet::CommandState::Refused,
+    fleet::CommandState::Superseded, fleet::CommandState::Cancelled };
 
 // A command as the fleet duty reads it; kinds that it does not execute have none.
 struct FleetOrder {
-    CommandRecord& record;
+    fleet::CommandRecord& record;
 
-    void operator()(const AssignVm& body) const { onVm(CommandKind::AssignVm, body.vm, body.pool); }
-    void operator()(const MoveVm& body) const { onVm(CommandKind::Move, body.vm, body.pool); }
-    void operator()(const DrainVm& body) const { onVm(CommandKind::Drain, body.vm, {}); }
-    void operator()(const UndrainVm& body) const { onVm(CommandKind::Undrain, body.vm, {}); }
+    void operator()(const AssignVm& body) const { onVm(fleet::CommandKind::AssignVm, body.vm, body.pool); }
+    void operator()(const MoveVm& body) const { onVm(fleet::CommandKind::Move, body.vm, body.pool); }
+    void operator()(const DrainVm& body) const { onVm(fleet::CommandKind::Drain, body.vm, {}); }
+    void operator()(const UndrainVm& body) const { onVm(fleet::CommandKind::Undrain, body.vm, {}); }
     void operator()(const StartWave& body) const
     {
-        record.kind = CommandKind::StartWave;
+        record.kind = fleet::CommandKind::StartWave;
         record.arguments.wave = waveOf(record.id);
         record.arguments.pools = { body.pool.value() };
     }
@@ -33,28 +34,28 @@
     template <typename Other> void operator()(const Other&) const { }
 
 private:
-    void onVm(CommandKind kind, const VmId& vm, const PoolId& pool) const
+    void onVm(fleet::CommandKind kind, const VmId& vm, const PoolId& pool) const
     {
         record.kind = kind;
         record.arguments.vm = vm;
         record.arguments.pool = pool;
     }
     // Starting a wave that exists lets it go on.
-    static CommandKind kindOf(WaveStep step)
+    static fleet::CommandKind kindOf(WaveStep step)
     {
         switch (step) {
         case WaveStep::Pause:
-            return CommandKind::PauseWave;
+            return fleet::CommandKind::PauseWave;
         case WaveStep::Resume:
-            return CommandKind::StartWave;
+            return fleet::CommandKind::StartWave;
         case WaveStep::Stop:
-            return CommandKind::StopWave;
+            return fleet::CommandKind::StopWave;
         }
-        return CommandKind::PauseWave;
+        return fleet::CommandKind::PauseWave;
     }
 };
 
-CommandBody startedWave(const CommandRecord& record)
+CommandBody startedWave(const fleet::CommandRecord& record)
 {
     const auto& [vm, pool, address, wave, pools] = record.arguments;
     if (wave == waveOf(record.id) && !pools.empty())
@@ -62,23 +63,23 @@
     return ControlWave { wave, WaveStep::Resume };
 }
 
-CommandBody bodyOf(const CommandRecord& record)
+CommandBody bodyOf(const fleet::CommandRecord& record)
 {
     const auto& arguments = record.arguments;
     switch (record.kind) {
-    case CommandKind::AssignVm:
+    case fleet::CommandKind::AssignVm:
         return AssignVm { arguments.vm, arguments.pool };
-    case CommandKind::Move:
+    case fleet::CommandKind::Move:
         return MoveVm { arguments.vm, arguments.pool };
-    case CommandKind::Drain:
+    case fleet::CommandKind::Drain:
         return DrainVm { arguments.vm };
-    case CommandKind::Undrain:
+    case fleet::CommandKind::Undrain:
         return UndrainVm { arguments.vm };
-    case CommandKind::StartWave:
+    case fleet::CommandKind::StartWave:
         return startedWave(record);
-    case CommandKind::PauseWave:
+    case fleet::CommandKind::PauseWave:
         return ControlWave { arguments.wave, WaveStep::Pause };
-    case CommandKind::StopWave:
+    case fleet::CommandKind::StopWave:
         return ControlWave { arguments.wave, WaveStep::Stop };
     }
     return DrainVm { arguments.vm };
@@ -86,7 +87,7 @@
 
 Result<CommandRow> decodeFleetCommand(const std::string& text)
 {
-    auto record = decode<CommandRecord>(text);
+    auto record = decode<fleet::CommandRecord>(text);
     if (!record)
         return tl::unexpected(record.error());
     return CommandRow { record->id, toText(Command { bodyOf(*record), false, {} }), record->who,
@@ -121,7 +122,7 @@
 
 std::string commandRowKey(const CommandBody& body, const OperationId& id)
 {
-    return isFleetCommand(body) ? commandKey(id) : orderPrefix + id.value();
+    return isFleetCommand(body) ? fleet::commandKey(id) : orderPrefix + id.value();
 }
 
 std::string encodeOrder(const CommandRow& row)
@@ -141,7 +142,7 @@
 std::string encodeCommand(const Command& command, const CommandRow& row)
 {
     if (isFleetCommand(command.body)) {
-        CommandRecord record { row.id, row.basedOn, row.who, {}, {}, row.state, command.because, {},
+        fleet::CommandRecord record { row.id, row.basedOn, row.who, {}, {}, row.state, command.because, {},
             row.ordered, row.ordered };
         std::visit(FleetOrder { record }, command.body);
         return encode(record);
@@ -155,14 +156,14 @@
         auto order = decodeOrder(row.value);
         if (!order)
             return tl::unexpected(order.error());
-        order->state = CommandState::Cancelled;
+        order->state = fleet::CommandState::Cancelled;
         order->detail = reason;
         return encodeOrder(*order);
     }
-    auto record = decode<CommandRecord>(row.value);
+    auto record = decode<fleet::CommandRecord>(row.value);
     if (!record)
         return tl::unexpected(record.error());
-    record->state = CommandState::Cancelled;
+    record->state = fleet::CommandState::Cancelled;
     record->reason = reason;
     record->updated = now;
     return encode(*record);
--- a/src/operate/command_row.h
+++ b/src/operate/command_row.h
@@ -15,8 +15,6 @@
 
 namespace fulmar::operate {
 
-using namespace fleet;
-
 // Rows of commands that the fleet duty does not execute: changes of configuration, quarantine, cancellation.
 inline constexpr auto orderPrefix = "order/";
 
@@ -31,7 +29,7 @@
     std::string statement;
     std::string who;
     Version basedOn { 0 };
-    CommandState state { CommandState::Pending };
+    fleet::CommandState state { fleet::CommandState::Pending };
     // Progress, or why it waits, was refused or ended.
     std::string detail;
     WallTime ordered {};
--- a/src/operate/dry_run.cpp
+++ b/src/operate/dry_run.cpp
@@ -64,12 +64,12 @@
     std::uint32_t more = vm->state == VmState::Serving ? 1 : 0;
     answer.columns = budgetColumns;
     answer.rows = {
-        budgetLine(
-            "pool " + vm->pool.value(), groups.pool, allowedVms(config->unavailableShare, total), more),
+        budgetLine("pool " + vm->pool.value(), groups.pool,
+            fleet::allowedVms(config->unavailableShare, total), more),
         budgetLine("rack " + vm->rack.value(), groups.rack,
-            allowedVms(config->unavailableSharePerRack, total), more),
+            fleet::allowedVms(config->unavailableSharePerRack, total), more),
         budgetLine("zone " + vm->zone.value(), groups.zone,
-            allowedVms(config->unavailableSharePerZone, total), more),
+            fleet::allowedVms(config->unavailableSharePerZone, total), more),
     };
     return answer;
 }
@@ -83,7 +83,7 @@
     {
         auto config = findValue<PoolConfig>(view.config, keys::poolPrefix + body.pool.value());
         auto state = poolStates(view)[body.pool];
-        auto allowed = allowedVms(config ? config->unavailableShare : 0, state.vms);
+        auto allowed = fleet::allowedVms(config ? config->unavailableShare : 0, state.vms);
         auto free = allowed > state.spent() ? allowed - state.spent() : 0;
         Answer answer;
         answer.columns = budgetColumns;
--- a/src/operate/fleet_facts.cpp
+++ b/src/operate/fleet_facts.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 // A VM that was maintained after the wave began counts as done.
-WaveFact waveFact(const WaveRecord& wave, const OperatorView& view)
+WaveFact waveFact(const fleet::WaveRecord& wave, const OperatorView& view)
 {
     WaveFact fact;
     fact.wave = wave.wave;
@@ -33,7 +33,7 @@
     return fact;
 }
 
-MoveFact moveFact(const IntentRecord& intent, const OperatorView& view)
+MoveFact moveFact(const fleet::IntentRecord& intent, const OperatorView& view)
 {
     MoveFact fact;
     fact.move = intent.operation;
@@ -55,13 +55,14 @@
 
 void addFleetFacts(OperatorView& view, const std::map<std::string, Row>& rows)
 {
-    forEachRow<WaveRecord>(rows, keys::wavePrefix,
-        [&](const Row&, const WaveRecord& wave) { view.waves.push_back(waveFact(wave, view)); });
-    forEachRow<IntentRecord>(rows, keys::intentPrefix,
-        [&](const Row&, const IntentRecord& intent) { view.moves.push_back(moveFact(intent, view)); });
-    forEachRow<LeaseRecord>(rows, keys::leasePrefix, [&](const Row& row, const LeaseRecord& lease) {
-        view.leases.push_back({ row.key, lease.holder, lease.epoch, row.version });
-    });
+    forEachRow<fleet::WaveRecord>(rows, keys::wavePrefix,
+        [&](const Row&, const fleet::WaveRecord& wave) { view.waves.push_back(waveFact(wave, view)); });
+    forEachRow<fleet::IntentRecord>(rows, keys::intentPrefix,
+        [&](const Row&, const fleet::IntentRecord& intent) { view.moves.push_back(moveFact(intent, view)); });
+    forEachRow<fleet::LeaseRecord>(
+        rows, keys::leasePrefix, [&](const Row& row, const fleet::LeaseRecord& lease) {
+            view.leases.push_back({ row.key, lease.holder, lease.epoch, row.version });
+        });
 }
 
 } // namespace fulmar::operate
--- a/src/operate/operator_duty.h
+++ b/src/operate/operator_duty.h
@@ -127,7 +127,8 @@
         if (!outcome && outcome.error().outcome != Outcome::NotRun)
             return recorded;
         auto detail = outcome ? *outcome : outcome.error().detail;
-        if (!closeOrder(m_platform, id, outcome ? CommandState::Done : CommandState::Refused, detail))
+        if (!closeOrder(
+                m_platform, id, outcome ? fleet::CommandState::Done : fleet::CommandState::Refused, detail))
             return recorded;
         return sentence(
             outcome ? AnswerStatus::Ok : AnswerStatus::Conflict, "command " + id.value() + ": " + detail);
--- a/src/operate/operator_service.h
+++ b/src/operate/operator_service.h
@@ -45,7 +45,7 @@
 template <typename Platform>
 [[nodiscard]] Result<std::optional<Row>> readCommandRow(Platform& platform, const OperationId& id)
 {
-    if (auto row = readRow(platform, commandKey(id)); !row || row->has_value())
+    if (auto row = readRow(platform, fleet::commandKey(id)); !row || row->has_value())
         return row;
     return readRow(platform, orderPrefix + id.value());
 }
@@ -125,7 +125,7 @@
 // the command again then settles it.
 template <typename Platform>
 [[nodiscard]] bool closeOrder(
-    Platform& platform, const OperationId& id, CommandState state, const std::string& detail)
+    Platform& platform, const OperationId& id, fleet::CommandState state, const std::string& detail)
 {
     auto row = readRow(platform, orderPrefix + id.value());
     if (!row || !row->has_value())
--- a/src/operate/pool_state.h
+++ b/src/operate/pool_state.h
@@ -13,8 +13,6 @@
 
 namespace fulmar::operate {
 
-using namespace fleet;
-
 // How a pool's VMs stand against its availability budget.
 struct PoolState {
     std::uint32_t vms { 0 };
--- a/src/operate/subject_rows.cpp
+++ b/src/operate/subject_rows.cpp
@@ -53,7 +53,7 @@
         auto config = findValue<PoolConfig>(view.config, key);
         double share = config ? config->unavailableShare : 0;
         rows.push_back(line(pool, state.vms, state.serving, state.leaving, state.maintenance, state.failed,
-            allowedVms(share, state.vms), state.spent(), yesOrNo(config && config->isSpare),
+            fleet::allowedVms(share, state.vms), state.spent(), yesOrNo(config && config->isSpare),
             row ? row->version : 0));
     }
     return rows;
--- a/src/operate/tests/fixture.h
+++ b/src/operate/tests/fixture.h
@@ -34,9 +34,9 @@
             transaction.writes.push_back({ keys::vmPrefix + vm.vm.value(), encode(vm) });
         }
         Command drain { DrainVm { VmId("v3") }, false, {} };
-        CommandRow row { OperationId("c0"), toText(drain), "alice", 0, CommandState::Running, {},
+        CommandRow row { OperationId("c0"), toText(drain), "alice", 0, fleet::CommandState::Running, {},
             now - std::chrono::minutes(3) };
-        transaction.writes.push_back({ commandKey(row.id), encodeCommand(drain, row) });
+        transaction.writes.push_back({ fleet::commandKey(row.id), encodeCommand(drain, row) });
         BOOST_REQUIRE(table.commit(transaction).has_value());
         refresh();
     }
--- a/src/operate/tests/operator_duty_test.cpp
+++ b/src/operate/tests/operator_duty_test.cpp
@@ -92,9 +92,9 @@
 BOOST_AUTO_TEST_CASE(WavesAndMovesAreReadFromTheirRows)
 {
     DutyFixture fixture;
-    WaveRecord wave { WaveId("w-c1"), { "plans" }, WaveState::Running, {}, OperationId("c1"),
+    fleet::WaveRecord wave { WaveId("w-c1"), { "plans" }, fleet::WaveState::Running, {}, OperationId("c1"),
         fixture.fleet.now - std::chrono::minutes(150) };
-    IntentRecord intent;
+    fleet::IntentRecord intent;
     intent.operation = OperationId("m1");
     intent.vm = VmId("v3");
     intent.wave = wave.wave;
--- a/src/operate/tests/operator_service_test.cpp
+++ b/src/operate/tests/operator_service_test.cpp
@@ -192,7 +192,7 @@
     auto cancel = fleet.order(platform, "cancel command c1", "c2", "bob");
     BOOST_CHECK(cancel.status == AnswerStatus::Ok);
     auto row = decodeCommandRow(fleet.table.read("command/c1", 0).rows.front());
-    BOOST_CHECK(row->state == CommandState::Cancelled);
+    BOOST_CHECK(row->state == fleet::CommandState::Cancelled);
     BOOST_TEST(row->detail == "cancelled by command c2 of bob");
     auto begun = fleet.order(platform, "cancel command c0", "c3", "bob");
     BOOST_CHECK(begun.status == AnswerStatus::Conflict);
--- a/src/operate/why.cpp
+++ b/src/operate/why.cpp
@@ -110,7 +110,7 @@
         line(fmt::format("pool {} has {} VMs: {} serving, {} leaving, {} in maintenance, {} failed; {} of {} "
                          "may be unavailable",
                  pool.value(), state.vms, state.serving, state.leaving, state.maintenance, state.failed,
-                 state.spent(), allowedVms(config->unavailableShare, state.vms)),
+                 state.spent(), fleet::allowedVms(config->unavailableShare, state.vms)),
             std::nullopt, rowSource(m_view.config, key));
     }
 
@@ -198,7 +198,7 @@
 
     void addCommand(const OperationId& command)
     {
-        auto key = commandKey(command);
+        auto key = fleet::commandKey(command);
         const auto* row = findRow(m_view.commands, key);
         if (!row) {
             key = orderPrefix + command.value();
