Large answers stream with back-pressure; libcurl's immediate timers skip the timer queue

Cause: every answer was held whole, up to 64 MB a call, and each call to a target cost one trip through the loop's timer queue, because libcurl asks for a timer of zero. Now an answer beyond 256 KB is passed on piece by piece, at most 256 KB of it waiting for a slow caller, and a truncated one is cut at the caller too; zero timers run at the loop's next turn.

Idempotency keys that are not printable ASCII are refused.

--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -85,6 +85,52 @@
         response.done();
     }
 
+    void beginAnswer(CallId id, HttpAnswer head, std::optional<std::uint64_t> length) override
+    {
+        auto position = m_calls.find(id);
+        if (position == m_calls.end())
+            return;
+        auto response = position->second->create_response<restinio::user_controlled_output_t>(
+            restinio::http_status_line_t(restinio::http_status_code_t(std::uint16_t(head.status)), ""));
+        m_calls.erase(position);
+        for (auto& [name, value] : head.headers)
+            response.append_header(std::move(name), std::move(value));
+        if (length)
+            response.set_content_length(*length);
+        else
+            response.append_header("Transfer-Encoding", "chunked");
+        response.connection_close();
+        m_streams.emplace(id, Stream { std::move(response), !length });
+    }
+
+    void append(CallId id, std::string piece, std::function<void(bool)> written) override
+    {
+        auto position = m_streams.find(id);
+        if (position == m_streams.end() || piece.empty())
+            return;
+        auto& [response, isChunked] = position->second;
+        if (isChunked)
+            response.append_body(fmt::format("{:x}\r\n", piece.size()));
+        response.append_body(std::move(piece));
+        if (isChunked)
+            response.append_body(std::string("\r\n"));
+        response.flush([written = std::move(written)](const asio::error_code& error) { written(!error); });
+    }
+
+    // Without its last chunk, or with less than its Content-Length, an answer is not whole to any HTTP
+    // client.
+    void endAnswer(CallId id, bool isWhole) override
+    {
+        auto position = m_streams.find(id);
+        if (position == m_streams.end())
+            return;
+        auto [response, isChunked] = std::move(position->second);
+        m_streams.erase(position);
+        if (isChunked && isWhole)
+            response.append_body(std::string("0\r\n\r\n"));
+        response.done();
+    }
+
     [[nodiscard]] std::size_t openConnections() const override { return m_connections->open(); }
 
     void stopAccepting() override
@@ -126,9 +172,15 @@
         return restinio::request_accepted();
     }
 
+    struct Stream {
+        restinio::response_builder_t<restinio::user_controlled_output_t> response;
+        bool isChunked { false };
+    };
+
     const OnCall m_onCall;
     std::shared_ptr<ConnectionCounter> m_connections;
     std::unordered_map<CallId, restinio::request_handle_t> m_calls;
+    std::unordered_map<CallId, Stream> m_streams;
     CallId m_lastCall { 0 };
     bool m_isClosed { false };
     Server m_server;
--- a/src/daemon/caller_server.h
+++ b/src/daemon/caller_server.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -54,6 +55,13 @@
     // Sends the whole answer and ends the call. With `closes`, the connection is closed after it.
     virtual void answer(CallId, HttpAnswer, bool closes) = 0;
 
+    // Starts an answer whose body follows in pieces. The connection is closed after it.
+    virtual void beginAnswer(CallId, HttpAnswer head, std::optional<std::uint64_t> length) = 0;
+    // Sends a piece; `written` is told whether it reached the caller's socket.
+    virtual void append(CallId, std::string piece, std::function<void(bool)> written) = 0;
+    // Ends the answer. One that is not whole is cut, so that the caller cannot take it for whole.
+    virtual void endAnswer(CallId, bool isWhole) = 0;
+
     [[nodiscard]] virtual std::size_t openConnections() const = 0;
 
     virtual void stopAccepting() = 0;
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t inboxCapacity = 65'536;
 constexpr std::size_t eventCapacity = 20'000;
 constexpr std::size_t maxKeyBytes = 255;
-constexpr long connectionsPerTarget = 8;
+// Bytes of one streamed answer that may wait for a slow caller.
+constexpr std::size_t maxUnsentBytes = 256 * 1024;
 constexpr std::chrono::milliseconds loopAnswerTimeout { 200 };
 constexpr std::chrono::milliseconds confirmTimeout { 800 };
 constexpr std::chrono::milliseconds askTimeout { 500 };
@@ -71,6 +72,12 @@
     return std::optional<Duration>(std::chrono::milliseconds(count));
 }
 
+bool isValidKey(const std::string& key)
+{
+    auto isPrintable = [](char each) { return each >= ' ' && each <= '~'; };
+    return !key.empty() && key.size() <= maxKeyBytes && std::all_of(key.begin(), key.end(), isPrintable);
+}
+
 Result<serve::CallInfo> describe(const CallerRequest& request)
 {
     auto [service, rest] = splitService(request.path);
@@ -82,9 +89,9 @@
     serve::CallInfo info { ServiceId(std::string(service)), request.method, std::string(rest), request.caller,
         std::nullopt, *timeout, fingerprintOf(request) };
     if (const auto* key = findHeader(request.headers, keyHeader)) {
-        if (key->empty() || key->size() > maxKeyBytes)
-            return notRun(
-                Reason::BadInput, fmt::format("{} must have 1 to {} bytes", keyHeader, maxKeyBytes));
+        if (!isValidKey(*key))
+            return notRun(Reason::BadInput,
+                fmt::format("{} must have 1 to {} printable ASCII characters", keyHeader, maxKeyBytes));
         info.idempotencyKey = *key;
     }
     return info;
@@ -102,7 +109,7 @@
     , m_configTimer(m_loop)
     , m_stopTimer(m_loop)
     , m_dispatcher({ m_self.zone, m_self.process, incarnation, incarnation })
-    , m_targets(m_loop, { m_settings.targetConnectTimeout, connectionsPerTarget, m_settings.maxAnswerBytes })
+    , m_targets(m_loop, { m_settings.targetConnectTimeout, m_settings.maxHeldAnswerBytes })
     , m_distribution(m_self, membershipOf(m_settings.process), [this] {
         // A lost wake-up is made good by the next one: the loop takes all that it lacks.
         std::ignore = m_inbox.tryPost([this] { scheduleConfig(configBatchPause); });
@@ -309,12 +316,56 @@
     ++call.attempts;
     auto timeout = std::max(start.deadline - m_clock.now(), Duration(1));
     m_targets.start(start.attempt,
-        { start.address, call.method, call.path, call.headers, call.body, timeout },
+        { start.address, call.method, call.path, call.headers, call.body, timeout, start.connectionLimit },
+        makeSink(start.request, start.attempt),
         [this, request = start.request, attempt = start.attempt](serve::AttemptEnd end, HttpAnswer answer) {
             onAttemptEnd(request, attempt, end, std::move(answer));
         });
 }
 
+AnswerSink Entry::makeSink(serve::RequestId request, serve::AttemptId attempt)
+{
+    AnswerSink sink;
+    sink.begin = [this, request, attempt](HttpAnswer head, std::optional<std::uint64_t> length) {
+        auto& call = m_calls.at(request);
+        if (call.isAnswered || call.streaming)
+            return;
+        call.streaming = attempt;
+        head.headers.emplace_back(outcomeHeader, std::string(toString(Outcome::Ran)));
+        m_callers->beginAnswer(request, std::move(head), length);
+    };
+    sink.append = [this, request, attempt](
+                      std::string piece) { return appendPiece(request, attempt, std::move(piece)); };
+    return sink;
+}
+
+// Passes a piece on, unless the caller has been answered otherwise. False while too much is on its way to the
+// caller.
+bool Entry::appendPiece(serve::RequestId request, serve::AttemptId attempt, std::string piece)
+{
+    auto& call = m_calls.at(request);
+    if (call.streaming != attempt)
+        return true;
+    auto bytes = piece.size();
+    call.unsentBytes += bytes;
+    m_callers->append(request, std::move(piece),
+        [this, request, attempt, bytes](bool wasSent) { onPieceSent(request, attempt, bytes, wasSent); });
+    return call.unsentBytes <= maxUnsentBytes;
+}
+
+void Entry::onPieceSent(serve::RequestId request, serve::AttemptId attempt, std::size_t bytes, bool wasSent)
+{
+    auto position = m_calls.find(request);
+    if (position == m_calls.end())
+        return;
+    position->second.unsentBytes -= bytes;
+    if (!wasSent) {
+        endStream(request, false);
+        perform(m_dispatcher.onCallerGone(request, m_clock.now()));
+    } else if (position->second.unsentBytes <= maxUnsentBytes)
+        m_targets.resume(attempt);
+}
+
 void Entry::onAttemptEnd(
     serve::RequestId request, serve::AttemptId attempt, const serve::AttemptEnd& end, HttpAnswer answer)
 {
@@ -330,6 +381,8 @@
 
 void Entry::perform(const serve::PassAnswer& pass)
 {
+    if (m_calls.at(pass.request).streaming == pass.attempt)
+        return endStream(pass.request, true);
     auto answer = m_answers.at(pass.attempt);
     answer.headers.emplace_back(outcomeHeader, std::string(toString(Outcome::Ran)));
     this->answer(pass.request, std::move(answer));
@@ -343,9 +396,20 @@
             { { "request", std::to_string(refuse.request) },
                 { "reason", std::string(toString(refuse.failure.reason)) },
                 { "detail", refuse.failure.detail } });
+    if (m_calls.at(refuse.request).streaming)
+        return endStream(refuse.request, false);
     answer(refuse.request, problemAnswer(refuse.failure, refuse.retryAfter));
 }
 
+void Entry::endStream(serve::RequestId request, bool isWhole)
+{
+    m_callers->endAnswer(request, isWhole);
+    auto& call = m_calls.at(request);
+    call.isAnswered = true;
+    call.streaming.reset();
+    forgetIfDone(request);
+}
+
 void Entry::perform(const serve::ClaimKey& claim)
 {
     if (m_store->tryClaim(claim))
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -16,6 +16,7 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -45,6 +46,10 @@
         std::string body;
         int attempts { 0 };
         bool isAnswered { false };
+        // The attempt whose answer is passed on piece by piece, and the bytes of it on their way to the
+        // caller.
+        std::optional<serve::AttemptId> streaming;
+        std::size_t unsentBytes { 0 };
         // The answer that a key's owner sent along.
         HttpAnswer ownerAnswer;
     };
@@ -70,8 +75,12 @@
     void perform(const serve::ForgetAnswer&);
     void perform(const serve::PassKeptAnswer&);
 
+    AnswerSink makeSink(serve::RequestId, serve::AttemptId);
+    bool appendPiece(serve::RequestId, serve::AttemptId, std::string piece);
+    void onPieceSent(serve::RequestId, serve::AttemptId, std::size_t bytes, bool wasSent);
     void onAttemptEnd(serve::RequestId, serve::AttemptId, const serve::AttemptEnd&, HttpAnswer);
     void answer(serve::RequestId, HttpAnswer);
+    void endStream(serve::RequestId, bool isWhole);
     void forgetIfDone(serve::RequestId);
 
     void applyConfig();
--- a/src/daemon/entry_settings.cpp
+++ b/src/daemon/entry_settings.cpp
@@ -47,8 +47,8 @@
     settings.callers = readCallerLimits(reader);
     settings.targetConnectTimeout
         = milliseconds(reader.takeDuration("targets", "connect_timeout", 10ms, 1min, 1s));
-    settings.maxAnswerBytes
-        = std::size_t(reader.takeInteger("targets", "max_answer_bytes", 1'024, maxBytes, 64LL * 1024 * 1024));
+    settings.maxHeldAnswerBytes
+        = std::size_t(reader.takeInteger("targets", "max_held_answer_bytes", 1'024, maxBytes, 256LL * 1024));
     settings.balancerLag = milliseconds(reader.takeDuration("drain", "balancer_lag", 0ms, 10min, 5s));
     settings.drainLimit = milliseconds(reader.takeDuration("drain", "limit", 0ms, 24h, 2min));
     return settings;
--- a/src/daemon/entry_settings.h
+++ b/src/daemon/entry_settings.h
@@ -11,7 +11,8 @@
     ProcessSettings process;
     CallerServerLimits callers;
     std::chrono::milliseconds targetConnectTimeout {};
-    std::size_t maxAnswerBytes { 0 };
+    // Larger answers are passed on piece by piece.
+    std::size_t maxHeldAnswerBytes { 0 };
     // How long the balancer may go on sending after the health check fails.
     std::chrono::milliseconds balancerLag {};
     // Longest time a graceful stop waits for calls and connections to end.
--- a/src/daemon/target_client.cpp
+++ b/src/daemon/target_client.cpp
@@ -58,11 +58,13 @@
     CURL* easy { nullptr };
     curl_slist* headers { nullptr };
     TargetClient::Done done;
+    AnswerSink sink;
     HttpAnswer answer;
-    std::size_t maxAnswerBytes { 0 };
+    std::size_t maxHeldBytes { 0 };
     int sends { 0 };
-    bool tooLarge { false };
     bool isHead { false };
+    bool isStreaming { false };
+    bool isPaused { false };
 };
 
 // Called when a connection is ready and the request is about to be written, also before libcurl's own second
@@ -73,27 +75,56 @@
     return ++attempt.sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
+void collectHead(Attempt& attempt)
+{
+    long status = 0;
+    curl_easy_getinfo(attempt.easy, CURLINFO_RESPONSE_CODE, &status);
+    attempt.answer.status = static_cast<std::uint32_t>(status);
+    attempt.answer.headers.clear();
+    curl_header* previous = nullptr;
+    while (auto* header = curl_easy_nextheader(attempt.easy, CURLH_HEADER, -1, previous)) {
+        attempt.answer.headers.emplace_back(header->name, header->value);
+        previous = header;
+    }
+}
+
+void removeConnectionHeaders(std::vector<HeaderField>& headers)
+{
+    std::erase_if(headers, [](const HeaderField& field) {
+        return isConnectionHeader(field.first) || equalsIgnoringCase(field.first, outcomeHeader);
+    });
+}
+
+void beginStreaming(Attempt& attempt)
+{
+    collectHead(attempt);
+    curl_off_t length = -1;
+    curl_easy_getinfo(attempt.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    HttpAnswer head { attempt.answer.status, attempt.answer.headers, {} };
+    removeConnectionHeaders(head.headers);
+    attempt.isStreaming = true;
+    attempt.sink.begin(std::move(head), length < 0 ? std::nullopt : std::optional<std::uint64_t>(length));
+    attempt.isPaused = !attempt.sink.append(std::move(attempt.answer.body));
+    attempt.answer.body.clear();
+}
+
+// Small answers are held whole; once one grows beyond that it is passed on piece by piece.
 std::size_t onBody(char* data, std::size_t size, std::size_t count, void* user)
 {
     auto& attempt = *static_cast<Attempt*>(user);
     auto bytes = size * count;
-    if (attempt.answer.body.size() + bytes > attempt.maxAnswerBytes) {
-        attempt.tooLarge = true;
-        return 0;
+    if (attempt.isPaused)
+        return CURL_WRITEFUNC_PAUSE;
+    if (attempt.isStreaming) {
+        attempt.isPaused = !attempt.sink.append(std::string(data, bytes));
+        return bytes;
     }
     attempt.answer.body.append(data, bytes);
+    if (attempt.answer.body.size() > attempt.maxHeldBytes)
+        beginStreaming(attempt);
     return bytes;
 }
 
-void collectHeaders(Attempt& attempt)
-{
-    curl_header* previous = nullptr;
-    while (auto* header = curl_easy_nextheader(attempt.easy, CURLH_HEADER, -1, previous)) {
-        attempt.answer.headers.emplace_back(header->name, header->value);
-        previous = header;
-    }
-}
-
 // An answer whose end is marked only by the connection's end cannot be told from a truncated one.
 bool hasProvenEnd(const Attempt& attempt)
 {
@@ -121,26 +152,33 @@
 
 AttemptEnd describeEnd(Attempt& attempt, CURLcode code)
 {
-    if (code != CURLE_OK)
-        return describeFailure(attempt, code);
-    long status = 0;
-    curl_easy_getinfo(attempt.easy, CURLINFO_RESPONSE_CODE, &status);
-    attempt.answer.status = static_cast<std::uint32_t>(status);
-    collectHeaders(attempt);
+    if (code != CURLE_OK) {
+        auto end = describeFailure(attempt, code);
+        end.answerStarted = attempt.isStreaming;
+        return end;
+    }
+    collectHead(attempt);
+    auto status = static_cast<int>(attempt.answer.status);
     bool isLeaving = equalsIgnoringCase(findHeader(attempt.answer.headers, targetStateHeader), "leaving");
     if (!hasProvenEnd(attempt))
-        return { Outcome::MayHaveRun, std::nullopt, Reason::Truncated, isLeaving };
+        return { Outcome::MayHaveRun, std::nullopt, Reason::Truncated, isLeaving, attempt.isStreaming };
     bool vouchesNotRun = status == 503
         && equalsIgnoringCase(findHeader(attempt.answer.headers, outcomeHeader), toString(Outcome::NotRun));
     auto outcome = vouchesNotRun ? Outcome::NotRun : Outcome::Ran;
-    std::erase_if(attempt.answer.headers, [](const HeaderField& field) {
-        return isConnectionHeader(field.first) || equalsIgnoringCase(field.first, outcomeHeader);
-    });
-    AttemptEnd end { outcome, static_cast<int>(status), Reason::TargetFailed, isLeaving };
-    end.heldBytes = attempt.answer.body.size();
+    removeConnectionHeaders(attempt.answer.headers);
+    AttemptEnd end { outcome, status, Reason::TargetFailed, isLeaving, attempt.isStreaming };
+    if (!attempt.isStreaming)
+        end.heldBytes = attempt.answer.body.size();
     return end;
 }
 
+std::string toText(const curl_sockaddr& address)
+{
+    const auto& internet = reinterpret_cast<const sockaddr_in&>(address.addr);
+    asio::ip::address_v4 host(ntohl(internet.sin_addr.s_addr));
+    return fmt::format("{}:{}", host.to_string(), ntohs(internet.sin_port));
+}
+
 curl_slist* buildHeaders(const TargetRequest& request)
 {
     // Empty entries take out what libcurl would add by itself.
@@ -170,7 +208,6 @@
         curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, onTimer);
         curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
         curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
-        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, m_limits.connectionsPerTarget);
         curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
     }
 
@@ -186,12 +223,13 @@
         curl_multi_cleanup(m_multi);
     }
 
-    void start(AttemptId id, const TargetRequest& request, Done done)
+    void start(AttemptId id, const TargetRequest& request, AnswerSink sink, Done done)
     {
         auto attempt = std::make_unique<Attempt>();
         attempt->id = id;
         attempt->done = std::move(done);
-        attempt->maxAnswerBytes = m_limits.maxAnswerBytes;
+        attempt->sink = std::move(sink);
+        attempt->maxHeldBytes = m_limits.maxHeldBytes;
         attempt->isHead = request.method == "HEAD";
         attempt->headers = buildHeaders(request);
         attempt->easy = takeHandle();
@@ -210,11 +248,20 @@
         m_attempts.erase(position);
         auto outcome = attempt->sends == 0 ? Outcome::NotRun : Outcome::MayHaveRun;
         release(*attempt);
-        asio::post(m_loop, [done = std::move(attempt->done), outcome] {
-            done({ outcome, std::nullopt, Reason::Cancelled }, {});
+        asio::post(m_loop, [done = std::move(attempt->done), outcome, started = attempt->isStreaming] {
+            done({ outcome, std::nullopt, Reason::Cancelled, false, started }, {});
         });
     }
 
+    void resume(AttemptId id)
+    {
+        auto position = m_attempts.find(id);
+        if (position == m_attempts.end() || !std::exchange(position->second->isPaused, false))
+            return;
+        curl_easy_pause(position->second->easy, CURLPAUSE_CONT);
+        act(CURL_SOCKET_TIMEOUT, 0);
+    }
+
 private:
     struct Watch {
         explicit Watch(asio::io_context& loop)
@@ -222,6 +269,8 @@
         {
         }
         asio::ip::tcp::socket socket;
+        // "host:port" of the target.
+        std::string address;
         int interest { 0 };
         bool isReading { false };
         bool isWriting { false };
@@ -258,6 +307,7 @@
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.empty() ? "" : request.body.data());
         }
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, mayKeepConnection(request) ? 0L : 1L);
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, attempt.headers);
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, beforeSend);
         curl_easy_setopt(easy, CURLOPT_PREREQDATA, &attempt);
@@ -270,6 +320,12 @@
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     }
 
+    [[nodiscard]] bool mayKeepConnection(const TargetRequest& request) const
+    {
+        auto open = m_openConnections.find(request.address);
+        return open == m_openConnections.end() || open->second <= request.connectionLimit;
+    }
+
     void release(Attempt& attempt)
     {
         curl_multi_remove_handle(m_multi, attempt.easy);
@@ -294,6 +350,8 @@
         if (error)
             return CURL_SOCKET_BAD;
         auto handle = watch->socket.native_handle();
+        watch->address = toText(*address);
+        ++self.m_openConnections[watch->address];
         self.m_sockets.emplace(handle, std::move(watch));
         return handle;
     }
@@ -303,6 +361,8 @@
         auto& self = *static_cast<Machinery*>(user);
         if (auto position = self.m_sockets.find(handle); position != self.m_sockets.end()) {
             position->second->interest = 0;
+            if (auto open = self.m_openConnections.find(position->second->address); --open->second == 0)
+                self.m_openConnections.erase(open);
             asio::error_code ignored;
             position->second->socket.close(ignored);
             self.m_sockets.erase(position);
@@ -326,6 +386,10 @@
         self.m_timer.cancel();
         if (timeoutMs < 0)
             return 0;
+        if (timeoutMs == 0) {
+            self.actSoon();
+            return 0;
+        }
         self.m_timer.expires_after(std::chrono::milliseconds(timeoutMs));
         self.m_timer.async_wait([&self](const asio::error_code& error) {
             if (!error)
@@ -365,6 +429,19 @@
             watch(each);
     }
 
+    // libcurl must not be called from its own callback, so this waits for the loop's next turn.
+    void actSoon()
+    {
+        if (std::exchange(m_willAct, true))
+            return;
+        asio::post(m_loop, [this, alive = std::weak_ptr(m_alive)] {
+            if (alive.expired())
+                return;
+            m_willAct = false;
+            act(CURL_SOCKET_TIMEOUT, 0);
+        });
+    }
+
     void act(curl_socket_t handle, int events)
     {
         int running = 0;
@@ -396,8 +473,12 @@
     const TargetClientLimits m_limits;
     CURLM* m_multi;
     std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> m_sockets;
+    std::unordered_map<std::string, std::uint32_t> m_openConnections;
     std::unordered_map<AttemptId, std::unique_ptr<Attempt>> m_attempts;
     std::vector<CURL*> m_idle;
+    bool m_willAct { false };
+    // Tells posted work whether this object still lives.
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
 TargetClient::TargetClient(asio::io_context& loop, TargetClientLimits limits)
@@ -407,11 +488,13 @@
 
 TargetClient::~TargetClient() = default;
 
-void TargetClient::start(AttemptId id, const TargetRequest& request, Done done)
+void TargetClient::start(AttemptId id, const TargetRequest& request, AnswerSink sink, Done done)
 {
-    m_machinery->start(id, request, std::move(done));
+    m_machinery->start(id, request, std::move(sink), std::move(done));
 }
 
+void TargetClient::resume(AttemptId id) { m_machinery->resume(id); }
+
 void TargetClient::cancel(AttemptId id) { m_machinery->cancel(id); }
 
 } // namespace fulmar
--- a/src/daemon/target_client.h
+++ b/src/daemon/target_client.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,14 +24,22 @@
     std::vector<HeaderField> headers;
     std::string_view body;
     Duration timeout {};
+    // Connections to the target, idle ones included, that may stay open after the request.
+    std::uint32_t connectionLimit { 0 };
 };
 
 struct TargetClientLimits {
     std::chrono::milliseconds connectTimeout { 1'000 };
-    // Connections to one target from this process.
-    long connectionsPerTarget { 8 };
-    // Larger answers are refused as truncated.
-    std::size_t maxAnswerBytes { 64 * 1024 * 1024 };
+    // A larger answer is passed on piece by piece while it arrives.
+    std::size_t maxHeldBytes { 256 * 1024 };
+};
+
+// Takes an answer that is too large to be held whole.
+struct AnswerSink {
+    // Status and headers, and the body's length if the target said it. Called once, before the first piece.
+    std::function<void(HttpAnswer head, std::optional<std::uint64_t> length)> begin;
+    // Takes a piece. With false, no more come until resume() is called.
+    std::function<bool(std::string piece)> append;
 };
 
 // Sends requests to targets on an Asio loop and says truthfully what became of each. Used by the loop's
@@ -48,8 +57,11 @@
     TargetClient(const TargetClient&) = delete;
     TargetClient& operator=(const TargetClient&) = delete;
 
-    // The body must stay alive until `done` is called.
-    void start(serve::AttemptId, const TargetRequest&, Done done);
+    // The body must stay alive until `done` is called. An answer that went to the sink has no body in `done`.
+    void start(serve::AttemptId, const TargetRequest&, AnswerSink, Done done);
+
+    // The sink can take more.
+    void resume(serve::AttemptId);
 
     // Closes the attempt's connection; `done` is called soon after with what is known of it.
     void cancel(serve::AttemptId);
