--- /dev/null
+++ b/src/serve/counts.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+
+namespace fulmar::serve {
+
+// What a dispatcher has done since its start, and what it holds now; for metrics.
+struct DispatcherCounts {
+    std::uint64_t calls { 0 };
+    // Callers that got a whole answer, of the run they asked for or kept from an earlier one.
+    std::uint64_t answered { 0 };
+    std::uint64_t answeredFromKept { 0 };
+    std::uint64_t refusedNotRun { 0 };
+    std::uint64_t refusedMayHaveRun { 0 };
+    // Ran before, but the answer is no longer kept.
+    std::uint64_t refusedRan { 0 };
+    std::uint64_t attempts { 0 };
+    std::uint64_t retries { 0 };
+    std::uint64_t cancelled { 0 };
+    std::uint64_t claims { 0 };
+    std::uint64_t questionsToOwners { 0 };
+
+    std::uint64_t waiting { 0 };
+    std::uint64_t inFlight { 0 };
+    std::uint64_t inFlightOnBorrowedSlots { 0 };
+    std::uint64_t ejectedTargets { 0 };
+    std::uint64_t leavingTargets { 0 };
+    std::uint64_t keys { 0 };
+};
+
+} // namespace fulmar::serve
--- a/src/serve/dispatcher.h
+++ b/src/serve/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serve/call.h"
+#include "serve/counts.h"
 #include "serve/directory.h"
 #include "serve/key_registry.h"
 #include "serve/peer_load.h"
@@ -74,6 +75,8 @@
     // Attempts in flight per target, for the fleet's check that a VM is empty.
     [[nodiscard]] std::map<VmId, std::uint32_t> inFlight() const;
 
+    [[nodiscard]] DispatcherCounts counts(TimePoint now) const;
+
     // A key that only this process can run, for callers that want at-most-once without the table. Empty while
     // draining.
     [[nodiscard]] std::optional<std::string> mintKey(TimePoint now);
--- a/src/serve/dispatcher_state.cpp
+++ b/src/serve/dispatcher_state.cpp
@@ -60,6 +60,7 @@
 
 void Dispatcher::State::onCall(RequestId id, const CallInfo& call, TimePoint now)
 {
+    ++m_counts.calls;
     auto service = m_services.find(call.service);
     if (service == m_services.end() || service->second.removed) {
         emit(Refuse { id, { Outcome::NotRun, Reason::NotFound, "no such service" }, never });
@@ -178,6 +179,7 @@
     assert(now < request.deadline);
     assert(request.idempotent || !request.mayHaveRun);
     auto attempt = ++m_lastAttempt;
+    m_counts.retries += request.tried.empty() ? 0 : 1;
     request.phase = RequestPhase::InFlight;
     request.attempt = attempt;
     request.tried.push_back(target.row.vm);
@@ -490,6 +492,38 @@
     return counts;
 }
 
+DispatcherCounts Dispatcher::State::counts(TimePoint now) const
+{
+    auto counts = m_counts;
+    for (const auto& [id, service] : m_services)
+        counts.waiting += service.admission.size();
+    counts.inFlight = m_attempts.size();
+    for (const auto& [id, attempt] : m_attempts)
+        counts.inFlightOnBorrowedSlots += attempt.slot.lender ? 1 : 0;
+    counts.ejectedTargets = m_targets.ejected(now);
+    counts.leavingTargets = m_targets.leaving(now).size();
+    counts.keys = m_keyed.size();
+    return counts;
+}
+
+// Adds to the actions that the daemon is to carry out.
+void Dispatcher::State::emit(Action action)
+{
+    if (const auto* refuse = std::get_if<Refuse>(&action)) {
+        auto outcome = refuse->failure.outcome;
+        m_counts.refusedNotRun += outcome == Outcome::NotRun ? 1 : 0;
+        m_counts.refusedMayHaveRun += outcome == Outcome::MayHaveRun ? 1 : 0;
+        m_counts.refusedRan += outcome == Outcome::Ran ? 1 : 0;
+    }
+    m_counts.attempts += std::holds_alternative<StartAttempt>(action) ? 1 : 0;
+    m_counts.cancelled += std::holds_alternative<CancelAttempt>(action) ? 1 : 0;
+    m_counts.answered += std::holds_alternative<PassAnswer>(action) ? 1 : 0;
+    m_counts.answeredFromKept += std::holds_alternative<PassKeptAnswer>(action) ? 1 : 0;
+    m_counts.claims += std::holds_alternative<ClaimKey>(action) ? 1 : 0;
+    m_counts.questionsToOwners += std::holds_alternative<AskKeyOwner>(action) ? 1 : 0;
+    m_actions.push_back(std::move(action));
+}
+
 WaitingCall Dispatcher::State::waitingCall(RequestId id, const Request& request, TimePoint now)
 {
     return { id, request.caller, request.isLong, request.expectedRun, request.upperRun, request.deadline,
--- a/src/serve/dispatcher_state.h
+++ b/src/serve/dispatcher_state.h
@@ -97,6 +97,8 @@
     // Calls per service that wait or hold a borrowed slot.
     [[nodiscard]] std::map<ServiceId, std::uint32_t> wanted() const;
 
+    [[nodiscard]] DispatcherCounts counts(TimePoint now) const;
+
     Actions takeActions() { return std::exchange(m_actions, {}); }
 
 private:
@@ -118,7 +120,7 @@
     void setWake(RequestId, Request&, TimePoint);
     void erase(RequestId);
     void release(const ServiceId&);
-    void emit(Action action) { m_actions.push_back(std::move(action)); }
+    void emit(Action);
     [[nodiscard]] static WaitingCall waitingCall(RequestId, const Request&, TimePoint now);
     [[nodiscard]] std::chrono::seconds retryAfter(Duration wait);
 
@@ -134,6 +136,7 @@
     std::set<std::pair<TimePoint, RequestId>> m_wakes;
     std::multimap<TimePoint, HeldSlot> m_heldSlots;
     Actions m_actions;
+    DispatcherCounts m_counts;
     AttemptId m_lastAttempt { 0 };
     std::uint64_t m_lastMint { 0 };
     bool m_draining { false };
--- a/src/serve/keyed_calls.h
+++ b/src/serve/keyed_calls.h
@@ -54,6 +54,9 @@
         return m_registry.answerPeer(question, now);
     }
 
+    // Keys remembered.
+    [[nodiscard]] std::size_t size() const { return m_registry.size(); }
+
     // Forgets old keys. Also collects the answers dropped since the last call.
     [[nodiscard]] Actions expire(TimePoint now);
 
--- a/src/serve/targets.cpp
+++ b/src/serve/targets.cpp
@@ -278,6 +278,12 @@
     return position == m_services.end() ? noTargets : position->second;
 }
 
+std::size_t Targets::ejected(TimePoint now) const
+{
+    auto isEjected = [now](const auto& entry) { return entry.second.health.isEjected(now); };
+    return std::size_t(std::count_if(m_states.begin(), m_states.end(), isEjected));
+}
+
 std::map<VmId, std::uint32_t> Targets::inFlight() const
 {
     std::map<VmId, std::uint32_t> counts;
--- a/src/serve/targets.h
+++ b/src/serve/targets.h
@@ -66,6 +66,8 @@
     [[nodiscard]] TargetState* find(const VmId&);
     [[nodiscard]] const std::vector<TargetState*>& of(const ServiceId&) const;
     [[nodiscard]] std::map<VmId, std::uint32_t> inFlight() const;
+    // Targets that are ejected now.
+    [[nodiscard]] std::size_t ejected(TimePoint now) const;
     [[nodiscard]] const std::vector<EntryVm>& entries() const { return m_entries; }
 
 private:
--- a/src/serve/tests/dispatcher_test.cpp
+++ b/src/serve/tests/dispatcher_test.cpp
@@ -65,6 +65,11 @@
     BOOST_REQUIRE(answer);
     BOOST_TEST(answer->request == 1U);
     BOOST_TEST(dispatcher.isIdle());
+    auto counts = dispatcher.counts(t0);
+    BOOST_TEST(counts.calls == 1U);
+    BOOST_TEST(counts.attempts == 1U);
+    BOOST_TEST(counts.answered == 1U);
+    BOOST_TEST(counts.inFlight == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(ANonIdempotentCallMovesOnOnlyWhenProvenUnsent)
