--- a/src/programs/fulmar_bench.cpp
+++ b/src/programs/fulmar_bench.cpp
@@ -1,3 +1,4 @@
+#include "bench/serve_bench.h"
 #include "bench/slopes.h"
 
 #include <algorithm>
@@ -20,6 +21,7 @@
 };
 
 constexpr Part parts[] = {
+    { "serve", "serving decisions under load and faults", bench::runServeBench },
     { "slopes", "costs by fleet size, for docs/CAPACITY.md", bench::runSlopes },
 };
 
--- /dev/null
+++ b/src/serve/dispatcher_attempts.cpp
@@ -0,0 +1,139 @@
+#include "serve/dispatcher_state.h"
+
+#include <algorithm>
+
+// The end of an attempt: what is learned from it, and whether its request is answered or sent again.
+
+namespace fulmar::serve {
+
+namespace {
+
+constexpr std::size_t maxAttempts = 3;
+constexpr std::chrono::seconds never { 0 };
+constexpr Duration firstRetryDelay = std::chrono::milliseconds(10);
+// A call that timed out after this many times its expected run time speaks against its target.
+constexpr int hungFactor = 2;
+// A target may work on a call that was given up for this many times the call's expected run time.
+constexpr int abandonedFactor = 2;
+constexpr Duration longestHold = std::chrono::seconds(30);
+
+// A whole answer by which a target or its gateway says that it did not do the work.
+bool isRetriableStatus(int status) { return status == 502 || status == 503 || status == 504; }
+
+// We ended the attempt, while the target may go on with it.
+bool wasGivenUp(const Attempt& attempt, const AttemptEnd& end)
+{
+    return attempt.cancelled || end.reason == Reason::DeadlineExceeded || end.reason == Reason::Cancelled;
+}
+
+bool isServerError(int status) { return status >= 500; }
+
+} // namespace
+
+void Dispatcher::State::onAttemptEnd(AttemptId attemptId, const AttemptEnd& end, TimePoint now)
+{
+    auto node = m_attempts.extract(attemptId);
+    // A doubled or late report belongs to nobody.
+    if (!node)
+        return;
+    const auto attempt = std::move(node.mapped());
+    m_services.at(attempt.service).admission.onEnd(attempt.isLong);
+    release(attempt.service);
+    learn(attempt, end, now);
+    releaseSlot(attempt, end, now);
+
+    auto position = m_requests.find(attempt.request);
+    auto* request
+        = position == m_requests.end() || position->second.attempt != attemptId ? nullptr : &position->second;
+    if (request && mayRetry(*request, end, now)) {
+        request->mayHaveRun |= end.outcome != Outcome::NotRun;
+        if (request->key)
+            m_keyed.onReturned(*request->key);
+        backOff(attempt.request, *request, now);
+        return;
+    }
+    if (end.outcome == Outcome::Ran) {
+        if (attempt.key) {
+            apply(m_keyed.onAnswered(*attempt.key, attemptId, end.heldBytes), now);
+        } else if (request) {
+            emit(PassAnswer { attempt.request, attemptId });
+            erase(attempt.request);
+        }
+        return;
+    }
+    Failure failure { end.outcome, end.reason, "the target did not answer in full" };
+    if (end.outcome == Outcome::NotRun)
+        failure.detail = "no target could be reached";
+    if (request) {
+        fail(attempt.request, *request, failure, retryAfter({}), now);
+    } else if (attempt.key) {
+        auto step = end.outcome == Outcome::NotRun ? m_keyed.onUnsent(*attempt.key, failure, never)
+                                                   : m_keyed.onEndUnknown(*attempt.key, failure);
+        apply(std::move(step), now);
+    }
+}
+
+// Takes the attempt's end into the run times and the target's health.
+void Dispatcher::State::learn(const Attempt& attempt, const AttemptEnd& end, TimePoint now)
+{
+    if (end.closing)
+        m_targets.setLeaving(attempt.target, now);
+    auto run = now - attempt.started;
+    auto expected = m_runTimes.expected(attempt.callClass);
+    if (end.outcome == Outcome::Ran && !isServerError(end.status.value_or(0))) {
+        m_runTimes.record(attempt.callClass, run);
+        auto slowness = double(run.count()) / double(std::max<std::int64_t>(1, expected.count()));
+        m_targets.onSuccess(attempt.target, slowness, now);
+        return;
+    }
+    bool gaveUp = wasGivenUp(attempt, end);
+    if (gaveUp && run < hungFactor * expected)
+        return;
+    m_targets.onFailure(attempt.target, now);
+    if (gaveUp)
+        m_runTimes.record(attempt.callClass, run);
+}
+
+// Frees the attempt's slot: at once if the target is done with the call, otherwise when it is likely to be. A
+// call that already ran long is likely to run as long again.
+void Dispatcher::State::releaseSlot(const Attempt& attempt, const AttemptEnd& end, TimePoint now)
+{
+    auto* target = m_targets.find(attempt.target);
+    if (!target)
+        return;
+    bool abandoned = end.outcome == Outcome::MayHaveRun && wasGivenUp(attempt, end);
+    auto usual = attempt.started + abandonedFactor * m_runTimes.expected(attempt.callClass);
+    auto asLongAgain = now + std::min<Duration>(now - attempt.started, longestHold);
+    if (abandoned)
+        m_heldSlots.emplace(std::max(usual, asLongAgain), HeldSlot { attempt.target, attempt.slot });
+    else
+        target->slots.giveBack(attempt.slot);
+}
+
+bool Dispatcher::State::mayRetry(const Request& request, const AttemptEnd& end, TimePoint now)
+{
+    bool possible = !end.answerStarted && request.tried.size() < maxAttempts
+        && now + firstRetryDelay + request.upperRun < request.deadline;
+    bool safe = request.idempotent || end.outcome == Outcome::NotRun;
+    bool useful = end.outcome != Outcome::Ran || isRetriableStatus(end.status.value_or(0));
+    return possible && safe && useful && m_targets.hasOther(request.service, request.tried, now)
+        && m_services.at(request.service).retries.tryTake();
+}
+
+// Lets the request wait for a while that doubles with each attempt, spread evenly around its mean.
+void Dispatcher::State::backOff(RequestId id, Request& request, TimePoint now)
+{
+    auto mean = firstRetryDelay * (1 << (request.tried.size() - 1));
+    std::uniform_int_distribution<std::int64_t> spread(mean.count() / 2, mean.count() * 3 / 2);
+    request.phase = RequestPhase::BackingOff;
+    setWake(id, request, std::min(request.deadline, now + Duration(spread(m_random))));
+}
+
+void Dispatcher::State::cancel(AttemptId attempt)
+{
+    if (auto position = m_attempts.find(attempt); position != m_attempts.end())
+        position->second.cancelled = true;
+    emit(CancelAttempt { attempt });
+}
+
+} // namespace fulmar::serve
