Slots: costs of the exchange and of row changes that do not grow with the fleet

With 202 services, 5,252 targets and 30 entry VMs each message to a peer looked through all targets, and each changed VM dealt the slots of its whole pool anew.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -95,7 +95,7 @@
 
 std::map<VmId, std::uint32_t> Dispatcher::inFlight() const { return m_state->m_targets.inFlight(); }
 
-DispatcherCounts Dispatcher::counts(TimePoint now) const { return m_state->counts(now); }
+DispatcherCounts Dispatcher::counts(TimePoint now) { return m_state->counts(now); }
 
 std::optional<std::string> Dispatcher::mintKey(TimePoint now)
 {
--- a/src/serve/dispatcher.h
+++ b/src/serve/dispatcher.h
@@ -75,7 +75,7 @@
     // Attempts in flight per target, for the fleet's check that a VM is empty.
     [[nodiscard]] std::map<VmId, std::uint32_t> inFlight() const;
 
-    [[nodiscard]] DispatcherCounts counts(TimePoint now) const;
+    [[nodiscard]] DispatcherCounts counts(TimePoint now);
 
     // A key that only this process can run, for callers that want at-most-once without the table. Empty while
     // draining.
--- a/src/serve/dispatcher_state.cpp
+++ b/src/serve/dispatcher_state.cpp
@@ -367,7 +367,7 @@
     return counts;
 }
 
-DispatcherCounts Dispatcher::State::counts(TimePoint now) const
+DispatcherCounts Dispatcher::State::counts(TimePoint now)
 {
     auto counts = m_counts;
     for (const auto& [id, service] : m_services)
--- a/src/serve/dispatcher_state.h
+++ b/src/serve/dispatcher_state.h
@@ -97,7 +97,7 @@
     // Calls per service that wait or hold a borrowed slot.
     [[nodiscard]] std::map<ServiceId, std::uint32_t> wanted() const;
 
-    [[nodiscard]] DispatcherCounts counts(TimePoint now) const;
+    [[nodiscard]] DispatcherCounts counts(TimePoint now);
 
     Actions takeActions() { return std::exchange(m_actions, {}); }
 
--- a/src/serve/slot_account.cpp
+++ b/src/serve/slot_account.cpp
@@ -129,6 +129,12 @@
     return position == m_borrowed.end() ? 0 : position->second.used;
 }
 
+bool SlotAccount::mayBorrow(const ProcessId& lender, TimePoint now) const
+{
+    auto position = m_borrowed.find(lender);
+    return position != m_borrowed.end() && position->second.until > now;
+}
+
 // The borrower may have drawn on any loan whose end it has not reported, so that the largest counts.
 std::uint32_t SlotAccount::outstanding(const Loan& loan, TimePoint now)
 {
--- a/src/serve/slot_account.h
+++ b/src/serve/slot_account.h
@@ -50,6 +50,7 @@
     // Borrower's side.
     void borrow(const ProcessId& lender, std::uint32_t count, TimePoint until);
     [[nodiscard]] std::uint32_t borrowedInUse(const ProcessId& lender) const;
+    [[nodiscard]] bool mayBorrow(const ProcessId& lender, TimePoint now) const;
 
 private:
     struct Grant {
--- a/src/serve/slot_exchange.cpp
+++ b/src/serve/slot_exchange.cpp
@@ -25,9 +25,10 @@
 {
     auto& peer = m_peers[process];
     if (peer.incarnation != load.incarnation) {
-        for (const auto& vm : peer.lent)
-            if (auto* state = m_targets.find(vm))
-                state->slots.forgetPeer(process);
+        for (const auto& vms : { peer.lent, peer.borrowed })
+            for (const auto& vm : vms)
+                if (auto* state = m_targets.find(vm))
+                    state->slots.forgetPeer(process);
         peer = {};
         peer.incarnation = load.incarnation;
     }
@@ -42,8 +43,10 @@
     // An echo from the future is of an earlier life of this process.
     if (load.echo <= now)
         for (const auto& [vm, count] : load.lent)
-            if (auto* state = m_targets.find(vm))
+            if (auto* state = m_targets.find(vm)) {
                 state->slots.borrow(process, count, load.echo + load.lentFor);
+                peer.borrowed.insert(vm);
+            }
     std::erase_if(peer.lent, [&](const VmId& vm) {
         auto* state = m_targets.find(vm);
         if (!state)
@@ -62,13 +65,17 @@
     load.sent = now;
     load.leaving = m_targets.leaving(now);
     load.wanted = waiting;
-    for (const auto& [vm, count] : m_targets.inFlight()) {
-        auto used = m_targets.find(vm)->slots.borrowedInUse(peer);
+    auto position = m_peers.find(peer);
+    if (position == m_peers.end())
+        return load;
+    std::erase_if(position->second.borrowed, [&](const VmId& vm) {
+        auto* state = m_targets.find(vm);
+        auto used = state ? state->slots.borrowedInUse(peer) : 0;
         if (used > 0)
             load.borrowed.emplace(vm, used);
-    }
-    auto position = m_peers.find(peer);
-    if (position == m_peers.end() || position->second.heard + peerFresh <= now)
+        return used == 0 && !(state && state->slots.mayBorrow(peer, now));
+    });
+    if (position->second.heard + peerFresh <= now)
         return load;
     load.echo = position->second.sent;
     load.lentFor = loanTime;
--- a/src/serve/slot_exchange.h
+++ b/src/serve/slot_exchange.h
@@ -30,6 +30,8 @@
         std::map<ServiceId, std::uint32_t> wanted;
         // Targets of which it may hold slots of ours.
         std::set<VmId> lent;
+        // Targets of which we may hold slots of its.
+        std::set<VmId> borrowed;
     };
 
     void lend(const ProcessId&, const ServiceId&, std::uint32_t wanted, PeerLoad&, TimePoint now);
--- a/src/serve/targets.cpp
+++ b/src/serve/targets.cpp
@@ -41,11 +41,15 @@
             state.listedLeaving = false;
             state.leavingUntil = {};
         }
+        bool isDealt = state.dealtFor == m_entriesRevision && state.row.zone == target.zone
+            && state.slotsInAll == service.config.slotsPerTarget
+            && state.connectionsInAll == service.config.connectionsPerTarget;
         state.row = target;
         state.slotsInAll = service.config.slotsPerTarget;
         state.connectionsInAll = service.config.connectionsPerTarget;
         ++state.users;
-        deal(state, now);
+        if (!isDealt)
+            deal(state, now);
         targets.push_back(&state);
     }
     unuse(before);
@@ -95,6 +99,7 @@
                 state.slots.forgetPeer(entry.process);
     m_entries = std::move(entries);
     m_settled = now + settleTime;
+    ++m_entriesRevision;
     for (auto& [vm, state] : m_states)
         deal(state, now);
 }
@@ -103,6 +108,7 @@
 void Targets::deal(TargetState& state, TimePoint now)
 {
     const auto& vm = state.row.vm;
+    state.dealtFor = m_entriesRevision;
     std::vector<ProcessId> all;
     std::vector<ProcessId> local;
     for (const auto& entry : m_entries) {
@@ -128,6 +134,7 @@
         state->leavingUntil = now + leavingHold;
         state->heardOurselves = true;
         state->markedEpoch = state->row.epoch;
+        m_marked.insert(vm);
     }
 }
 
@@ -135,8 +142,10 @@
 {
     if (auto* state = find(vm)) {
         state->listedLeaving = leaving;
-        if (leaving)
+        if (leaving) {
             state->markedEpoch = state->row.epoch;
+            m_marked.insert(vm);
+        }
     }
 }
 
@@ -150,12 +159,17 @@
     state->markedEpoch = mark.epoch;
 }
 
-std::vector<LeavingMark> Targets::leaving(TimePoint now) const
+std::vector<LeavingMark> Targets::leaving(TimePoint now)
 {
     std::vector<LeavingMark> marks;
-    for (const auto& [vm, state] : m_states)
-        if (state.listedLeaving || (state.heardOurselves && now < state.leavingUntil))
-            marks.push_back({ vm, state.markedEpoch });
+    std::erase_if(m_marked, [&](const VmId& vm) {
+        const auto* state = find(vm);
+        bool isMarked
+            = state && (state->listedLeaving || (state->heardOurselves && now < state->leavingUntil));
+        if (isMarked)
+            marks.push_back({ vm, state->markedEpoch });
+        return !isMarked;
+    });
     return marks;
 }
 
--- a/src/serve/targets.h
+++ b/src/serve/targets.h
@@ -6,6 +6,7 @@
 #include "serve/slot_account.h"
 
 #include <random>
+#include <set>
 #include <unordered_map>
 
 namespace fulmar::serve {
@@ -20,6 +21,8 @@
     std::uint32_t users { 0 };
     // Connections that are ours.
     std::uint32_t connections { 0 };
+    // The list of entry VMs by which slots and connections were dealt.
+    std::uint64_t dealtFor { 0 };
     SlotAccount slots;
     Outlier health;
     // Said to be leaving by the platform's list, or until a time by the target, an operator or a peer. A row
@@ -47,7 +50,8 @@
     void setLeaving(const VmId&, TimePoint now);
     void setListed(const VmId&, bool leaving);
     void setLeavingByPeer(const LeavingMark&, TimePoint now);
-    [[nodiscard]] std::vector<LeavingMark> leaving(TimePoint now) const;
+    // What was said of targets, other than by a peer.
+    [[nodiscard]] std::vector<LeavingMark> leaving(TimePoint now);
 
     // A target with a free slot: not one of `tried`, another rack than theirs and our own zone if possible.
     // Null if there is none now.
@@ -81,10 +85,14 @@
     EntryVm m_self;
     std::mt19937_64 m_random;
     std::vector<EntryVm> m_entries;
+    // Counts the lists of entry VMs.
+    std::uint64_t m_entriesRevision { 1 };
     // Until then other entry VMs may still count on slots that are ours by the newest list of entry VMs.
     TimePoint m_settled;
     std::unordered_map<VmId, TargetState> m_states;
     std::unordered_map<ServiceId, std::vector<TargetState*>> m_services;
+    // Targets that may be marked as leaving.
+    std::set<VmId> m_marked;
     // Targets that no service uses any more; some may have calls in flight.
     std::vector<VmId> m_unused;
 };
