--- a/src/fleet/budget.cpp
+++ b/src/fleet/budget.cpp
@@ -53,8 +53,23 @@
     return allowedVms(share, pool.total - (pool.whole.departing - domain.departing));
 }
 
+bool BudgetLedger::allows(const VmRecord& vm) const
+{
+    auto position = m_pools.find(vm.pool);
+    if (position == m_pools.end() || !position->second.configured)
+        return false;
+    const auto& pool = position->second;
+    auto zone = countOf(pool.zones, vm.zone);
+    auto rack = countOf(pool.racks, vm.rack);
+    return pool.whole.unavailable < allowedVms(pool.config.unavailableShare, pool.total)
+        && zone.unavailable < allowedIn(pool, zone, pool.config.unavailableSharePerZone)
+        && (vm.rack.empty() || rack.unavailable < allowedIn(pool, rack, pool.config.unavailableSharePerRack));
+}
+
 std::string BudgetLedger::refusal(const VmRecord& vm) const
 {
+    if (allows(vm))
+        return {};
     auto position = m_pools.find(vm.pool);
     if (position == m_pools.end() || !position->second.configured)
         return fmt::format("pool {} is not configured", vm.pool.value());
@@ -69,11 +84,8 @@
         return fmt::format("budget of pool {} in zone {}: {} VMs unavailable, {} allowed", vm.pool.value(),
             vm.zone.value(), zone.unavailable, allowed);
     auto rack = countOf(pool.racks, vm.rack);
-    if (auto allowed = allowedIn(pool, rack, pool.config.unavailableSharePerRack);
-        !vm.rack.empty() && rack.unavailable >= allowed)
-        return fmt::format("budget of pool {} in rack {}: {} VMs unavailable, {} allowed", vm.pool.value(),
-            vm.rack.value(), rack.unavailable, allowed);
-    return {};
+    return fmt::format("budget of pool {} in rack {}: {} VMs unavailable, {} allowed", vm.pool.value(),
+        vm.rack.value(), rack.unavailable, allowedIn(pool, rack, pool.config.unavailableSharePerRack));
 }
 
 std::string BudgetLedger::refusalOfMove(const VmRecord& vm) const
--- a/src/fleet/budget.h
+++ b/src/fleet/budget.h
@@ -21,6 +21,9 @@
     // The unavailable VM is on its way to another pool: budgets must hold for the smaller pool too.
     void addDeparture(const VmRecord&);
 
+    // Whether one more VM can be taken out of service.
+    [[nodiscard]] bool allows(const VmRecord&) const;
+
     // Why one more VM cannot be taken out of service, or moved to another pool; empty if it can.
     [[nodiscard]] std::string refusal(const VmRecord&) const;
     [[nodiscard]] std::string refusalOfMove(const VmRecord&) const;
--- a/src/fleet/fleet_duty.h
+++ b/src/fleet/fleet_duty.h
@@ -305,7 +305,7 @@
         if (!hold().empty())
             return;
         auto ledger = m_store.ledger();
-        for (const auto& id : nextOfWave(m_store.view(), progress, ledger)) {
+        for (const auto& id : nextOfWave(progress, ledger)) {
             auto vm = m_store.view().vms().at(id);
             if (m_aborted || !takeForWave(wave, vm))
                 return;
--- a/src/fleet/wave_plan.cpp
+++ b/src/fleet/wave_plan.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-void sortOldestFirst(const FleetView& view, std::vector<VmId>& vms)
+void sortOldestFirst(std::vector<const VmRecord*>& vms)
 {
-    std::stable_sort(vms.begin(), vms.end(), [&](const VmId& left, const VmId& right) {
-        return view.vms().at(left).record.lastMaintained < view.vms().at(right).record.lastMaintained;
+    std::stable_sort(vms.begin(), vms.end(), [](const VmRecord* left, const VmRecord* right) {
+        return left->lastMaintained < right->lastMaintained;
     });
 }
 
@@ -37,9 +37,9 @@
         else if (vm.lastMaintained >= wave.started)
             ++progress.maintained;
         else if (vm.state == VmState::Serving && !hasIntent)
-            progress.candidates.push_back(id);
+            progress.candidates.push_back(&vm);
     }
-    sortOldestFirst(view, progress.candidates);
+    sortOldestFirst(progress.candidates);
     return progress;
 }
 
@@ -55,15 +55,14 @@
     return fmt::format("{} VMs did not return from their reboot: {}", failures, fmt::join(names, ", "));
 }
 
-std::vector<VmId> nextOfWave(const FleetView& view, const WaveProgress& progress, BudgetLedger& ledger)
+std::vector<VmId> nextOfWave(const WaveProgress& progress, BudgetLedger& ledger)
 {
     std::vector<VmId> next;
-    for (const auto& id : progress.candidates) {
-        const auto& vm = view.vms().at(id).record;
-        if (!ledger.refusal(vm).empty())
+    for (const auto* vm : progress.candidates) {
+        if (!ledger.allows(*vm))
             continue;
-        ledger.take(vm);
-        next.push_back(id);
+        ledger.take(*vm);
+        next.push_back(vm->vm);
     }
     return next;
 }
--- a/src/fleet/wave_plan.h
+++ b/src/fleet/wave_plan.h
@@ -16,8 +16,8 @@
     std::uint32_t underWay { 0 };
     // Did not return from their reboot.
     std::vector<VmId> failed;
-    // VMs that may be taken next, those maintained longest ago first.
-    std::vector<VmId> candidates;
+    // VMs that may be taken next, those maintained longest ago first. Valid until the view changes.
+    std::vector<const VmRecord*> candidates;
 
     // VMs that are down for another reason count neither way; the wave is done without them.
     [[nodiscard]] bool isDone() const { return underWay == 0 && candidates.empty(); }
@@ -30,6 +30,6 @@
 
 // The VMs to take out of service now: oldest maintenance first, as many as the budgets allow. VMs that are
 // refused are passed over, and taken in a later round when others have returned. Spends the ledger.
-[[nodiscard]] std::vector<VmId> nextOfWave(const FleetView&, const WaveProgress&, BudgetLedger&);
+[[nodiscard]] std::vector<VmId> nextOfWave(const WaveProgress&, BudgetLedger&);
 
 } // namespace fulmar::fleet
