--- a/src/operate/command_row.h
+++ b/src/operate/command_row.h
@@ -10,6 +10,9 @@
 #include <string>
 #include <vector>
 
+namespace fulmar::fleet {
+}
+
 namespace fulmar::operate {
 
 // Rows of commands that the fleet duty does not execute: changes of configuration, quarantine, cancellation.
@@ -26,7 +29,7 @@
     std::string statement;
     std::string who;
     Version basedOn { 0 };
-    CommandState state { CommandState::Pending };
+    fleet::CommandState state { fleet::CommandState::Pending };
     // Progress, or why it waits, was refused or ended.
     std::string detail;
     WallTime ordered {};
@@ -41,6 +44,9 @@
 // The value of that row.
 [[nodiscard]] std::string encodeCommand(const Command&, const CommandRow&);
 
+// The value of a row order/<id>.
+[[nodiscard]] std::string encodeOrder(const CommandRow&);
+
 // Reads a row of either kind. Fails with BadInput.
 [[nodiscard]] Result<CommandRow> decodeCommandRow(const Row&);
 
