Fleet: moves that follow the reported demand

The planner was not carried out by the duty. Each process now plans from the rows and the reported demand, and moves VMs out of the pools that it owns, within the budgets and into the zones where the receiver has fewest. A step stops asking and probing after its time is up and goes on there in the next, so that many draining VMs do not delay the renewal of leases. A focused test with two processes moves as many VMs as the need says, and none without fresh reports.

--- a/src/fleet/fleet_duty.h
+++ b/src/fleet/fleet_duty.h
@@ -6,9 +6,11 @@
 #include "fleet/entry_presence.h"
 #include "fleet/fleet_store.h"
 #include "fleet/lease.h"
+#include "fleet/move_select.h"
 #include "fleet/vm_transition.h"
 #include "fleet/wave_plan.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -50,6 +52,15 @@
         stepCommands();
         stepTransitions();
         stepWaves();
+        stepMoves();
+    }
+
+    // The pools' demand as reported now. Without a fresh report no move is planned. Called by the duty's
+    // thread.
+    void setDemand(PoolDemand demand)
+    {
+        m_demand = std::move(demand);
+        m_demandAt = m_clock.now();
     }
 
     [[nodiscard]] const LeaseKeeper<P, C>& leases() const { return m_leases; }
@@ -153,19 +164,31 @@
 
     void stepTransitions()
     {
-        DrainRound<E, C> round(m_confirmer, m_clock, m_clock.now() + m_settings.askBudget);
-        std::vector<VmId> vms;
-        for (const auto& [id, intent] : m_store.view().intents())
-            vms.push_back(id);
+        auto deadline = m_clock.now() + m_settings.askBudget;
+        DrainRound<E, C> round(m_confirmer, m_clock, deadline);
+        auto vms = transitionsInTurn();
         std::erase_if(
             m_progress, [&](const auto& item) { return !m_store.view().intents().contains(item.first); });
         for (const auto& id : vms) {
-            if (m_aborted)
+            m_nextTransition = id;
+            if (m_aborted || m_clock.now() >= deadline)
                 return;
             stepTransition(id, round);
         }
     }
 
+    // The VMs with an intent, beginning where the last step ran out of time.
+    std::vector<VmId> transitionsInTurn() const
+    {
+        std::vector<VmId> vms;
+        const auto& intents = m_store.view().intents();
+        vms.reserve(intents.size());
+        for (const auto& [id, intent] : intents)
+            vms.push_back(id);
+        std::rotate(vms.begin(), std::lower_bound(vms.begin(), vms.end(), m_nextTransition), vms.end());
+        return vms;
+    }
+
     // What this process knows of a VM's transition beyond the rows.
     struct Progress {
         OperationId operation;
@@ -347,6 +370,41 @@
                     { "reason", reason } });
     }
 
+    // Every process plans alike; each carries out the moves out of pools that it owns.
+    void stepMoves()
+    {
+        auto now = m_clock.now();
+        if (now < m_nextMoves || m_demand.empty() || now - m_demandAt > m_settings.demandFreshFor
+            || !hold().empty())
+            return;
+        m_nextMoves = now + m_settings.moveEvery;
+        for (const auto& move : m_movePlanner.plan(now, poolLoads(m_store.view(), m_demand)))
+            for (std::uint32_t each = 0; each < move.vms; ++each)
+                if (m_leases.holds(shard(move.from)) && !startMove(move.from, move.to))
+                    break;
+    }
+
+    bool startMove(const PoolId& from, const PoolId& to)
+    {
+        auto id = nextToMove(m_store.view(), m_store.ledger(), from, to);
+        if (!id || m_aborted)
+            return false;
+        IntentRecord intent;
+        intent.operation = m_store.nextOperation("move");
+        intent.vm = *id;
+        intent.goal = IntentGoal::Move;
+        intent.toPool = to;
+        auto cause = fmt::format("planned move to pool {}", to.value());
+        auto change = takeOut(m_store.view(), m_store.view().vms().at(*id), intent, cause, m_clock.wallNow());
+        change.require(keys::poolPrefix + to.value(), m_store.view().pools().at(to).version);
+        if (!commit(shard(from), change, intent.operation))
+            return false;
+        record("vm",
+            { { "vm", id->value() }, { "state", std::string(toString(VmState::Leaving)) }, { "cause", cause },
+                { "operation", intent.operation.value() } });
+        return true;
+    }
+
     void record(const std::string& kind, const std::vector<EventField>& fields)
     {
         m_events.record(m_clock.wallNow(), kind, fields);
@@ -362,6 +420,11 @@
     EntryPresence m_presence;
     TimePoint m_observedListAt {};
     std::map<VmId, Progress> m_progress;
+    VmId m_nextTransition;
+    MovePlanner m_movePlanner { m_settings.moves };
+    PoolDemand m_demand;
+    TimePoint m_demandAt {};
+    TimePoint m_nextMoves {};
     bool m_aborted { false };
 };
 
--- a/src/fleet/fleet_settings.h
+++ b/src/fleet/fleet_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "fleet/lease.h"
+#include "fleet/move_plan.h"
 
 #include <cstdint>
 #include <string>
@@ -30,6 +31,11 @@
     Duration returnTimeout { std::chrono::minutes(5) };
     // VMs of a wave that fail to return before the wave is stopped.
     std::uint32_t waveStopFailures { 2 };
+    // Moves that follow demand: how they are weighed, how often they are planned, and how old a report of the
+    // demand may be.
+    MoveSettings moves { moveSettingsFor(UserWeights {}) };
+    Duration moveEvery { std::chrono::milliseconds(500) };
+    Duration demandFreshFor { std::chrono::seconds(3) };
     // Transactions per second of this process's fleet duty.
     std::uint32_t writesPerSecond { 30 };
 };
--- a/src/fleet/tests/duty_test.cpp
+++ b/src/fleet/tests/duty_test.cpp
@@ -1,6 +1,7 @@
 #include "fleet_fixture.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 
 using namespace fulmar;
 using namespace fulmar::fleet;
@@ -95,6 +96,27 @@
     BOOST_TEST(toString(fleet.command(undrain.id).state) == "done");
 }
 
+BOOST_AUTO_TEST_CASE(DemandDrawsVmsFromTheSpare)
+{
+    Fleet fleet(2);
+    fleet.addPool("a", 0.5, 4);
+    fleet.addPool("spare", 0.5, 8, true);
+    fleet.addEntry("e1");
+    for (int round = 0; round < 20; ++round) {
+        for (std::size_t each = 0; each < 2; ++each)
+            fleet.control(each).duty.setDemand({ { PoolId("a"), 4 }, { PoolId("spare"), 1 } });
+        fleet.run(seconds(1));
+    }
+    auto need = int(std::ceil(4 * moveSettingsFor(UserWeights {}).headroom));
+    int moved = 0;
+    for (int each = 0; each < 8; ++each)
+        moved += fleet.vm(fmt::format("spare-{}", each)).pool.value() == "a" ? 1 : 0;
+    BOOST_TEST(moved == need - 4);
+    // Without fresh reports nothing is moved back or forth.
+    fleet.run(std::chrono::minutes(1));
+    BOOST_TEST(fleet.vm("a-0").pool.value() == "a");
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsTakenDownWhileTheListIsOld)
 {
     Fleet fleet;
