--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -41,6 +41,14 @@
     return hooks;
 }
 
+OperatorEdgeHooks Control::makeOperatorHooks()
+{
+    OperatorEdgeHooks hooks;
+    hooks.callTask = [this](const TaskCall& call) { return m_work.call(call, m_peers->client()); };
+    hooks.isHealthy = [] { return true; };
+    return hooks;
+}
+
 Result<void> Control::run()
 {
     auto peers = PeerDuty::start(m_settings.process.peerAddress, m_distribution, m_events, makePeerHooks());
@@ -48,6 +56,11 @@
         return tl::unexpected(peers.error());
     m_peers = std::move(*peers);
 
+    auto operators = OperatorEdge::start(
+        m_settings.process, m_distribution, m_events, m_peers->client(), makeOperatorHooks());
+    if (!operators)
+        return tl::unexpected(operators.error());
+
     HttpPlatform fleetPlatform(platformOf(m_settings.process));
     PeerConfirmer confirmer(m_peers->client(), confirmTimeout);
     ConnectProbe probe(probeTimeout);
@@ -65,6 +78,7 @@
         signals.async_wait([&loop](const asio::error_code&, int) { loop.stop(); });
         loop.run();
     }
+    operators->reset();
     m_peers.reset();
     m_events.record(m_clock.wallNow(), "control.stopped", {});
     return {};
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -2,6 +2,7 @@
 
 #include "daemon/control_settings.h"
 #include "daemon/fleet_edges.h"
+#include "daemon/operator_edges.h"
 #include "daemon/peer_duty.h"
 #include "daemon/work_edges.h"
 #include "daemon/zone_reader.h"
@@ -29,6 +30,7 @@
     using Fleet = FleetDuty<HttpPlatform, PeerConfirmer, ConnectProbe, SystemClock>;
 
     PeerDutyHooks makePeerHooks();
+    OperatorEdgeHooks makeOperatorHooks();
 
     const ControlSettings m_settings;
     const SystemClock m_clock {};
--- a/src/daemon/distribution.cpp
+++ b/src/daemon/distribution.cpp
@@ -190,4 +190,15 @@
     return m_self;
 }
 
+std::vector<Distribution::PeerStatus> Distribution::peerStatus(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<PeerStatus> all;
+    for (const auto& [peer, heardAgo, isLive] : m_membership.remembered(now)) {
+        auto known = m_peerVersions.find(peer.address);
+        all.push_back({ peer, heardAgo, isLive, known == m_peerVersions.end() ? 0 : known->second.version });
+    }
+    return all;
+}
+
 } // namespace fulmar
--- a/src/daemon/distribution.h
+++ b/src/daemon/distribution.h
@@ -49,6 +49,15 @@
     [[nodiscard]] std::vector<PeerInfo> live(PeerRole, TimePoint now) const;
     [[nodiscard]] std::vector<PeerInfo> contacts(TimePoint now) const;
     [[nodiscard]] std::optional<PeerInfo> find(const ProcessId&) const;
+
+    // A known process, when it was heard of, and the version that it was known to have; 0 if unknown.
+    struct PeerStatus {
+        PeerInfo peer;
+        Duration heardAgo {};
+        bool isLive { false };
+        Version version { 0 };
+    };
+    [[nodiscard]] std::vector<PeerStatus> peerStatus(TimePoint now) const;
     [[nodiscard]] Version version() const;
     // Rows changed after `since`, and the copy's version.
     [[nodiscard]] Changes changesSince(Version since) const;
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -3,11 +3,13 @@
 #include "core/log.h"
 #include "daemon/http_answers.h"
 #include "fleet/entry_row.h"
+#include "operate/rows.h"
 
 #include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <fmt/format.h>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
@@ -22,6 +24,7 @@
 constexpr std::chrono::milliseconds loopAnswerTimeout { 200 };
 constexpr std::chrono::milliseconds confirmTimeout { 800 };
 constexpr std::chrono::milliseconds askTimeout { 500 };
+constexpr std::chrono::milliseconds operatorCallTimeout { 1'000 };
 constexpr std::chrono::milliseconds taskCallTimeout { 5'000 };
 constexpr std::chrono::milliseconds configBatchPause { 50 };
 constexpr std::chrono::milliseconds configPollPause { 500 };
@@ -140,9 +143,61 @@
         return tl::unexpected(peers.error());
     m_peers = std::move(*peers);
     m_store->start();
+    auto operators = OperatorEdge::start(
+        m_settings.process, m_distribution, m_events, m_peers->client(), makeOperatorHooks());
+    if (!operators)
+        return tl::unexpected(operators.error());
+    m_operators = std::move(*operators);
     return {};
 }
 
+OperatorEdgeHooks Entry::makeOperatorHooks()
+{
+    OperatorEdgeHooks hooks;
+    hooks.addTargets = [this](operate::OperatorView& view) { addTargets(view); };
+    hooks.callTask = [this](const TaskCall& call) -> TaskAnswer {
+        auto controls = m_distribution.live(PeerRole::Control, m_clock.now());
+        if (controls.empty())
+            return { {}, 503, Outcome::NotRun, R"({"detail":"no control process is known"})" };
+        auto promise = std::make_shared<std::promise<Result<TaskAnswer>>>();
+        m_peers->client().callTask(controls.front().address, call, operatorCallTimeout,
+            [promise](Result<TaskAnswer> answer) { promise->set_value(std::move(answer)); });
+        return promise->get_future().get().value_or(TaskAnswer {
+            {}, 504, Outcome::MayHaveRun, R"({"detail":"the control process did not answer"})" });
+    };
+    hooks.isHealthy = [this] {
+        return m_inbox.ask<bool>([this] { return isServing(); }, loopAnswerTimeout).value_or(false);
+    };
+    return hooks;
+}
+
+// The targets at which this entry has calls in flight.
+void Entry::addTargets(operate::OperatorView& view)
+{
+    auto inFlight = m_inbox.ask<std::map<VmId, std::uint32_t>>(
+        [this] { return m_dispatcher.inFlight(); }, loopAnswerTimeout);
+    if (!inFlight)
+        return;
+    for (const auto& [vm, calls] : *inFlight) {
+        operate::TargetFact fact;
+        fact.vm = vm;
+        fact.inFlight = calls;
+        fact.process = m_self.process;
+        if (auto record = operate::findValue<VmRecord>(view.config, keys::vmPrefix + vm.value())) {
+            fact.zone = record->zone;
+            fact.state = toString(record->state);
+            operate::forEachRow<ServiceConfig>(
+                view.config, keys::servicePrefix, [&](const Row&, const ServiceConfig& service) {
+                    if (service.pool != record->pool)
+                        return;
+                    fact.service = service.service;
+                    fact.slots = service.slotsPerTarget;
+                });
+        }
+        view.targets.push_back(std::move(fact));
+    }
+}
+
 PeerDutyHooks Entry::makePeerHooks()
 {
     PeerDutyHooks hooks;
@@ -189,6 +244,7 @@
     scheduleConfig(configBatchPause);
     scheduleTick();
     m_loop.run();
+    m_operators.reset();
     m_peers.reset();
     m_store->stop();
     m_events.record(m_clock.wallNow(), "entry.stopped", {});
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -5,6 +5,7 @@
 #include "daemon/distribution.h"
 #include "daemon/entry_settings.h"
 #include "daemon/inbox.h"
+#include "daemon/operator_edges.h"
 #include "daemon/peer_duty.h"
 #include "daemon/store_duty.h"
 #include "daemon/target_client.h"
@@ -51,6 +52,8 @@
 
     [[nodiscard]] Result<void> startDuties();
     PeerDutyHooks makePeerHooks();
+    OperatorEdgeHooks makeOperatorHooks();
+    void addTargets(operate::OperatorView&);
 
     void onCall(CallId, CallerRequest);
     bool answerOwnPath(CallId, const CallerRequest&);
@@ -119,6 +122,7 @@
 
     std::unique_ptr<Store> m_store;
     std::unique_ptr<PeerDuty> m_peers;
+    std::unique_ptr<OperatorEdge> m_operators;
 };
 
 } // namespace fulmar
--- a/src/daemon/work_edges.cpp
+++ b/src/daemon/work_edges.cpp
@@ -1,5 +1,7 @@
 #include "daemon/work_edges.h"
 
+#include "operate/work_facts.h"
+
 #include <fmt/format.h>
 #include <future>
 #include <nlohmann/json.hpp>
@@ -11,6 +13,8 @@
 constexpr std::size_t maxRequests = 8'192;
 constexpr std::chrono::milliseconds callDeadline { 3'000 };
 constexpr std::chrono::milliseconds callPatience { 3'500 };
+constexpr std::chrono::milliseconds listPatience { 500 };
+constexpr std::size_t maxListedTasks = 2'000;
 constexpr std::chrono::milliseconds passOnTimeout { 4'000 };
 
 std::uint32_t statusOf(const Failure& failure)
@@ -39,6 +43,30 @@
         problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
 }
 
+// What operators see of the shard; of very many tasks, those that have not ended come first.
+std::string describeWork(const work::Scheduler& scheduler)
+{
+    std::vector<operate::WorkerFact> workers;
+    for (const auto& [id, worker] : scheduler.book().fleet().workers())
+        workers.push_back({ id, worker.pool, worker.zone, worker.rack,
+            worker.leaving    ? "leaving"
+                : worker.live ? "live"
+                              : "gone",
+            std::uint32_t(worker.tasks.size()), worker.capacity.processors,
+            std::uint64_t(worker.capacity.memoryMb),
+            worker.maintenanceAt ? "no new tasks: maintenance or quarantine" : "" });
+    std::vector<operate::TaskFact> tasks;
+    for (bool ended : { false, true })
+        for (const auto& [id, task] : scheduler.book().tasks()) {
+            const auto& record = task.record;
+            if (work::isFinal(record.state) == ended && tasks.size() < maxListedTasks)
+                tasks.push_back({ id, record.spec.job, record.spec.team, record.spec.pool,
+                    std::string(toString(record.state)), record.worker, record.starts, record.changed,
+                    record.detail });
+        }
+    return operate::encodeWorkFacts(workers, tasks);
+}
+
 } // namespace
 
 WorkService::WorkService(const work::WorkSettings& settings, const HttpPlatformOptions& platform,
@@ -99,9 +127,28 @@
     return answer.get();
 }
 
+std::optional<TaskAnswer> WorkService::listHere()
+{
+    auto promise = std::make_shared<std::promise<std::string>>();
+    auto answer = promise->get_future();
+    bool wasPushed = m_requests.tryPush([this, promise] {
+        promise->set_value(m_duty.owns() ? describeWork(*m_duty.scheduler()) : std::string());
+    });
+    if (!wasPushed || answer.wait_for(listPatience) != std::future_status::ready)
+        return TaskAnswer { {}, 503, Outcome::NotRun, "{}" };
+    auto text = answer.get();
+    if (text.empty())
+        return std::nullopt;
+    return TaskAnswer { {}, 200, Outcome::Ran, std::move(text) };
+}
+
 TaskAnswer WorkService::call(const TaskCall& call, PeerClient& client)
 {
-    auto result = callHere(call);
+    if (call.method == "LIST")
+        if (auto listed = listHere())
+            return std::move(*listed);
+    auto result
+        = call.method == "LIST" ? notRun(Reason::LeaseLost, "the tasks are owned elsewhere") : callHere(call);
     if (result || result.error().reason != Reason::LeaseLost || result.error().outcome != Outcome::NotRun)
         return toAnswer(call, result);
     auto holder = m_distribution.find(owner());
--- a/src/daemon/work_edges.h
+++ b/src/daemon/work_edges.h
@@ -51,6 +51,8 @@
 
     [[nodiscard]] Result<work::TaskRecord> callHere(const TaskCall&);
     void begin(const TaskCall&, work::TaskReply);
+    // Answers a call with method LIST, for operators: workers and tasks as JSON.
+    [[nodiscard]] std::optional<TaskAnswer> listHere();
     [[nodiscard]] ProcessId owner() const;
 
     const SystemClock m_clock {};
--- a/src/operate/operator_duty.h
+++ b/src/operate/operator_duty.h
@@ -22,10 +22,8 @@
 struct OperatorSources {
     // Configuration rows changed after a version.
     std::function<Changes(Version)> configurationSince;
-    // Time since the configuration was last known to be the newest.
-    std::function<std::chrono::milliseconds()> configurationAge;
-    // Adds targets, workers, tasks, peers and the zones that cannot be reached.
-    std::function<void(OperatorView&)> addFacts;
+    // Adds peers and the zones that cannot be reached; and targets, workers and tasks if they are needed.
+    std::function<void(OperatorView&, FactNeeds)> addFacts;
     // Events of the peers that answer in time, one list each; not this process's own.
     std::function<std::vector<std::vector<Event>>()> peerEvents;
     // Asks the owner of the task to end it; says what became of that.
@@ -42,6 +40,7 @@
         , m_events(events)
         , m_sources(std::move(sources))
         , m_cache(platform)
+        , m_configurationAt(clock.now())
         , m_work(maxWaiting)
     {
     }
@@ -99,7 +98,7 @@
 
     Answer answer(const OperatorRequest& request)
     {
-        auto view = buildView();
+        auto view = buildView(needsOf(request.text));
         auto step = answerStatement(request, view, m_clock.wallNow());
         if (auto* answer = std::get_if<Answer>(&step))
             return std::move(*answer);
@@ -161,28 +160,40 @@
         return mergeEvents(std::move(lists));
     }
 
-    OperatorView buildView()
+    OperatorView buildView(FactNeeds needs)
     {
         auto now = m_clock.now();
-        m_cache.refresh(now);
+        bool isRead = m_cache.refresh(now);
         m_replica.apply(m_sources.configurationSince(m_replica.version()));
         OperatorView view { m_replica.rows(), m_cache.commands() };
         // Conditions are on the table's versions, so a base must not be newer than either copy.
         view.version = std::min(m_replica.version(), std::max<Version>(m_cache.version(), 1));
-        auto rowsAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_cache.readAt());
-        view.age = std::max(m_sources.configurationAge(), rowsAge);
+        if (isRead && holdsNewest(view.version))
+            m_configurationAt = now;
+        view.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - std::min(m_configurationAt, m_cache.readAt()));
         addFleetFacts(view, m_cache.others());
-        m_sources.addFacts(view);
-        view.events = collectEvents();
+        m_sources.addFacts(view, needs);
+        if (needs.events)
+            view.events = collectEvents();
         return view;
     }
 
+    // Asks the table whether it has rows that this process's copy lacks.
+    bool holdsNewest(Version version)
+    {
+        auto missing = m_platform.read(keys::configPrefix, version);
+        return missing && missing->rows.empty();
+    }
+
     P& m_platform;
     const C& m_clock;
     EventLog& m_events;
     const OperatorSources m_sources;
     RowCache<P> m_cache;
     ConfigReplica m_replica;
+    // When the copy was last known to be the newest.
+    TimePoint m_configurationAt {};
     BoundedRing<std::function<void()>> m_work;
 };
 
--- a/src/operate/operator_service.cpp
+++ b/src/operate/operator_service.cpp
@@ -50,6 +50,19 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+FactNeeds needsOf(const std::string& text)
+{
+    auto statement = parseStatement(text);
+    if (!statement)
+        return {};
+    if (const auto* query = std::get_if<Query>(&*statement))
+        return { false, query->subject == Subject::Tasks || query->subject == Subject::Workers,
+            query->subject == Subject::Targets };
+    if (std::holds_alternative<WhyQuery>(*statement))
+        return { true, true, true };
+    return { std::holds_alternative<TimelineQuery>(*statement), false, false };
+}
+
 std::variant<Answer, Command> answerStatement(
     const OperatorRequest& request, const OperatorView& view, WallTime now)
 {
--- a/src/operate/operator_service.h
+++ b/src/operate/operator_service.h
@@ -29,6 +29,16 @@
 [[nodiscard]] std::variant<Answer, Command> answerStatement(
     const OperatorRequest&, const OperatorView&, WallTime now);
 
+// Facts that a statement needs and that cost something to gather.
+struct FactNeeds {
+    bool events { false };
+    // Tasks and workers.
+    bool work { false };
+    bool targets { false };
+};
+
+[[nodiscard]] FactNeeds needsOf(const std::string& statement);
+
 // Reads one row; empty if there is none.
 template <typename Platform>
 [[nodiscard]] Result<std::optional<Row>> readRow(Platform& platform, const std::string& key)
--- a/src/operate/tests/end_to_end_test.cpp
+++ b/src/operate/tests/end_to_end_test.cpp
@@ -53,8 +53,7 @@
     {
         return { [this](
                      Version since) { return platform.read(keys::configPrefix, since).value_or(Changes {}); },
-            [] { return std::chrono::milliseconds(0); },
-            [](OperatorView& view) { view.missingZones = { ZoneId("c") }; },
+            [](OperatorView& view, FactNeeds) { view.missingZones = { ZoneId("c") }; },
             [] { return std::vector<std::vector<Event>>(); },
             [](const TaskId&) -> Result<std::string> { return notRun(Reason::NotFound, "no such task"); } };
     }
--- a/src/operate/tests/operator_duty_test.cpp
+++ b/src/operate/tests/operator_duty_test.cpp
@@ -24,8 +24,7 @@
     OperatorSources sources()
     {
         return { [this](Version since) { return fleet.table.read(keys::configPrefix, since); },
-            [] { return std::chrono::milliseconds(20); },
-            [](OperatorView& view) { view.missingZones = { ZoneId("c") }; },
+            [](OperatorView& view, FactNeeds) { view.missingZones = { ZoneId("c") }; },
             [this] {
                 Event event { { clock.wallNow(), 0 }, ProcessId("entry1"), "vm.confirmed",
                     { { "vm", "v3" } } };
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -114,6 +114,15 @@
     return peers;
 }
 
+std::vector<Membership::Remembered> Membership::remembered(TimePoint now) const
+{
+    std::vector<Remembered> all;
+    all.reserve(m_members.size());
+    for (const auto& [id, member] : m_members)
+        all.push_back({ member.info, now - member.lastHeard, isLive(member, now) });
+    return all;
+}
+
 std::vector<PeerInfo> Membership::live(PeerRole role, TimePoint now) const
 {
     std::vector<PeerInfo> peers;
--- a/src/peer/membership.h
+++ b/src/peer/membership.h
@@ -52,6 +52,14 @@
 
     [[nodiscard]] std::optional<PeerInfo> find(const ProcessId&) const;
 
+    // A process that this one remembers, and how long ago it was heard of.
+    struct Remembered {
+        PeerInfo peer;
+        Duration heardAgo {};
+        bool isLive { false };
+    };
+    [[nodiscard]] std::vector<Remembered> remembered(TimePoint now) const;
+
     [[nodiscard]] const PeerInfo& self() const { return m_self; }
 
 private:
--- a/src/work/task_book.h
+++ b/src/work/task_book.h
@@ -84,6 +84,7 @@
     [[nodiscard]] TeamShares& shares() { return m_shares; }
     [[nodiscard]] const TeamShares& shares() const { return m_shares; }
     [[nodiscard]] std::size_t taskCount() const { return m_tasks.size(); }
+    [[nodiscard]] const std::unordered_map<TaskId, Task>& tasks() const { return m_tasks; }
     [[nodiscard]] std::size_t waitingCount() const { return m_queue.size() + m_delayed.size(); }
     // Tasks of the job that have not ended.
     [[nodiscard]] std::size_t activeOf(const JobId&) const;
