--- a/standins/programs/standin_load.cpp
+++ b/standins/programs/standin_load.cpp
@@ -6,6 +6,7 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <random>
 
 namespace {
@@ -31,6 +32,8 @@
     std::chrono::milliseconds longRun { 400 };
     double longShare { 0.1 };
     double postShare { 0.5 };
+    // Share of non-idempotent requests whose key an entry mints.
+    double mintShare { 0.3 };
     std::chrono::milliseconds deadline { 5'000 };
     int maxAttempts { 3 };
 };
@@ -56,6 +59,8 @@
     add("long-ms", "run time of a long call", cxxopts::value(longRun));
     add("long-share", "share of long calls", cxxopts::value(load.longShare));
     add("post-share", "share of non-idempotent calls", cxxopts::value(load.postShare));
+    add("mint-share", "share of non-idempotent calls under a key minted by an entry",
+        cxxopts::value(load.mintShare));
     add("deadline-ms", "deadline of a call", cxxopts::value(deadline));
     add("attempts", "attempts of a request whose end is bad or unknown", cxxopts::value(load.maxAttempts));
     options.parse(argc, argv);
@@ -97,6 +102,7 @@
         std::string id;
         std::string service;
         bool idempotent { true };
+        std::string key;
         std::chrono::milliseconds runTime {};
     };
 
@@ -106,10 +112,20 @@
         std::uniform_int_distribution<std::size_t> service(0, m_options.services.size() - 1);
         const bool isLong = std::bernoulli_distribution(m_options.longShare)(m_random);
         const bool isPost = std::bernoulli_distribution(m_options.postShare)(m_random);
-        return { id, m_options.services[service(m_random)], !isPost,
+        const bool isMinted = isPost && std::bernoulli_distribution(m_options.mintShare)(m_random);
+        return { id, m_options.services[service(m_random)], !isPost, isMinted ? mintKey(id) : id,
             isLong ? m_options.longRun : m_options.shortRun };
     }
 
+    // Asks an entry for a key; falls back to the caller's own.
+    std::string mintKey(const std::string& fallback)
+    {
+        const auto reply
+            = m_caller.call({ "POST", m_balancer.next(), "/v1/keys", "{}", {}, m_options.deadline });
+        const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+        return json.is_object() ? json.value("key", fallback) : fallback;
+    }
+
     void runRequest()
     {
         const auto request = nextRequest();
@@ -136,7 +152,7 @@
                 { "Request-Timeout-Ms", std::to_string(m_options.deadline.count()) } },
             m_options.deadline + std::chrono::seconds(2) };
         if (!request.idempotent)
-            call.headers.emplace_back("Idempotency-Key", request.id);
+            call.headers.emplace_back("Idempotency-Key", request.key);
         auto reply = m_caller.call(call);
         m_attempts.push_back({ request.id, attemptId, request.service, request.idempotent, reply.end,
             reply.status, reply.outcome, requestIdOfAnswer(reply.body), reply.elapsed });
