--- a/src/operate/pool_state.h
+++ b/src/operate/pool_state.h
@@ -8,6 +8,9 @@
 #include <map>
 #include <vector>
 
+namespace fulmar::fleet {
+}
+
 namespace fulmar::operate {
 
 // How a pool's VMs stand against its availability budget.
--- a/src/serve/dispatcher_state.cpp
+++ b/src/serve/dispatcher_state.cpp
@@ -13,11 +13,13 @@
 constexpr std::size_t maxAttempts = 3;
 constexpr std::chrono::seconds never { 0 };
 constexpr std::chrono::seconds maxRetryAfter { 30 };
+constexpr Duration shortestPause = std::chrono::milliseconds(1);
 constexpr Duration firstRetryDelay = std::chrono::milliseconds(10);
 // A call that timed out after this many times its expected run time speaks against its target.
 constexpr int hungFactor = 2;
 // A target may work on a call that was given up for this many times the call's expected run time.
 constexpr int abandonedFactor = 2;
+constexpr Duration longestHold = std::chrono::seconds(30);
 
 // Methods that RFC 9110 defines as idempotent.
 constexpr std::array<std::string_view, 6> idempotentMethods { "GET", "HEAD", "PUT", "DELETE", "OPTIONS",
@@ -34,6 +36,15 @@
 // A whole answer by which a target or its gateway says that it did not do the work.
 bool isRetriableStatus(int status) { return status == 502 || status == 503 || status == 504; }
 
+// When a waiting call must have been started, so that it can be expected to end in time.
+TimePoint lastStart(const Request& request) { return request.deadline - request.upperRun; }
+
+// We ended the attempt, while the target may go on with it.
+bool wasGivenUp(const Attempt& attempt, const AttemptEnd& end)
+{
+    return attempt.cancelled || end.reason == Reason::DeadlineExceeded || end.reason == Reason::Cancelled;
+}
+
 bool isServerError(int status) { return status >= 500; }
 
 } // namespace
@@ -73,8 +84,8 @@
     request.idempotent = isIdempotent(state.config, call.method);
     request.callClass = m_runTimes.classOf(call.service, call.method, call.path);
     request.isLong = m_runTimes.isLong(request.callClass);
-    // However slow calls have become, some are let through, so that it is noticed when they are fast again.
-    request.expectedRun = std::min(m_runTimes.expected(request.callClass), timeout / 2);
+    request.expectedRun = m_runTimes.expected(request.callClass);
+    request.upperRun = m_runTimes.upper(request.callClass);
     setWake(id, request, request.deadline);
     if (!call.idempotencyKey || request.idempotent) {
         enqueue(id, request, now);
@@ -93,6 +104,10 @@
             now);
         return;
     }
+    // However slow calls have become, some are let through, so that it is noticed when they are fast again.
+    auto left = request.deadline - now;
+    request.expectedRun = std::min(request.expectedRun, left / 2);
+    request.upperRun = std::min(request.upperRun, left * 3 / 4);
     auto& service = m_services.at(request.service);
     auto slots = m_targets.slotLimit(request.service, now);
     auto offer
@@ -103,7 +118,7 @@
         return;
     }
     request.phase = RequestPhase::Queued;
-    setWake(id, request, request.deadline);
+    setWake(id, request, lastStart(request));
     if (offer.evicted)
         fail(*offer.evicted, m_requests.at(*offer.evicted),
             { Outcome::NotRun, Reason::Overloaded, "the queue is full of this caller's calls" },
@@ -139,10 +154,9 @@
             expire(id, request, now);
             continue;
         }
-        if (now + request.expectedRun > request.deadline && service.admission.size() > 1) {
+        if (now > lastStart(request)) {
             service.admission.pop(*call);
-            fail(id, request, { Outcome::NotRun, Reason::DeadlineExceeded, "too little time is left" },
-                retryAfter({}), now);
+            giveUp(id, request, now);
             continue;
         }
         if (auto* target = m_targets.pick(serviceId, request.tried, now)) {
@@ -197,6 +211,8 @@
         = position == m_requests.end() || position->second.attempt != attemptId ? nullptr : &position->second;
     if (request && mayRetry(*request, end, now)) {
         request->mayHaveRun |= end.outcome != Outcome::NotRun;
+        if (request->key)
+            m_keyed.onReturned(*request->key);
         backOff(attempt.request, *request, now);
         return;
     }
@@ -234,7 +250,7 @@
         m_targets.onSuccess(attempt.target, slowness, now);
         return;
     }
-    bool gaveUp = attempt.cancelled || end.reason == Reason::DeadlineExceeded;
+    bool gaveUp = wasGivenUp(attempt, end);
     if (gaveUp && run < hungFactor * expected)
         return;
     m_targets.onFailure(attempt.target, now);
@@ -242,20 +258,26 @@
         m_runTimes.record(attempt.callClass, run);
 }
 
-// Frees the attempt's slot: at once if the target is done with the call, otherwise when it is likely to be.
+// Frees the attempt's slot: at once if the target is done with the call, otherwise when it is likely to be. A
+// call that already ran long is likely to run as long again.
 void Dispatcher::State::releaseSlot(const Attempt& attempt, const AttemptEnd& end, TimePoint now)
 {
-    auto until = attempt.started + abandonedFactor * m_runTimes.expected(attempt.callClass);
-    if (end.outcome == Outcome::MayHaveRun && until > now)
-        m_heldSlots.emplace(until, HeldSlot { attempt.target, attempt.slot });
-    else if (auto* target = m_targets.find(attempt.target))
+    auto* target = m_targets.find(attempt.target);
+    if (!target)
+        return;
+    bool abandoned = end.outcome == Outcome::MayHaveRun && wasGivenUp(attempt, end);
+    auto usual = attempt.started + abandonedFactor * m_runTimes.expected(attempt.callClass);
+    auto asLongAgain = now + std::min<Duration>(now - attempt.started, longestHold);
+    if (abandoned)
+        m_heldSlots.emplace(std::max(usual, asLongAgain), HeldSlot { attempt.target, attempt.slot });
+    else
         target->slots.giveBack(attempt.slot);
 }
 
 bool Dispatcher::State::mayRetry(const Request& request, const AttemptEnd& end, TimePoint now)
 {
     bool possible = !end.answerStarted && request.tried.size() < maxAttempts
-        && now + firstRetryDelay + request.expectedRun < request.deadline;
+        && now + firstRetryDelay + request.upperRun < request.deadline;
     bool safe = request.idempotent || end.outcome == Outcome::NotRun;
     bool useful = end.outcome != Outcome::Ran || isRetriableStatus(end.status.value_or(0));
     return possible && safe && useful && m_targets.hasOther(request.service, request.tried, now)
@@ -295,6 +317,13 @@
     apply(std::move(step), now);
 }
 
+// A call that waits for a slot has too little time left for a run.
+void Dispatcher::State::giveUp(RequestId id, Request& request, TimePoint now)
+{
+    fail(id, request, { Outcome::NotRun, Reason::DeadlineExceeded, "too little time is left" },
+        retryAfter({}), now);
+}
+
 // The deadline has passed: the caller is answered with what is known.
 void Dispatcher::State::expire(RequestId id, Request& request, TimePoint now)
 {
@@ -371,8 +400,11 @@
             continue;
         }
         setWake(id, request, request.deadline);
-        if (request.phase == RequestPhase::BackingOff) {
+        if (request.phase == RequestPhase::Queued) {
+            giveUp(id, request, now);
+        } else if (request.phase == RequestPhase::BackingOff) {
             request.phase = RequestPhase::Queued;
+            setWake(id, request, std::max(now + shortestPause, lastStart(request)));
             m_services.at(request.service).admission.putBack(waitingCall(id, request, now));
         } else if (request.phase == RequestPhase::LookingUpKey) {
             apply(m_keyed.askAgain(id, *request.key), now);
@@ -460,7 +492,8 @@
 
 WaitingCall Dispatcher::State::waitingCall(RequestId id, const Request& request, TimePoint now)
 {
-    return { id, request.caller, request.isLong, request.expectedRun, request.deadline, now };
+    return { id, request.caller, request.isLong, request.expectedRun, request.upperRun, request.deadline,
+        now };
 }
 
 // Whole seconds, spread so that refused callers do not come back together.
--- a/src/work/task.h
+++ b/src/work/task.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ostream>
 #include <string>
 #include <string_view>
 
@@ -58,6 +59,7 @@
 };
 
 [[nodiscard]] std::string_view toString(TaskState);
+inline std::ostream& operator<<(std::ostream& out, TaskState state) { return out << toString(state); }
 
 // True for states that a task never leaves, but for MayHaveRun, which later evidence can settle.
 [[nodiscard]] bool isFinal(TaskState);
