--- a/src/platform/tests/call_audit_test.cpp
+++ b/src/platform/tests/call_audit_test.cpp
@@ -75,4 +75,22 @@
     BOOST_TEST(requestIdOfAnswer(answerBody("r", "plans", 10)) == "r");
 }
 
+BOOST_AUTO_TEST_CASE(callOfAnotherServiceAtATargetIsASwitch)
+{
+    Observation observation;
+    BOOST_TEST(observation.report().serviceSwitches == 0U);
+    observation.target.runs.push_back({ "s", "s#0", "sheets", "t", {} });
+    observation.target.runs.push_back({ "r", "r#1", "plans", "t", {} });
+    BOOST_TEST(observation.report().serviceSwitches == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(mayHaveRunIsCountedByItsProblem)
+{
+    Observation observation;
+    observation.attempts.front().outcome = "may-have-run";
+    observation.attempts.front().problem = problemTitle(R"({"title":"store-unavailable"})");
+    BOOST_TEST(observation.report().mayHaveRunByProblem.at("store-unavailable") == 1U);
+    BOOST_TEST(problemTitle("id=r;end").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/call_audit.cpp
+++ b/standins/call_audit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <unordered_map>
 
@@ -36,6 +37,8 @@
     report.withoutOutcome += attempt.outcome.empty() ? 1 : 0;
     report.saidNotRun += attempt.outcome == saidNotRun ? 1 : 0;
     report.saidMayHaveRun += attempt.outcome == saidMayHaveRun ? 1 : 0;
+    if (attempt.outcome == saidMayHaveRun)
+        ++report.mayHaveRunByProblem[attempt.problem];
     if (attempt.outcome == saidNotRun && runs.attempts.contains(attempt.attemptId))
         ++report.untrueRefusals;
     if (attempt.outcome == saidRan && !runs.byRequest.contains(attempt.requestId))
@@ -81,6 +84,15 @@
     }
 }
 
+// Targets list their runs in the order in which they began.
+std::uint64_t serviceSwitchesOf(const TargetRecord& target)
+{
+    std::uint64_t switches = 0;
+    for (std::size_t index = 1; index < target.runs.size(); ++index)
+        switches += target.runs[index].service == target.runs[index - 1].service ? 0 : 1;
+    return switches;
+}
+
 void measureLatency(const std::vector<Attempt>& attempts, AuditReport& report)
 {
     std::vector<Duration> times;
@@ -104,8 +116,10 @@
         auditAttempt(attempt, runs, report);
     auditRequests(attempts, runs, report);
     measureLatency(attempts, report);
-    for (const auto& target : targets)
+    for (const auto& target : targets) {
         report.callsOverTargetLimit += target.overLimit;
+        report.serviceSwitches += serviceSwitchesOf(target);
+    }
     return report;
 }
 
@@ -113,14 +127,23 @@
 {
     auto text = fmt::format("sent={}\nanswered_whole={}\nsaid_not_run={}\nsaid_may_have_run={}\nnot_sent={}\n"
                             "cut={}\nwithout_outcome={}\nmisrouted={}\nbroken_answers={}\ndoubled={}\n"
-                            "untrue_refusals={}\nuntrue_ran={}\nover_target_limit={}\np50_us={}\np99_us={}\n",
+                            "untrue_refusals={}\nuntrue_ran={}\nover_target_limit={}\nservice_switches={}"
+                            "\np50_us={}\np99_us={}\n",
         report.attempts, report.answeredWhole, report.saidNotRun, report.saidMayHaveRun, report.notSent,
         report.cut, report.withoutOutcome, report.misrouted, report.brokenAnswers, report.doubled,
-        report.untrueRefusals, report.untrueRan, report.callsOverTargetLimit, report.p50.count(),
-        report.p99.count());
+        report.untrueRefusals, report.untrueRan, report.callsOverTargetLimit, report.serviceSwitches,
+        report.p50.count(), report.p99.count());
     for (const auto& [status, count] : report.statuses)
         text += fmt::format("status_{}={}\n", status, count);
+    for (const auto& [problem, count] : report.mayHaveRunByProblem)
+        text += fmt::format("may_have_run_{}={}\n", problem.empty() ? "untitled" : problem, count);
     return text;
 }
 
+std::string problemTitle(const std::string& body)
+{
+    const auto problem = nlohmann::json::parse(body, nullptr, false);
+    return problem.is_object() ? problem.value("title", "") : "";
+}
+
 } // namespace fulmar::standin
--- a/standins/call_audit.h
+++ b/standins/call_audit.h
@@ -21,6 +21,8 @@
     std::string outcome;
     // The request id in the answer's body; empty if the body is not whole.
     std::string answeredId;
+    // The title of the problem in the answer's body; empty if it has none.
+    std::string problem;
     Duration elapsed {};
 };
 
@@ -46,6 +48,9 @@
     // Requests answered "ran" that no target knows.
     std::uint64_t untrueRan { 0 };
     std::uint64_t callsOverTargetLimit { 0 };
+    // Times that a target got a call for another service than its call before; one for each change of pool.
+    std::uint64_t serviceSwitches { 0 };
+    std::map<std::string, std::uint64_t> mayHaveRunByProblem;
     std::map<int, std::uint64_t> statuses;
     Duration p50 {};
     Duration p99 {};
@@ -54,6 +59,9 @@
 // Joins what the callers saw with what the targets ran.
 [[nodiscard]] AuditReport audit(const std::vector<Attempt>&, const std::vector<TargetRecord>&);
 
+// The title of an RFC 9457 problem; empty if the text is none.
+[[nodiscard]] std::string problemTitle(const std::string& body);
+
 // One key=value a line.
 [[nodiscard]] std::string formatReport(const AuditReport&);
 
--- a/standins/programs/standin_load.cpp
+++ b/standins/programs/standin_load.cpp
@@ -154,8 +154,9 @@
         if (!request.idempotent)
             call.headers.emplace_back("Idempotency-Key", request.key);
         auto reply = m_caller.call(call);
-        m_attempts.push_back({ request.id, attemptId, request.service, request.idempotent, reply.end,
-            reply.status, reply.outcome, requestIdOfAnswer(reply.body), reply.elapsed });
+        m_attempts.push_back(
+            { request.id, attemptId, request.service, request.idempotent, reply.end, reply.status,
+                reply.outcome, requestIdOfAnswer(reply.body), problemTitle(reply.body), reply.elapsed });
         return m_attempts.back();
     }
 
