--- a/src/config/config_reader.h
+++ b/src/config/config_reader.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <fmt/format.h>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -44,8 +45,9 @@
     {
     }
 
-    // The replica must be this process's, with everything heard from peers so far.
-    Result<ConfigRead> poll(const ConfigReplica& replica)
+    // `known` is the version of this process's replica. A copy of the replica, with everything heard from
+    // peers so far, is asked for only when everything is read.
+    Result<ConfigRead> poll(Version known, const std::function<ConfigReplica()>& copyReplica)
     {
         bool isFull = m_since == 0 || m_clock.now() >= m_nextFullRead;
         auto changes = m_platform.read(keys::configPrefix, isFull ? 0 : m_since);
@@ -54,16 +56,16 @@
         bool wentBack = changes->tableVersion < m_since;
         if (wentBack && !isFull) {
             m_since = 0;
-            return poll(replica);
+            return poll(known, copyReplica);
         }
         takeEra(*changes, isFull);
-        wentBack = wentBack || m_eras.configVersion(changes->tableVersion) < replica.version();
+        wentBack = wentBack || m_eras.configVersion(changes->tableVersion) < known;
         m_since = wentBack ? 0 : changes->tableVersion;
         ConfigRead read { toConfigVersions(*changes, m_eras), wentBack, 0 };
         if (!isFull)
             return read;
         m_nextFullRead = m_clock.now() + fullReadEvery;
-        return restore(*changes, replica, std::move(read));
+        return restore(*changes, copyReplica(), std::move(read));
     }
 
     [[nodiscard]] const VersionEras& eras() const { return m_eras; }
--- a/src/config/tests/reader_test.cpp
+++ b/src/config/tests/reader_test.cpp
@@ -23,7 +23,7 @@
 
     void poll()
     {
-        if (auto read = reader.poll(replica))
+        if (auto read = reader.poll(replica.version(), [this] { return replica; }))
             replica.apply(read->changes);
     }
 
--- a/src/daemon/zone_reader.h
+++ b/src/daemon/zone_reader.h
@@ -56,7 +56,7 @@
     void readRows()
     {
         m_nextRead = m_clock.now() + m_readEvery;
-        auto read = m_reader.poll(m_distribution.replica());
+        auto read = m_reader.poll(m_distribution.version(), [this] { return m_distribution.replica(); });
         if (!read) {
             m_nextRead = m_clock.now() + m_backoff.failed();
             return;
