--- a/src/bench/serve_bench.cpp
+++ b/src/bench/serve_bench.cpp
@@ -112,6 +112,9 @@
     constexpr double mostCalls = 0.8;
     cases.push_back({ "0.5x-one-zone", half, 0, 0, mostCalls });
     cases.push_back({ "0.5x-cut", half, 0, 0, 1.0 / zoneCount, true });
+    constexpr double burst = 2.0;
+    cases.push_back({ "2x-bursts", burst, 0, 0, 1.0 / zoneCount, false, true });
+    cases.push_back({ "2x-bursts-slow", burst, 0, 1, 1.0 / zoneCount, false, true });
     return cases;
 }
 
--- a/src/bench/serve_model.cpp
+++ b/src/bench/serve_model.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t callerCount = 10;
 // One caller asks as much as all others together.
 constexpr double heavyCallerShare = 0.5;
+constexpr Duration burstPeriod = std::chrono::seconds(10);
+constexpr Duration burstLength = std::chrono::seconds(4);
+constexpr double lullShare = 0.01;
 constexpr Duration failingAnswer = std::chrono::milliseconds(1);
 constexpr double slowFactor = 10;
 
@@ -66,11 +69,16 @@
 {
     std::mt19937_64 random(seed);
     std::uniform_real_distribution<double> uniform;
-    std::exponential_distribution<double> gap(which.load * capacityInSlots(which) / meanRunSeconds());
+    std::exponential_distribution<double> unitGap;
+    auto rate = [&which](Duration sinceStart) {
+        bool lull = which.bursts && sinceStart % burstPeriod >= burstLength;
+        return (lull ? lullShare : 1.0) * which.load * capacityInSlots(which) / meanRunSeconds();
+    };
     std::exponential_distribution<double> shortRun(1 / shortRunSeconds);
     std::uniform_real_distribution<double> longRun(longRunSeconds / 2, longRunSeconds * 3 / 2);
     std::vector<OfferedCall> calls;
-    for (auto time = start; time < start + runLength; time += toDuration(gap(random))) {
+    for (auto time = start; time < start + runLength;
+         time += toDuration(unitGap(random) / rate(time - start))) {
         OfferedCall call;
         call.arrival = time;
         auto zone = uniform(random) < which.firstZoneShare ? 0 : 1 + random() % (zoneCount - 1);
--- a/src/bench/serve_model.h
+++ b/src/bench/serve_model.h
@@ -51,6 +51,8 @@
     double firstZoneShare { 1.0 / 3 };
     // Half the time the first zone is cut off from the others: no message passes, and no call.
     bool cut { false };
+    // `load` lasts for four seconds of ten; in between a hundredth of it is asked.
+    bool bursts { false };
 };
 
 // A call of the offered load. The same calls are offered to every version.
@@ -66,7 +68,7 @@
 // What a version did with a case's calls.
 struct ServeFigures {
     // Run time of the calls answered well and in time, over what the sound targets can give or, if that is
-    // less, over what was asked.
+    // less, over what was asked; second by second where the load comes in bursts.
     double useful { 0 };
     // Run time spent on answers that came too late or twice, over what the sound targets can give.
     double wasted { 0 };
--- a/src/bench/serve_world.h
+++ b/src/bench/serve_world.h
@@ -92,6 +92,7 @@
     std::vector<Call> m_calls;
     std::vector<std::unordered_map<serve::AttemptId, Attempt>> m_attempts;
     std::map<std::string, CallerWork> m_callers;
+    std::map<std::int64_t, double> m_offeredBySecond;
     std::vector<Duration> m_waits;
     std::vector<Duration> m_shortWaits;
     std::uint64_t m_late { 0 };
@@ -146,6 +147,8 @@
     if (m_calls[index].counted) {
         ++m_offered;
         m_callers[call.caller].offered += seconds(call.run);
+        auto second = std::chrono::duration_cast<std::chrono::seconds>(m_events.now() - m_start).count();
+        m_offeredBySecond[second] += seconds(call.run);
     }
     serve::CallInfo info;
     info.service = ServiceId("plans");
@@ -320,7 +323,13 @@
         total.offered += work.offered;
         total.answered += work.answered;
     }
-    figures.useful = total.answered / std::min(capacity, total.offered);
+    auto possible = std::min(capacity, total.offered);
+    if (m_case.bursts) {
+        possible = 0;
+        for (const auto& [second, work] : m_offeredBySecond)
+            possible += std::min(work, capacityInSlots(m_case));
+    }
+    figures.useful = total.answered / possible;
     auto offered = double(std::max<std::uint64_t>(1, m_offered));
     figures.lateShare = double(m_late) / offered;
     figures.refusedShare = double(m_refused) / offered;
