Fleet: the duty in three parts

Leases, rows and commits go to FleetWriter, the way of a VM through drain, reboot and return to TransitionRunner; commands, waves and moves stay. No behaviour changes.

--- a/src/fleet/fleet_duty.cpp
+++ b/src/fleet/fleet_writer.cpp
@@ -1,4 +1,4 @@
-#include "fleet/fleet_duty.h"
+#include "fleet/fleet_writer.h"
 
 #include <cassert>
 #include <xxhash.h>
