--- a/src/fleet/fleet_duty.h
+++ b/src/fleet/fleet_duty.h
@@ -151,15 +151,30 @@
             return;
         }
         if (!hold().empty())
-            return;
+            return showWaiting(wave, hold());
         auto ledger = m_writer.store().ledger();
-        for (const auto& id : nextOfWave(progress, ledger)) {
+        auto next = nextOfWave(progress, ledger);
+        if (next.empty() && progress.underWay == 0)
+            return showWaiting(wave, ledger.refusal(*progress.candidates.front()));
+        for (const auto& id : next) {
             auto vm = m_writer.store().view().vms().at(id);
             if (m_writer.aborted() || !takeForWave(wave, vm))
                 return;
         }
     }
 
+    // Shows in the wave's row why nothing of it is under way.
+    void showWaiting(const Stored<WaveRecord>& wave, const std::string& reason)
+    {
+        if (!holdsWaves() || wave.record.reason == reason)
+            return;
+        auto shown = wave.record;
+        shown.reason = reason;
+        FleetChange change;
+        change.put(waveKey(shown.wave), wave.version, encode(shown));
+        m_writer.commit(waveShard, change, m_writer.store().nextOperation("wave"));
+    }
+
     // False if the round must end. The wave's row is a condition, so that a pause or stop holds at once.
     bool takeForWave(const Stored<WaveRecord>& wave, const Stored<VmRecord>& vm)
     {
--- a/src/fleet/tests/duty_test.cpp
+++ b/src/fleet/tests/duty_test.cpp
@@ -81,6 +81,16 @@
     BOOST_TEST(fleet.state.reboots.size() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(WaveShowsWhatItWaitsFor)
+{
+    Fleet fleet;
+    fleet.addPool("a", 0.1, 4);
+    fleet.order(CommandKind::StartWave, "w");
+    fleet.run(seconds(5));
+    BOOST_TEST(toString(fleet.wave("w").state) == "running");
+    BOOST_TEST(fleet.wave("w").reason == "budget of pool a: 0 of 4 VMs unavailable, 0 allowed");
+}
+
 BOOST_AUTO_TEST_CASE(DrainParksAndUndrainReturns)
 {
     Fleet fleet(2);
