--- a/src/bench/work_load.h
+++ b/src/bench/work_load.h
@@ -26,7 +26,7 @@
 };
 
 // A fleet and what is asked of it, from a seed: more work than fits, declared sizes wrong by a factor of up
-// to 4 either way, 2% of the workers failing everything, 1% of the jobs unable to run, 1% of the tasks
+// to 4 either way, 2% of the workers failing everything, 1% of the jobs unable to run, one job in 40
 // urgent.
 struct WorkLoad {
     std::vector<WorkerReport> workers;
--- a/src/work/row_queue.h
+++ b/src/work/row_queue.h
@@ -40,7 +40,7 @@
     }
 
 private:
-    std::array<std::deque<TaskId>, 3> m_lanes;
+    std::array<std::deque<TaskId>, 4> m_lanes;
 };
 
 } // namespace fulmar::work
--- a/src/work/scheduler.cpp
+++ b/src/work/scheduler.cpp
@@ -117,8 +117,7 @@
             if (auto* task = taskOf(worker, each))
                 apply(*task, each, moment);
         }
-        if (m_book.settings().preempts)
-            relieve(worker, moment);
+        relieve(worker, moment);
         m_filler.touch(worker.pool);
     }
 }
--- a/src/work/task_book.cpp
+++ b/src/work/task_book.cpp
@@ -127,7 +127,7 @@
     task.startedAt = moment.now;
     task.checkpointAt = moment.now;
     task.checkpointStoredAt = moment.now;
-    markRow(task, RowUrgency::Now);
+    markRow(task, task.record.spec.urgent ? RowUrgency::First : RowUrgency::Now);
 }
 
 void TaskBook::confirm(Task& task, Moment moment)
--- a/src/work/work_state.h
+++ b/src/work/work_state.h
@@ -27,6 +27,8 @@
 
 // Which rows are stored first when many have changed.
 enum class RowUrgency : std::uint8_t {
+    // Starts of urgent tasks.
+    First,
     // Starts and cancellations: something waits for the row.
     Now,
     // Ends of tasks.
