--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -34,7 +34,7 @@
 {
     auto role = in.role() == toString(PeerRole::Control) ? PeerRole::Control : PeerRole::Entry;
     return { ProcessId(in.id()), role, RegionId(in.region()), ZoneId(in.zone()), in.address(),
-        in.incarnation() };
+        in.incarnation(), VmId(in.vm()), in.registered() };
 }
 
 Outcome readOutcome(const std::string& text)
@@ -231,8 +231,8 @@
 
 Confirmation fromWire(const wire::Confirmation& in)
 {
-    Confirmation confirmation { read(in.stamp()), in.applied_version(), in.in_flight(), in.incarnation(),
-        {} };
+    Confirmation confirmation { read(in.stamp()), in.applied_version(), in.in_flight(), in.incarnation(), {},
+        OperationId(in.row()) };
     for (const auto& peer : in.dependents())
         confirmation.dependents.push_back(read(peer));
     return confirmation;
