Operators against real processes: faults found and mended

Run over 12 daemons in three zones: a command sent again with a reason was taken for another one, as the fleet's rows do not keep the reason; commands are now compared without it. A task submitted without an id was refused; the entry now gives it one. Tasks were placed on drained VMs and quotas never reached the work duty: it now follows team, quarantine and VM rows.

--- a/src/daemon/distribution.cpp
+++ b/src/daemon/distribution.cpp
@@ -194,9 +194,10 @@
 {
     std::lock_guard lock(m_mutex);
     std::vector<PeerStatus> all;
-    for (const auto& [peer, heardAgo, isLive] : m_membership.remembered(now)) {
+    for (const auto& [peer, heardAgo, isReached] : m_membership.remembered(now)) {
         auto known = m_peerVersions.find(peer.address);
-        all.push_back({ peer, heardAgo, isLive, known == m_peerVersions.end() ? 0 : known->second.version });
+        all.push_back(
+            { peer, heardAgo, isReached, known == m_peerVersions.end() ? 0 : known->second.version });
     }
     return all;
 }
--- a/src/daemon/distribution.h
+++ b/src/daemon/distribution.h
@@ -50,11 +50,12 @@
     [[nodiscard]] std::vector<PeerInfo> contacts(TimePoint now) const;
     [[nodiscard]] std::optional<PeerInfo> find(const ProcessId&) const;
 
-    // A known process, when it was heard of, and the version that it was known to have; 0 if unknown.
+    // A known process, when it was heard of, whether it was in contact itself lately, and the version that it
+    // was known to have; 0 if unknown.
     struct PeerStatus {
         PeerInfo peer;
         Duration heardAgo {};
-        bool isLive { false };
+        bool isReached { false };
         Version version { 0 };
     };
     [[nodiscard]] std::vector<PeerStatus> peerStatus(TimePoint now) const;
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -295,7 +295,8 @@
             m_isStopping);
         return;
     }
-    TaskCall call { m_events.stampForMessage(m_clock.wallNow()), request.method, TaskId(std::string(task)),
+    auto taskId = request.method == "POST" ? newTaskId(id, request) : TaskId(std::string(task));
+    TaskCall call { m_events.stampForMessage(m_clock.wallNow()), request.method, std::move(taskId),
         std::string(request.body) };
     m_peers->client().callTask(
         controls.front().address, call, taskCallTimeout, [this, id](Result<TaskAnswer> answer) {
--- a/src/daemon/operator_edges.cpp
+++ b/src/daemon/operator_edges.cpp
@@ -76,7 +76,7 @@
         return { m_events.stampForMessage(m_clock.wallNow()), method, task, {} };
     }
 
-    // Zones that have registered entries of which none, and no control process, is heard of.
+    // A zone is missing if it has registered entries and no process of it was in contact lately.
     void addPeers(operate::OperatorView& view) const
     {
         std::set<ZoneId> reached { m_distribution.self().zone };
@@ -84,7 +84,7 @@
             view.peers.push_back(
                 { status.peer.process, std::string(toString(status.peer.role)), status.peer.zone,
                     std::chrono::duration_cast<std::chrono::milliseconds>(status.heardAgo), status.version });
-            if (status.isLive)
+            if (status.isReached)
                 reached.insert(status.peer.zone);
         }
         std::set<ZoneId> missing;
@@ -100,7 +100,7 @@
     {
         std::vector<std::future<Result<TimelineAnswer>>> answers;
         for (const auto& status : m_distribution.peerStatus(m_clock.now()))
-            if (status.isLive)
+            if (status.isReached)
                 answers.push_back(std::async(std::launch::async, [this, address = status.peer.address] {
                     TimelineQuestion question { m_events.stampForMessage(m_clock.wallNow()), maxPeerEvents };
                     return m_peers.timeline(address, question, timelineTimeout);
@@ -119,7 +119,7 @@
         auto answer = m_hooks.callTask(taskCall("DELETE", task));
         auto body = nlohmann::json::parse(answer.body, nullptr, false);
         if (answer.status < 400)
-            return fmt::format("task {} is {}", task.value(),
+            return fmt::format("the cancellation is stored; task {} is {}", task.value(),
                 body.is_object() ? body.value("state", "cancelled") : "cancelled");
         auto detail = body.is_object() ? body.value("detail", answer.body) : answer.body;
         return tl::unexpected(Failure { answer.outcome, Reason::TargetFailed, detail });
--- a/src/daemon/work_edges.cpp
+++ b/src/daemon/work_edges.cpp
@@ -1,5 +1,6 @@
 #include "daemon/work_edges.h"
 
+#include "operate/config_change.h"
 #include "operate/work_facts.h"
 
 #include <fmt/format.h>
@@ -89,9 +90,42 @@
     }
     while (auto request = m_requests.tryPop())
         (*request)();
+    applyConfiguration();
     m_duty.step();
 }
 
+// Adds the worker to those barred for a reason, or takes it out; any reason bars it.
+void WorkService::bar(std::set<VmId>& reason, const VmId& worker, bool holds)
+{
+    bool hasChanged = holds ? reason.insert(worker).second : reason.erase(worker) > 0;
+    if (!hasChanged)
+        return;
+    bool isBarred = m_quarantined.contains(worker) || m_outOfService.contains(worker);
+    m_duty.setMaintenance(worker, isBarred ? std::optional(m_clock.now()) : std::nullopt);
+}
+
+void WorkService::applyConfiguration()
+{
+    if (m_distribution.version() == m_appliedVersion)
+        return;
+    const std::string quarantinePrefix = operate::quarantinePrefix;
+    auto changes = m_distribution.changesSince(m_appliedVersion);
+    m_appliedVersion = changes.tableVersion;
+    for (const auto& row : changes.rows) {
+        if (row.key.starts_with(quarantinePrefix)) {
+            bar(m_quarantined, VmId(row.key.substr(quarantinePrefix.size())), !row.deleted);
+        } else if (row.key.starts_with(keys::vmPrefix)) {
+            auto vm = decode<VmRecord>(row.value);
+            if (vm || row.deleted)
+                bar(m_outOfService, VmId(row.key.substr(std::string_view(keys::vmPrefix).size())),
+                    row.deleted || vm->state != VmState::Serving);
+        } else if (row.key.starts_with(keys::teamPrefix) && !row.deleted) {
+            if (auto team = decode<TeamConfig>(row.value))
+                m_duty.setQuota(*team);
+        }
+    }
+}
+
 ProcessId WorkService::owner() const
 {
     std::lock_guard lock(m_mutex);
--- a/src/daemon/work_edges.h
+++ b/src/daemon/work_edges.h
@@ -8,6 +8,7 @@
 #include "work/work_duty.h"
 
 #include <functional>
+#include <set>
 
 namespace fulmar {
 
@@ -51,6 +52,9 @@
 
     [[nodiscard]] Result<work::TaskRecord> callHere(const TaskCall&);
     void begin(const TaskCall&, work::TaskReply);
+    // Hands changed quotas, and workers that may get no new tasks, to the duty.
+    void applyConfiguration();
+    void bar(std::set<VmId>& reason, const VmId&, bool holds);
     // Answers a call with method LIST, for operators: workers and tasks as JSON.
     [[nodiscard]] std::optional<TaskAnswer> listHere();
     [[nodiscard]] ProcessId owner() const;
@@ -64,6 +68,11 @@
     BoundedRing<std::function<void()>> m_requests;
     mutable std::mutex m_mutex;
     ProcessId m_owner;
+    // Version of the configuration that the duty works by.
+    Version m_appliedVersion { 0 };
+    // Workers in operators' quarantine, and those whose row says that they do not serve.
+    std::set<VmId> m_quarantined;
+    std::set<VmId> m_outOfService;
 };
 
 } // namespace fulmar
--- a/src/operate/answer.cpp
+++ b/src/operate/answer.cpp
@@ -12,6 +12,9 @@
 
 using Json = nlohmann::json;
 
+// What was never set counts as the beginning of time; nothing in a fleet is older than this.
+constexpr std::chrono::milliseconds never = std::chrono::hours(24 * 10'000);
+
 constexpr std::array statuses { AnswerStatus::Ok, AnswerStatus::BadStatement, AnswerStatus::Conflict,
     AnswerStatus::Waiting, AnswerStatus::Unavailable, AnswerStatus::Unknown };
 constexpr std::array fieldTypes { FieldType::Text, FieldType::Number, FieldType::Age };
@@ -188,6 +191,8 @@
         text += answer.message + '\n';
     if (answer.version == 0)
         return text;
+    if (answer.columns.empty())
+        return text + fmt::format("(version {})\n", answer.version);
     text += fmt::format(
         "({} rows, version {}, {} old", answer.rows.size(), answer.version, formatAge(answer.age));
     if (!answer.missingZones.empty()) {
@@ -207,6 +212,8 @@
         return "-" + formatAge(-std::max(age, -milliseconds::max()));
     if (age < seconds(1))
         return fmt::format("{}ms", age.count());
+    if (age > never)
+        return "never";
     auto whole = floor<seconds>(age);
     if (whole < minutes(1))
         return fmt::format("{}s", whole.count());
--- a/src/operate/answer.h
+++ b/src/operate/answer.h
@@ -64,7 +64,7 @@
 // Aligned columns, then the message and one line on age, version and missing zones.
 [[nodiscard]] std::string formatForPeople(const Answer&);
 
-// "850ms", "12s", "4m12s", "3h05m", "2d04h".
+// "850ms", "12s", "4m12s", "3h05m", "2d04h"; "never" for what was never set.
 [[nodiscard]] std::string formatAge(std::chrono::milliseconds);
 
 // An answer that consists of a status and a sentence.
--- a/src/operate/command_decision.cpp
+++ b/src/operate/command_decision.cpp
@@ -68,10 +68,18 @@
         toString(row.state), row.detail.empty() ? "" : ": ", row.detail);
 }
 
+// Whether the recorded command is this one. The reason may differ: the fleet's rows do not keep it.
+bool isSameCommand(const CommandRow& recorded, const CommandBody& body)
+{
+    auto statement = parseStatement(recorded.statement);
+    const auto* command = statement ? std::get_if<Command>(&*statement) : nullptr;
+    return command && command->body == body;
+}
+
 // The answer to a command that is recorded already; sending it again changes nothing.
-Answer answerRecorded(const CommandRow& recorded, const std::string& statement)
+Answer answerRecorded(const CommandRow& recorded, const CommandBody& body)
 {
-    if (recorded.statement != statement)
+    if (!isSameCommand(recorded, body))
         return sentence(AnswerStatus::Conflict,
             "this id was used for another " + describe(recorded) + "; nothing was done");
     auto text = "recorded before: " + describe(recorded);
@@ -152,7 +160,7 @@
     CommandRow row { origin.id, toText(Command { command.body, false, command.because }), origin.who,
         origin.basedOn.value_or(0), fleet::CommandState::Pending, {}, now };
     if (rows.recorded)
-        return answerRecorded(*rows.recorded, row.statement);
+        return answerRecorded(*rows.recorded, command.body);
     if (std::holds_alternative<CancelCommand>(command.body)) {
         auto value = cancelled(origin, rows.guard, now);
         if (!value)
--- a/src/operate/tests/operator_service_test.cpp
+++ b/src/operate/tests/operator_service_test.cpp
@@ -103,6 +103,8 @@
     auto again = fleet.order(platform, "drain vm v1", "c1", "alice");
     BOOST_CHECK(again.status == AnswerStatus::Waiting);
     BOOST_TEST(again.message.starts_with("recorded before"));
+    auto withReason = fleet.order(platform, "drain vm v1 because \"disk\"", "c1", "alice");
+    BOOST_TEST(withReason.message.starts_with("recorded before"));
     BOOST_TEST(fleet.table.version() == version);
     BOOST_CHECK(fleet.order(platform, "drain vm v2", "c1", "alice").status == AnswerStatus::Conflict);
 }
--- a/src/operate/why.cpp
+++ b/src/operate/why.cpp
@@ -67,9 +67,11 @@
 private:
     void line(std::string fact, std::optional<WallTime> since, std::string source)
     {
-        auto ago = since ? m_now - *since : m_view.age;
-        m_answer.rows.push_back({ std::move(fact), std::chrono::duration_cast<std::chrono::milliseconds>(ago),
-            std::move(source) });
+        auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(since ? m_now - *since : m_view.age);
+        std::vector<Cell> row { std::move(fact), ago, std::move(source) };
+        // Several causes can lead to the same fact.
+        if (std::find(m_answer.rows.begin(), m_answer.rows.end(), row) == m_answer.rows.end())
+            m_answer.rows.push_back(std::move(row));
     }
 
     void addVm(const VmId& vm)
@@ -188,9 +190,9 @@
         for (const auto& fact : m_view.moves) {
             if (fact.move != move)
                 continue;
-            line(fmt::format("move {} of vm {} from {} to {} is {}{}", move.value(), fact.vm.value(),
-                     fact.from.value(), fact.to.value(), fact.state,
-                     fact.reason.empty() ? "" : ": " + fact.reason),
+            auto destination = fact.to.empty() ? std::string() : " to pool " + fact.to.value();
+            line(fmt::format("vm {} of pool {}{}: {}{} (operation {})", fact.vm.value(), fact.from.value(),
+                     destination, fact.state, fact.reason.empty() ? "" : ", by " + fact.reason, move.value()),
                 fact.since, "fleet duty");
             addCause(fact.reason);
         }
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -119,7 +119,8 @@
     std::vector<Remembered> all;
     all.reserve(m_members.size());
     for (const auto& [id, member] : m_members)
-        all.push_back({ member.info, now - member.lastHeard, isLive(member, now) });
+        all.push_back(
+            { member.info, now - member.lastHeard, now - member.lastContact <= m_settings.remoteLiveFor });
     return all;
 }
 
--- a/src/peer/membership.h
+++ b/src/peer/membership.h
@@ -52,11 +52,12 @@
 
     [[nodiscard]] std::optional<PeerInfo> find(const ProcessId&) const;
 
-    // A process that this one remembers, and how long ago it was heard of.
+    // A process that this one remembers, how long ago it was heard of, and whether it was itself in contact
+    // within the time after which a process counts as gone.
     struct Remembered {
         PeerInfo peer;
         Duration heardAgo {};
-        bool isLive { false };
+        bool isReached { false };
     };
     [[nodiscard]] std::vector<Remembered> remembered(TimePoint now) const;
 
