--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -610,19 +610,19 @@
     return answer;
 }
 
+// A timer that would fire earlier is left as it is: a needless tick costs less than setting the timer with
+// every call.
 void Entry::scheduleTick()
 {
     auto wake = m_dispatcher.nextWake();
-    if (!wake) {
-        m_tickTimer.cancel();
-        return;
-    }
-    if (m_tickTimer.expiry() == *wake)
+    if (!wake || *wake >= m_tickDue)
         return;
+    m_tickDue = *wake;
     m_tickTimer.expires_at(*wake);
     m_tickTimer.async_wait([this](const asio::error_code& error) {
         if (error)
             return;
+        m_tickDue = TimePoint::max();
         perform(m_dispatcher.onTick(m_clock.now()));
         scheduleTick();
     });
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -125,6 +125,7 @@
     // Version of the configuration that the dispatcher routes by.
     Version m_appliedVersion { 0 };
     TimePoint m_configDue { TimePoint::max() };
+    TimePoint m_tickDue { TimePoint::max() };
 
     bool m_isStopping { false };
     TimePoint m_stopBegan {};
--- a/src/daemon/target_client.cpp
+++ b/src/daemon/target_client.cpp
@@ -383,19 +383,38 @@
     static int onTimer(CURLM*, long timeoutMs, void* user)
     {
         auto& self = *static_cast<Machinery*>(user);
-        self.m_timer.cancel();
-        if (timeoutMs < 0)
-            return 0;
-        if (timeoutMs == 0) {
+        self.m_due = asio::steady_timer::time_point::max();
+        if (timeoutMs == 0)
             self.actSoon();
-            return 0;
-        }
-        self.m_timer.expires_after(std::chrono::milliseconds(timeoutMs));
-        self.m_timer.async_wait([&self](const asio::error_code& error) {
+        else if (timeoutMs > 0)
+            self.waitUntil(asio::steady_timer::clock_type::now() + std::chrono::milliseconds(timeoutMs));
+        return 0;
+    }
+
+    // libcurl moves its next timeout with every transfer. A timer that would fire earlier is left as it is,
+    // because setting one anew costs more than a needless wake-up.
+    void waitUntil(asio::steady_timer::time_point due)
+    {
+        m_due = due;
+        if (due >= m_timerSetFor)
+            return;
+        m_timerSetFor = due;
+        m_timer.expires_at(due);
+        m_timer.async_wait([this](const asio::error_code& error) {
             if (!error)
-                self.act(CURL_SOCKET_TIMEOUT, 0);
+                onTimerFired();
         });
-        return 0;
+    }
+
+    void onTimerFired()
+    {
+        m_timerSetFor = asio::steady_timer::time_point::max();
+        if (asio::steady_timer::clock_type::now() >= m_due) {
+            m_due = asio::steady_timer::time_point::max();
+            act(CURL_SOCKET_TIMEOUT, 0);
+        } else if (m_due != asio::steady_timer::time_point::max()) {
+            waitUntil(m_due);
+        }
     }
 
     // Waits on the socket for whatever libcurl wants of it. The shared pointer outlives a close during the
@@ -477,6 +496,9 @@
     std::unordered_map<AttemptId, std::unique_ptr<Attempt>> m_attempts;
     std::vector<CURL*> m_idle;
     bool m_willAct { false };
+    // When libcurl wants to be called, and when the timer fires.
+    asio::steady_timer::time_point m_due { asio::steady_timer::time_point::max() };
+    asio::steady_timer::time_point m_timerSetFor { asio::steady_timer::time_point::max() };
     // Tells posted work whether this object still lives.
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
