Slots: those of an entry VM that is long silent are used by the zone's others

A dead entry VM took its part of the zone's slots with it until its row was deleted. Silence of another zone changes nothing, since it may be a cut.

--- a/src/bench/serve_bench.cpp
+++ b/src/bench/serve_bench.cpp
@@ -47,7 +47,10 @@
     [[nodiscard]] std::optional<TimePoint> nextWake() const { return m_dispatcher.nextWake(); }
     [[nodiscard]] serve::PeerLoad loadFor(const ProcessId& peer, TimePoint now)
     {
-        return lending == Lending::On ? m_dispatcher.loadFor(peer, now) : serve::PeerLoad {};
+        auto load = m_dispatcher.loadFor(peer, now);
+        if (lending == Lending::Off)
+            load.wanted.clear();
+        return load;
     }
     [[nodiscard]] serve::Actions onPeerLoad(const ProcessId& peer, const serve::PeerLoad& load, TimePoint now)
     {
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -71,8 +71,8 @@
 
 Actions Dispatcher::setEntries(const std::vector<EntryVm>& entries, TimePoint now)
 {
-    m_state->m_targets.setEntries(entries, now);
-    m_state->m_exchange.keepOnly(entries);
+    m_state->m_exchange.setRegistered(entries, now);
+    m_state->m_targets.setEntries(m_state->m_exchange.sharers(now), now);
     m_state->pump(now);
     return m_state->takeActions();
 }
@@ -83,15 +83,12 @@
 
 Actions Dispatcher::onPeerLoad(const ProcessId& peer, const PeerLoad& load, TimePoint now)
 {
-    m_state->m_exchange.onPeerLoad(peer, load, now);
+    m_state->onPeerLoad(peer, load, now);
     m_state->pump(now);
     return m_state->takeActions();
 }
 
-PeerLoad Dispatcher::loadFor(const ProcessId& peer, TimePoint now)
-{
-    return m_state->m_exchange.loadFor(peer, m_state->wanted(), now);
-}
+PeerLoad Dispatcher::loadFor(const ProcessId& peer, TimePoint now) { return m_state->loadFor(peer, now); }
 
 std::map<VmId, std::uint32_t> Dispatcher::inFlight() const { return m_state->m_targets.inFlight(); }
 
--- a/src/serve/dispatcher_state.cpp
+++ b/src/serve/dispatcher_state.cpp
@@ -345,6 +345,20 @@
         m_services.erase(position);
 }
 
+void Dispatcher::State::onPeerLoad(const ProcessId& peer, const PeerLoad& load, TimePoint now)
+{
+    m_exchange.onPeerLoad(peer, load, now);
+    m_targets.setEntries(m_exchange.sharers(now), now);
+}
+
+PeerLoad Dispatcher::State::loadFor(const ProcessId& peer, TimePoint now)
+{
+    if (m_exchange.wasPaused(now))
+        m_targets.resettle(now);
+    m_targets.setEntries(m_exchange.sharers(now), now);
+    return m_exchange.loadFor(peer, wanted(), now);
+}
+
 std::optional<TimePoint> Dispatcher::State::nextWake() const
 {
     std::optional<TimePoint> wake;
--- a/src/serve/dispatcher_state.h
+++ b/src/serve/dispatcher_state.h
@@ -90,6 +90,9 @@
     void onTick(TimePoint now);
     void applyDirectory(const DirectoryChange&, TimePoint now);
 
+    void onPeerLoad(const ProcessId&, const PeerLoad&, TimePoint now);
+    [[nodiscard]] PeerLoad loadFor(const ProcessId&, TimePoint now);
+
     // Starts waiting calls for as long as there are free slots.
     void pump(TimePoint now);
 
--- a/src/serve/slot_exchange.cpp
+++ b/src/serve/slot_exchange.cpp
@@ -9,6 +9,10 @@
 constexpr Duration loanTime = std::chrono::milliseconds(300);
 // A peer heard longer ago than this is not lent to.
 constexpr Duration peerFresh = std::chrono::milliseconds(500);
+// The slots of an entry VM that has been silent for so long go to the zone's others. It gives them up itself
+// when it finds that it was paused for less.
+constexpr Duration longSilence = std::chrono::seconds(10);
+constexpr Duration longPause = std::chrono::seconds(5);
 // Share of its slots that a lender keeps idle for its own next calls.
 constexpr double reserveShare = 0.1;
 
@@ -141,12 +145,38 @@
         [&](const EntryVm& entry) { return entry.process == process && entry.zone == m_self.zone; });
 }
 
-void SlotExchange::keepOnly(const std::vector<EntryVm>& entries)
+void SlotExchange::setRegistered(const std::vector<EntryVm>& entries, TimePoint now)
 {
-    std::erase_if(m_peers, [&entries](const auto& peer) {
-        return std::none_of(entries.begin(), entries.end(),
-            [&](const EntryVm& entry) { return entry.process == peer.first; });
+    auto isRegistered = [&entries](const ProcessId& process) {
+        return std::any_of(entries.begin(), entries.end(),
+            [&process](const EntryVm& entry) { return entry.process == process; });
+    };
+    m_registered = entries;
+    std::erase_if(m_peers, [&](const auto& peer) { return !isRegistered(peer.first); });
+    std::erase_if(m_registeredSince, [&](const auto& known) { return !isRegistered(known.first); });
+    for (const auto& entry : entries)
+        m_registeredSince.try_emplace(entry.process, now);
+}
+
+std::vector<EntryVm> SlotExchange::sharers(TimePoint now) const
+{
+    auto entries = m_registered;
+    std::erase_if(entries, [&](const EntryVm& entry) {
+        if (entry == m_self || entry.zone != m_self.zone)
+            return false;
+        auto heard = m_registeredSince.at(entry.process);
+        if (auto peer = m_peers.find(entry.process); peer != m_peers.end())
+            heard = std::max(heard, peer->second.heard);
+        return heard + longSilence <= now;
     });
+    return entries;
+}
+
+bool SlotExchange::wasPaused(TimePoint now)
+{
+    bool paused = m_lastRound && *m_lastRound + longPause <= now;
+    m_lastRound = now;
+    return paused;
 }
 
 } // namespace fulmar::serve
--- a/src/serve/slot_exchange.h
+++ b/src/serve/slot_exchange.h
@@ -18,8 +18,16 @@
     [[nodiscard]] PeerLoad loadFor(
         const ProcessId& peer, const std::map<ServiceId, std::uint32_t>& waiting, TimePoint now);
 
-    // Forgets peers that are no longer registered.
-    void keepOnly(const std::vector<EntryVm>&);
+    // All entry VMs that are registered. Peers that no longer are get forgotten.
+    void setRegistered(const std::vector<EntryVm>&, TimePoint now);
+    // The entry VMs that share the slots: all that are registered, but for those of our own zone that have
+    // not been heard for long. Silence of another zone may be a cut, behind which its entry VMs use their
+    // slots.
+    [[nodiscard]] std::vector<EntryVm> sharers(TimePoint now) const;
+
+    // Whether this process has been paused for so long that the zone's others may have taken its slots. To be
+    // asked before each round of messages.
+    [[nodiscard]] bool wasPaused(TimePoint now);
 
 private:
     struct Peer {
@@ -42,6 +50,9 @@
     std::uint64_t m_incarnation;
     Targets& m_targets;
     std::map<ProcessId, Peer> m_peers;
+    std::vector<EntryVm> m_registered;
+    std::map<ProcessId, TimePoint> m_registeredSince;
+    std::optional<TimePoint> m_lastRound;
 };
 
 } // namespace fulmar::serve
--- a/src/serve/targets.cpp
+++ b/src/serve/targets.cpp
@@ -104,6 +104,15 @@
         deal(state, now);
 }
 
+void Targets::resettle(TimePoint now)
+{
+    m_settled = now + settleTime;
+    for (auto& [vm, state] : m_states) {
+        state.slots.setShare(0, now, now);
+        deal(state, now);
+    }
+}
+
 // Gives the target's slots to the entry VMs of its zone; to all of them where the zone has none.
 void Targets::deal(TargetState& state, TimePoint now)
 {
--- a/src/serve/targets.h
+++ b/src/serve/targets.h
@@ -47,6 +47,9 @@
     void removeService(const ServiceId&);
     void setEntries(std::vector<EntryVm>, TimePoint now);
 
+    // Gives up all slots, and counts on those that are ours again only when all entry VMs must have noticed.
+    void resettle(TimePoint now);
+
     void setLeaving(const VmId&, TimePoint now);
     void setListed(const VmId&, bool leaving);
     void setLeavingByPeer(const LeavingMark&, TimePoint now);
--- a/src/serve/tests/slots_test.cpp
+++ b/src/serve/tests/slots_test.cpp
@@ -1,5 +1,6 @@
 #include "serve/dispatcher.h"
 #include "serve/slot_account.h"
+#include "serve/slot_exchange.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
@@ -188,6 +189,57 @@
     BOOST_TEST(isNoticed(Fault::SharesOverlap));
 }
 
+// Two entry VMs of one zone share a target; one is paused for a while.
+BOOST_AUTO_TEST_CASE(SlotsOfASilentEntryVmAreUsedByTheZonesOthers)
+{
+    std::vector<EntryVm> entries { { ProcessId("e0"), ZoneId("a") }, { ProcessId("e1"), ZoneId("a") } };
+    ServiceEntry service;
+    service.config.service = ServiceId("s");
+    service.targets.push_back({ VmId("v"), "127.0.0.1:1", ZoneId("a"), RackId("r"), true, 1 });
+    std::vector<std::unique_ptr<Targets>> targets;
+    std::vector<std::unique_ptr<SlotExchange>> exchanges;
+    TimePoint now { 1000s };
+    for (const auto& entry : entries) {
+        targets.push_back(std::make_unique<Targets>(entry, 1));
+        exchanges.push_back(std::make_unique<SlotExchange>(entry, 1, *targets.back()));
+        exchanges.back()->setRegistered(entries, now);
+        targets.back()->setEntries(exchanges.back()->sharers(now), now);
+        targets.back()->setService(service, now);
+    }
+    auto round = [&](std::size_t from, bool isHeard) {
+        if (exchanges[from]->wasPaused(now))
+            targets[from]->resettle(now);
+        auto load = exchanges[from]->loadFor(entries[1 - from].process, {}, now);
+        if (isHeard)
+            exchanges[1 - from]->onPeerLoad(entries[from].process, load, now);
+        for (std::size_t i = 0; i < 2; ++i)
+            if (i == from || isHeard)
+                targets[i]->setEntries(exchanges[i]->sharers(now), now);
+    };
+    auto limits = [&] {
+        return std::pair { targets[0]->slotLimit(ServiceId("s"), now),
+            targets[1]->slotLimit(ServiceId("s"), now) };
+    };
+    for (int i = 0; i < 30; ++i, now += 100ms) {
+        round(0, true);
+        round(1, true);
+    }
+    BOOST_TEST((limits() == std::pair { slots / 2, slots / 2 }));
+    // The second is paused: nobody hears it, and it does not look at its clock.
+    for (int i = 0; i < 130; ++i, now += 100ms)
+        round(0, false);
+    BOOST_TEST(limits().first == slots);
+    // It comes back, gives up its slots first, and has them again when the other must have noticed.
+    round(1, true);
+    BOOST_TEST((limits() == std::pair { slots / 2, 0U }));
+    for (int i = 0; i < 30; ++i, now += 100ms) {
+        round(0, true);
+        round(1, true);
+        BOOST_TEST(limits().first + limits().second <= slots);
+    }
+    BOOST_TEST((limits() == std::pair { slots / 2, slots / 2 }));
+}
+
 RC_BOOST_PROP(SlotsAreDealtOnceAndEvenly, ())
 {
     auto count = *rc::gen::inRange<std::size_t>(1, 12);
