--- a/src/work/task_book.cpp
+++ b/src/work/task_book.cpp
@@ -126,7 +126,8 @@
     task.step = StartStep::Unstored;
     task.startedAt = moment.now;
     task.checkpointAt = moment.now;
-    markRow(task, RowUrgency::Now);
+    task.checkpointStoredAt = moment.now;
+    markRow(task, task.record.spec.urgent ? RowUrgency::First : RowUrgency::Now);
 }
 
 void TaskBook::confirm(Task& task, Moment moment)
@@ -136,7 +137,6 @@
     task.step = StartStep::Confirmed;
     task.record.state = TaskState::Running;
     task.record.changed = moment.wallNow;
-    markRow(task, RowUrgency::Later);
     note("task-running", task, "");
 }
 
