Long work: take quotas and withdrawn VMs from configuration rows

The platform's list of leaving VMs lags; a VM's row tells at once that it gets no new work. The duty takes team and VM rows as they change, so that the daemon needs to know neither.

--- a/src/work/placement.cpp
+++ b/src/work/placement.cpp
@@ -58,7 +58,7 @@
 
 bool accepts(const Worker& worker, const PlacementRequest& request)
 {
-    return worker.live && !worker.leaving
+    return worker.live && !worker.leaving && !worker.withdrawn
         && (!worker.maintenanceAt || request.expectedEnd <= *worker.maintenanceAt)
         && (!request.avoid || !request.avoid->contains(worker.id));
 }
--- a/src/work/queue_filler.cpp
+++ b/src/work/queue_filler.cpp
@@ -51,7 +51,7 @@
 {
     PoolRound round { m_book.fleet().workersOf(pool), {}, {}, {}, 0, 0 };
     for (const auto* worker : round.workers) {
-        if (worker->live && !worker->leaving)
+        if (worker->live && !worker->leaving && !worker->withdrawn)
             round.capacity += worker->capacity;
         auto most = usable(*worker, m_book.settings().fill);
         round.largest.processors = std::max(round.largest.processors, most.processors);
--- a/src/work/scheduler.cpp
+++ b/src/work/scheduler.cpp
@@ -101,6 +101,12 @@
     return task->record;
 }
 
+void Scheduler::setWithdrawn(const VmId& id, bool withdrawn)
+{
+    if (auto* worker = m_book.fleet().find(id))
+        worker->withdrawn = withdrawn;
+}
+
 void Scheduler::setMaintenance(const VmId& id, std::optional<TimePoint> at)
 {
     if (auto* worker = m_book.fleet().find(id))
--- a/src/work/scheduler.h
+++ b/src/work/scheduler.h
@@ -42,6 +42,8 @@
     [[nodiscard]] bool isStored(const TaskId& id) const { return m_book.isStored(id); }
 
     void setQuota(const TeamConfig& quota) { m_book.shares().setQuota(quota); }
+    // A worker whose VM is not serving gets no tasks, whatever the platform's lagging list says.
+    void setWithdrawn(const VmId&, bool);
     // When the next maintenance step takes a worker; empty if none is planned.
     void setMaintenance(const VmId&, std::optional<TimePoint>);
 
--- a/src/work/tests/faults_test.cpp
+++ b/src/work/tests/faults_test.cpp
@@ -120,8 +120,14 @@
 
 BOOST_AUTO_TEST_CASE(NoTaskGoesToALeavingWorkerOrPastTheNextMaintenanceStep)
 {
-    Site site(2, declaredSizesOnly());
+    Site site(3, declaredSizesOnly());
     site.workers.machines[VmId("w0")].leaving = true;
+    VmRecord record;
+    record.vm = VmId("w2");
+    record.pool = PoolId("p");
+    record.zone = ZoneId("z0");
+    record.state = VmState::Leaving;
+    site.duty->onConfig({ keys::vmPrefix + std::string("w2"), encode(record), 1, {}, false });
     site.duty->setMaintenance(VmId("w1"), site.clock.now() + 300s);
     site.run(3s);
     auto tooLong = taskSpec("long");
--- a/src/work/work_duty.h
+++ b/src/work/work_duty.h
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace fulmar::work {
 
@@ -109,6 +110,28 @@
         m_cancels.emplace(request.task, std::move(request));
     }
 
+    // Takes a configuration row, new, changed or deleted: teams' quotas, and VMs that are not to get tasks.
+    // Other rows are ignored.
+    void onConfig(const Row& row)
+    {
+        if (row.key.starts_with(keys::teamPrefix)) {
+            if (auto team = decode<TeamConfig>(row.value); team && !row.deleted)
+                setQuota(*team);
+            else if (row.deleted)
+                setQuota({ TeamId(row.key.substr(std::string_view(keys::teamPrefix).size())), 0, 0, 0 });
+        } else if (row.key.starts_with(keys::vmPrefix)) {
+            VmId vm(row.key.substr(std::string_view(keys::vmPrefix).size()));
+            auto record = decode<VmRecord>(row.value);
+            auto isServing = row.deleted || !record || record->state == VmState::Serving;
+            if (isServing)
+                m_withdrawn.erase(vm);
+            else
+                m_withdrawn.insert(vm);
+            if (m_scheduler)
+                m_scheduler->setWithdrawn(vm, !isServing);
+        }
+    }
+
     void setQuota(const TeamConfig& team)
     {
         m_quotas[team.team] = team;
@@ -257,6 +280,8 @@
         if (!reports)
             return;
         m_scheduler->onReports(*reports, moment());
+        for (const auto& vm : m_withdrawn)
+            m_scheduler->setWithdrawn(vm, true);
         for (const auto& [worker, at] : m_maintenance)
             m_scheduler->setMaintenance(worker, at);
     }
@@ -386,6 +411,7 @@
     std::unordered_multimap<TaskId, CancelTask> m_cancels;
     std::unordered_map<TeamId, TeamConfig> m_quotas;
     std::unordered_map<VmId, std::optional<TimePoint>> m_maintenance;
+    std::unordered_set<VmId> m_withdrawn;
     TimePoint m_reportAt {};
     TimePoint m_tableRetryAt {};
 };
--- a/src/work/work_state.h
+++ b/src/work/work_state.h
@@ -100,6 +100,8 @@
     Resources used;
     bool live { true };
     bool leaving { false };
+    // Its VM's row says that it gets no new work.
+    bool withdrawn { false };
     // The next maintenance step takes the worker at this time.
     std::optional<TimePoint> maintenanceAt;
     TimePoint listedAt {};
