Long work: running tasks survive a long outage of the table

The owner's lease on the shard lapses when the table is out for long, and the owner then dropped the shard: with nobody renewing, every running task's lease lapsed 30 s later. It now suspends itself: it answers its callers, stores and starts nothing, but renews the running tasks' leases, which is safe whoever owns the shard. Holding the lease again it continues if the sequence row shows that nobody has written the shard, else it loads it anew.

--- a/src/work/row_writer.h
+++ b/src/work/row_writer.h
@@ -48,6 +48,9 @@
     // Another owner has written the shard since start().
     [[nodiscard]] bool displaced() const { return m_displaced; }
 
+    // Version of the sequence row after the last batch known to be stored.
+    [[nodiscard]] Version sequence() const { return m_sequence; }
+
     [[nodiscard]] const std::string& sequenceKey() const { return m_sequenceKey; }
 
 private:
--- a/src/work/scheduler.cpp
+++ b/src/work/scheduler.cpp
@@ -354,18 +354,27 @@
                     { "jobs", std::to_string(m_evidence.against(worker)) } });
 }
 
+void Scheduler::queueRenewals(TimePoint now)
+{
+    m_renewals.clear();
+    const auto& settings = m_book.settings();
+    for (const auto& [id, worker] : m_book.fleet().workers()) {
+        auto isGone = !worker.live || now > worker.listedAt + settings.missingAfter;
+        if (!isGone && !worker.tasks.empty() && now >= worker.renewedAt + settings.renewInterval)
+            m_renewals.push_back(id);
+    }
+}
+
 // Renewals that are due, and tasks whose lease has run out.
 void Scheduler::sweep(Moment moment)
 {
     m_sweptAt = moment.now;
-    m_renewals.clear();
+    queueRenewals(moment.now);
     const auto& settings = m_book.settings();
     for (auto& [id, worker] : m_book.fleet().workers()) {
         if (worker.tasks.empty())
             continue;
         auto isGone = !worker.live || moment.now > worker.listedAt + settings.missingAfter;
-        if (!isGone && moment.now >= worker.renewedAt + settings.renewInterval)
-            m_renewals.push_back(id);
         auto tasks = worker.tasks;
         for (auto* task : tasks)
             sweepTask(*task, isGone, moment);
--- a/src/work/scheduler.h
+++ b/src/work/scheduler.h
@@ -52,6 +52,10 @@
     void onRenewResult(const RenewAction&, const Result<void>&, TimePoint now);
     void onOrderResult(const OrderAction&, const Result<void>&, TimePoint now);
 
+    // Queues the renewals that are due; part of plan(), and all that an owner does whose lease on the shard
+    // has lapsed.
+    void queueRenewals(TimePoint now);
+
     // Decides what the time and the latest events call for.
     void plan(Moment);
 
--- a/src/work/tests/work_chaos_test.cpp
+++ b/src/work/tests/work_chaos_test.cpp
@@ -54,7 +54,7 @@
 
     void act()
     {
-        switch (pick(9)) {
+        switch (pick(10)) {
         case 0:
         case 1:
         case 2:
@@ -71,6 +71,9 @@
         case 6:
             m_site.platform.faultShare = m_site.workers.faultShare = pick(3) * 0.15;
             return;
+        case 8:
+            m_site.lease->isHeld = !m_site.lease->isHeld;
+            return;
         case 7:
             return m_site.workers.endAll(pick(2) == 0 ? TaskPhase::Finished : TaskPhase::Failed);
         default:
@@ -93,6 +96,7 @@
     void mend()
     {
         m_site.platform.available = true;
+        m_site.lease->isHeld = true;
         m_site.platform.faultShare = m_site.workers.faultShare = 0;
         for (auto& [id, worker] : m_site.workers.machines)
             worker.live = true;
--- a/src/work/tests/work_duty_test.cpp
+++ b/src/work/tests/work_duty_test.cpp
@@ -51,6 +51,27 @@
     BOOST_TEST((*accepted)->error().outcome == Outcome::NotRun);
 }
 
+// The table is out so long that the owner's own lease lapses; nobody else can take over either.
+BOOST_AUTO_TEST_CASE(RunningTasksSurviveALongOutageOfTheTable)
+{
+    Site site(2);
+    site.submit(taskSpec("t1"));
+    site.run(5s);
+    site.platform.available = false;
+    site.run(10s);
+    site.lease->isHeld = false;
+    site.run(300s);
+    auto refused = site.submit(taskSpec("t2"));
+    BOOST_TEST((*refused)->error().outcome == Outcome::NotRun);
+    site.platform.available = true;
+    site.lease->isHeld = true;
+    site.run(5s);
+    BOOST_TEST(site.stateOf("t1") == "running");
+    site.workers.finishAll();
+    site.run(5s);
+    BOOST_TEST(site.stateOf("t1") == "finished");
+}
+
 BOOST_AUTO_TEST_CASE(ANewOwnerKeepsRunningTasks)
 {
     Site site(2);
--- a/src/work/work_duty.h
+++ b/src/work/work_duty.h
@@ -155,11 +155,14 @@
     {
         auto now = m_clock.now();
         if (!m_lease.held(now)) {
-            release("the shard has changed hands");
+            suspend();
+            keepAlive();
             return;
         }
         if (!m_scheduler && !load())
             return;
+        if (m_suspended && !resume())
+            return;
         listWorkers();
         m_scheduler->plan(moment());
         store();
@@ -179,7 +182,7 @@
         std::vector<TaskRecord> submissions;
     };
 
-    [[nodiscard]] bool usable() const { return m_scheduler && m_lease.held(m_clock.now()); }
+    [[nodiscard]] bool usable() const { return m_scheduler && !m_suspended && m_lease.held(m_clock.now()); }
 
     [[nodiscard]] Moment moment() const { return { m_clock.now(), m_clock.wallNow() }; }
 
@@ -254,6 +257,61 @@
         return false;
     }
 
+    // The lease has lapsed, perhaps because the table is out. Nothing is started or stored until it is
+    // certain that nobody else has taken over; until then the running tasks are kept alive.
+    void suspend()
+    {
+        if (!m_scheduler || m_suspended)
+            return;
+        m_suspended = true;
+        m_events.record(m_clock.wallNow(), "work-shard-suspended", { { "shard", m_settings.shard } });
+        answerAll("the lease on the shard has lapsed");
+    }
+
+    // Renews the running tasks' leases. That is safe whoever owns the shard: it starts nothing.
+    void keepAlive()
+    {
+        if (!m_scheduler)
+            return;
+        listWorkers();
+        m_scheduler->queueRenewals(m_clock.now());
+        renewLeases(m_clock.now() + m_settings.callBudget);
+        if (m_clock.now() < m_tableRetryAt || !m_writer->idle())
+            return;
+        backOff();
+        if (auto sequence = m_platform.read(m_writer->sequenceKey(), 0); sequence && !isUnchanged(*sequence))
+            release("another process has written the shard");
+    }
+
+    [[nodiscard]] bool isUnchanged(const Changes& sequence) const
+    {
+        return versionOf(sequence, m_writer->sequenceKey()) == m_writer->sequence();
+    }
+
+    // The lease is held again. If the shard has not been written since, all that is known here still holds:
+    // another owner could have started nothing.
+    bool resume()
+    {
+        if (m_clock.now() < m_tableRetryAt)
+            return false;
+        if (!m_writer->idle()) {
+            commit(m_writer->again(m_lease.condition()));
+            if (!m_scheduler || !m_writer->idle())
+                return false;
+        } else {
+            auto sequence = m_platform.read(m_writer->sequenceKey(), 0);
+            if (!sequence)
+                return backOff();
+            if (!isUnchanged(*sequence)) {
+                release("another process has written the shard");
+                return false;
+            }
+        }
+        m_suspended = false;
+        m_events.record(m_clock.wallNow(), "work-shard-resumed", { { "shard", m_settings.shard } });
+        return true;
+    }
+
     void release(const std::string& cause)
     {
         if (!m_scheduler)
@@ -261,14 +319,21 @@
         recordEvents();
         m_events.record(
             m_clock.wallNow(), "work-shard-released", { { "shard", m_settings.shard }, { "cause", cause } });
+        answerAll(cause);
+        m_batch = {};
+        m_scheduler.reset();
+        m_writer.reset();
+        m_suspended = false;
+    }
+
+    // Answers all callers that wait, truthfully.
+    void answerAll(const std::string& cause)
+    {
         m_acceptance.abandon(cause);
         auto cancels = std::move(m_cancels);
         m_cancels.clear();
         for (auto& [id, request] : cancels)
             request.done(mayHaveRun(Reason::LeaseLost, "the cancellation may not be stored: " + cause));
-        m_batch = {};
-        m_scheduler.reset();
-        m_writer.reset();
     }
 
     void listWorkers()
@@ -369,7 +434,12 @@
                     *action, m_workers.startTask(action->worker, action->start), moment());
             else
                 break;
-        while (mayCall())
+        renewLeases(until);
+    }
+
+    void renewLeases(TimePoint until)
+    {
+        while (m_clock.now() < until)
             if (auto action = m_scheduler->takeRenewal(m_clock.now()))
                 m_scheduler->onRenewResult(*action,
                     m_workers.renewLeases(action->worker, action->tasks, m_settings.scheduler.lease),
@@ -406,6 +476,8 @@
     EventLog& m_events;
     std::unique_ptr<Scheduler> m_scheduler;
     std::unique_ptr<RowWriter> m_writer;
+    // The lease on the shard has lapsed and nobody is known to have taken over.
+    bool m_suspended { false };
     Acceptance m_acceptance;
     Batch m_batch;
     std::unordered_multimap<TaskId, CancelTask> m_cancels;
