--- a/src/work/work_duty.h
+++ b/src/work/work_duty.h
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace fulmar::work {
 
@@ -109,6 +110,28 @@
         m_cancels.emplace(request.task, std::move(request));
     }
 
+    // Takes a configuration row, new, changed or deleted: teams' quotas, and VMs that are not to get tasks.
+    // Other rows are ignored.
+    void onConfig(const Row& row)
+    {
+        if (row.key.starts_with(keys::teamPrefix)) {
+            if (auto team = decode<TeamConfig>(row.value); team && !row.deleted)
+                setQuota(*team);
+            else if (row.deleted)
+                setQuota({ TeamId(row.key.substr(std::string_view(keys::teamPrefix).size())), 0, 0, 0 });
+        } else if (row.key.starts_with(keys::vmPrefix)) {
+            VmId vm(row.key.substr(std::string_view(keys::vmPrefix).size()));
+            auto record = decode<VmRecord>(row.value);
+            auto isServing = row.deleted || !record || record->state == VmState::Serving;
+            if (isServing)
+                m_withdrawn.erase(vm);
+            else
+                m_withdrawn.insert(vm);
+            if (m_scheduler)
+                m_scheduler->setWithdrawn(vm, !isServing);
+        }
+    }
+
     void setQuota(const TeamConfig& team)
     {
         m_quotas[team.team] = team;
@@ -132,11 +155,14 @@
     {
         auto now = m_clock.now();
         if (!m_lease.held(now)) {
-            release("the shard has changed hands");
+            suspend();
+            keepAlive();
             return;
         }
         if (!m_scheduler && !load())
             return;
+        if (m_suspended && !resume())
+            return;
         listWorkers();
         m_scheduler->plan(moment());
         store();
@@ -156,7 +182,7 @@
         std::vector<TaskRecord> submissions;
     };
 
-    [[nodiscard]] bool usable() const { return m_scheduler && m_lease.held(m_clock.now()); }
+    [[nodiscard]] bool usable() const { return m_scheduler && !m_suspended && m_lease.held(m_clock.now()); }
 
     [[nodiscard]] Moment moment() const { return { m_clock.now(), m_clock.wallNow() }; }
 
@@ -231,6 +257,61 @@
         return false;
     }
 
+    // The lease has lapsed, perhaps because the table is out. Nothing is started or stored until it is
+    // certain that nobody else has taken over; until then the running tasks are kept alive.
+    void suspend()
+    {
+        if (!m_scheduler || m_suspended)
+            return;
+        m_suspended = true;
+        m_events.record(m_clock.wallNow(), "work-shard-suspended", { { "shard", m_settings.shard } });
+        answerAll("the lease on the shard has lapsed");
+    }
+
+    // Renews the running tasks' leases. That is safe whoever owns the shard: it starts nothing.
+    void keepAlive()
+    {
+        if (!m_scheduler)
+            return;
+        listWorkers();
+        m_scheduler->queueRenewals(m_clock.now());
+        renewLeases(m_clock.now() + m_settings.callBudget);
+        if (m_clock.now() < m_tableRetryAt || !m_writer->idle())
+            return;
+        backOff();
+        if (auto sequence = m_platform.read(m_writer->sequenceKey(), 0); sequence && !isUnchanged(*sequence))
+            release("another process has written the shard");
+    }
+
+    [[nodiscard]] bool isUnchanged(const Changes& sequence) const
+    {
+        return versionOf(sequence, m_writer->sequenceKey()) == m_writer->sequence();
+    }
+
+    // The lease is held again. If the shard has not been written since, all that is known here still holds:
+    // another owner could have started nothing.
+    bool resume()
+    {
+        if (m_clock.now() < m_tableRetryAt)
+            return false;
+        if (!m_writer->idle()) {
+            commit(m_writer->again(m_lease.condition()));
+            if (!m_scheduler || !m_writer->idle())
+                return false;
+        } else {
+            auto sequence = m_platform.read(m_writer->sequenceKey(), 0);
+            if (!sequence)
+                return backOff();
+            if (!isUnchanged(*sequence)) {
+                release("another process has written the shard");
+                return false;
+            }
+        }
+        m_suspended = false;
+        m_events.record(m_clock.wallNow(), "work-shard-resumed", { { "shard", m_settings.shard } });
+        return true;
+    }
+
     void release(const std::string& cause)
     {
         if (!m_scheduler)
@@ -238,14 +319,21 @@
         recordEvents();
         m_events.record(
             m_clock.wallNow(), "work-shard-released", { { "shard", m_settings.shard }, { "cause", cause } });
+        answerAll(cause);
+        m_batch = {};
+        m_scheduler.reset();
+        m_writer.reset();
+        m_suspended = false;
+    }
+
+    // Answers all callers that wait, truthfully.
+    void answerAll(const std::string& cause)
+    {
         m_acceptance.abandon(cause);
         auto cancels = std::move(m_cancels);
         m_cancels.clear();
         for (auto& [id, request] : cancels)
             request.done(mayHaveRun(Reason::LeaseLost, "the cancellation may not be stored: " + cause));
-        m_batch = {};
-        m_scheduler.reset();
-        m_writer.reset();
     }
 
     void listWorkers()
@@ -257,6 +345,8 @@
         if (!reports)
             return;
         m_scheduler->onReports(*reports, moment());
+        for (const auto& vm : m_withdrawn)
+            m_scheduler->setWithdrawn(vm, true);
         for (const auto& [worker, at] : m_maintenance)
             m_scheduler->setMaintenance(worker, at);
     }
@@ -344,7 +434,12 @@
                     *action, m_workers.startTask(action->worker, action->start), moment());
             else
                 break;
-        while (mayCall())
+        renewLeases(until);
+    }
+
+    void renewLeases(TimePoint until)
+    {
+        while (m_clock.now() < until)
             if (auto action = m_scheduler->takeRenewal(m_clock.now()))
                 m_scheduler->onRenewResult(*action,
                     m_workers.renewLeases(action->worker, action->tasks, m_settings.scheduler.lease),
@@ -381,11 +476,14 @@
     EventLog& m_events;
     std::unique_ptr<Scheduler> m_scheduler;
     std::unique_ptr<RowWriter> m_writer;
+    // The lease on the shard has lapsed and nobody is known to have taken over.
+    bool m_suspended { false };
     Acceptance m_acceptance;
     Batch m_batch;
     std::unordered_multimap<TaskId, CancelTask> m_cancels;
     std::unordered_map<TeamId, TeamConfig> m_quotas;
     std::unordered_map<VmId, std::optional<TimePoint>> m_maintenance;
+    std::unordered_set<VmId> m_withdrawn;
     TimePoint m_reportAt {};
     TimePoint m_tableRetryAt {};
 };
