--- a/src/programs/fulmar_bench.cpp
+++ b/src/programs/fulmar_bench.cpp
@@ -1,4 +1,6 @@
+#include "bench/serve_bench.h"
 #include "bench/slopes.h"
+#include "bench/work_bench.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -20,6 +22,8 @@
 };
 
 constexpr Part parts[] = {
+    { "serve", "callers' requests, naive and present decisions", bench::runServeBench },
+    { "work", "long work, naive and present schedulers", bench::runWorkBench },
     { "slopes", "costs by fleet size, for docs/CAPACITY.md", bench::runSlopes },
 };
 
