--- a/standins/process_zones.cpp
+++ b/standins/process_zones.cpp
@@ -79,7 +79,7 @@
 
 void ProcessZones::add(int pid, std::string zone) { m_zones[pid] = std::move(zone); }
 
-std::string ProcessZones::zoneOf(const tcp::endpoint& caller, const tcp::endpoint& called)
+ZoneProcess ProcessZones::callerOf(const tcp::endpoint& caller, const tcp::endpoint& called)
 {
     const auto inode = inodeOf(caller, called);
     if (inode == 0)
@@ -87,7 +87,7 @@
     if (!m_sockets.contains(inode))
         scanProcesses();
     auto position = m_sockets.find(inode);
-    return position == m_sockets.end() ? std::string() : position->second;
+    return position == m_sockets.end() ? ZoneProcess() : position->second;
 }
 
 void ProcessZones::scanProcesses()
@@ -100,7 +100,7 @@
             std::error_code ignored;
             const auto link = std::filesystem::read_symlink(entry.path(), ignored);
             if (auto inode = inodeInLink(link.string()))
-                m_sockets[inode] = zone;
+                m_sockets[inode] = { pid, zone };
         }
     }
 }
--- a/standins/programs/standin_relay.cpp
+++ b/standins/programs/standin_relay.cpp
@@ -28,15 +28,34 @@
             throw std::invalid_argument("not zone=listen=to: " + text);
         const auto zone = text.substr(0, first);
         m_relays.emplace_back(m_context, text.substr(first + 1, second - first - 1), text.substr(second + 1),
-            Relay::Rules { [this, zone](const Endpoint& caller, const Endpoint& called) {
-                return m_cut.empty() || admits(m_processes.zoneOf(caller, called), zone);
-            } });
+            Relay::Rules {
+                [this, zone](const Endpoint& caller, const Endpoint& called) {
+                    return m_cut.empty() || admits(m_processes.callerOf(caller, called).zone, zone);
+                },
+                [this, to = text.substr(second + 1)](const Endpoint& caller, const Endpoint& called) {
+                    auto& count = m_bytes[{ m_processes.callerOf(caller, called).pid, to }];
+                    if (!count)
+                        count = std::make_shared<std::uint64_t>(0);
+                    return count;
+                },
+            });
         fmt::print("relay={} listening=127.0.0.1:{}\n", zone, m_relays.back().port());
     }
 
+    // GET /bytes: a line "pid=N to=host:port bytes=N" for each caller and destination.
+    [[nodiscard]] HttpReply listBytes() const
+    {
+        HttpReply reply;
+        for (const auto& [link, count] : m_bytes)
+            reply.body += fmt::format("pid={} to={} bytes={}\n", link.first, link.second, *count);
+        return reply;
+    }
+
     // POST /process?pid=N&zone=Z, POST /cut?zone=Z, POST /restore?zone=Z.
     HttpReply control(const HttpRequest& request)
     {
+        if (request.path == "/bytes")
+            return listBytes();
         const auto& zone = request.query.at("zone");
         if (request.path == "/process")
             m_processes.add(std::stoi(request.query.at("pid")), zone);
@@ -60,6 +79,7 @@
     asio::io_context& m_context;
     ProcessZones m_processes;
     std::set<std::string> m_cut;
+    std::map<std::pair<int, std::string>, ByteCount> m_bytes;
     std::vector<Relay> m_relays;
 };
 
--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -16,9 +16,10 @@
 // Two sockets and the bytes on their way between them. Kept alive by its own pending operations.
 class Pipe : public std::enable_shared_from_this<Pipe> {
 public:
-    Pipe(tcp::socket caller, asio::io_context& context)
+    Pipe(tcp::socket caller, asio::io_context& context, ByteCount bytes)
         : m_caller(std::move(caller))
         , m_server(context)
+        , m_bytes(std::move(bytes))
     {
     }
 
@@ -57,6 +58,7 @@
 
     void write(tcp::socket& from, tcp::socket& to, Buffer& buffer, std::size_t bytes)
     {
+        *m_bytes += bytes;
         asio::async_write(to, asio::buffer(buffer, bytes),
             [self = shared_from_this(), &from, &to, &buffer](const asio::error_code& error, std::size_t) {
                 if (error)
@@ -76,6 +78,7 @@
 
     tcp::socket m_caller;
     tcp::socket m_server;
+    ByteCount m_bytes;
     Buffer m_upstream {};
     Buffer m_downstream {};
 };
@@ -148,7 +151,7 @@
             return;
         caller.set_option(tcp::no_delay(true), error);
         std::erase_if(m_passing, [](const Passing& passing) { return passing.pipe.expired(); });
-        auto pipe = std::make_shared<Pipe>(std::move(caller), m_context);
+        auto pipe = std::make_shared<Pipe>(std::move(caller), m_context, m_rules.counter(remote, local));
         m_passing.push_back({ remote, local, pipe });
         pipe->start(m_to);
     }
