--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -5,6 +5,7 @@
 #include "daemon/distribution.h"
 #include "daemon/entry_settings.h"
 #include "daemon/inbox.h"
+#include "daemon/operator_edges.h"
 #include "daemon/peer_duty.h"
 #include "daemon/store_duty.h"
 #include "daemon/target_client.h"
@@ -16,6 +17,7 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -45,12 +47,18 @@
         std::string body;
         int attempts { 0 };
         bool isAnswered { false };
+        // The attempt whose answer is passed on piece by piece, and the bytes of it on their way to the
+        // caller.
+        std::optional<serve::AttemptId> streaming;
+        std::size_t unsentBytes { 0 };
         // The answer that a key's owner sent along.
         HttpAnswer ownerAnswer;
     };
 
     [[nodiscard]] Result<void> startDuties();
     PeerDutyHooks makePeerHooks();
+    OperatorEdgeHooks makeOperatorHooks();
+    void addTargets(operate::OperatorView&);
 
     void onCall(CallId, CallerRequest);
     bool answerOwnPath(CallId, const CallerRequest&);
@@ -70,8 +78,12 @@
     void perform(const serve::ForgetAnswer&);
     void perform(const serve::PassKeptAnswer&);
 
+    AnswerSink makeSink(serve::RequestId, serve::AttemptId);
+    bool appendPiece(serve::RequestId, serve::AttemptId, std::string piece);
+    void onPieceSent(serve::RequestId, serve::AttemptId, std::size_t bytes, bool wasSent);
     void onAttemptEnd(serve::RequestId, serve::AttemptId, const serve::AttemptEnd&, HttpAnswer);
     void answer(serve::RequestId, HttpAnswer);
+    void endStream(serve::RequestId, bool isWhole);
     void forgetIfDone(serve::RequestId);
 
     void applyConfig();
@@ -119,6 +131,7 @@
 
     std::unique_ptr<Store> m_store;
     std::unique_ptr<PeerDuty> m_peers;
+    std::unique_ptr<OperatorEdge> m_operators;
 };
 
 } // namespace fulmar
