--- a/standins/programs/standin_measure.cpp
+++ b/standins/programs/standin_measure.cpp
@@ -65,14 +65,15 @@
     }
 };
 
-// Calls one address again and again until the end; with a period, no faster than one call a period.
-Figures runUser(const MeasureOptions& options, const std::string& address, TimePoint end, Duration period)
+// Calls one address again and again from `begin` to the end; with a period, no faster than one call a period.
+Figures runUser(const MeasureOptions& options, const std::string& address, TimePoint begin, TimePoint end,
+    Duration period)
 {
     const SystemClock clock;
     Figures figures;
     HttpCaller caller;
     const CallerRequest request { "GET", address, options.path, {}, { { "X-Run-Ms", "0" } } };
-    for (auto due = clock.now(); clock.now() < end; due += period) {
+    for (auto due = begin; clock.now() < end; due += period) {
         std::this_thread::sleep_until(due);
         const auto reply = caller.call(request);
         if (reply.end == ExchangeEnd::Answered && reply.status == statusOk)
@@ -98,7 +99,9 @@
         for (std::size_t user = 0; user < byUser.size(); ++user)
             threads.emplace_back([&, user] {
                 const auto& address = phase.addresses[user % phase.addresses.size()];
-                byUser[user] = runUser(options, address, begin + options.roundTime, period);
+                // Users are spread over the period, so that they do not call all at once.
+                const auto offset = period * user / byUser.size();
+                byUser[user] = runUser(options, address, begin + offset, begin + options.roundTime, period);
             });
     }
     Figures figures;
