The target client's verdicts come from the tested judgement; the work duty hears of the configuration

The client judged transfers by rules of its own that the property over every cut did not cover. It now gathers facts and has them judged. The work duty is told of quotas, of VMs that are not serving and of workers that operators bar.

--- a/src/daemon/target_client.cpp
+++ b/src/daemon/target_client.cpp
@@ -1,5 +1,7 @@
 #include "daemon/target_client.h"
 
+#include "serve/attempt_verdict.h"
+
 #include <algorithm>
 #include <array>
 #include <asio/ip/tcp.hpp>
@@ -125,50 +127,72 @@
     return bytes;
 }
 
-// An answer whose end is marked only by the connection's end cannot be told from a truncated one.
-bool hasProvenEnd(const Attempt& attempt)
+serve::BodyFraming framingOf(const Attempt& attempt)
 {
     const auto& [status, headers, body] = attempt.answer;
-    bool hasNoBody = attempt.isHead || status == 204 || status == 304;
-    return hasNoBody || !findHeader(headers, "content-length").empty()
-        || equalsIgnoringCase(findHeader(headers, "transfer-encoding"), "chunked");
+    if (attempt.isHead || status == 204 || status == 304)
+        return serve::BodyFraming::None;
+    if (equalsIgnoringCase(findHeader(headers, "transfer-encoding"), "chunked"))
+        return serve::BodyFraming::Chunked;
+    return findHeader(headers, "content-length").empty() ? serve::BodyFraming::UntilClose
+                                                         : serve::BodyFraming::ContentLength;
 }
 
-AttemptEnd describeFailure(const Attempt& attempt, CURLcode code)
+serve::TransferStop stopOf(CURLcode code)
 {
-    if (attempt.sends == 0)
-        return { Outcome::NotRun, std::nullopt,
-            code == CURLE_OPERATION_TIMEDOUT ? Reason::DeadlineExceeded : Reason::TargetFailed, false };
     switch (code) {
+    case CURLE_OK:
+        return serve::TransferStop::Finished;
+    case CURLE_COULDNT_CONNECT:
+        return serve::TransferStop::ConnectFailed;
+    case CURLE_SEND_ERROR:
+        return serve::TransferStop::WriteFailed;
     case CURLE_OPERATION_TIMEDOUT:
-        return { Outcome::MayHaveRun, std::nullopt, Reason::DeadlineExceeded, false };
+        return serve::TransferStop::TimedOut;
+    case CURLE_GOT_NOTHING:
+    case CURLE_RECV_ERROR:
     case CURLE_PARTIAL_FILE:
-    case CURLE_WRITE_ERROR:
-        return { Outcome::MayHaveRun, std::nullopt, Reason::Truncated, false };
+    case CURLE_ABORTED_BY_CALLBACK:
+        return serve::TransferStop::Reset;
     default:
-        return { Outcome::MayHaveRun, std::nullopt, Reason::TargetFailed, false };
+        return serve::TransferStop::Malformed;
     }
 }
 
-AttemptEnd describeEnd(Attempt& attempt, CURLcode code)
+// What libcurl saw of a transfer. Once a connection was ready for it, bytes of the request may have left.
+serve::TransferFacts gatherFacts(Attempt& attempt, CURLcode code)
 {
-    if (code != CURLE_OK) {
-        auto end = describeFailure(attempt, code);
-        end.answerStarted = attempt.isStreaming;
-        return end;
-    }
     collectHead(attempt);
-    auto status = static_cast<int>(attempt.answer.status);
-    bool isLeaving = equalsIgnoringCase(findHeader(attempt.answer.headers, targetStateHeader), "leaving");
-    if (!hasProvenEnd(attempt))
-        return { Outcome::MayHaveRun, std::nullopt, Reason::Truncated, isLeaving, attempt.isStreaming };
-    bool vouchesNotRun = status == 503
+    curl_off_t length = 0;
+    curl_off_t received = 0;
+    curl_easy_getinfo(attempt.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    curl_easy_getinfo(attempt.easy, CURLINFO_SIZE_DOWNLOAD_T, &received);
+    serve::TransferFacts facts;
+    facts.stop = stopOf(code);
+    facts.requestBytesSent = attempt.sends > 0 ? 1 : 0;
+    if (attempt.answer.status > 0)
+        facts.status = static_cast<int>(attempt.answer.status);
+    facts.framing = framingOf(attempt);
+    facts.contentLength = std::uint64_t(std::max<curl_off_t>(length, 0));
+    facts.bodyBytes = std::uint64_t(received);
+    // libcurl takes a chunked answer for finished only after its last chunk.
+    facts.lastChunkSeen = code == CURLE_OK;
+    facts.closing = equalsIgnoringCase(findHeader(attempt.answer.headers, targetStateHeader), "leaving");
+    facts.answerStarted = attempt.isStreaming;
+    if (!attempt.isStreaming)
+        facts.heldBytes = attempt.answer.body.size();
+    return facts;
+}
+
+// A target that answers 503 may vouch that it did not run the request.
+AttemptEnd describeEnd(Attempt& attempt, CURLcode code)
+{
+    auto end = serve::judgeTransfer(gatherFacts(attempt, code));
+    bool vouchesNotRun = end.status == 503
         && equalsIgnoringCase(findHeader(attempt.answer.headers, outcomeHeader), toString(Outcome::NotRun));
-    auto outcome = vouchesNotRun ? Outcome::NotRun : Outcome::Ran;
+    if (vouchesNotRun)
+        end.outcome = Outcome::NotRun;
     removeConnectionHeaders(attempt.answer.headers);
-    AttemptEnd end { outcome, status, Reason::TargetFailed, isLeaving, attempt.isStreaming };
-    if (!attempt.isStreaming)
-        end.heldBytes = attempt.answer.body.size();
     return end;
 }
 
@@ -246,11 +270,11 @@
             return;
         auto attempt = std::move(position->second);
         m_attempts.erase(position);
-        auto outcome = attempt->sends == 0 ? Outcome::NotRun : Outcome::MayHaveRun;
+        auto facts = gatherFacts(*attempt, CURLE_ABORTED_BY_CALLBACK);
+        facts.stop = serve::TransferStop::Cancelled;
         release(*attempt);
-        asio::post(m_loop, [done = std::move(attempt->done), outcome, started = attempt->isStreaming] {
-            done({ outcome, std::nullopt, Reason::Cancelled, false, started }, {});
-        });
+        asio::post(
+            m_loop, [done = std::move(attempt->done), end = serve::judgeTransfer(facts)] { done(end, {}); });
     }
 
     void resume(AttemptId id)
--- a/src/daemon/work_edges.cpp
+++ b/src/daemon/work_edges.cpp
@@ -3,6 +3,8 @@
 #include "operate/config_change.h"
 #include "operate/work_facts.h"
 
+#include "operate/config_change.h"
+
 #include <fmt/format.h>
 #include <future>
 #include <nlohmann/json.hpp>
@@ -91,9 +93,25 @@
     while (auto request = m_requests.tryPop())
         (*request)();
     applyConfiguration();
+    takeConfig();
     m_duty.step();
 }
 
+// Tells the duty of quotas, of VMs that are not serving, and of workers that operators bar from new tasks.
+void WorkService::takeConfig()
+{
+    auto changes = m_distribution.changesSince(m_configVersion);
+    m_configVersion = changes.tableVersion;
+    for (const auto& row : changes.rows) {
+        m_duty.onConfig(row);
+        constexpr std::string_view quarantine = operate::quarantinePrefix;
+        if (!row.key.starts_with(quarantine))
+            continue;
+        VmId worker(row.key.substr(quarantine.size()));
+        m_duty.setMaintenance(worker, row.deleted ? std::nullopt : std::optional(m_clock.now()));
+    }
+}
+
 // Adds the worker to those barred for a reason, or takes it out; any reason bars it.
 void WorkService::bar(std::set<VmId>& reason, const VmId& worker, bool holds)
 {
--- a/src/daemon/work_edges.h
+++ b/src/daemon/work_edges.h
@@ -57,6 +57,7 @@
     void bar(std::set<VmId>& reason, const VmId&, bool holds);
     // Answers a call with method LIST, for operators: workers and tasks as JSON.
     [[nodiscard]] std::optional<TaskAnswer> listHere();
+    void takeConfig();
     [[nodiscard]] ProcessId owner() const;
 
     const SystemClock m_clock {};
@@ -68,6 +69,7 @@
     BoundedRing<std::function<void()>> m_requests;
     mutable std::mutex m_mutex;
     ProcessId m_owner;
+    Version m_configVersion { 0 };
     // Version of the configuration that the duty works by.
     Version m_appliedVersion { 0 };
     // Workers in operators' quarantine, and those whose row says that they do not serve.
