--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -172,12 +172,25 @@
         return promise->get_future().get().value_or(TaskAnswer {
             {}, 504, Outcome::MayHaveRun, R"({"detail":"the control process did not answer"})" });
     };
+    hooks.updateMetrics = [this](operate::MetricsRegistry& metrics) { updateMetrics(metrics); };
     hooks.isHealthy = [this] {
         return m_inbox.ask<bool>([this] { return isServing(); }, loopAnswerTimeout).value_or(false);
     };
     return hooks;
 }
 
+void Entry::updateMetrics(operate::MetricsRegistry& metrics)
+{
+    auto counts = m_inbox.ask<CallCounts>([this] { return m_counts; }, loopAnswerTimeout);
+    if (!counts)
+        return;
+    for (const auto& [outcome, count] : counts->outcomes)
+        metrics.follow(operate::Metric::Calls, double(count), std::string(toString(outcome)));
+    for (const auto& [reason, count] : counts->refusals)
+        metrics.follow(operate::Metric::Refusals, double(count), std::string(toString(reason)));
+    metrics.follow(operate::Metric::Retries, double(counts->retries));
+}
+
 // The targets at which this entry has calls in flight.
 void Entry::addTargets(operate::OperatorView& view)
 {
@@ -370,7 +383,8 @@
     auto position = m_calls.find(start.request);
     assert(position != m_calls.end());
     auto& call = position->second;
-    ++call.attempts;
+    if (++call.attempts > 1)
+        ++m_counts.retries;
     auto timeout = std::max(start.deadline - m_clock.now(), Duration(1));
     m_targets.start(start.attempt,
         { start.address, call.method, call.path, call.headers, call.body, timeout, start.connectionLimit },
@@ -438,6 +452,7 @@
 
 void Entry::perform(const serve::PassAnswer& pass)
 {
+    ++m_counts.outcomes[Outcome::Ran];
     if (m_calls.at(pass.request).streaming == pass.attempt)
         return endStream(pass.request, true);
     auto answer = m_answers.at(pass.attempt);
@@ -448,6 +463,8 @@
 // A call whose end is unknown is worth an event; plain refusals are counted only, as overload brings many.
 void Entry::perform(const serve::Refuse& refuse)
 {
+    ++m_counts.outcomes[refuse.failure.outcome];
+    ++m_counts.refusals[refuse.failure.reason];
     if (refuse.failure.outcome == Outcome::MayHaveRun)
         m_events.record(m_clock.wallNow(), "call.unknown",
             { { "request", std::to_string(refuse.request) },
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -55,10 +55,18 @@
         HttpAnswer ownerAnswer;
     };
 
+    // What became of calls since the start.
+    struct CallCounts {
+        std::map<Outcome, std::uint64_t> outcomes;
+        std::map<Reason, std::uint64_t> refusals;
+        std::uint64_t retries { 0 };
+    };
+
     [[nodiscard]] Result<void> startDuties();
     PeerDutyHooks makePeerHooks();
     OperatorEdgeHooks makeOperatorHooks();
     void addTargets(operate::OperatorView&);
+    void updateMetrics(operate::MetricsRegistry&);
 
     void onCall(CallId, CallerRequest);
     bool answerOwnPath(CallId, const CallerRequest&);
@@ -126,6 +134,7 @@
     Version m_appliedVersion { 0 };
     TimePoint m_configDue { TimePoint::max() };
 
+    CallCounts m_counts;
     bool m_isStopping { false };
     TimePoint m_stopBegan {};
 
--- a/src/operate/metrics.cpp
+++ b/src/operate/metrics.cpp
@@ -91,6 +91,15 @@
         m_counters.at(std::size_t(metric))->Add(labels(metric, label)).Increment(amount);
     }
 
+    void follow(Metric metric, double total, const std::string& label)
+    {
+        assert(describe(metric).isCounter);
+        std::lock_guard lock(m_mutex);
+        auto& counter = m_counters.at(std::size_t(metric))->Add(labels(metric, label));
+        if (total > counter.Value())
+            counter.Increment(total - counter.Value());
+    }
+
     void set(Metric metric, double value, const std::string& label)
     {
         assert(!describe(metric).isCounter);
@@ -146,6 +155,11 @@
     m_store->add(metric, amount, label);
 }
 
+void MetricsRegistry::follow(Metric metric, double total, const std::string& label)
+{
+    m_store->follow(metric, total, label);
+}
+
 void MetricsRegistry::set(Metric metric, double value, const std::string& label)
 {
     m_store->set(metric, value, label);
--- a/src/operate/metrics.h
+++ b/src/operate/metrics.h
@@ -60,6 +60,8 @@
 
     // Adds to a counter. The label is the value of the metric's one label; empty where it has none.
     void add(Metric, double amount, const std::string& label = {});
+    // Raises a counter to a total that is counted elsewhere.
+    void follow(Metric, double total, const std::string& label = {});
     // Sets a gauge.
     void set(Metric, double value, const std::string& label = {});
     // Reads this process's processor time and memory.
--- a/src/operate/tests/operator_http_test.cpp
+++ b/src/operate/tests/operator_http_test.cpp
@@ -131,6 +131,8 @@
     MetricsRegistry metrics;
     metrics.add(Metric::Moves, 2, "spare");
     metrics.set(Metric::ConfigurationAge, 1.5);
+    metrics.follow(Metric::Retries, 5);
+    metrics.follow(Metric::Retries, 7);
     for (int i = 0; i < 1000; ++i)
         metrics.add(Metric::Refusals, 1, "reason" + std::to_string(i));
     metrics.updateProcessUsage();
@@ -138,6 +140,7 @@
     BOOST_TEST(text.find("fulmar_moves_total{pool=\"spare\"} 2") != std::string::npos);
     BOOST_TEST(text.find("fulmar_configuration_age_seconds 1.5") != std::string::npos);
     BOOST_TEST(text.find("fulmar_refusals_total{reason=\"other\"} 488") != std::string::npos);
+    BOOST_TEST(text.find("fulmar_retries_total 7") != std::string::npos);
     BOOST_TEST(text.find("fulmar_resident_bytes ") != std::string::npos);
 }
 
