--- a/src/work/tests/placement_test.cpp
+++ b/src/work/tests/placement_test.cpp
@@ -98,6 +98,17 @@
     return best;
 }
 
+// The victims make room, and each of them is needed.
+bool isTight(const PreemptionPlan& plan, const PlacementRequest& request)
+{
+    auto free = room(*plan.worker, {});
+    for (const auto* victim : plan.victims)
+        free += victim->reserved;
+    return fits(request.need, free)
+        && std::none_of(plan.victims.begin(), plan.victims.end(),
+            [&](const Task* victim) { return fits(request.need, free - victim->reserved); });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Placement)
@@ -151,12 +162,24 @@
     if (!plan)
         return;
     RC_ASSERT(plan->loss >= *best - resourceTolerance);
-    auto free = room(*plan->worker, {});
-    for (const auto* victim : plan->victims)
-        free += victim->reserved;
-    RC_ASSERT(fits(request.need, free));
-    for (const auto* victim : plan->victims)
-        RC_ASSERT(!fits(request.need, free - victim->reserved));
+    RC_ASSERT(isTight(*plan, request));
+}
+
+BOOST_AUTO_TEST_CASE(TheCheckNoticesANeedlessEviction)
+{
+    Pool pool;
+    auto& worker = *pool.workers.emplace_back(std::make_unique<Worker>());
+    worker.capacity = { 16, 32'768, 0 };
+    PreemptionPlan plan { &worker, {}, 0 };
+    for (int i = 0; i < 2; ++i) {
+        auto& task = pool.addTask(8);
+        FleetView::place(task, worker, task.record.spec.size);
+        plan.victims.push_back(&task);
+    }
+    auto request = requestFor(pool.addTask(8));
+    BOOST_TEST(!isTight(plan, request));
+    plan.victims.pop_back();
+    BOOST_TEST(isTight(plan, request));
 }
 
 BOOST_AUTO_TEST_CASE(TasksOfAJobSpreadOverRacksAndZones)
--- a/src/work/tests/scheduler_test.cpp
+++ b/src/work/tests/scheduler_test.cpp
@@ -69,6 +69,17 @@
     return true;
 }
 
+// Some task waits although a worker has room for it.
+bool isRoomLeftUnused(Site& site, const std::vector<TaskSpec>& specs)
+{
+    return std::any_of(specs.begin(), specs.end(), [&](const TaskSpec& spec) {
+        const auto& workers = site.duty->scheduler()->book().fleet().workersOf(spec.pool);
+        return site.stateOf(spec.task.value()) == "queued"
+            && std::any_of(workers.begin(), workers.end(),
+                [&](const Worker* worker) { return fits(spec.size, room(*worker, {})); });
+    });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WorkScheduler)
@@ -232,13 +243,23 @@
     for (const auto& spec : specs)
         site.submit(spec);
     site.run(5s);
-    for (const auto& spec : specs) {
-        if (site.stateOf(spec.task.value()) != "queued")
-            continue;
-        const auto& workers = site.duty->scheduler()->book().fleet().workersOf(spec.pool);
-        RC_ASSERT(std::none_of(workers.begin(), workers.end(),
-            [&](const Worker* worker) { return fits(spec.size, room(*worker, {})); }));
-    }
+    RC_ASSERT(!isRoomLeftUnused(site, specs));
+}
+
+BOOST_AUTO_TEST_CASE(TheCheckNoticesRoomLeftUnused)
+{
+    Site site(1, declaredSizesOnly());
+    VmRecord record;
+    record.vm = VmId("w0");
+    record.pool = PoolId("p");
+    record.zone = ZoneId("z0");
+    record.state = VmState::Maintenance;
+    site.duty->onConfig({ keys::vmPrefix + std::string("w0"), encode(record), 1, {}, false });
+    site.run(3s);
+    auto spec = taskOf("a", "x", 1);
+    site.submit(spec);
+    site.run(5s);
+    BOOST_TEST(isRoomLeftUnused(site, { spec }));
 }
 
 RC_BOOST_PROP(TeamsGetWhatTheirQuotasEntitleThemTo,
