Lease: a restored platform without the lease's row does not hand the lease out at once

A missing row meant that nobody holds the lease, so after a restore a second process took it while a paused holder still believed in it. Writes were fenced all the same. The observer now waits for the lease's length after it saw the table go back; a focused test covers it.

--- a/src/fleet/lease.h
+++ b/src/fleet/lease.h
@@ -115,6 +115,8 @@
         // When this process sent its last successful renewal.
         TimePoint renewedAt {};
         std::optional<PendingWrite> pending;
+        // The table went back: someone may hold the lease although its row is missing.
+        bool mayBeHeld { false };
     };
 
     [[nodiscard]] std::string key(std::uint32_t shard) const { return fmt::format("{}{}", m_prefix, shard); }
@@ -125,7 +127,7 @@
         if (!state.seen)
             return false;
         auto patience = m_settings.renewEvery * int(heldCount());
-        if (state.version != 0)
+        if (state.version != 0 || state.mayBeHeld)
             patience += m_settings.length;
         return m_clock.now() >= state.seenAt + patience;
     }
@@ -156,6 +158,7 @@
             return;
         bool isOurs = state.pending && !restored && row.operation == state.pending->transaction.operation;
         state.held = isOurs;
+        state.mayBeHeld = restored;
         if (isOurs)
             state.renewedAt = state.pending->sentAt;
         state.pending.reset();
--- a/src/fleet/tests/lease_test.cpp
+++ b/src/fleet/tests/lease_test.cpp
@@ -97,6 +97,19 @@
     BOOST_TEST(late.error().reason == Reason::Conflict);
 }
 
+// The row of the lease is lost; the holder that is paused may still believe in it.
+BOOST_AUTO_TEST_CASE(RestoredPlatformDoesNotHandTheLeaseOutAtOnce)
+{
+    Pair pair;
+    pair.run(seconds(5));
+    pair.state.table.restoreTo(0);
+    pair.run(seconds(5), false);
+    BOOST_TEST(!pair.second.keeper.holds(0));
+    pair.run(seconds(7), false);
+    BOOST_TEST(pair.second.keeper.holds(0));
+    BOOST_TEST(!pair.bothHeld);
+}
+
 BOOST_AUTO_TEST_CASE(LostReplyOfAClaimIsSettledByReading)
 {
     Pair pair;
