--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -79,6 +79,7 @@
         loop.run();
     }
     operators->reset();
+    m_work.shutDown();
     m_peers.reset();
     m_events.record(m_clock.wallNow(), "control.stopped", {});
     return {};
--- a/src/daemon/work_edges.cpp
+++ b/src/daemon/work_edges.cpp
@@ -92,7 +92,6 @@
     }
     while (auto request = m_requests.tryPop())
         (*request)();
-    applyConfiguration();
     takeConfig();
     m_duty.step();
 }
@@ -100,6 +99,8 @@
 // Tells the duty of quotas, of VMs that are not serving, and of workers that operators bar from new tasks.
 void WorkService::takeConfig()
 {
+    if (m_distribution.version() == m_configVersion)
+        return;
     auto changes = m_distribution.changesSince(m_configVersion);
     m_configVersion = changes.tableVersion;
     for (const auto& row : changes.rows) {
@@ -112,37 +113,7 @@
     }
 }
 
-// Adds the worker to those barred for a reason, or takes it out; any reason bars it.
-void WorkService::bar(std::set<VmId>& reason, const VmId& worker, bool holds)
-{
-    bool hasChanged = holds ? reason.insert(worker).second : reason.erase(worker) > 0;
-    if (!hasChanged)
-        return;
-    bool isBarred = m_quarantined.contains(worker) || m_outOfService.contains(worker);
-    m_duty.setMaintenance(worker, isBarred ? std::optional(m_clock.now()) : std::nullopt);
-}
-
-void WorkService::applyConfiguration()
-{
-    if (m_distribution.version() == m_appliedVersion)
-        return;
-    const std::string quarantinePrefix = operate::quarantinePrefix;
-    auto changes = m_distribution.changesSince(m_appliedVersion);
-    m_appliedVersion = changes.tableVersion;
-    for (const auto& row : changes.rows) {
-        if (row.key.starts_with(quarantinePrefix)) {
-            bar(m_quarantined, VmId(row.key.substr(quarantinePrefix.size())), !row.deleted);
-        } else if (row.key.starts_with(keys::vmPrefix)) {
-            auto vm = decode<VmRecord>(row.value);
-            if (vm || row.deleted)
-                bar(m_outOfService, VmId(row.key.substr(std::string_view(keys::vmPrefix).size())),
-                    row.deleted || vm->state != VmState::Serving);
-        } else if (row.key.starts_with(keys::teamPrefix) && !row.deleted) {
-            if (auto team = decode<TeamConfig>(row.value))
-                m_duty.setQuota(*team);
-        }
-    }
-}
+void WorkService::shutDown() { m_duty.shutDown(); }
 
 ProcessId WorkService::owner() const
 {
--- a/src/daemon/work_edges.h
+++ b/src/daemon/work_edges.h
@@ -8,7 +8,6 @@
 #include "work/work_duty.h"
 
 #include <functional>
-#include <set>
 
 namespace fulmar {
 
@@ -43,6 +42,8 @@
 
     // One round; called on the duty's thread.
     void step();
+    // Gives up the shard, after the last step.
+    void shutDown();
 
     // Answers a request, or passes it on once to the owner. Blocks for at most a few seconds; any thread.
     [[nodiscard]] TaskAnswer call(const TaskCall&, PeerClient&);
@@ -53,8 +54,6 @@
     [[nodiscard]] Result<work::TaskRecord> callHere(const TaskCall&);
     void begin(const TaskCall&, work::TaskReply);
     // Hands changed quotas, and workers that may get no new tasks, to the duty.
-    void applyConfiguration();
-    void bar(std::set<VmId>& reason, const VmId&, bool holds);
     // Answers a call with method LIST, for operators: workers and tasks as JSON.
     [[nodiscard]] std::optional<TaskAnswer> listHere();
     void takeConfig();
@@ -71,10 +70,6 @@
     ProcessId m_owner;
     Version m_configVersion { 0 };
     // Version of the configuration that the duty works by.
-    Version m_appliedVersion { 0 };
-    // Workers in operators' quarantine, and those whose row says that they do not serve.
-    std::set<VmId> m_quarantined;
-    std::set<VmId> m_outOfService;
 };
 
 } // namespace fulmar
