--- a/src/daemon/tests/caller_server_test.cpp
+++ b/src/daemon/tests/caller_server_test.cpp
@@ -52,7 +52,7 @@
         limits.maxBodyBytes = 100;
         limits.readTimeout = 1s;
         port = static_cast<std::uint16_t>(std::stoul(limits.address.substr(limits.address.find(':') + 1)));
-        server = CallerServer::start(loop, limits, [this](CallId id, CallerRequest request) {
+        server = CallerServer::start(loop, limits, [this](CallId id, const CallerRequest& request) {
             ++calls;
             answer(*server, id, request);
         }).value();
--- a/src/daemon/tests/target_client_test.cpp
+++ b/src/daemon/tests/target_client_test.cpp
@@ -39,7 +39,7 @@
             m_head = std::move(head);
             m_length = length;
         };
-        sink.append = [this](std::string piece) {
+        sink.append = [this](const std::string& piece) {
             m_pieces += piece;
             return !m_isFull;
         };
--- a/src/daemon/work_edges.cpp
+++ b/src/daemon/work_edges.cpp
@@ -3,8 +3,6 @@
 #include "operate/config_change.h"
 #include "operate/work_facts.h"
 
-#include "operate/config_change.h"
-
 #include <fmt/format.h>
 #include <future>
 #include <nlohmann/json.hpp>
