Peers tell each other of both zones and a few others, and zones take turns

A test of that size now finds all of them within 20 s, and what a process tells is bounded by its zone's size. The fleet duty reads its rows every 500 ms instead of 250.

--- a/src/daemon/distribution.cpp
+++ b/src/daemon/distribution.cpp
@@ -59,11 +59,11 @@
     return m_self.role == PeerRole::Entry && m_self.isRegistered;
 }
 
-Exchange Distribution::makeMessage(TimePoint now) const
+Exchange Distribution::makeMessage(const std::string& address, TimePoint now)
 {
     Exchange message;
     message.from = m_self;
-    message.known = m_membership.contacts(now);
+    message.known = m_membership.newsFor(address, now);
     message.version = m_replica.version();
     return message;
 }
@@ -82,7 +82,7 @@
 Exchange Distribution::makeRequest(const std::string& address, TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    auto message = makeMessage(now);
+    auto message = makeMessage(address, now);
     if (auto known = m_peerVersions.find(address); known != m_peerVersions.end())
         addRowsFor(known->second.peer, known->second.version, message);
     return message;
@@ -111,7 +111,7 @@
     {
         std::lock_guard lock(m_mutex);
         hasGrown = merge(message, now);
-        reply = makeMessage(now);
+        reply = makeMessage(message.from.address, now);
         addRowsFor(message.from, message.version, reply);
         m_peerVersions[message.from.address]
             = { message.from, std::max(message.version, reply.changes.tableVersion) };
--- a/src/daemon/distribution.h
+++ b/src/daemon/distribution.h
@@ -69,7 +69,7 @@
     [[nodiscard]] bool holdsOwnRow() const;
     [[nodiscard]] bool mayHandRowsTo(const PeerInfo&) const;
     void addRowsFor(const PeerInfo&, Version theirs, Exchange&);
-    Exchange makeMessage(TimePoint now) const;
+    Exchange makeMessage(const std::string& address, TimePoint now);
     // True if the copy has grown.
     bool merge(const Exchange&, TimePoint now);
     bool apply(const Changes&);
--- a/src/fleet/fleet_settings.h
+++ b/src/fleet/fleet_settings.h
@@ -14,7 +14,7 @@
     // The fleet is divided by pool into this many shards, each owned through one lease.
     std::uint32_t shards { 3 };
     // How often the rows, and the platform's list of VMs, are read.
-    Duration readEvery { std::chrono::milliseconds(250) };
+    Duration readEvery { std::chrono::milliseconds(500) };
     Duration listEvery { std::chrono::seconds(2) };
     // The platform's list shows the truth after at most this long.
     Duration listLag { std::chrono::seconds(60) };
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -71,10 +71,28 @@
     }
 }
 
+std::optional<ZoneId> Membership::leastRecentlyTriedRemoteZone() const
+{
+    std::optional<ZoneId> best;
+    auto bestTried = TimePoint::max();
+    for (const auto& [id, member] : m_members) {
+        auto tried = m_zoneTried.find(member.info.zone);
+        auto when = tried == m_zoneTried.end() ? TimePoint {} : tried->second;
+        if (member.info.zone == m_self.zone || when >= bestTried)
+            continue;
+        best = member.info.zone;
+        bestTried = when;
+    }
+    return best;
+}
+
+// Zones take turns, and within a zone its processes, so that each zone is met equally often however large it
+// is.
 void Membership::addRemoteExchanges(std::vector<std::string>& due, TimePoint now)
 {
-    if (auto* remote
-        = leastRecentlyTried([&](const Member& member) { return member.info.zone != m_self.zone; })) {
+    if (auto zone = leastRecentlyTriedRemoteZone()) {
+        auto* remote = leastRecentlyTried([&](const Member& member) { return member.info.zone == *zone; });
+        m_zoneTried[*zone] = now;
         remote->lastTried = now;
         due.push_back(remote->info.address);
     }
@@ -89,6 +107,7 @@
 
 std::vector<std::string> Membership::due(TimePoint now)
 {
+    std::erase_if(m_told, [&](const auto& entry) { return now - entry.second > m_settings.rememberFor; });
     std::erase_if(
         m_members, [&](const auto& entry) { return now - entry.second.lastHeard > m_settings.rememberFor; });
     std::vector<std::string> due;
@@ -124,6 +143,30 @@
     return all;
 }
 
+std::vector<PeerInfo> Membership::newsFor(const std::string& address, TimePoint now)
+{
+    auto receiver = std::find_if(m_members.begin(), m_members.end(),
+        [&](const auto& entry) { return entry.second.info.address == address; });
+    auto zone = receiver == m_members.end() ? ZoneId() : receiver->second.info.zone;
+    auto [told, isNew] = m_told.try_emplace(address, now);
+    if (zone == m_self.zone && !isNew && now - told->second < m_settings.newsPeriod)
+        return {};
+    told->second = now;
+    std::vector<PeerInfo> news;
+    std::vector<PeerInfo> remote;
+    for (auto& peer : contacts(now))
+        (peer.zone == m_self.zone || peer.zone == zone ? news : remote).push_back(std::move(peer));
+    // Continues where the last message stopped; contacts come in the order of their ids.
+    auto next = std::find_if(
+        remote.begin(), remote.end(), [&](const PeerInfo& peer) { return m_lastRemoteTold < peer.process; });
+    std::rotate(remote.begin(), next, remote.end());
+    remote.resize(std::min(remote.size(), m_settings.remoteTold));
+    if (!remote.empty())
+        m_lastRemoteTold = remote.back().process;
+    news.insert(news.end(), remote.begin(), remote.end());
+    return news;
+}
+
 std::vector<PeerInfo> Membership::live(PeerRole role, TimePoint now) const
 {
     std::vector<PeerInfo> peers;
--- a/src/peer/membership.h
+++ b/src/peer/membership.h
@@ -21,6 +21,9 @@
     // live.
     Duration liveFor { std::chrono::seconds(3) };
     Duration remoteLiveFor { std::chrono::seconds(12) };
+    // A peer of the same zone is told of others this often, of at most `remoteTold` processes of other zones.
+    Duration newsPeriod { std::chrono::seconds(1) };
+    std::size_t remoteTold { 6 };
     // A process that has not been heard of for this long is forgotten.
     Duration rememberFor { std::chrono::minutes(1) };
 };
@@ -41,9 +44,14 @@
     // Addresses with which an exchange is due; each is returned once per period.
     [[nodiscard]] std::vector<std::string> due(TimePoint now);
 
-    // This process and those with which it was in contact lately; what to tell others.
+    // Processes with which this one was in contact lately, itself included.
     [[nodiscard]] std::vector<PeerInfo> contacts(TimePoint now) const;
 
+    // What to tell the peer at `address` about others: the contacts in this process's zone, and a few of
+    // other zones in turn, so that the message does not grow with the number of zones. Empty if the peer was
+    // told lately.
+    [[nodiscard]] std::vector<PeerInfo> newsFor(const std::string& address, TimePoint now);
+
     // Live processes with a role in a zone, this one included.
     [[nodiscard]] std::vector<PeerInfo> live(PeerRole, const ZoneId&, TimePoint now) const;
 
@@ -76,12 +84,16 @@
     void merge(const PeerInfo&, TimePoint contact, TimePoint heard);
     void addZoneExchanges(std::vector<std::string>& due, TimePoint now);
     void addRemoteExchanges(std::vector<std::string>& due, TimePoint now);
+    [[nodiscard]] std::optional<ZoneId> leastRecentlyTriedRemoteZone() const;
     template <typename Wanted> Member* leastRecentlyTried(Wanted wanted);
 
     const PeerInfo m_self;
     const MembershipSettings m_settings;
     std::map<ProcessId, Member> m_members;
     std::map<ZoneId, TimePoint> m_zoneTried;
+    // When each address was last told of others, and the remote process told of last.
+    std::map<std::string, TimePoint> m_told;
+    ProcessId m_lastRemoteTold;
     TimePoint m_nextZone {};
     TimePoint m_nextRemote {};
 };
--- a/src/peer/tests/membership_test.cpp
+++ b/src/peer/tests/membership_test.cpp
@@ -48,6 +48,7 @@
     }
 
     std::size_t exchanges() const { return m_exchanges; }
+    std::size_t told() const { return m_told; }
 
 private:
     void exchange(Membership& from, const std::string& address)
@@ -59,16 +60,23 @@
                 continue;
             ++m_exchanges;
             to.onContact(from.self(), m_clock.now());
-            to.onHearsay(from.contacts(m_clock.now()), m_clock.now());
+            hear(to, from.newsFor(to.self().address, m_clock.now()));
             from.onContact(to.self(), m_clock.now());
-            from.onHearsay(to.contacts(m_clock.now()), m_clock.now());
+            hear(from, to.newsFor(from.self().address, m_clock.now()));
         }
     }
 
+    void hear(Membership& process, const std::vector<PeerInfo>& news)
+    {
+        m_told += news.size();
+        process.onHearsay(news, m_clock.now());
+    }
+
     ManualClock m_clock;
     std::list<Membership> m_processes;
     std::set<ZoneId> m_cut;
     std::size_t m_exchanges { 0 };
+    std::size_t m_told { 0 };
 };
 
 Network threeZones()
@@ -120,6 +128,30 @@
     BOOST_TEST(network.liveEntries(0, "a") == 2U);
 }
 
+// Ten zones of eight entries and eight controls: all find each other, and what a process is told of others
+// each second is bounded by its zone's size, not by the number of zones.
+BOOST_AUTO_TEST_CASE(NewsDoNotGrowWithTheNumberOfZones)
+{
+    Network network;
+    for (char zone = 'a'; zone < 'k'; ++zone)
+        for (int index = 0; index < 8; ++index) {
+            network.add(
+                makePeer(fmt::format("{}e{}", zone, index), PeerRole::Entry, { zone }), { "127.0.0.1:ae0" });
+            network.add(makePeer(fmt::format("{}t{}", zone, index), PeerRole::Control, { zone }),
+                { "127.0.0.1:ae0" });
+        }
+    network.run(20s);
+    for (std::size_t index = 0; index < 160; index += 37)
+        for (char zone = 'a'; zone < 'k'; ++zone)
+            BOOST_TEST(network.liveEntries(index, { zone }) == 8U);
+    auto before = network.told();
+    network.run(10s);
+    // Each second a process tells the 15 others of its zone, and about two of other zones, of at most 16 + 6
+    // processes, or of the 32 of two zones and 6 more.
+    constexpr std::size_t boundPerProcess = 10 * (15 * (16 + 6) + 2 * (32 + 6));
+    BOOST_TEST(network.told() - before <= 160 * boundPerProcess);
+}
+
 BOOST_AUTO_TEST_CASE(OldIncarnationIsIgnored)
 {
     Membership membership(makePeer("x", PeerRole::Entry, "a"), {});
