--- a/src/daemon/work_edges.cpp
+++ b/src/daemon/work_edges.cpp
@@ -1,11 +1,11 @@
 #include "daemon/work_edges.h"
 
+#include "daemon/http_answers.h"
 #include "operate/config_change.h"
 #include "operate/work_facts.h"
 
 #include <fmt/format.h>
 #include <future>
-#include <nlohmann/json.hpp>
 
 namespace fulmar {
 
@@ -18,30 +18,12 @@
 constexpr std::size_t maxListedTasks = 2'000;
 constexpr std::chrono::milliseconds passOnTimeout { 4'000 };
 
-std::uint32_t statusOf(const Failure& failure)
-{
-    switch (failure.reason) {
-    case Reason::BadInput:
-        return 400;
-    case Reason::NotFound:
-        return 404;
-    case Reason::Conflict:
-        return 409;
-    case Reason::QuotaExceeded:
-        return 429;
-    default:
-        return failure.outcome == Outcome::NotRun ? 503 : 504;
-    }
-}
-
 TaskAnswer toAnswer(const TaskCall& call, const Result<work::TaskRecord>& result)
 {
     if (result)
         return { {}, call.method == "POST" ? 201U : 200U, Outcome::Ran, describe(*result) };
-    nlohmann::json problem { { "title", std::string(toString(result.error().reason)) },
-        { "detail", result.error().detail }, { "outcome", std::string(toString(result.error().outcome)) } };
-    return { {}, statusOf(result.error()), result.error().outcome,
-        problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
+    auto problem = problemAnswer(result.error(), {});
+    return { {}, problem.status, result.error().outcome, std::move(problem.body) };
 }
 
 // What operators see of the shard; of very many tasks, those that have not ended come first.
