--- a/src/programs/fulmar_bench.cpp
+++ b/src/programs/fulmar_bench.cpp
@@ -1,3 +1,4 @@
+#include "bench/fleet_bench.h"
 #include "bench/serve_bench.h"
 #include "bench/slopes.h"
 #include "bench/work_bench.h"
@@ -22,7 +23,8 @@
 };
 
 constexpr Part parts[] = {
-    { "serve", "callers' requests, naive and present decisions", bench::runServeBench },
+    { "serve", "serving decisions under load and faults", bench::runServeBench },
+    { "fleet", "waves, buffer cost and moves", bench::runFleetBench },
     { "work", "long work, naive and present schedulers", bench::runWorkBench },
     { "slopes", "costs by fleet size, for docs/CAPACITY.md", bench::runSlopes },
 };
