--- a/src/programs/fulmar_bench.cpp
+++ b/src/programs/fulmar_bench.cpp
@@ -1,5 +1,7 @@
+#include "bench/fleet_bench.h"
 #include "bench/serve_bench.h"
 #include "bench/slopes.h"
+#include "bench/work_bench.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -22,6 +24,8 @@
 
 constexpr Part parts[] = {
     { "serve", "serving decisions under load and faults", bench::runServeBench },
+    { "fleet", "waves, buffer cost and moves", bench::runFleetBench },
+    { "work", "long work, naive and present schedulers", bench::runWorkBench },
     { "slopes", "costs by fleet size, for docs/CAPACITY.md", bench::runSlopes },
 };
 
