--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <ctime>
 
 namespace fulmar {
 
@@ -36,6 +37,19 @@
     }
 };
 
+// The machine's clock, counting the time in which the machine was suspended; leases depend on it.
+class BootClock {
+public:
+    [[nodiscard]] TimePoint now() const
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return TimePoint(std::chrono::duration_cast<Duration>(
+            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+    }
+    [[nodiscard]] WallTime wallNow() const { return SystemClock().wallNow(); }
+};
+
 // A clock that stands still until told to advance; for tests and for runs in virtual time.
 class ManualClock {
 public:
@@ -50,6 +64,6 @@
     TimePoint m_now { std::chrono::seconds(1000) };
 };
 
-static_assert(Clock<SystemClock> && Clock<ManualClock>);
+static_assert(Clock<SystemClock> && Clock<BootClock> && Clock<ManualClock>);
 
 } // namespace fulmar
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -39,7 +39,7 @@
 {
     static log4cplus::Initializer initializer;
     auto pattern = fmt::format("ts=%D{{%Y-%m-%dT%H:%M:%S.%q}}Z level=%p process={} %m%n", processName);
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     logger().addAppender(appender);
     logger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -9,7 +9,7 @@
 
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
-// Sends log lines to standard error, each prefixed with time, level and process name. Called once by a
+// Sends log lines to standard output, each prefixed with time, level and process name. Called once by a
 // program.
 void initializeLog(std::string_view processName);
 
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -87,6 +87,10 @@
         auto count = parseWhole<std::int64_t>(text.substr(0, text.size() - unit.suffix.size()));
         if (count && *count >= 0 && *count <= Duration::max() / unit.length)
             return *count * unit.length;
+        auto fraction = parseWhole<double>(text.substr(0, text.size() - unit.suffix.size()));
+        auto most = double(Duration::max().count()) / double(unit.length.count());
+        if (!count && fraction && *fraction >= 0 && *fraction < most)
+            return Duration(std::int64_t(*fraction * double(unit.length.count())));
     }
     return tl::unexpected(fmt::format("'{}' is not a duration such as 250ms, 30s, 5m, 4h or 2d", text));
 }
--- a/src/core/tests/settings_test.cpp
+++ b/src/core/tests/settings_test.cpp
@@ -34,6 +34,7 @@
 {
     BOOST_TEST((parseDuration("250ms") == Duration(250ms)));
     BOOST_TEST((parseDuration("2d") == Duration(48h)));
+    BOOST_TEST((parseDuration("1.5s") == Duration(1500ms)));
     BOOST_TEST(!parseDuration("250").has_value());
     BOOST_TEST(!parseDuration("-1s").has_value());
     BOOST_TEST(!parseDuration("9223372036854775807d").has_value());
--- a/src/daemon/call_request.h
+++ b/src/daemon/call_request.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/verdict.h"
-#include "daemon/caller_server.h"
+#include "io/caller_server.h"
 #include "serve/call.h"
 
 #include <string>
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "core/event.h"
-#include "daemon/caller_server.h"
+#include "io/caller_server.h"
 #include "daemon/distribution.h"
 #include "daemon/entry_settings.h"
 #include "daemon/inbox.h"
 #include "daemon/operator_edges.h"
 #include "daemon/peer_duty.h"
 #include "daemon/store_duty.h"
-#include "daemon/target_client.h"
+#include "io/target_client.h"
 #include "platform/http_platform.h"
 #include "serve/dispatcher.h"
 
--- a/src/daemon/entry_settings.h
+++ b/src/daemon/entry_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/caller_server.h"
+#include "io/caller_server.h"
 #include "daemon/process_settings.h"
 
 #include <chrono>
--- a/src/daemon/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -1,4 +1,4 @@
-#include "daemon/caller_server.h"
+#include "io/caller_server.h"
 
 #include <fmt/format.h>
 #include <restinio/all.hpp>
--- a/src/daemon/program.cpp
+++ b/src/io/program.cpp
@@ -1,13 +1,21 @@
-#include "daemon/program.h"
+#include "io/program.h"
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <curl/curl.h>
 #include <cxxopts.hpp>
 #include <iostream>
 
 namespace fulmar {
 
+namespace {
+
+// The platform names the settings file in the environment.
+constexpr auto settingsVariable = "FULMARRAMP_CONFIG";
+
+} // namespace
+
 int runDaemon(
     const std::string& name, int argc, char** argv, const std::function<int(SettingsReader&, bool)>& body)
 {
@@ -20,14 +28,16 @@
             std::cout << options.help();
             return exitOk;
         }
-        if (!parsed.count("settings")) {
-            std::cerr << name << ": --settings is missing\n";
+        const char* fromEnvironment = std::getenv(settingsVariable);
+        if (!parsed.count("settings") && !fromEnvironment) {
+            std::cerr << name << ": --settings is missing, and " << settingsVariable << " is not set\n";
             return exitBadUsage;
         }
+        auto file = parsed.count("settings") ? parsed["settings"].as<std::string>() : fromEnvironment;
         // Writes to connections that the other side closed are reported as errors, not as signals.
         std::signal(SIGPIPE, SIG_IGN);
         curl_global_init(CURL_GLOBAL_DEFAULT);
-        auto reader = SettingsReader::fromFile(parsed["settings"].as<std::string>());
+        auto reader = SettingsReader::fromFile(file);
         return body(reader, parsed.count("check-settings") > 0);
     } catch (const cxxopts::exceptions::exception& error) {
         std::cerr << name << ": " << error.what() << '\n';
--- a/src/daemon/tests/caller_server_test.cpp
+++ b/src/io/tests/caller_server_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/caller_server.h"
+#include "io/caller_server.h"
 
 #include "daemon/http_answers.h"
 
--- a/src/daemon/tests/target_client_test.cpp
+++ b/src/io/tests/target_client_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/target_client.h"
+#include "io/target_client.h"
 
 #include "scripted_target.h"
 
--- /dev/null
+++ b/src/jobs/job_book.cpp
@@ -0,0 +1,181 @@
+#include "jobs/job_book.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar::jobs {
+
+namespace {
+
+// Pause before a failed task runs again, so that a runner that fails at once is not tried in a tight loop.
+constexpr std::chrono::milliseconds pauseAfterFailure { 100 };
+
+void finish(JobEntry& entry, JobState state, TimePoint now)
+{
+    entry.state = state;
+    entry.ended = now;
+    entry.isDirty = true;
+}
+
+void markDone(JobEntry& entry, StepRun& steps, Task& task, TimePoint now)
+{
+    if (task.state == TaskState::Done)
+        return;
+    if (task.state == TaskState::Placed)
+        --steps.placed;
+    task.state = TaskState::Done;
+    ++steps.done;
+    entry.isDirty = true;
+    auto isComplete = std::all_of(
+        entry.stepRuns.begin(), entry.stepRuns.end(), [](const StepRun& each) { return each.isDone(); });
+    if (isComplete && !entry.isOver())
+        finish(entry, JobState::Completed, now);
+}
+
+void putBack(StepRun& steps, Task& task)
+{
+    if (task.state != TaskState::Placed)
+        return;
+    --steps.placed;
+    task.state = TaskState::Waiting;
+    task.runner = {};
+}
+
+void countFailure(JobEntry& entry, const Step& step, Task& task, Attempt attempt, TimePoint now)
+{
+    task.notBefore = now + pauseAfterFailure;
+    auto isKnown = std::find(task.failedAttempts.begin(), task.failedAttempts.end(), attempt)
+        != task.failedAttempts.end();
+    if (step.isLasting || isKnown)
+        return;
+    task.failedAttempts.push_back(attempt);
+    entry.isDirty = true;
+    if (task.failedAttempts.size() >= entry.job.policy.maxFailures && !entry.isOver())
+        finish(entry, JobState::Failed, now);
+}
+
+} // namespace
+
+Task* JobEntry::find(const TaskName& name)
+{
+    auto at = std::size_t(name.occurrence) * job.steps.size() + name.step;
+    if (name.step >= job.steps.size() || at >= stepRuns.size() || name.index >= stepRuns[at].tasks.size())
+        return nullptr;
+    return &stepRuns[at].tasks[name.index];
+}
+
+bool JobEntry::isStartable(const StepRun& steps, WallTime now) const
+{
+    if (job.isScheduled()) {
+        auto startsAt = job.firstDue + job.interval * steps.occurrence;
+        if (now.time_since_epoch() < startsAt)
+            return false;
+    }
+    const auto& after = job.steps[steps.step].after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t before) {
+        return stepRuns[steps.occurrence * job.steps.size() + before].isDone();
+    });
+}
+
+JobProgress JobEntry::progress() const
+{
+    JobProgress progress { state, {} };
+    for (const auto& steps : stepRuns) {
+        JobProgress::StepProgress step { steps.occurrence, steps.step, {}, {} };
+        auto isTouched = false;
+        for (const auto& task : steps.tasks) {
+            step.done.push_back(task.state == TaskState::Done);
+            step.failures.push_back(task.failedAttempts);
+            isTouched |= task.state == TaskState::Done || !task.failedAttempts.empty();
+        }
+        if (isTouched)
+            progress.steps.push_back(std::move(step));
+    }
+    return progress;
+}
+
+JobEntry& JobBook::add(Job job, TimePoint now)
+{
+    JobEntry entry;
+    entry.arrived = now;
+    entry.due = now + job.objective();
+    for (std::uint32_t occurrence = 0; occurrence < std::max(1U, job.occurrences); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+            StepRun steps;
+            steps.occurrence = occurrence;
+            steps.step = step;
+            steps.tasks.resize(job.steps[step].count);
+            entry.stepRuns.push_back(std::move(steps));
+        }
+    }
+    auto id = job.id;
+    entry.job = std::move(job);
+    return m_jobs.insert_or_assign(id, std::move(entry)).first->second;
+}
+
+JobEntry& JobBook::restore(Job job, const JobProgress& progress, TimePoint now)
+{
+    auto& entry = add(std::move(job), now);
+    entry.isStored = true;
+    entry.isRecovered = true;
+    entry.state = progress.state;
+    entry.storedState = progress.state;
+    if (entry.isOver())
+        entry.ended = now;
+    for (const auto& step : progress.steps) {
+        for (std::uint32_t index = 0; index < step.done.size(); ++index) {
+            auto* task = entry.find({ entry.job.id, step.occurrence, step.step, index });
+            if (!task)
+                continue;
+            task->failedAttempts = step.failures[index];
+            if (step.done[index]) {
+                task->state = TaskState::Done;
+                ++entry.stepRun(step.occurrence, step.step).done;
+            }
+        }
+    }
+    return entry;
+}
+
+JobEntry* JobBook::find(const JobId& id)
+{
+    auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+void applyEnd(JobEntry& entry, const TaskName& name, Attempt attempt, EndKind kind,
+    const std::string& checkpoint, TimePoint now)
+{
+    auto* task = entry.find(name);
+    if (!task)
+        return;
+    auto& steps = entry.stepRun(name.occurrence, name.step);
+    const auto& step = entry.job.steps[name.step];
+    if (kind == EndKind::Done && !step.isLasting) {
+        // One member's end stands for the whole gang.
+        if (step.isGang) {
+            for (auto& member : steps.tasks)
+                markDone(entry, steps, member, now);
+        } else {
+            markDone(entry, steps, *task, now);
+        }
+        return;
+    }
+    putBack(steps, *task);
+    if (!checkpoint.empty())
+        task->checkpoint = checkpoint;
+    if (kind == EndKind::Failed)
+        countFailure(entry, step, *task, attempt, now);
+}
+
+void releaseTask(JobEntry& entry, const TaskName& name, const std::string& checkpoint)
+{
+    auto* task = entry.find(name);
+    if (!task)
+        return;
+    putBack(entry.stepRun(name.occurrence, name.step), *task);
+    if (!checkpoint.empty())
+        task->checkpoint = checkpoint;
+}
+
+} // namespace fulmar::jobs
--- /dev/null
+++ b/src/jobs/runner.cpp
@@ -0,0 +1,81 @@
+#include "jobs/runner.h"
+
+#include <algorithm>
+
+namespace fulmar::jobs {
+
+namespace {
+
+// The platform's pages allow a runner's steady clock to be 2% slow; half as much again for ours.
+constexpr double slowestClock = 0.97;
+
+} // namespace
+
+void Runner::observeClock(RunnerTime shown, TimePoint at)
+{
+    m_clock = shown;
+    m_clockAt = at;
+}
+
+std::optional<RunnerTime> Runner::clockAtLeast(TimePoint now) const
+{
+    if (!m_clock)
+        return std::nullopt;
+    auto elapsed = std::chrono::duration_cast<std::chrono::duration<double, std::milli>>(now - m_clockAt);
+    return *m_clock + RunnerTime(std::int64_t(elapsed.count() * slowestClock));
+}
+
+RunnerTime Runner::extendLease(TimePoint now, Millis length)
+{
+    // Before the first answer nothing is known of its clock, so that nothing is extended.
+    if (auto clock = clockAtLeast(now))
+        m_leaseUntil = std::max(m_leaseUntil, *clock + length);
+    return m_leaseUntil;
+}
+
+bool Runner::hasLapsed(TimePoint now) const
+{
+    auto clock = clockAtLeast(now);
+    return now >= m_lapseNotBefore && (!clock || *clock > m_leaseUntil);
+}
+
+Run& Runner::addRun(const TaskName& task, Run run)
+{
+    m_reserved += run.reserved;
+    return m_runs.insert_or_assign(task, std::move(run)).first->second;
+}
+
+void Runner::removeRun(const TaskName& task)
+{
+    if (auto found = m_runs.find(task); found != m_runs.end()) {
+        m_reserved -= found->second.reserved;
+        m_runs.erase(found);
+    }
+}
+
+Run* Runner::find(const TaskName& task)
+{
+    auto found = m_runs.find(task);
+    return found == m_runs.end() ? nullptr : &found->second;
+}
+
+std::uint32_t Runner::countOfStep(const TaskName& task) const
+{
+    auto first = m_runs.lower_bound({ task.job, task.occurrence, task.step, 0 });
+    std::uint32_t count = 0;
+    for (; first != m_runs.end(); ++first, ++count) {
+        const auto& name = first->first;
+        if (name.job != task.job || name.occurrence != task.occurrence || name.step != task.step)
+            break;
+    }
+    return count;
+}
+
+Resources Runner::room() const
+{
+    auto room = m_report.capacity;
+    room -= m_reserved;
+    return room;
+}
+
+} // namespace fulmar::jobs
--- /dev/null
+++ b/src/jobs/runner.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "jobs/runner_orders.h"
+
+#include <map>
+#include <set>
+
+namespace fulmar::jobs {
+
+enum class RunPhase : std::uint8_t {
+    // The start was ordered and not yet answered.
+    Starting,
+    Running,
+    // No answer to the start: the run may be there, or may come to be there.
+    Doubtful,
+    // A stop was ordered; what it holds is free once its end is listed.
+    Stopping,
+};
+
+// One run of a task on a runner, from the order to the end.
+struct Run {
+    Attempt attempt { 0 };
+    Resources reserved;
+    RunPhase phase { RunPhase::Starting };
+    // When the order to start was given.
+    TimePoint ordered;
+    // Doubtful and Stopping: when the runner acknowledged the stop, after which the run cannot begin there.
+    std::optional<TimePoint> stopAnswered;
+    bool isStopInFlight { false };
+    // Stopping: the task is to be placed anew after the end.
+    std::string checkpoint;
+    std::uint32_t percent { 0 };
+    std::int64_t gauge { 0 };
+    // Share that was last ordered.
+    std::uint32_t pacedTo { 100 };
+};
+
+// A runner as the holder of the shard knows it: what may run there, until when, and what was heard.
+class Runner {
+public:
+    explicit Runner(RunnerReport report)
+        : m_report(std::move(report))
+    {
+    }
+
+    [[nodiscard]] const RunnerReport& report() const { return m_report; }
+    [[nodiscard]] RunnerAddress address() const { return { m_report.id, m_report.address }; }
+    void update(RunnerReport report) { m_report = std::move(report); }
+
+    // Records what the runner's clock showed at a moment of ours.
+    void observeClock(RunnerTime shown, TimePoint at);
+    // The runner's clock now, or less: it may be slow. Empty before the first answer.
+    [[nodiscard]] std::optional<RunnerTime> clockAtLeast(TimePoint now) const;
+    // End of a lease of the given length, to be sent with an order. Remembers the latest.
+    RunnerTime extendLease(TimePoint now, Millis length);
+    // Nothing that was ordered before can run there any more.
+    [[nodiscard]] bool hasLapsed(TimePoint now) const;
+    void forbidLapseBefore(TimePoint moment) { m_lapseNotBefore = moment; }
+
+    Run& addRun(const TaskName&, Run);
+    void removeRun(const TaskName&);
+    [[nodiscard]] Run* find(const TaskName&);
+    [[nodiscard]] std::map<TaskName, Run>& runs() { return m_runs; }
+    [[nodiscard]] const std::map<TaskName, Run>& runs() const { return m_runs; }
+    // Tasks of one step that are here.
+    [[nodiscard]] std::uint32_t countOfStep(const TaskName&) const;
+    [[nodiscard]] const Resources& reserved() const { return m_reserved; }
+    [[nodiscard]] Resources room() const;
+
+    // The store's list names it.
+    bool isListed { true };
+    // It answered a look of this epoch, so that it refuses orders of earlier ones.
+    bool isFenced { false };
+    // Its row is stored, so that the next holder of the shard will ask it too.
+    bool isRecorded { false };
+    // An order to move it or to maintain it is on its way.
+    bool isReserved { false };
+
+    bool isLookInFlight { false };
+    TimePoint nextLook;
+    // Looks in a row without an answer.
+    std::uint32_t lookFailures { 0 };
+
+    // Highest numbered end that was taken into account, and that is stored.
+    std::uint64_t endsApplied { 0 };
+    std::uint64_t endsStored { 0 };
+    std::uint64_t endsAcknowledged { 0 };
+
+    // Jobs that failed here since the last task that was done here.
+    std::set<JobId> failedJobs;
+    TimePoint avoidUntil;
+    // Since when nothing runs here.
+    TimePoint idleSince;
+
+private:
+    RunnerReport m_report;
+    std::optional<RunnerTime> m_clock;
+    TimePoint m_clockAt;
+    RunnerTime m_leaseUntil { 0 };
+    TimePoint m_lapseNotBefore;
+    std::map<TaskName, Run> m_runs;
+    Resources m_reserved;
+};
+
+} // namespace fulmar::jobs
--- /dev/null
+++ b/src/jobs/shard.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "jobs/admission.h"
+#include "jobs/job_book.h"
+#include "jobs/runner.h"
+
+#include <deque>
+
+namespace fulmar::jobs {
+
+// Times that the platform's settings give.
+struct ShardSettings {
+    // Longest lease that a runner grants.
+    Millis maxLease { 6'000 };
+    // A runner's answer to a look may wait this long for an end.
+    Millis lookWait { 1'000 };
+    // Longest time for which finished jobs can be asked for.
+    Millis keepFinished { 150'000 };
+};
+
+enum class SubmitVerdict : std::uint8_t {
+    // Stored before, or stored now; answer once it is durable.
+    Known,
+    New,
+    Rejected,
+};
+
+struct SubmitDecision {
+    SubmitVerdict verdict { SubmitVerdict::Rejected };
+    AdmissionDecision admission;
+    PoolLoad load;
+};
+
+struct OutgoingStart {
+    RunnerAddress runner;
+    StartOrder order;
+};
+
+struct OutgoingStop {
+    RunnerAddress runner;
+    StopOrder order;
+};
+
+struct OutgoingLook {
+    RunnerAddress runner;
+    LookOrder order;
+};
+
+// What to send now.
+struct ShardOrders {
+    std::vector<OutgoingStart> starts;
+    std::vector<OutgoingStop> stops;
+    std::vector<OutgoingLook> looks;
+    // When the next look is due, if no event comes before.
+    TimePoint wakeAt;
+};
+
+// What has to be stored, and what to tell the shard when it is.
+struct ShardChange {
+    enum class Kind : std::uint8_t { Job, Progress, Runner, JobRemoval, RunnerRemoval } kind;
+    std::string key;
+    std::string value;
+};
+
+// The state of a shard's jobs and runners while this process holds the shard, and all decisions about them.
+// Free of input and output: events come in with their time, orders go out by plan().
+class Shard {
+public:
+    Shard(ShardSettings, Epoch);
+
+    // Rows of an earlier holder; before any other event.
+    void restoreJob(Job, const JobProgress&, TimePoint now);
+    void restoreRunner(RunnerReport, TimePoint now);
+
+    void configure(const FleetConfig&);
+    // The whole list of runners as the store has it now.
+    void observeRunners(const std::map<RunnerId, RunnerReport>&, TimePoint now);
+
+    [[nodiscard]] SubmitDecision submit(const Job&, TimePoint now);
+    void cancel(const JobId&, TimePoint now);
+    [[nodiscard]] JobEntry* find(const JobId& id) { return m_book.find(id); }
+    // Jobs of the queue that are stored and of which no task has started.
+    [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
+
+    // A start that waited to be sent is still wanted.
+    [[nodiscard]] bool mayStillStart(const RunnerId&, const StartOrder&) const;
+    void onStart(const RunnerId&, const StartOrder&, const OrderAnswer&, TimePoint now);
+    void onStop(const RunnerId&, const StopOrder&, const OrderAnswer&, TimePoint now);
+    // `sent` is when the look was sent.
+    void onLook(const RunnerId&, const LookOrder&, const LookAnswer&, TimePoint sent, TimePoint now);
+
+    // Orders to send now; `mayStart` is false while this process is not sure that it holds the shard.
+    [[nodiscard]] ShardOrders plan(TimePoint now, WallTime wallNow, bool mayStart);
+
+    // Rows to write. All changes of the state up to now are in it.
+    [[nodiscard]] std::vector<ShardChange> takeChanges(TimePoint now);
+    // A change that takeChanges returned is durable.
+    void onStored(const ShardChange&, TimePoint now);
+    // Everything that takeChanges returned up to now is durable: the runners may forget these ends.
+    struct EndsMark {
+        std::vector<std::pair<RunnerId, std::uint64_t>> ends;
+    };
+    [[nodiscard]] EndsMark endsMark() const;
+    void onEndsStored(const EndsMark&);
+
+    [[nodiscard]] std::map<RunnerId, Runner>& runners() { return m_runners; }
+    [[nodiscard]] const std::map<RunnerId, Runner>& runners() const { return m_runners; }
+    [[nodiscard]] JobBook& book() { return m_book; }
+    [[nodiscard]] PoolLoad loadOf(const PoolId&, std::int32_t priority, TimePoint now) const;
+    // All runners of the earlier holder have answered or can run nothing of it any more.
+    [[nodiscard]] bool mayRestart(const PoolId&, TimePoint now) const;
+
+private:
+    void loseRuns(Runner&, TimePoint now, std::string_view why);
+    void applyEnds(Runner&, const LookAnswer&, TimePoint now);
+    void applyRunning(Runner&, const LookAnswer&, TimePoint sent, TimePoint now);
+    void adopt(Runner&, const RunningTask&, TimePoint now);
+    void noteEvidence(Runner&, const EndedTask&, TimePoint now);
+    void stopRun(Runner&, const TaskName&, Run&);
+    void planStops(Runner&, TimePoint now, ShardOrders&);
+    void planLook(Runner&, TimePoint now, ShardOrders&);
+    void placeJobs(TimePoint now, WallTime wallNow, ShardOrders&);
+    void placeStep(JobEntry&, StepRun&, std::vector<Runner*>&, TimePoint now, ShardOrders&);
+    void order(JobEntry&, const TaskName&, Task&, Runner&, Attempt, TimePoint now, ShardOrders&);
+    [[nodiscard]] std::vector<Runner*> usableRunners(const PoolId&, TimePoint now);
+    [[nodiscard]] Attempt nextAttempt() { return m_attemptBase + ++m_attempts; }
+
+    const ShardSettings m_settings;
+    const Epoch m_epoch;
+    const Attempt m_attemptBase;
+    Attempt m_attempts { 0 };
+    JobBook m_book;
+    std::map<RunnerId, Runner> m_runners;
+    std::vector<ShardChange> m_runnerChanges;
+    std::vector<JobId> m_newJobs;
+};
+
+} // namespace fulmar::jobs
--- /dev/null
+++ b/src/node/row_log.cpp
@@ -0,0 +1,195 @@
+#include "node/row_log.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+
+namespace fulmar::node {
+
+namespace {
+
+// The store takes 100 entries a transaction; each row needs a condition and a change, the lease one condition.
+constexpr std::size_t maxRows = 49;
+// The store takes 1 MB a transaction; base64 and names make a third more of a value.
+constexpr std::size_t maxBytes = 600'000;
+// A slow store was seen to answer in 0.7 s; a lost answer should cost less than a lease.
+constexpr std::chrono::milliseconds commitTimeout { 1'200 };
+constexpr std::chrono::milliseconds firstBackoff { 40 };
+constexpr std::chrono::milliseconds maxBackoff { 500 };
+
+} // namespace
+
+RowLog::RowLog(
+    asio::io_context& loop, platform::StoreClient& store, platform::RowCondition lease, OnLost onLost)
+    : m_store(store)
+    , m_lease(std::move(lease))
+    , m_onLost(std::move(onLost))
+    , m_timer(loop)
+{
+}
+
+void RowLog::seed(const platform::RowName& name, Version version) { m_versions[name] = version; }
+
+RowLog::Pending& RowLog::enqueue(const platform::RowName& name, bool isFirst)
+{
+    auto [found, isNew] = m_pending.try_emplace(name);
+    if (isNew) {
+        if (isFirst)
+            m_order.push_front(name);
+        else
+            m_order.push_back(name);
+    }
+    return found->second;
+}
+
+void RowLog::put(const platform::RowName& name, std::optional<std::string> value, OnDurable durable)
+{
+    auto& pending = enqueue(name, false);
+    pending.value = std::move(value);
+    if (durable)
+        pending.durable.push_back(std::move(durable));
+    send();
+}
+
+void RowLog::putFirst(const platform::RowName& name, std::optional<std::string> value, OnDurable durable)
+{
+    auto& pending = enqueue(name, true);
+    pending.value = std::move(value);
+    if (durable)
+        pending.durable.push_back(std::move(durable));
+    send();
+}
+
+void RowLog::stop()
+{
+    m_isStopped = true;
+    *m_isAlive = false;
+    m_timer.cancel();
+}
+
+void RowLog::send()
+{
+    if (m_isSending || m_isStopped || m_order.empty())
+        return;
+    platform::RowTransaction transaction;
+    transaction.conditions.push_back(m_lease);
+    std::size_t bytes = 0;
+    while (!m_order.empty() && m_inFlight.size() < maxRows && bytes < maxBytes) {
+        auto name = std::move(m_order.front());
+        m_order.pop_front();
+        auto node = m_pending.extract(name);
+        const auto& value = node.mapped().value;
+        auto version = m_versions.find(name);
+        auto exists = version != m_versions.end() && version->second > 0;
+        if ((value || exists) && name != m_lease.name)
+            transaction.conditions.push_back({ name, exists ? version->second : 0 });
+        if (value) {
+            bytes += value->size() + name.key.size();
+            transaction.puts.push_back({ name, *value });
+        } else if (exists) {
+            transaction.removals.push_back(name);
+        }
+        m_inFlight.insert(std::move(node));
+    }
+    m_isSending = true;
+    m_store.commit(std::move(transaction), commitTimeout,
+        [this, isAlive = m_isAlive](const platform::CommitResult& result) {
+            if (*isAlive)
+                onCommit(result);
+        });
+}
+
+void RowLog::adoptVersions(const platform::CommitResult& result)
+{
+    for (const auto& row : result.current)
+        m_versions[row.name] = row.isRemoved ? 0 : row.version;
+    // A row of the conditions that is not among those told does not exist.
+    for (const auto& [name, pending] : m_inFlight) {
+        auto isTold = std::any_of(result.current.begin(), result.current.end(),
+            [&](const platform::StoredRow& row) { return row.name == name; });
+        if (!isTold)
+            m_versions[name] = 0;
+    }
+}
+
+void RowLog::onCommit(const platform::CommitResult& result)
+{
+    m_isSending = false;
+    if (result.outcome == platform::CommitOutcome::Committed) {
+        m_backoff = {};
+        auto written = std::exchange(m_inFlight, {});
+        for (const auto& [name, pending] : written)
+            m_versions[name] = pending.value ? result.version : 0;
+        auto isAlive = m_isAlive;
+        for (auto& [name, pending] : written)
+            for (auto& durable : pending.durable)
+                if (*isAlive)
+                    durable();
+        if (*isAlive)
+            send();
+        return;
+    }
+    if (result.outcome == platform::CommitOutcome::Conflict) {
+        auto lease = std::find_if(result.current.begin(), result.current.end(),
+            [&](const platform::StoredRow& row) { return row.name == m_lease.name; });
+        if (lease == result.current.end() || lease->version != m_lease.version) {
+            logWarning("shard-lost", { { "part", m_lease.name.part }, { "reason", "lease-row-changed" } });
+            m_onLost();
+            return;
+        }
+        adoptVersions(result);
+        requeueInFlight();
+        send();
+        return;
+    }
+    requeueInFlight();
+    retryLater();
+}
+
+// What was in flight goes first again; a newer value of a row replaces the one that was sent.
+void RowLog::requeueInFlight()
+{
+    for (auto each = m_inFlight.rbegin(); each != m_inFlight.rend(); ++each) {
+        auto [found, isNew] = m_pending.try_emplace(each->first);
+        if (isNew)
+            found->second.value = std::move(each->second.value);
+        m_order.erase(std::remove(m_order.begin(), m_order.end(), each->first), m_order.end());
+        m_order.push_front(each->first);
+        for (auto& durable : each->second.durable)
+            found->second.durable.push_back(std::move(durable));
+    }
+    m_inFlight.clear();
+}
+
+void RowLog::whenDurable(OnDurable durable)
+{
+    if (!m_order.empty())
+        m_pending[m_order.back()].durable.push_back(std::move(durable));
+    else if (!m_inFlight.empty())
+        m_inFlight.begin()->second.durable.push_back(std::move(durable));
+    else
+        durable();
+}
+
+void RowLog::release(std::string leaseRow, OnDurable released)
+{
+    put(m_lease.name, std::move(leaseRow), std::move(released));
+}
+
+void RowLog::retryLater()
+{
+    if (m_backoff.count() == 0)
+        logWarning("store-write-failed",
+            { { "part", m_lease.name.part }, { "waiting", std::to_string(waiting()) } });
+    m_backoff = std::clamp(m_backoff * 2, firstBackoff, maxBackoff);
+    m_isSending = true;
+    m_timer.expires_after(m_backoff);
+    m_timer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
+        if (error || !*isAlive)
+            return;
+        m_isSending = false;
+        send();
+    });
+}
+
+} // namespace fulmar::node
--- /dev/null
+++ b/src/node/shard_lease.cpp
@@ -0,0 +1,81 @@
+#include "node/shard_lease.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fulmar::node {
+
+std::string encodeOwner(const LeaseOwner& owner)
+{
+    return nlohmann::json { { "address", owner.address }, { "incarnation", owner.incarnation },
+        { "epoch", owner.epoch } }
+        .dump();
+}
+
+std::optional<LeaseOwner> decodeOwner(std::string_view text)
+{
+    auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return std::nullopt;
+    try {
+        return LeaseOwner { json.at("address").get<std::string>(),
+            json.at("incarnation").get<std::uint64_t>(), json.at("epoch").get<Epoch>() };
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+ShardLease::ShardLease(LeaseSettings settings, std::string address, std::uint64_t incarnation)
+    : m_settings(settings)
+    , m_address(std::move(address))
+    , m_incarnation(incarnation)
+{
+}
+
+void ShardLease::observeOwner(std::optional<LeaseOwner> owner, Version version, TimePoint now)
+{
+    if (version < m_ownerVersion)
+        return;
+    if (version != m_ownerVersion || !m_unchangedSince)
+        m_unchangedSince = now;
+    m_owner = std::move(owner);
+    m_ownerVersion = version;
+}
+
+void ShardLease::observeRenewal(Version version, TimePoint now)
+{
+    if (version <= m_renewalVersion)
+        return;
+    m_renewalVersion = version;
+    m_unchangedSince = now;
+}
+
+bool ShardLease::shouldAcquire(TimePoint now, std::chrono::milliseconds delay) const
+{
+    if (!m_unchangedSince || isOwn())
+        return false;
+    // Released, never held, or held by an earlier start of this very process: nobody gives orders any more.
+    auto isFree = !m_owner || m_owner->address.empty() || m_owner->address == m_address;
+    auto wait = isFree ? delay : m_settings.length + delay;
+    if (m_owner && m_owner->address == m_address)
+        wait = {};
+    return now >= *m_unchangedSince + wait;
+}
+
+LeaseOwner ShardLease::claim() const
+{
+    return { m_address, m_incarnation, (m_owner ? m_owner->epoch : 0) + 1 };
+}
+
+void ShardLease::onRenewed(TimePoint sent)
+{
+    m_validUntil = std::max(m_validUntil, sent + m_settings.length - m_settings.margin);
+}
+
+bool ShardLease::isValid(TimePoint now) const { return isOwn() && now < m_validUntil; }
+
+bool ShardLease::isOwn() const
+{
+    return m_owner && m_owner->address == m_address && m_owner->incarnation == m_incarnation;
+}
+
+} // namespace fulmar::node
--- /dev/null
+++ b/src/node/shard_owner.cpp
@@ -0,0 +1,441 @@
+#include "node/shard_owner.h"
+
+#include "core/log.h"
+#include "jobs/runner_row.h"
+#include "platform/decode.h"
+
+#include <asio/post.hpp>
+#include <algorithm>
+
+namespace fulmar::node {
+
+namespace {
+
+// The list of runners changes with every heartbeat; a draining runner must be known within two seconds.
+constexpr std::chrono::milliseconds runnerListPause { 300 };
+constexpr std::chrono::milliseconds readTimeout { 2'000 };
+// Events of this time are planned together.
+constexpr std::chrono::milliseconds planPause { 5 };
+// Ends of this time are written together; an end should be stored within 100 ms of being listed.
+constexpr std::chrono::milliseconds writePause { 30 };
+// Starts on their way to one runner; each needs a connection.
+constexpr std::size_t maxStartsInFlight = 3;
+constexpr std::chrono::milliseconds retryWhenNotHolder { 1'000 };
+
+JobReply uncertain(std::string reason)
+{
+    JobReply reply;
+    reply.verdict = JobVerdict::Uncertain;
+    reply.reason = std::move(reason);
+    return reply;
+}
+
+JobReply done(std::string state)
+{
+    JobReply reply;
+    reply.verdict = JobVerdict::Done;
+    reply.state = std::move(state);
+    return reply;
+}
+
+} // namespace
+
+ShardOwner::ShardOwner(asio::io_context& loop, platform::StoreClient& store, platform::RunnerClient& runners,
+    jobs::ShardSettings settings, platform::RowCondition lease, Version renewalVersion, Epoch epoch, Hooks hooks)
+    : m_loop(loop)
+    , m_store(store)
+    , m_runnerClient(runners)
+    , m_part(lease.name.part)
+    , m_hooks(std::move(hooks))
+    , m_log(loop, store, lease, [this] { m_hooks.onLost(); })
+    , m_shard(settings, epoch)
+    , m_runnerList(loop, store, "servers", "", runnerListPause,
+          { [this](const platform::StoredRow& row) {
+               if (row.isRemoved) {
+                   m_listed.erase(jobs::RunnerId(row.name.key));
+                   return;
+               }
+               if (auto report = platform::decodeRunner(row.name.key, row.value))
+                   m_listed.insert_or_assign(report->id, std::move(*report));
+               else if (m_listed.erase(jobs::RunnerId(row.name.key)) > 0)
+                   logWarning("runner-row-unreadable", { { "runner", row.name.key } });
+           },
+              [this](const std::vector<platform::StoredRow>& rows) {
+                  m_listed.clear();
+                  for (const auto& row : rows)
+                      if (auto report = platform::decodeRunner(row.name.key, row.value))
+                          m_listed.insert_or_assign(report->id, std::move(*report));
+                      else
+                          logWarning("runner-row-unreadable", { { "runner", row.name.key } });
+              },
+              [this] {
+                  m_isListRead = true;
+                  m_shard.observeRunners(m_listed, m_clock.now());
+                  onRestored();
+                  schedule();
+              } })
+    , m_planTimer(loop)
+    , m_writeTimer(loop)
+{
+    m_log.seed(rowName(leaseTable, renewalKey), renewalVersion);
+    restore();
+}
+
+ShardOwner::~ShardOwner()
+{
+    *m_isAlive = false;
+    m_log.stop();
+    for (auto* waiting : { &m_waitingForStore, &m_waitingForCancel })
+        for (auto& [job, replies] : *waiting)
+            for (auto& reply : replies)
+                reply(uncertain("shard-lost"));
+}
+
+platform::RowName ShardOwner::rowName(std::string table, std::string key) const
+{
+    return { std::move(table), m_part, std::move(key) };
+}
+
+platform::RowName ShardOwner::rowName(const jobs::ShardChange& change) const
+{
+    using Kind = jobs::ShardChange::Kind;
+    switch (change.kind) {
+    case Kind::Job:
+    case Kind::JobRemoval:
+        return rowName(jobTable, change.key);
+    case Kind::Progress:
+        return rowName(progressTable, change.key);
+    case Kind::Runner:
+    case Kind::RunnerRemoval:
+        break;
+    }
+    return rowName(runnerTable, change.key);
+}
+
+// Reads the three tables one after the other; any failure starts anew.
+void ShardOwner::restore()
+{
+    auto retry = [this] {
+        m_planTimer.expires_after(readTimeout / 10);
+        m_planTimer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
+            if (!error && *isAlive)
+                restore();
+        });
+    };
+    m_store.readAll(jobTable, m_part, readTimeout, [this, retry, isAlive = m_isAlive](auto jobRows) {
+        if (!*isAlive)
+            return;
+        if (!jobRows)
+            return retry();
+        m_store.readAll(progressTable, m_part, readTimeout,
+            [this, retry, isAlive, jobRows = std::move(*jobRows)](auto progressRows) {
+                if (!*isAlive)
+                    return;
+                if (!progressRows)
+                    return retry();
+                m_store.readAll(runnerTable, m_part, readTimeout,
+                    [this, retry, isAlive, jobRows, progressRows = std::move(*progressRows)](auto runnerRows) {
+                        if (!*isAlive)
+                            return;
+                        if (!runnerRows)
+                            return retry();
+                        auto now = m_clock.now();
+                        std::unordered_map<std::string, jobs::JobProgress> progress;
+                        for (const auto& row : progressRows.rows) {
+                            m_log.seed(row.name, row.version);
+                            if (auto decoded = jobs::decodeProgress(row.value))
+                                progress.emplace(row.name.key, std::move(*decoded));
+                            else
+                                logWarning("progress-row-unreadable", { { "job", row.name.key } });
+                        }
+                        for (const auto& row : jobRows.rows) {
+                            m_log.seed(row.name, row.version);
+                            if (auto job = jobs::decodeJob(row.value))
+                                m_shard.restoreJob(std::move(*job), progress[row.name.key], now);
+                            else
+                                logWarning("job-row-unreadable", { { "job", row.name.key } });
+                        }
+                        for (const auto& row : runnerRows->rows) {
+                            m_log.seed(row.name, row.version);
+                            if (auto runner = jobs::decodeRunnerRow(row.name.key, row.value))
+                                m_shard.restoreRunner(std::move(*runner), now);
+                        }
+                        logInfo("shard-restored",
+                            { { "part", m_part }, { "jobs", std::to_string(jobRows.rows.size()) },
+                                { "runners", std::to_string(runnerRows->rows.size()) } });
+                        m_runnerList.start();
+                    });
+            });
+    });
+}
+
+void ShardOwner::onRestored()
+{
+    if (std::exchange(m_isRestored, true))
+        return;
+    for (auto& call : std::exchange(m_waitingForRestore, {}))
+        call();
+}
+
+void ShardOwner::configure(const jobs::FleetConfig& config)
+{
+    m_shard.configure(config);
+    schedule();
+}
+
+void ShardOwner::handle(JobCall call, OnJobReply reply)
+{
+    if (!m_isRestored) {
+        m_waitingForRestore.push_back(
+            [this, call = std::move(call), reply = std::move(reply)] { handle(call, reply); });
+        return;
+    }
+    switch (call.kind) {
+    case JobCallKind::Submit:
+        submit(call, std::move(reply));
+        break;
+    case JobCallKind::Show:
+        show(call, reply);
+        break;
+    case JobCallKind::Cancel:
+        cancel(call, std::move(reply));
+        break;
+    case JobCallKind::Count: {
+        auto count = done({});
+        count.pending = m_shard.pending(call.queue);
+        reply(count);
+        break;
+    }
+    }
+}
+
+void ShardOwner::submit(const JobCall& call, OnJobReply reply)
+{
+    auto job = jobs::decodeJob(call.encodedJob);
+    if (!job) {
+        JobReply refusal;
+        refusal.verdict = JobVerdict::Rejected;
+        refusal.reason = "unreadable";
+        reply(refusal);
+        return;
+    }
+    auto decision = m_shard.submit(*job, m_clock.now());
+    logInfo("admission",
+        { { "job", job->id.value() }, { "queue", job->queue }, { "pool", job->policy.pool.value() },
+            { "verdict",
+                decision.verdict == jobs::SubmitVerdict::Known ? "known"
+                                                               : std::string(toString(decision.admission.verdict)) },
+            { "backlog-core-ms", std::to_string(std::int64_t(decision.load.backlog)) },
+            { "cpu", std::to_string(decision.load.usableCpu) },
+            { "free", std::to_string(decision.load.freeCpu) },
+            { "work-core-ms", std::to_string(std::int64_t(job->estimatedWork())) },
+            { "expected-ms", std::to_string(decision.admission.expectedEnd.count()) },
+            { "objective-ms", std::to_string(job->objective().count()) },
+            { "retry-ms", std::to_string(decision.admission.retryAfter.count()) } });
+    if (decision.verdict == jobs::SubmitVerdict::Rejected) {
+        JobReply refusal;
+        refusal.verdict = JobVerdict::Rejected;
+        refusal.retryAfter = decision.admission.retryAfter;
+        refusal.reason = std::string(toString(decision.admission.verdict));
+        reply(refusal);
+        return;
+    }
+    if (m_shard.find(job->id)->isStored) {
+        reply(done("stored"));
+        return;
+    }
+    m_waitingForStore[job->id].push_back(std::move(reply));
+    write();
+}
+
+void ShardOwner::show(const JobCall& call, const OnJobReply& reply)
+{
+    auto* entry = m_shard.find(call.job);
+    if (!entry || !entry->isStored) {
+        JobReply unknown;
+        unknown.verdict = JobVerdict::UnknownJob;
+        reply(unknown);
+        return;
+    }
+    // A final state is told once it is durable.
+    auto isSettled = !entry->isOver() || entry->storedState == entry->state;
+    reply(done(std::string(toString(isSettled ? entry->state : jobs::JobState::Running))));
+}
+
+void ShardOwner::cancel(const JobCall& call, OnJobReply reply)
+{
+    auto* entry = m_shard.find(call.job);
+    if (!entry) {
+        JobReply unknown;
+        unknown.verdict = JobVerdict::UnknownJob;
+        reply(unknown);
+        return;
+    }
+    m_shard.cancel(call.job, m_clock.now());
+    logInfo("cancel", { { "job", call.job.value() }, { "state", std::string(toString(entry->state)) } });
+    if (entry->storedState == entry->state) {
+        reply(done(std::string(toString(entry->state))));
+        return;
+    }
+    m_waitingForCancel[call.job].push_back(std::move(reply));
+    write();
+    schedule();
+}
+
+void ShardOwner::write()
+{
+    for (auto& change : m_shard.takeChanges(m_clock.now())) {
+        using Kind = jobs::ShardChange::Kind;
+        auto isRemoval = change.kind == Kind::JobRemoval || change.kind == Kind::RunnerRemoval;
+        auto name = rowName(change);
+        if (change.kind == Kind::JobRemoval)
+            m_log.put(rowName(progressTable, change.key), std::nullopt, {});
+        auto value = isRemoval ? std::nullopt : std::optional(change.value);
+        m_log.put(name, std::move(value), [this, change = std::move(change)] {
+            m_shard.onStored(change, m_clock.now());
+            if (change.kind == Kind::Job || change.kind == Kind::Progress)
+                answerStored(JobId(change.key));
+            schedule();
+        });
+    }
+    // Ends that needed no row are covered as well: they are marked after all rows before them.
+    if (auto mark = m_shard.endsMark(); !mark.ends.empty())
+        m_log.whenDurable([this, mark = std::move(mark)] {
+            m_shard.onEndsStored(mark);
+            schedule();
+        });
+}
+
+void ShardOwner::answerStored(const JobId& id)
+{
+    auto* entry = m_shard.find(id);
+    if (!entry)
+        return;
+    if (auto waiting = m_waitingForStore.extract(id))
+        for (auto& reply : waiting.mapped())
+            reply(done("stored"));
+    if (entry->isOver() && entry->storedState == entry->state)
+        if (auto waiting = m_waitingForCancel.extract(id))
+            for (auto& reply : waiting.mapped())
+                reply(done(std::string(toString(entry->state))));
+}
+
+void ShardOwner::renew()
+{
+    auto sent = m_clock.now();
+    m_log.putFirst(rowName(leaseTable, renewalKey), std::to_string(++m_renewals),
+        [this, sent] { m_hooks.onRenewed(sent); });
+}
+
+void ShardOwner::release(std::string releasedOwner, std::function<void()> done)
+{
+    write();
+    m_log.release(std::move(releasedOwner), std::move(done));
+}
+
+void ShardOwner::schedule()
+{
+    if (!m_isRestored)
+        return;
+    auto at = m_clock.now() + planPause;
+    if (m_isPlanSet && m_planAt <= at)
+        return;
+    m_isPlanSet = true;
+    m_planAt = at;
+    m_planTimer.expires_after(planPause);
+    m_planTimer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
+        if (!error && *isAlive)
+            plan();
+    });
+}
+
+void ShardOwner::plan()
+{
+    m_isPlanSet = false;
+    auto now = m_clock.now();
+    auto orders = m_shard.plan(now, m_clock.wallNow(), m_hooks.mayOrder());
+    for (const auto& start : orders.starts)
+        sendStart(start);
+    for (const auto& stop : orders.stops)
+        sendStop(stop);
+    for (const auto& look : orders.looks)
+        sendLook(look);
+    if (!std::exchange(m_isWriteSet, true)) {
+        m_writeTimer.expires_after(writePause);
+        m_writeTimer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
+            if (error || !*isAlive)
+                return;
+            m_isWriteSet = false;
+            write();
+        });
+    }
+    if (m_isPlanSet)
+        return;
+    m_isPlanSet = true;
+    m_planAt = orders.wakeAt;
+    m_planTimer.expires_after(std::max(orders.wakeAt - now, Duration(planPause)));
+    m_planTimer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
+        if (!error && *isAlive)
+            plan();
+    });
+}
+
+void ShardOwner::sendStart(const jobs::OutgoingStart& start)
+{
+    m_outboxes[start.runner.id].waiting.push_back(start);
+    sendNextStart(start.runner.id);
+}
+
+void ShardOwner::sendNextStart(const jobs::RunnerId& id)
+{
+    auto& outbox = m_outboxes[id];
+    while (outbox.inFlight < maxStartsInFlight && !outbox.waiting.empty()) {
+        auto start = std::move(outbox.waiting.front());
+        outbox.waiting.pop_front();
+        auto now = m_clock.now();
+        // A start that waited until the lease became unsure, or whose run was called off, is not sent.
+        if (!m_hooks.mayOrder() || !m_shard.mayStillStart(id, start.order)) {
+            m_shard.onStart(id, start.order, { jobs::OrderOutcome::Withheld, {}, 0 }, now);
+            continue;
+        }
+        ++outbox.inFlight;
+        m_runnerClient.start(start.runner, start.order,
+            [this, id, order = start.order, isAlive = m_isAlive](const jobs::OrderAnswer& answer) {
+                if (!*isAlive)
+                    return;
+                --m_outboxes[id].inFlight;
+                if (answer.outcome != jobs::OrderOutcome::Accepted)
+                    logWarning("start",
+                        { { "task", platform::taskText(order.task) }, { "runner", id.value() },
+                            { "outcome", std::string(toString(answer.outcome)) } });
+                m_shard.onStart(id, order, answer, m_clock.now());
+                sendNextStart(id);
+                schedule();
+            });
+    }
+}
+
+void ShardOwner::sendStop(const jobs::OutgoingStop& stop)
+{
+    m_runnerClient.stop(stop.runner, stop.order,
+        [this, id = stop.runner.id, order = stop.order, isAlive = m_isAlive](const jobs::OrderAnswer& answer) {
+            if (!*isAlive)
+                return;
+            m_shard.onStop(id, order, answer, m_clock.now());
+            schedule();
+        });
+}
+
+void ShardOwner::sendLook(const jobs::OutgoingLook& look)
+{
+    m_runnerClient.look(look.runner, look.order,
+        [this, id = look.runner.id, order = look.order, sent = m_clock.now(), isAlive = m_isAlive](
+            const jobs::LookAnswer& answer) {
+            if (!*isAlive)
+                return;
+            m_shard.onLook(id, order, answer, sent, m_clock.now());
+            schedule();
+        });
+}
+
+} // namespace fulmar::node
--- /dev/null
+++ b/src/node/shard_owner.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "jobs/shard.h"
+#include "node/job_call.h"
+#include "node/row_log.h"
+#include "node/table_follower.h"
+#include "platform/runner_client.h"
+
+#include <unordered_map>
+
+namespace fulmar::node {
+
+// Tables of the store that this program keeps. A shard's rows are one part of each.
+inline constexpr auto leaseTable = "leases";
+inline constexpr auto jobTable = "jobs";
+inline constexpr auto progressTable = "progress";
+inline constexpr auto runnerTable = "runners";
+inline constexpr auto ownerKey = "owner";
+inline constexpr auto renewalKey = "renewal";
+
+// What a process does while it holds a shard: restores the shard's state from the store, sends its orders to
+// runners, writes its changes, and answers callers' requests once what they ask for is durable. Used by the
+// loop's thread only; destroyed when the lease is lost.
+class ShardOwner {
+public:
+    struct Hooks {
+        // The lease is sure enough to give orders.
+        std::function<bool()> mayOrder;
+        // Another process holds the shard.
+        std::function<void()> onLost;
+        std::function<void(TimePoint sent)> onRenewed;
+    };
+
+    ShardOwner(asio::io_context&, platform::StoreClient&, platform::RunnerClient&, jobs::ShardSettings,
+        platform::RowCondition lease, Version renewalVersion, Epoch, Hooks);
+    ~ShardOwner();
+    ShardOwner(const ShardOwner&) = delete;
+    ShardOwner& operator=(const ShardOwner&) = delete;
+
+    // Answers once the shard's state is restored and what was asked is durable.
+    void handle(JobCall, OnJobReply);
+    void configure(const jobs::FleetConfig&);
+    void renew();
+    // Writes what is due and releases the lease; `done` when it is released.
+    void release(std::string releasedOwner, std::function<void()> done);
+
+    [[nodiscard]] bool isRestored() const { return m_isRestored; }
+    [[nodiscard]] jobs::Shard& shard() { return m_shard; }
+    // Plans soon; several events are taken together.
+    void schedule();
+
+private:
+    void restore();
+    void onRestored();
+    void submit(const JobCall&, OnJobReply);
+    void show(const JobCall&, const OnJobReply&);
+    void cancel(const JobCall&, OnJobReply);
+    void answerStored(const JobId&);
+    void plan();
+    void write();
+    void sendStart(const jobs::OutgoingStart&);
+    void sendStop(const jobs::OutgoingStop&);
+    void sendLook(const jobs::OutgoingLook&);
+    void sendNextStart(const jobs::RunnerId&);
+    [[nodiscard]] platform::RowName rowName(const jobs::ShardChange&) const;
+    [[nodiscard]] platform::RowName rowName(std::string table, std::string key) const;
+
+    asio::io_context& m_loop;
+    platform::StoreClient& m_store;
+    platform::RunnerClient& m_runnerClient;
+    const std::string m_part;
+    const Hooks m_hooks;
+    BootClock m_clock;
+    RowLog m_log;
+    jobs::Shard m_shard;
+    TableFollower m_runnerList;
+    std::map<jobs::RunnerId, jobs::RunnerReport> m_listed;
+    bool m_isListRead { false };
+    bool m_isRestored { false };
+    std::vector<std::function<void()>> m_waitingForRestore;
+    std::unordered_map<JobId, std::vector<OnJobReply>> m_waitingForStore;
+    std::unordered_map<JobId, std::vector<OnJobReply>> m_waitingForCancel;
+    asio::steady_timer m_planTimer;
+    TimePoint m_planAt;
+    bool m_isPlanSet { false };
+    asio::steady_timer m_writeTimer;
+    bool m_isWriteSet { false };
+    // Starts wait for a connection; each runner gets a few at a time.
+    struct Outbox {
+        std::deque<jobs::OutgoingStart> waiting;
+        std::size_t inFlight { 0 };
+    };
+    std::map<jobs::RunnerId, Outbox> m_outboxes;
+    std::uint64_t m_renewals { 0 };
+    std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
+};
+
+} // namespace fulmar::node
--- /dev/null
+++ b/src/node/table_follower.cpp
@@ -0,0 +1,98 @@
+#include "node/table_follower.h"
+
+#include "core/log.h"
+
+namespace fulmar::node {
+
+namespace {
+
+// A feed that went silent is noticed after this and the client's slack; the configuration has to be in force
+// within two seconds on a node whose links were well for three.
+constexpr std::chrono::milliseconds feedWait { 1'500 };
+constexpr std::chrono::milliseconds readTimeout { 2'000 };
+// All nodes ask again after an outage; a few calls a second from each are well under the store's rate.
+constexpr std::chrono::milliseconds retryPause { 250 };
+
+} // namespace
+
+TableFollower::TableFollower(asio::io_context& loop, platform::StoreClient& store, std::string table,
+    std::string part, std::chrono::milliseconds pause, Hooks hooks)
+    : m_store(store)
+    , m_table(std::move(table))
+    , m_part(std::move(part))
+    , m_pause(pause)
+    , m_hooks(std::move(hooks))
+    , m_timer(loop)
+{
+}
+
+void TableFollower::start() { readAll(); }
+
+void TableFollower::later(std::chrono::milliseconds pause, void (TableFollower::*next)())
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([this, next, isAlive = m_isAlive](const asio::error_code& error) {
+        if (!error && *isAlive)
+            (this->*next)();
+    });
+}
+
+void TableFollower::noteFailure()
+{
+    if (!std::exchange(m_isAway, true))
+        logWarning("store-lost", { { "table", m_table }, { "version", std::to_string(m_version) } });
+}
+
+void TableFollower::noteAnswer()
+{
+    if (std::exchange(m_isAway, false))
+        logInfo("store-regained", { { "table", m_table }, { "version", std::to_string(m_version) } });
+}
+
+void TableFollower::readAll()
+{
+    m_store.readAll(m_table, m_part, readTimeout,
+        [this, isAlive = m_isAlive](const std::optional<platform::RowPage>& page) {
+            if (!*isAlive)
+                return;
+            if (!page) {
+                noteFailure();
+                later(retryPause, &TableFollower::readAll);
+                return;
+            }
+            m_version = page->version;
+            noteAnswer();
+            m_hooks.onSnapshot(page->rows);
+            m_hooks.onAnswer();
+            later(m_pause, &TableFollower::follow);
+        });
+}
+
+void TableFollower::follow()
+{
+    m_store.follow(m_table, m_version, feedWait, [this, isAlive = m_isAlive](const platform::FeedResult& feed) {
+        if (!*isAlive)
+            return;
+        switch (feed.outcome) {
+        case platform::FeedOutcome::HistoryGone:
+            logInfo("store-history-gone", { { "table", m_table }, { "version", std::to_string(m_version) } });
+            readAll();
+            return;
+        case platform::FeedOutcome::Failed:
+            noteFailure();
+            later(retryPause, &TableFollower::follow);
+            return;
+        case platform::FeedOutcome::Changes:
+            break;
+        }
+        m_version = std::max(m_version, feed.page.version);
+        noteAnswer();
+        for (const auto& row : feed.page.rows)
+            if (row.name.part == m_part)
+                m_hooks.onRow(row);
+        m_hooks.onAnswer();
+        later(m_pause, &TableFollower::follow);
+    });
+}
+
+} // namespace fulmar::node
--- /dev/null
+++ b/src/node/table_follower.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/clock.h"
+#include "jobs/fleet.h"
+#include "platform/store_client.h"
+
+#include <asio/steady_timer.hpp>
+#include <map>
+
+namespace fulmar::node {
+
+// Keeps a copy of one table of the store: reads a part once, then follows its changes. Tells of every change
+// and of losing and regaining the store.
+class TableFollower {
+public:
+    struct Hooks {
+        // A row was written or removed.
+        std::function<void(const platform::StoredRow&)> onRow;
+        // The whole table was read; rows that are not among these do not exist.
+        std::function<void(const std::vector<platform::StoredRow>&)> onSnapshot;
+        // All rows of an answer were told.
+        std::function<void()> onAnswer;
+    };
+
+    // `pause` is the least time between two answers that are taken.
+    TableFollower(asio::io_context&, platform::StoreClient&, std::string table, std::string part,
+        std::chrono::milliseconds pause, Hooks);
+    ~TableFollower() { *m_isAlive = false; }
+    TableFollower(const TableFollower&) = delete;
+    TableFollower& operator=(const TableFollower&) = delete;
+
+    void start();
+
+private:
+    void readAll();
+    void follow();
+    void later(std::chrono::milliseconds, void (TableFollower::*next)());
+    void noteFailure();
+    void noteAnswer();
+
+    platform::StoreClient& m_store;
+    const std::string m_table;
+    const std::string m_part;
+    const std::chrono::milliseconds m_pause;
+    const Hooks m_hooks;
+    asio::steady_timer m_timer;
+    Version m_version { 0 };
+    bool m_isAway { false };
+    std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
+};
+
+} // namespace fulmar::node
--- a/src/programs/fulmar_control.cpp
+++ b/src/programs/fulmar_control.cpp
@@ -1,6 +1,6 @@
 #include "core/log.h"
 #include "daemon/control.h"
-#include "daemon/program.h"
+#include "io/program.h"
 
 int main(int argc, char** argv)
 {
