--- /dev/null
+++ b/src/jobs/maintenance_plan.cpp
@@ -0,0 +1,49 @@
+#include "jobs/maintenance_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fulmar::jobs {
+
+namespace {
+
+// Part of a wave's time after which all its VMs should be done; the rest is for faults on the way.
+constexpr double plannedShare = 0.6;
+// Part of a wave's time after which a VM is taken down although something still runs there.
+constexpr double forcedShare = 0.8;
+
+} // namespace
+
+MaintenanceSteps planMaintenance(
+    const WaveProgress& wave, std::vector<MaintenanceCandidate> candidates, Millis cycle, TimePoint now)
+{
+    MaintenanceSteps steps;
+    auto duration = double(wave.order.duration.count());
+    auto elapsed = double(std::chrono::duration_cast<Millis>(now - wave.firstSeen).count());
+    auto isForced = elapsed > duration * forcedShare;
+    auto left = std::max(duration * plannedShare - elapsed, double(cycle.count()));
+    auto rate = std::ceil(double(candidates.size() + wave.down.size()) * double(cycle.count()) / left);
+    auto atOnce = std::min(std::uint32_t(std::max(1.0, rate)), wave.order.maxAtOnce);
+    auto downNow = std::uint32_t(wave.down.size());
+    std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+        return std::tuple(!a.isEmpty, a.busyCpu, a.vm) < std::tuple(!b.isEmpty, b.busyCpu, b.vm);
+    });
+    auto taken = downNow + std::uint32_t(wave.emptying.size());
+    for (const auto& candidate : candidates) {
+        if (!candidate.isUp)
+            continue;
+        auto isEmptying = wave.emptying.contains(candidate.vm);
+        if ((candidate.isEmpty || (isEmptying && isForced)) && downNow < wave.order.maxAtOnce
+            && (isEmptying || taken < atOnce)) {
+            steps.takeDown.push_back(candidate.vm);
+            ++downNow;
+            taken += isEmptying ? 0 : 1;
+        } else if (!isEmptying && taken < atOnce) {
+            steps.empty.push_back(candidate.vm);
+            ++taken;
+        }
+    }
+    return steps;
+}
+
+} // namespace fulmar::jobs
--- /dev/null
+++ b/src/jobs/maintenance_plan.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "jobs/fleet.h"
+
+#include <map>
+#include <set>
+
+namespace fulmar::jobs {
+
+// How far a wave is.
+struct WaveProgress {
+    WaveOrder order;
+    TimePoint firstSeen;
+    std::set<VmId> done;
+    // VMs being emptied, and VMs whose maintenance was ordered and is not seen to be over.
+    std::map<VmId, TimePoint> emptying;
+    std::map<VmId, TimePoint> down;
+    bool isReported { false };
+    bool isCompleted { false };
+};
+
+// A VM that is still to be maintained, as the planner sees it.
+struct MaintenanceCandidate {
+    VmId vm;
+    // Nothing runs on it.
+    bool isEmpty { false };
+    // It is up; one that moves or is down has to wait.
+    bool isUp { false };
+    // Cores in use there, thousandths.
+    std::int64_t busyCpu { 0 };
+};
+
+struct MaintenanceSteps {
+    // To be emptied: nothing new is started there.
+    std::vector<VmId> empty;
+    // To be taken down now.
+    std::vector<VmId> takeDown;
+};
+
+// Decides which VMs of a wave are emptied and taken down next: as few at a time as end the wave well before
+// its time is over, those that carry least first. `cycle` is the time from emptying a VM to its return.
+[[nodiscard]] MaintenanceSteps planMaintenance(
+    const WaveProgress&, std::vector<MaintenanceCandidate>, Millis cycle, TimePoint now);
+
+} // namespace fulmar::jobs
--- /dev/null
+++ b/src/jobs/move_plan.cpp
@@ -0,0 +1,61 @@
+#include "jobs/move_plan.h"
+
+#include <algorithm>
+
+namespace fulmar::jobs {
+
+namespace {
+
+// A VM idles this long before another pool may take it: shorter gaps lie between two tasks of one job.
+constexpr Millis idleBeforeTransfer { 250 };
+// And this long before it is switched off. A move costs about as much as a VM that stands for a second, and
+// it takes a second and a half to come back.
+constexpr Millis idleBeforeStandby { 1'500 };
+
+std::uint32_t surplus(const PoolNeed& pool) { return pool.present > pool.needed ? pool.present - pool.needed : 0; }
+
+std::uint32_t deficit(const PoolNeed& pool) { return pool.needed > pool.present ? pool.needed - pool.present : 0; }
+
+std::optional<VmId> takeIdle(PoolNeed& pool, Millis idleAtLeast)
+{
+    if (surplus(pool) == 0 || pool.idle.empty() || pool.idle.front().idleFor < idleAtLeast)
+        return std::nullopt;
+    auto vm = pool.idle.front().vm;
+    pool.idle.erase(pool.idle.begin());
+    --pool.present;
+    return vm;
+}
+
+} // namespace
+
+std::vector<VmMove> planMoves(MoveInput input)
+{
+    std::vector<VmMove> moves;
+    auto& pools = input.pools;
+    std::stable_sort(pools.begin(), pools.end(),
+        [](const PoolNeed& a, const PoolNeed& b) { return deficit(a) > deficit(b); });
+    for (auto& pool : pools) {
+        while (deficit(pool) > 0 && !input.standby.empty()) {
+            moves.push_back({ input.standby.back(), input.standbyPool, pool.pool });
+            input.standby.pop_back();
+            ++pool.present;
+        }
+        for (auto& other : pools) {
+            while (deficit(pool) > 0) {
+                auto vm = takeIdle(other, idleBeforeTransfer);
+                if (!vm)
+                    break;
+                moves.push_back({ *vm, other.pool, pool.pool });
+                ++pool.present;
+            }
+        }
+    }
+    if (input.standbyPool.empty())
+        return moves;
+    for (auto& pool : pools)
+        while (auto vm = takeIdle(pool, idleBeforeStandby))
+            moves.push_back({ *vm, pool.pool, input.standbyPool });
+    return moves;
+}
+
+} // namespace fulmar::jobs
--- /dev/null
+++ b/src/jobs/move_plan.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "jobs/fleet.h"
+
+namespace fulmar::jobs {
+
+// A VM on which nothing runs.
+struct IdleVm {
+    VmId vm;
+    Millis idleFor { 0 };
+};
+
+// A pool as the planner of moves sees it.
+struct PoolNeed {
+    PoolId pool;
+    // VMs that the pool's demand asks for.
+    std::uint32_t needed { 0 };
+    // VMs that serve it, or are on their way to it.
+    std::uint32_t present { 0 };
+    // Of those, longest idle first.
+    std::vector<IdleVm> idle;
+};
+
+struct MoveInput {
+    std::vector<PoolNeed> pools;
+    // Empty if the configuration has no pool whose VMs are switched off.
+    PoolId standbyPool;
+    std::vector<VmId> standby;
+};
+
+struct VmMove {
+    VmId vm;
+    PoolId from;
+    PoolId to;
+};
+
+// Decides which VMs change pools. Load pattern: queues take turns, each asking for more than its pool holds
+// for some seconds and for almost nothing between; so a pool whose turn comes takes VMs that are switched off,
+// then those that idle in other pools, and VMs that idle beyond their pool's need are switched off. Only VMs
+// on which nothing runs are moved.
+[[nodiscard]] std::vector<VmMove> planMoves(MoveInput);
+
+} // namespace fulmar::jobs
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -24,6 +24,10 @@
 constexpr Millis repeatStop { 300 };
 // Pause before a task is ordered again where the runner had refused it.
 constexpr Millis pauseAfterRefusal { 200 };
+// Work that waits should be started within this time.
+constexpr Millis backlogHorizon { 1'500 };
+// Room beyond the estimated demand: tasks do not fill runners exactly, and estimates are off both ways.
+constexpr double demandHeadroom = 1.15;
 // A runner answers a look only after orders that it acknowledged before; clocks of one process, so no margin.
 constexpr Millis noDelay { 0 };
 
@@ -93,6 +97,7 @@
         decision.verdict = SubmitVerdict::Known;
         return decision;
     }
+    m_demand[job.policy.pool].note(job.id, job.estimatedWork(), now);
     decision.load = loadOf(job.policy.pool, job.policy.priority, now);
     decision.admission = decideAdmission(job, decision.load);
     if (decision.admission.verdict != Admission::Accept)
@@ -114,7 +119,7 @@
     for (auto& [runnerId, runner] : m_runners)
         for (auto& [task, run] : runner.runs())
             if (task.job == id)
-                stopRun(runner, task, run);
+                stopRun(run);
 }
 
 std::uint64_t Shard::pending(const std::string& queue) const
@@ -125,7 +130,7 @@
     }));
 }
 
-void Shard::stopRun(Runner&, const TaskName&, Run& run)
+void Shard::stopRun(Run& run)
 {
     if (run.phase == RunPhase::Stopping)
         return;
@@ -338,7 +343,7 @@
             for (auto& [otherId, other] : m_runners)
                 for (auto& [name, each] : other.runs())
                     if (name.job == id)
-                        stopRun(other, name, each);
+                        stopRun(each);
         }
     }
     if (runner.runs().empty())
@@ -360,7 +365,7 @@
         run.reserved = entry->job.steps[running.task.step].reserved();
     auto& added = runner.addRun(running.task, std::move(run));
     if (!isWanted) {
-        stopRun(runner, running.task, added);
+        stopRun(added);
         return;
     }
     task->state = TaskState::Placed;
@@ -456,6 +461,12 @@
     for (auto& [id, runner] : m_runners) {
         if (runner.lookFailures > 0 && !runner.runs().empty() && runner.hasLapsed(now))
             loseRuns(runner, now, "lease-lapsed");
+        // What stays on a runner that leaves is lost with it; its lasting tasks go elsewhere at once.
+        if (runner.report().isDraining && mayStart)
+            for (auto& [task, run] : runner.runs())
+                if (auto* entry = m_book.find(task.job); entry && run.phase == RunPhase::Running
+                    && entry->job.steps[task.step].isLasting)
+                    stopRun(run);
         planStops(runner, now, orders);
         planLook(runner, now, orders);
     }
@@ -594,6 +605,73 @@
     return load;
 }
 
+double Shard::neededCpu(const PoolId& pool, TimePoint now)
+{
+    std::int64_t lasting = 0;
+    std::int64_t busy = 0;
+    for (const auto& [id, runner] : m_runners) {
+        if (runner.report().pool != pool)
+            continue;
+        for (const auto& [task, run] : runner.runs()) {
+            auto* entry = m_book.find(task.job);
+            auto isLasting = entry && entry->job.steps[task.step].isLasting;
+            (isLasting ? lasting : busy) += run.reserved.cpu;
+        }
+    }
+    double waiting = 0;
+    for (const auto& [id, entry] : m_book.all()) {
+        if (entry.isOver() || entry.job.policy.pool != pool)
+            continue;
+        for (const auto& steps : entry.stepRuns) {
+            const auto& step = entry.job.steps[steps.step];
+            if (step.isLasting)
+                lasting += step.reserved().cpu * steps.waiting();
+            else
+                waiting += double(step.each.cpu) * double(step.estimate.count()) * steps.waiting();
+        }
+    }
+    auto asked = m_demand[pool].cores(now) * 1000 + waiting / double(backlogHorizon.count());
+    return (std::max(double(busy), asked)) * demandHeadroom + double(lasting);
+}
+
+void Shard::reserve(const RunnerId& id, bool isReserved)
+{
+    if (auto found = m_runners.find(id); found != m_runners.end())
+        found->second.isReserved = isReserved;
+}
+
+// As many tasks of the step as it can spare may be away at once, for whatever cause.
+bool Shard::canSpare(JobEntry& entry, const TaskName& name)
+{
+    const auto& step = entry.job.steps[name.step];
+    auto& steps = entry.stepRun(name.occurrence, name.step);
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; index < steps.tasks.size(); ++index) {
+        TaskName other { name.job, name.occurrence, name.step, index };
+        if (index == name.index)
+            continue;
+        auto found = m_runners.find(steps.tasks[index].runner);
+        auto* run = found == m_runners.end() ? nullptr : found->second.find(other);
+        if (!run || run->phase != RunPhase::Running || run->percent < 100)
+            ++away;
+    }
+    return away < std::max(1U, step.maxUnavailable);
+}
+
+void Shard::evacuate(const RunnerId& id, TimePoint)
+{
+    auto found = m_runners.find(id);
+    if (found == m_runners.end())
+        return;
+    for (auto& [task, run] : found->second.runs()) {
+        auto* entry = m_book.find(task.job);
+        if (!entry || run.phase != RunPhase::Running || !entry->job.steps[task.step].isLasting)
+            continue;
+        if (canSpare(*entry, task))
+            stopRun(run);
+    }
+}
+
 std::vector<ShardChange> Shard::takeChanges(TimePoint now)
 {
     std::vector<ShardChange> changes = std::exchange(m_runnerChanges, {});
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "jobs/admission.h"
+#include "jobs/demand.h"
 #include "jobs/job_book.h"
+#include "jobs/move_plan.h"
 #include "jobs/runner.h"
 
 #include <deque>
@@ -106,6 +108,12 @@
     [[nodiscard]] std::map<RunnerId, Runner>& runners() { return m_runners; }
     [[nodiscard]] const std::map<RunnerId, Runner>& runners() const { return m_runners; }
     [[nodiscard]] JobBook& book() { return m_book; }
+    // What the pool's demand asks for; the VMs are the caller's to fill in.
+    [[nodiscard]] double neededCpu(const PoolId&, TimePoint now);
+    // Keeps new work away from a runner that is to be taken away, or lets it come again.
+    void reserve(const RunnerId&, bool);
+    // Stops lasting tasks of a reserved runner as far as their steps can spare them.
+    void evacuate(const RunnerId&, TimePoint now);
     [[nodiscard]] PoolLoad loadOf(const PoolId&, std::int32_t priority, TimePoint now) const;
     // All runners of the earlier holder have answered or can run nothing of it any more.
     [[nodiscard]] bool mayRestart(const PoolId&, TimePoint now) const;
@@ -116,7 +124,8 @@
     void applyRunning(Runner&, const LookAnswer&, TimePoint sent, TimePoint now);
     void adopt(Runner&, const RunningTask&, TimePoint now);
     void noteEvidence(Runner&, const EndedTask&, TimePoint now);
-    void stopRun(Runner&, const TaskName&, Run&);
+    static void stopRun(Run&);
+    [[nodiscard]] bool canSpare(JobEntry&, const TaskName&) ;
     void planStops(Runner&, TimePoint now, ShardOrders&);
     void planLook(Runner&, TimePoint now, ShardOrders&);
     void placeJobs(TimePoint now, WallTime wallNow, ShardOrders&);
@@ -133,6 +142,7 @@
     std::map<RunnerId, Runner> m_runners;
     std::vector<ShardChange> m_runnerChanges;
     std::vector<JobId> m_newJobs;
+    std::map<PoolId, DemandMeter> m_demand;
 };
 
 } // namespace fulmar::jobs
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,11 +18,16 @@
 
 // The only shard of a fleet of this size.
 constexpr auto shardPart = "s0";
+// Rows that the operator writes.
+constexpr std::string_view configKey = "config";
+constexpr std::string_view wavePrefix = "wave/";
 constexpr std::chrono::milliseconds tickPause { 50 };
 // A lease is renewed four times in its length, so that one lost answer does not cost it.
 constexpr int renewalsPerLease = 4;
 // Processes wait up to this long beyond a lease's end before they try to take it, each another time.
 constexpr std::int64_t maxAcquireDelayMs = 250;
+// An order of the last holder may still be on its way when its lease ends.
+constexpr std::chrono::milliseconds orderMargin { 300 };
 constexpr std::chrono::milliseconds acquireTimeout { 1'200 };
 constexpr std::chrono::milliseconds feedPause { 10 };
 // The callers wait for an answer for 3 s; one that comes later helps nobody.
@@ -91,17 +96,14 @@
     , m_http(m_loop)
     , m_store(m_http, m_settings.storeAddress)
     , m_runnerClient(m_http)
+    , m_vmClient(m_http, m_settings.vmsAddress)
     , m_rpcClient(m_loop)
     , m_lease(LeaseSettings {}, m_settings.peerAddress, incarnation)
     , m_configFollower(m_loop, m_store, "op", "", feedPause,
-          { [this](const platform::StoredRow& row) {
-               if (row.name.key == "config" && !row.isRemoved)
-                   onConfigRow(row.value);
-           },
+          { [this](const platform::StoredRow& row) { onOperatorRow(row); },
               [this](const std::vector<platform::StoredRow>& rows) {
                   for (const auto& row : rows)
-                      if (row.name.key == "config")
-                          onConfigRow(row.value);
+                      onOperatorRow(row);
               },
               [] {} })
     , m_leaseFollower(m_loop, m_store, leaseTable, shardPart, feedPause,
@@ -184,6 +186,28 @@
     m_leaseFollower.start();
 }
 
+void Node::onOperatorRow(const platform::StoredRow& row)
+{
+    if (row.isRemoved)
+        return;
+    if (row.name.key == configKey)
+        onConfigRow(row.value);
+    else if (row.name.key.starts_with(wavePrefix))
+        onWaveRow(row.value);
+}
+
+void Node::onWaveRow(std::string_view value)
+{
+    auto wave = platform::decodeWave(value);
+    if (!wave) {
+        logWarning("wave-unreadable", { { "bytes", std::to_string(value.size()) } });
+        return;
+    }
+    m_waves.insert_or_assign(wave->wave, *wave);
+    if (m_owner)
+        m_owner->addWave(*wave);
+}
+
 void Node::onConfigRow(std::string_view value)
 {
     auto config = platform::decodeConfig(value);
@@ -229,6 +253,8 @@
         m_renewAt = now + m_lease.settings().length / renewalsPerLease;
         m_owner->renew();
     }
+    if (m_owner)
+        m_owner->tick();
     if (!m_owner && !m_isAcquiring && !m_isStopping && m_lease.shouldAcquire(now, m_acquireDelay))
         acquire();
     if (now >= m_probeAt)
@@ -285,11 +311,18 @@
     hooks.mayOrder = [this] { return m_lease.isValid(m_clock.now()) && !m_isReleased; };
     hooks.onLost = [this] { asio::post(m_loop, [this] { dropShard("store-refused"); }); };
     hooks.onRenewed = [this](TimePoint at) { m_lease.onRenewed(at); };
-    m_owner = std::make_unique<ShardOwner>(m_loop, m_store, m_runnerClient, settings,
-        platform::RowCondition { { leaseTable, shardPart, ownerKey }, ownerVersion }, renewalVersion, epoch,
+    // The first holder of all has no predecessor whose orders could be near.
+    auto ordersFrom = epoch > 1 ? m_clock.now() + m_settings.holderLease + orderMargin : m_clock.now();
+    VmKeeperSettings vmSettings { m_settings.name, epoch, ordersFrom, m_settings.moveTime,
+        m_settings.maintenanceTime };
+    m_owner = std::make_unique<ShardOwner>(m_loop, ShardOwner::Clients { m_store, m_runnerClient, m_vmClient },
+        settings, vmSettings,
+        platform::RowCondition { { leaseTable, shardPart, ownerKey }, ownerVersion }, renewalVersion,
         std::move(hooks));
     if (m_config)
         m_owner->configure(*m_config);
+    for (const auto& [number, wave] : m_waves)
+        m_owner->addWave(wave);
     logInfo("shard-held", { { "part", shardPart }, { "epoch", std::to_string(epoch) } });
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,7 +26,9 @@
 private:
     [[nodiscard]] Result<void> listen();
     void followTables();
+    void onOperatorRow(const platform::StoredRow&);
     void onConfigRow(std::string_view value);
+    void onWaveRow(std::string_view value);
     void onLeaseRow(const platform::StoredRow&);
     void tick();
     void acquire();
@@ -49,11 +51,13 @@
     platform::HttpCaller m_http;
     platform::StoreClient m_store;
     platform::RunnerClient m_runnerClient;
+    platform::VmClient m_vmClient;
     ShardRpcClient m_rpcClient;
     ShardLease m_lease;
     TableFollower m_configFollower;
     TableFollower m_leaseFollower;
     std::optional<jobs::FleetConfig> m_config;
+    std::map<std::int64_t, jobs::WaveOrder> m_waves;
     std::unique_ptr<ShardOwner> m_owner;
     std::unique_ptr<ShardRpcServer> m_rpcServer;
     std::unique_ptr<CallerServer> m_callers;
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -4,8 +4,8 @@
 #include "jobs/runner_row.h"
 #include "platform/decode.h"
 
-#include <asio/post.hpp>
 #include <algorithm>
+#include <array>
 
 namespace fulmar::node {
 
@@ -14,13 +14,13 @@
 // The list of runners changes with every heartbeat; a draining runner must be known within two seconds.
 constexpr std::chrono::milliseconds runnerListPause { 300 };
 constexpr std::chrono::milliseconds readTimeout { 2'000 };
+constexpr std::chrono::milliseconds restoreRetry { 150 };
 // Events of this time are planned together.
 constexpr std::chrono::milliseconds planPause { 5 };
 // Ends of this time are written together; an end should be stored within 100 ms of being listed.
 constexpr std::chrono::milliseconds writePause { 30 };
 // Starts on their way to one runner; each needs a connection.
 constexpr std::size_t maxStartsInFlight = 3;
-constexpr std::chrono::milliseconds retryWhenNotHolder { 1'000 };
 
 JobReply uncertain(std::string reason)
 {
@@ -40,16 +40,21 @@
 
 } // namespace
 
-ShardOwner::ShardOwner(asio::io_context& loop, platform::StoreClient& store, platform::RunnerClient& runners,
-    jobs::ShardSettings settings, platform::RowCondition lease, Version renewalVersion, Epoch epoch, Hooks hooks)
-    : m_loop(loop)
-    , m_store(store)
-    , m_runnerClient(runners)
+ShardOwner::ShardOwner(asio::io_context& loop, Clients clients, jobs::ShardSettings settings,
+    VmKeeperSettings vmSettings, platform::RowCondition lease, Version renewalVersion, Hooks hooks)
+    : m_store(clients.store)
+    , m_runnerClient(clients.runners)
     , m_part(lease.name.part)
     , m_hooks(std::move(hooks))
-    , m_log(loop, store, lease, [this] { m_hooks.onLost(); })
-    , m_shard(settings, epoch)
-    , m_runnerList(loop, store, "servers", "", runnerListPause,
+    , m_log(loop, clients.store, lease, [this] { m_hooks.onLost(); })
+    , m_shard(settings, vmSettings.epoch)
+    , m_vmKeeper(clients.store, clients.vms, m_shard, vmSettings,
+          { m_hooks.mayOrder,
+              [this](std::int64_t wave, std::string value, std::function<void()> durable) {
+                  m_log.put(rowName(waveTable, std::to_string(wave)), std::move(value), std::move(durable));
+              },
+              [this] { schedule(); } })
+    , m_runnerList(loop, clients.store, "servers", "", runnerListPause,
           { [this](const platform::StoredRow& row) {
                if (row.isRemoved) {
                    m_listed.erase(jobs::RunnerId(row.name.key));
@@ -78,7 +83,7 @@
     , m_writeTimer(loop)
 {
     m_log.seed(rowName(leaseTable, renewalKey), renewalVersion);
-    restore();
+    restore(0);
 }
 
 ShardOwner::~ShardOwner()
@@ -112,61 +117,69 @@
     return rowName(runnerTable, change.key);
 }
 
-// Reads the three tables one after the other; any failure starts anew.
-void ShardOwner::restore()
+// Reads the tables one after the other: the progress before the jobs that it is of.
+void ShardOwner::restore(std::size_t table)
 {
-    auto retry = [this] {
-        m_planTimer.expires_after(readTimeout / 10);
-        m_planTimer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
-            if (!error && *isAlive)
-                restore();
-        });
-    };
-    m_store.readAll(jobTable, m_part, readTimeout, [this, retry, isAlive = m_isAlive](auto jobRows) {
-        if (!*isAlive)
-            return;
-        if (!jobRows)
-            return retry();
-        m_store.readAll(progressTable, m_part, readTimeout,
-            [this, retry, isAlive, jobRows = std::move(*jobRows)](auto progressRows) {
-                if (!*isAlive)
-                    return;
-                if (!progressRows)
-                    return retry();
-                m_store.readAll(runnerTable, m_part, readTimeout,
-                    [this, retry, isAlive, jobRows, progressRows = std::move(*progressRows)](auto runnerRows) {
-                        if (!*isAlive)
-                            return;
-                        if (!runnerRows)
-                            return retry();
-                        auto now = m_clock.now();
-                        std::unordered_map<std::string, jobs::JobProgress> progress;
-                        for (const auto& row : progressRows.rows) {
-                            m_log.seed(row.name, row.version);
-                            if (auto decoded = jobs::decodeProgress(row.value))
-                                progress.emplace(row.name.key, std::move(*decoded));
-                            else
-                                logWarning("progress-row-unreadable", { { "job", row.name.key } });
-                        }
-                        for (const auto& row : jobRows.rows) {
-                            m_log.seed(row.name, row.version);
-                            if (auto job = jobs::decodeJob(row.value))
-                                m_shard.restoreJob(std::move(*job), progress[row.name.key], now);
-                            else
-                                logWarning("job-row-unreadable", { { "job", row.name.key } });
-                        }
-                        for (const auto& row : runnerRows->rows) {
-                            m_log.seed(row.name, row.version);
-                            if (auto runner = jobs::decodeRunnerRow(row.name.key, row.value))
-                                m_shard.restoreRunner(std::move(*runner), now);
-                        }
-                        logInfo("shard-restored",
-                            { { "part", m_part }, { "jobs", std::to_string(jobRows.rows.size()) },
-                                { "runners", std::to_string(runnerRows->rows.size()) } });
-                        m_runnerList.start();
-                    });
+    static constexpr std::array tables { progressTable, jobTable, runnerTable, waveTable };
+    if (table == tables.size()) {
+        logInfo("shard-restored",
+            { { "part", m_part }, { "jobs", std::to_string(m_shard.book().all().size()) },
+                { "runners", std::to_string(m_shard.runners().size()) } });
+        m_restoredProgress.clear();
+        m_runnerList.start();
+        return;
+    }
+    m_store.readAll(tables[table], m_part, readTimeout,
+        [this, table, isAlive = m_isAlive](const std::optional<platform::RowPage>& page) {
+            if (!*isAlive)
+                return;
+            if (page) {
+                for (const auto& row : page->rows)
+                    restoreRow(row);
+                restore(table + 1);
+                return;
+            }
+            m_planTimer.expires_after(restoreRetry);
+            m_planTimer.async_wait([this, table, isAlive](const asio::error_code& error) {
+                if (!error && *isAlive)
+                    restore(table);
             });
-    });
+        });
+}
+
+void ShardOwner::restoreRow(const platform::StoredRow& row)
+{
+    m_log.seed(row.name, row.version);
+    const auto& [table, part, key] = row.name;
+    auto isRead = true;
+    if (table == progressTable) {
+        auto progress = jobs::decodeProgress(row.value);
+        isRead = progress.has_value();
+        if (progress)
+            m_restoredProgress.emplace(key, std::move(*progress));
+    } else if (table == jobTable) {
+        auto job = jobs::decodeJob(row.value);
+        isRead = job.has_value();
+        if (job)
+            m_shard.restoreJob(std::move(*job), m_restoredProgress[key], m_clock.now());
+    } else if (table == runnerTable) {
+        auto runner = jobs::decodeRunnerRow(key, row.value);
+        isRead = runner.has_value();
+        if (runner)
+            m_shard.restoreRunner(std::move(*runner), m_clock.now());
+    } else if (table == waveTable) {
+        m_vmKeeper.restoreWave(std::atoll(key.c_str()), row.value);
+    }
+    if (!isRead)
+        logWarning("row-unreadable", { { "table", table }, { "key", key } });
+}
+
+void ShardOwner::addWave(const jobs::WaveOrder& wave) { m_vmKeeper.addWave(wave); }
+
+void ShardOwner::tick()
+{
+    if (m_isRestored)
+        m_vmKeeper.tick();
 }
 
 void ShardOwner::onRestored()
@@ -180,6 +193,7 @@
 void ShardOwner::configure(const jobs::FleetConfig& config)
 {
     m_shard.configure(config);
+    m_vmKeeper.configure(config);
     schedule();
 }
 
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -4,6 +4,7 @@
 #include "node/job_call.h"
 #include "node/row_log.h"
 #include "node/table_follower.h"
+#include "node/vm_keeper.h"
 #include "platform/runner_client.h"
 
 #include <unordered_map>
@@ -15,6 +16,7 @@
 inline constexpr auto jobTable = "jobs";
 inline constexpr auto progressTable = "progress";
 inline constexpr auto runnerTable = "runners";
+inline constexpr auto waveTable = "waves";
 inline constexpr auto ownerKey = "owner";
 inline constexpr auto renewalKey = "renewal";
 
@@ -31,8 +33,15 @@
         std::function<void(TimePoint sent)> onRenewed;
     };
 
-    ShardOwner(asio::io_context&, platform::StoreClient&, platform::RunnerClient&, jobs::ShardSettings,
-        platform::RowCondition lease, Version renewalVersion, Epoch, Hooks);
+    // The platform's interfaces that the orders go to.
+    struct Clients {
+        platform::StoreClient& store;
+        platform::RunnerClient& runners;
+        platform::VmClient& vms;
+    };
+
+    ShardOwner(asio::io_context&, Clients, jobs::ShardSettings, VmKeeperSettings, platform::RowCondition lease,
+        Version renewalVersion, Hooks);
     ~ShardOwner();
     ShardOwner(const ShardOwner&) = delete;
     ShardOwner& operator=(const ShardOwner&) = delete;
@@ -40,6 +49,9 @@
     // Answers once the shard's state is restored and what was asked is durable.
     void handle(JobCall, OnJobReply);
     void configure(const jobs::FleetConfig&);
+    void addWave(const jobs::WaveOrder&);
+    // To be called often; moves and maintenance are planned from here.
+    void tick();
     void renew();
     // Writes what is due and releases the lease; `done` when it is released.
     void release(std::string releasedOwner, std::function<void()> done);
@@ -50,7 +62,8 @@
     void schedule();
 
 private:
-    void restore();
+    void restore(std::size_t table);
+    void restoreRow(const platform::StoredRow&);
     void onRestored();
     void submit(const JobCall&, OnJobReply);
     void show(const JobCall&, const OnJobReply&);
@@ -65,7 +78,6 @@
     [[nodiscard]] platform::RowName rowName(const jobs::ShardChange&) const;
     [[nodiscard]] platform::RowName rowName(std::string table, std::string key) const;
 
-    asio::io_context& m_loop;
     platform::StoreClient& m_store;
     platform::RunnerClient& m_runnerClient;
     const std::string m_part;
@@ -73,10 +85,13 @@
     BootClock m_clock;
     RowLog m_log;
     jobs::Shard m_shard;
+    VmKeeper m_vmKeeper;
     TableFollower m_runnerList;
     std::map<jobs::RunnerId, jobs::RunnerReport> m_listed;
     bool m_isListRead { false };
     bool m_isRestored { false };
+    // Rows read while the shard is restored.
+    std::unordered_map<std::string, jobs::JobProgress> m_restoredProgress;
     std::vector<std::function<void()>> m_waitingForRestore;
     std::unordered_map<JobId, std::vector<OnJobReply>> m_waitingForStore;
     std::unordered_map<JobId, std::vector<OnJobReply>> m_waitingForCancel;
--- /dev/null
+++ b/src/node/vm_keeper.cpp
@@ -0,0 +1,329 @@
+#include "node/vm_keeper.h"
+
+#include "core/log.h"
+#include "platform/decode.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace fulmar::node {
+
+namespace {
+
+// The list is a call with a price; moves take 1.5 s, so a view of this age plans them well enough.
+constexpr std::chrono::milliseconds listPause { 500 };
+constexpr std::chrono::milliseconds listPauseWhenAway { 1'000 };
+// Time in which the tasks of a VM end once nothing new is started there; most run for under two seconds.
+constexpr std::chrono::milliseconds emptyingTime { 2'000 };
+// A move that is not seen in the list after this time beyond its own is taken for not done.
+constexpr std::chrono::milliseconds moveSlack { 3'000 };
+constexpr std::chrono::milliseconds reportTimeout { 1'500 };
+// Every pool keeps this many VMs: one to start on at once, and one should that one fail.
+constexpr std::uint32_t minVmsPerPool = 2;
+
+} // namespace
+
+VmKeeper::VmKeeper(platform::StoreClient& store, platform::VmClient& vms, jobs::Shard& shard,
+    VmKeeperSettings settings, Hooks hooks)
+    : m_store(store)
+    , m_vms(vms)
+    , m_shard(shard)
+    , m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+{
+}
+
+void VmKeeper::configure(const jobs::FleetConfig& config) { m_config = config; }
+
+void VmKeeper::addWave(const jobs::WaveOrder& order)
+{
+    auto [found, isNew] = m_waves.try_emplace(order.wave);
+    found->second.order = order;
+    if (!isNew)
+        return;
+    found->second.firstSeen = m_clock.now();
+    if (auto restored = m_restoredWaves.find(order.wave); restored != m_restoredWaves.end())
+        found->second.done = restored->second;
+    logInfo("wave",
+        { { "wave", std::to_string(order.wave) }, { "vms", std::to_string(order.vms.size()) },
+            { "at-once", std::to_string(order.maxAtOnce) },
+            { "duration-ms", std::to_string(order.duration.count()) },
+            { "done", std::to_string(found->second.done.size()) } });
+}
+
+void VmKeeper::restoreWave(std::int64_t wave, std::string_view done)
+{
+    auto json = nlohmann::json::parse(done, nullptr, false);
+    if (!json.is_array())
+        return;
+    for (const auto& each : json)
+        if (each.is_string())
+            m_restoredWaves[wave].insert(VmId(each.get<std::string>()));
+    if (auto known = m_waves.find(wave); known != m_waves.end())
+        known->second.done.merge(m_restoredWaves[wave]);
+}
+
+void VmKeeper::tick()
+{
+    auto now = m_clock.now();
+    readList(now);
+    if (m_list.empty() || now < m_settings.ordersFrom || !m_hooks.mayOrder())
+        return;
+    planWaves(now);
+    planMoves(now);
+}
+
+void VmKeeper::readList(TimePoint now)
+{
+    if (m_isListInFlight || now < m_nextList)
+        return;
+    m_isListInFlight = true;
+    m_vms.list([this, now, isAlive = m_isAlive](const std::optional<std::vector<jobs::VmRecord>>& list) {
+        if (!*isAlive)
+            return;
+        m_isListInFlight = false;
+        m_nextList = m_clock.now() + (list ? listPause : listPauseWhenAway);
+        if (std::exchange(m_isListAway, !list) != !list)
+            logWarning(list ? "vm-list-regained" : "vm-list-lost", { { "known", std::to_string(m_list.size()) } });
+        if (list)
+            onList(*list, now);
+    });
+}
+
+void VmKeeper::onList(const std::vector<jobs::VmRecord>& list, TimePoint asked)
+{
+    m_list.clear();
+    for (const auto& vm : list)
+        m_list.emplace(vm.vm, vm);
+    m_listAt = asked;
+    for (auto each = m_moves.begin(); each != m_moves.end();) {
+        const auto* vm = find(each->first);
+        auto hasArrived = vm && vm->pool == each->second.to && vm->state == jobs::VmState::Up
+            && asked > each->second.ordered;
+        auto isOverdue = asked > each->second.ordered + m_settings.moveTime + moveSlack;
+        each = hasArrived || isOverdue ? m_moves.erase(each) : std::next(each);
+    }
+    for (auto& [number, wave] : m_waves)
+        settleDown(wave, asked);
+}
+
+const jobs::VmRecord* VmKeeper::find(const VmId& vm) const
+{
+    auto found = m_list.find(vm);
+    return found == m_list.end() ? nullptr : &found->second;
+}
+
+bool VmKeeper::isInWave(const VmId& vm) const
+{
+    return std::any_of(m_waves.begin(), m_waves.end(), [&](const auto& each) {
+        return each.second.emptying.contains(vm) || each.second.down.contains(vm);
+    });
+}
+
+bool VmKeeper::hasRuns(const jobs::VmRecord& vm) const
+{
+    auto runner = m_shard.runners().find(vm.runner);
+    return runner != m_shard.runners().end() && !runner->second.runs().empty();
+}
+
+// A VM that the list shows up again after its maintenance time makes room for the next one.
+void VmKeeper::settleDown(jobs::WaveProgress& wave, TimePoint asked)
+{
+    for (auto each = wave.down.begin(); each != wave.down.end();) {
+        const auto* vm = find(each->first);
+        auto isBack = asked > each->second + m_settings.maintenanceTime
+            && (!vm || vm->state == jobs::VmState::Up);
+        each = isBack ? wave.down.erase(each) : std::next(each);
+    }
+}
+
+void VmKeeper::planWaves(TimePoint now)
+{
+    for (auto& [number, wave] : m_waves)
+        if (!wave.isCompleted)
+            planWave(wave, now);
+}
+
+void VmKeeper::planWave(jobs::WaveProgress& wave, TimePoint now)
+{
+    if (!std::exchange(wave.isReported, true))
+        report(wave, false);
+    std::vector<jobs::MaintenanceCandidate> candidates;
+    for (const auto& id : wave.order.vms) {
+        const auto* vm = find(id);
+        if (!vm || wave.done.contains(id) || wave.down.contains(id) || m_moves.contains(id))
+            continue;
+        auto runner = m_shard.runners().find(vm->runner);
+        auto busy = runner == m_shard.runners().end() ? 0 : runner->second.reserved().cpu;
+        candidates.push_back({ id, !hasRuns(*vm), vm->state == jobs::VmState::Up, busy });
+    }
+    auto cycle = m_settings.maintenanceTime + emptyingTime;
+    auto steps = jobs::planMaintenance(wave, candidates, cycle, now);
+    for (const auto& id : steps.empty) {
+        wave.emptying.emplace(id, now);
+        m_shard.reserve(find(id)->runner, true);
+    }
+    for (const auto& [id, since] : wave.emptying)
+        if (const auto* vm = find(id))
+            m_shard.evacuate(vm->runner, now);
+    for (const auto& id : steps.takeDown)
+        takeDown(wave, id, now);
+    if (!steps.empty.empty())
+        m_hooks.changed();
+    completeWave(wave, now);
+}
+
+void VmKeeper::takeDown(jobs::WaveProgress& wave, const VmId& id, TimePoint now)
+{
+    const auto* vm = find(id);
+    m_shard.reserve(vm->runner, true);
+    wave.emptying.erase(id);
+    wave.down[id] = now;
+    m_vms.maintain({ m_settings.holder, m_settings.epoch }, id, wave.order.wave,
+        [this, id, number = wave.order.wave, runner = vm->runner, isAlive = m_isAlive](
+            platform::VmOrderOutcome outcome) {
+            if (!*isAlive)
+                return;
+            auto& progress = m_waves[number];
+            logInfo("maintain",
+                { { "vm", id.value() }, { "wave", std::to_string(number) },
+                    { "outcome", std::string(toString(outcome)) },
+                    { "done", std::to_string(progress.done.size()) } });
+            switch (outcome) {
+            case platform::VmOrderOutcome::Accepted:
+                progress.done.insert(id);
+                record(progress, {});
+                break;
+            case platform::VmOrderOutcome::NotInWave:
+            case platform::VmOrderOutcome::Invalid:
+                // It is no longer asked for.
+                progress.done.insert(id);
+                progress.down.erase(id);
+                m_shard.reserve(runner, false);
+                break;
+            case platform::VmOrderOutcome::Unknown:
+                // It may be down: it stays counted until its time is over, and is then ordered again.
+                break;
+            case platform::VmOrderOutcome::Busy:
+            case platform::VmOrderOutcome::NotDone:
+            case platform::VmOrderOutcome::Fenced:
+                progress.down.erase(id);
+                m_shard.reserve(runner, false);
+                break;
+            }
+            m_nextList = m_clock.now();
+        });
+}
+
+void VmKeeper::completeWave(jobs::WaveProgress& wave, TimePoint)
+{
+    auto isDone = std::all_of(wave.order.vms.begin(), wave.order.vms.end(),
+        [&](const VmId& vm) { return wave.done.contains(vm) || !find(vm); });
+    if (!isDone || wave.isCompleted)
+        return;
+    wave.isCompleted = true;
+    record(wave, [this, number = wave.order.wave, isAlive = m_isAlive] {
+        if (*isAlive)
+            report(m_waves[number], true);
+    });
+}
+
+// The next holder goes on with the VMs that are left.
+void VmKeeper::record(const jobs::WaveProgress& wave, std::function<void()> durable)
+{
+    auto done = nlohmann::json::array();
+    for (const auto& vm : wave.done)
+        done.push_back(vm.value());
+    m_hooks.record(wave.order.wave, done.dump(), std::move(durable));
+}
+
+// The report is a row of a table that has no parts of ours, so that it is written by itself.
+void VmKeeper::report(jobs::WaveProgress& wave, bool isCompleted)
+{
+    auto number = wave.order.wave;
+    platform::RowTransaction transaction;
+    transaction.puts.push_back(
+        { { "status", "", "wave/" + std::to_string(number) }, platform::encodeWaveState(isCompleted) });
+    logInfo("wave-state",
+        { { "wave", std::to_string(number) }, { "state", isCompleted ? "completed" : "running" },
+            { "done", std::to_string(wave.done.size()) } });
+    m_store.commit(std::move(transaction), reportTimeout,
+        [this, number, isCompleted, isAlive = m_isAlive](const platform::CommitResult& result) {
+            if (!*isAlive || result.outcome == platform::CommitOutcome::Committed)
+                return;
+            // Told again by the next plan; a report that ran after all says the same.
+            auto& progress = m_waves[number];
+            (isCompleted ? progress.isCompleted : progress.isReported) = false;
+        });
+}
+
+void VmKeeper::planMoves(TimePoint now)
+{
+    jobs::MoveInput input;
+    std::map<PoolId, jobs::PoolNeed> needs;
+    std::map<PoolId, std::int64_t> cpuOfVm;
+    for (const auto& pool : m_config.pools) {
+        if (pool.isStandby)
+            input.standbyPool = pool.id;
+        else
+            needs[pool.id].pool = pool.id;
+    }
+    for (const auto& [id, vm] : m_list) {
+        auto pending = m_moves.find(id);
+        auto pool = pending == m_moves.end() ? vm.pool : pending->second.to;
+        if (pool == input.standbyPool) {
+            if (pending == m_moves.end() && vm.state == jobs::VmState::Up && !isInWave(id))
+                input.standby.push_back(id);
+            continue;
+        }
+        auto need = needs.find(pool);
+        if (need == needs.end())
+            continue;
+        cpuOfVm[pool] = std::max(cpuOfVm[pool], vm.capacity.cpu);
+        if (vm.state == jobs::VmState::Down || isInWave(id))
+            continue;
+        ++need->second.present;
+        auto runner = m_shard.runners().find(vm.runner);
+        auto isFree = pending == m_moves.end() && vm.state == jobs::VmState::Up
+            && runner != m_shard.runners().end() && runner->second.runs().empty()
+            && !runner->second.isReserved && !runner->second.report().isDraining;
+        if (isFree)
+            need->second.idle.push_back(
+                { id, std::chrono::duration_cast<jobs::Millis>(now - runner->second.idleSince) });
+    }
+    for (auto& [pool, need] : needs) {
+        auto cpu = std::max<std::int64_t>(1, cpuOfVm[pool]);
+        need.needed = std::max(minVmsPerPool, std::uint32_t(std::ceil(m_shard.neededCpu(pool, now) / double(cpu))));
+        std::sort(need.idle.begin(), need.idle.end(),
+            [](const auto& a, const auto& b) { return a.idleFor > b.idleFor; });
+        input.pools.push_back(std::move(need));
+    }
+    for (const auto& each : jobs::planMoves(std::move(input)))
+        move(each, now);
+}
+
+void VmKeeper::move(const jobs::VmMove& move, TimePoint now)
+{
+    const auto* vm = find(move.vm);
+    auto runner = vm->runner;
+    m_moves[move.vm] = { move.from, move.to, now };
+    m_shard.reserve(runner, true);
+    m_vms.move({ m_settings.holder, m_settings.epoch }, move.vm, move.to,
+        [this, move, runner, isAlive = m_isAlive](platform::VmOrderOutcome outcome) {
+            if (!*isAlive)
+                return;
+            logInfo("move",
+                { { "vm", move.vm.value() }, { "from", move.from.value() }, { "to", move.to.value() },
+                    { "outcome", std::string(toString(outcome)) } });
+            m_nextList = m_clock.now();
+            auto mayBeDone = outcome == platform::VmOrderOutcome::Accepted
+                || outcome == platform::VmOrderOutcome::Unknown;
+            if (mayBeDone)
+                return;
+            m_moves.erase(move.vm);
+            m_shard.reserve(runner, false);
+        });
+}
+
+} // namespace fulmar::node
--- /dev/null
+++ b/src/node/vm_keeper.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "jobs/maintenance_plan.h"
+#include "jobs/shard.h"
+#include "platform/store_client.h"
+#include "platform/vm_client.h"
+
+namespace fulmar::node {
+
+struct VmKeeperSettings {
+    // Name under which orders for VMs are given.
+    std::string holder;
+    Epoch epoch { 0 };
+    // No order before: an earlier holder may have given one until a moment ago.
+    TimePoint ordersFrom;
+    std::chrono::milliseconds moveTime { 0 };
+    std::chrono::milliseconds maintenanceTime { 0 };
+};
+
+// Moves VMs between pools and takes them through maintenance waves, for the holder of a shard. Used by the
+// loop's thread only.
+class VmKeeper {
+public:
+    struct Hooks {
+        std::function<bool()> mayOrder;
+        // Keeps the VMs of a wave that are done for the next holder.
+        std::function<void(std::int64_t wave, std::string done, std::function<void()> durable)> record;
+        // Something changed that the shard should plan for.
+        std::function<void()> changed;
+    };
+
+    VmKeeper(platform::StoreClient&, platform::VmClient&, jobs::Shard&, VmKeeperSettings, Hooks);
+    ~VmKeeper() { *m_isAlive = false; }
+    VmKeeper(const VmKeeper&) = delete;
+    VmKeeper& operator=(const VmKeeper&) = delete;
+
+    void configure(const jobs::FleetConfig&);
+    void addWave(const jobs::WaveOrder&);
+    // What record() kept.
+    void restoreWave(std::int64_t wave, std::string_view done);
+    void tick();
+
+private:
+    struct PendingMove {
+        PoolId from;
+        PoolId to;
+        TimePoint ordered;
+    };
+
+    void readList(TimePoint now);
+    void onList(const std::vector<jobs::VmRecord>&, TimePoint asked);
+    void planWaves(TimePoint now);
+    void planWave(jobs::WaveProgress&, TimePoint now);
+    void settleDown(jobs::WaveProgress&, TimePoint now);
+    void completeWave(jobs::WaveProgress&, TimePoint now);
+    void record(const jobs::WaveProgress&, std::function<void()> durable);
+    void report(jobs::WaveProgress&, bool isCompleted);
+    void takeDown(jobs::WaveProgress&, const VmId&, TimePoint now);
+    void planMoves(TimePoint now);
+    void move(const jobs::VmMove&, TimePoint now);
+    [[nodiscard]] const jobs::VmRecord* find(const VmId&) const;
+    [[nodiscard]] bool isInWave(const VmId&) const;
+    [[nodiscard]] bool hasRuns(const jobs::VmRecord&) const;
+
+    platform::StoreClient& m_store;
+    platform::VmClient& m_vms;
+    jobs::Shard& m_shard;
+    const VmKeeperSettings m_settings;
+    const Hooks m_hooks;
+    BootClock m_clock;
+    jobs::FleetConfig m_config;
+    std::map<VmId, jobs::VmRecord> m_list;
+    TimePoint m_listAt;
+    bool m_isListInFlight { false };
+    TimePoint m_nextList;
+    bool m_isListAway { false };
+    std::map<std::int64_t, jobs::WaveProgress> m_waves;
+    std::map<std::int64_t, std::set<VmId>> m_restoredWaves;
+    std::map<VmId, PendingMove> m_moves;
+    std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
+};
+
+} // namespace fulmar::node
