--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -6,11 +6,16 @@
 
 // A pool's load as admission sees it.
 struct PoolLoad {
-    // Cores of usable runners, thousandths.
+    // Cores of usable runners, thousandths; and of those the ones not taken.
     std::int64_t usableCpu { 0 };
     std::int64_t freeCpu { 0 };
-    // Core-milliseconds of accepted work that has not ended, of jobs that go no later than the asked one.
-    double backlog { 0 };
+    // Cores that the pool can get within the time of a move.
+    std::int64_t arrivingCpu { 0 };
+    // Core-milliseconds of accepted work of jobs that go no later than the asked one: that waits for room, that
+    // waits for earlier steps, and that is running.
+    double waiting { 0 };
+    double later { 0 };
+    double running { 0 };
 };
 
 enum class Admission : std::uint8_t {
--- a/src/jobs/demand.h
+++ b/src/jobs/demand.h
@@ -8,24 +8,29 @@
 namespace fulmar::jobs {
 
 // How much work is asked of a pool, rejected work included. Load pattern: a queue's turn begins within a
-// fraction of a second and lasts some seconds, so the rate is taken over a short window; callers that were
-// rejected ask again, so a job counts once.
+// fraction of a second and lasts some seconds, with jobs that come dozens a second or a few; so the rate is
+// taken over the last few arrivals, whatever time they took. Callers that were rejected ask again, so a job
+// counts once.
 class DemandMeter {
 public:
-    void note(const JobId&, double coreMillis, TimePoint now);
-    // Cores that the work asked for in the window would keep busy if it went on.
+    // A job that takes `work` core-milliseconds and cannot end before `chain`.
+    void note(const JobId&, double work, Millis chain, TimePoint now);
+    // Cores that the work asked for would keep busy: those of the jobs that would run now had each started at
+    // once, or those of the newest arrivals' rate, if that is more.
     [[nodiscard]] double cores(TimePoint now);
 
 private:
     struct Asked {
         JobId job;
         double work { 0 };
+        Millis chain { 0 };
         TimePoint at;
     };
     void forget(TimePoint now);
 
     std::deque<Asked> m_asked;
     std::set<JobId> m_known;
+    double m_meanWork { 0 };
 };
 
 } // namespace fulmar::jobs
--- a/src/jobs/job_book.cpp
+++ b/src/jobs/job_book.cpp
@@ -77,6 +77,22 @@
     });
 }
 
+Millis JobEntry::remainingChain() const
+{
+    std::vector<Millis> end(stepRuns.size());
+    Millis longest { 0 };
+    for (std::size_t i = 0; i < stepRuns.size(); ++i) {
+        const auto& steps = stepRuns[i];
+        auto first = steps.occurrence * job.steps.size();
+        for (auto before : job.steps[steps.step].after)
+            end[i] = std::max(end[i], end[first + before]);
+        if (!steps.isDone())
+            end[i] += job.steps[steps.step].estimate;
+        longest = std::max(longest, end[i]);
+    }
+    return longest;
+}
+
 JobProgress JobEntry::progress() const
 {
     JobProgress progress { state, {} };
--- a/src/jobs/job_book.h
+++ b/src/jobs/job_book.h
@@ -62,6 +62,8 @@
     [[nodiscard]] Task* find(const TaskName&);
     // All steps that this one follows are done, and the occurrence is due.
     [[nodiscard]] bool isStartable(const StepRun&, WallTime) const;
+    // Run time by the estimates of the longest chain of steps that are not done.
+    [[nodiscard]] Millis remainingChain() const;
     [[nodiscard]] JobProgress progress() const;
 };
 
--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/maintenance_plan.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 // Part of a wave's time after which all its VMs should be done; the rest is for faults on the way.
-constexpr double plannedShare = 0.6;
+constexpr double plannedShare = 0.7;
 // Part of a wave's time after which a VM is taken down although something still runs there.
-constexpr double forcedShare = 0.8;
+constexpr double forcedShare = 0.85;
 
 } // namespace
 
@@ -26,21 +26,25 @@
     auto atOnce = std::min(std::uint32_t(std::max(1.0, rate)), wave.order.maxAtOnce);
     auto downNow = std::uint32_t(wave.down.size());
     std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-        return std::tuple(!a.isEmpty, a.busyCpu, a.vm) < std::tuple(!b.isEmpty, b.busyCpu, b.vm);
+        return std::tuple(!a.isSpare, !a.isEmpty, a.busyCpu, a.vm)
+            < std::tuple(!b.isSpare, !b.isEmpty, b.busyCpu, b.vm);
     });
-    auto taken = downNow + std::uint32_t(wave.emptying.size());
+    auto inHand = downNow + std::uint32_t(wave.emptying.size());
     for (const auto& candidate : candidates) {
         if (!candidate.isUp)
             continue;
         auto isEmptying = wave.emptying.contains(candidate.vm);
-        if ((candidate.isEmpty || (isEmptying && isForced)) && downNow < wave.order.maxAtOnce
-            && (isEmptying || taken < atOnce)) {
+        auto isWanted = isEmptying || candidate.isSpare || inHand < atOnce;
+        if (!isWanted)
+            continue;
+        auto isReady = candidate.isEmpty || (isEmptying && isForced);
+        if (isReady && downNow < wave.order.maxAtOnce) {
             steps.takeDown.push_back(candidate.vm);
             ++downNow;
-            taken += isEmptying ? 0 : 1;
-        } else if (!isEmptying && taken < atOnce) {
+            inHand += isEmptying ? 0 : 1;
+        } else if (!isReady && !isEmptying) {
             steps.empty.push_back(candidate.vm);
-            ++taken;
+            ++inHand;
         }
     }
     return steps;
--- a/src/jobs/maintenance_plan.h
+++ b/src/jobs/maintenance_plan.h
@@ -24,6 +24,8 @@
     VmId vm;
     // Nothing runs on it.
     bool isEmpty { false };
+    // It is switched off, or has been idle for a while: nobody misses it.
+    bool isSpare { false };
     // It is up; one that moves or is down has to wait.
     bool isUp { false };
     // Cores in use there, thousandths.
@@ -37,8 +39,9 @@
     std::vector<VmId> takeDown;
 };
 
-// Decides which VMs of a wave are emptied and taken down next: as few at a time as end the wave well before
-// its time is over, those that carry least first. `cycle` is the time from emptying a VM to its return.
+// Decides which VMs of a wave are emptied and taken down next. Those that nobody misses go as soon as the wave
+// allows it; of the others as few at a time as end the wave before its time is over, those that carry least
+// first: a wave's time covers turns in which the pools need every VM. `cycle` is the time from emptying a VM to its return.
 [[nodiscard]] MaintenanceSteps planMaintenance(
     const WaveProgress&, std::vector<MaintenanceCandidate>, Millis cycle, TimePoint now);
 
--- a/src/jobs/move_plan.cpp
+++ b/src/jobs/move_plan.cpp
@@ -28,9 +28,10 @@
 
 } // namespace
 
-std::vector<VmMove> planMoves(MoveInput input)
+MovePlan planMoves(MoveInput input)
 {
-    std::vector<VmMove> moves;
+    MovePlan plan;
+    auto& moves = plan.moves;
     auto& pools = input.pools;
     std::stable_sort(pools.begin(), pools.end(),
         [](const PoolNeed& a, const PoolNeed& b) { return deficit(a) > deficit(b); });
@@ -50,12 +51,15 @@
             }
         }
     }
-    if (input.standbyPool.empty())
-        return moves;
-    for (auto& pool : pools)
-        while (auto vm = takeIdle(pool, idleBeforeStandby))
-            moves.push_back({ *vm, pool.pool, input.standbyPool });
-    return moves;
+    for (auto& pool : pools) {
+        if (!input.standbyPool.empty())
+            while (auto vm = takeIdle(pool, idleBeforeStandby))
+                moves.push_back({ *vm, pool.pool, input.standbyPool });
+        auto spare = surplus(pool) - std::min<std::size_t>(surplus(pool), pool.idle.size());
+        spare = std::min(spare, pool.busy.size());
+        plan.emptying.insert(pool.busy.begin(), pool.busy.begin() + std::ptrdiff_t(spare));
+    }
+    return plan;
 }
 
 } // namespace fulmar::jobs
--- a/src/jobs/move_plan.h
+++ b/src/jobs/move_plan.h
@@ -2,6 +2,8 @@
 
 #include "jobs/fleet.h"
 
+#include <set>
+
 namespace fulmar::jobs {
 
 // A VM on which nothing runs.
@@ -19,6 +21,8 @@
     std::uint32_t present { 0 };
     // Of those, longest idle first.
     std::vector<IdleVm> idle;
+    // Of those, VMs with work that ends by itself, least busy first.
+    std::vector<VmId> busy;
 };
 
 struct MoveInput {
@@ -34,10 +38,17 @@
     PoolId to;
 };
 
+struct MovePlan {
+    std::vector<VmMove> moves;
+    // VMs that get no new work, so that they are empty soon.
+    std::set<VmId> emptying;
+};
+
 // Decides which VMs change pools. Load pattern: queues take turns, each asking for more than its pool holds
 // for some seconds and for almost nothing between; so a pool whose turn comes takes VMs that are switched off,
 // then those that idle in other pools, and VMs that idle beyond their pool's need are switched off. Only VMs
-// on which nothing runs are moved.
-[[nodiscard]] std::vector<VmMove> planMoves(MoveInput);
+// on which nothing runs are moved; where a pool's work shrinks but lies on many VMs, the least busy get no
+// new work until they are empty.
+[[nodiscard]] MovePlan planMoves(MoveInput);
 
 } // namespace fulmar::jobs
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -13,8 +13,10 @@
 
 // Attempts of one epoch stay below those of the next one.
 constexpr Attempt attemptsPerEpoch = 1 << 20;
-// Looks after an end wait this long for further ends, since each look has a price.
-constexpr Millis gatherEnds { 120 };
+// Looks after an end wait this long for further ends, since each look has a price: briefly while work waits
+// for the room that an end frees, else longer.
+constexpr Millis gatherEnds { 150 };
+constexpr Millis gatherEndsUnderLoad { 40 };
 // Pause between looks at a runner that does not answer.
 constexpr Millis pauseAfterSilence { 400 };
 // Jobs that fail on a runner in a row before it gets no new work for a while.
@@ -25,7 +27,7 @@
 // Pause before a task is ordered again where the runner had refused it.
 constexpr Millis pauseAfterRefusal { 200 };
 // Work that waits should be started within this time.
-constexpr Millis backlogHorizon { 1'500 };
+constexpr Millis backlogHorizon { 1'000 };
 // Room beyond the estimated demand: tasks do not fill runners exactly, and estimates are off both ways.
 constexpr double demandHeadroom = 1.15;
 // A runner answers a look only after orders that it acknowledged before; clocks of one process, so no margin.
@@ -90,15 +92,15 @@
     }
 }
 
-SubmitDecision Shard::submit(const Job& job, TimePoint now)
+SubmitDecision Shard::submit(const Job& job, TimePoint now, WallTime wallNow)
 {
     SubmitDecision decision;
     if (m_book.find(job.id)) {
         decision.verdict = SubmitVerdict::Known;
         return decision;
     }
-    m_demand[job.policy.pool].note(job.id, job.estimatedWork(), now);
-    decision.load = loadOf(job.policy.pool, job.policy.priority, now);
+    m_demand[job.policy.pool].note(job.id, job.estimatedWork(), job.estimatedChain(), now);
+    decision.load = loadOf(job.policy.pool, job.policy.priority, now, wallNow);
     decision.admission = decideAdmission(job, decision.load);
     if (decision.admission.verdict != Admission::Accept)
         return decision;
@@ -288,7 +290,8 @@
     applyEnds(runner, look, now);
     applyRunning(runner, look, sent, now);
     auto hadEnds = !look.ended.empty();
-    runner.nextLook = hadEnds ? now + gatherEnds : now + noDelay;
+    auto gather = m_loadedPools.contains(runner.report().pool) ? gatherEndsUnderLoad : gatherEnds;
+    runner.nextLook = hadEnds ? now + gather : now + noDelay;
 }
 
 void Shard::noteEvidence(Runner& runner, const EndedTask& ended, TimePoint now)
@@ -497,6 +500,7 @@
         StepRun* steps;
     };
     std::map<PoolId, std::vector<Candidate>> byPool;
+    m_loadedPools.clear();
     for (auto& [id, entry] : m_book.all()) {
         if (!entry.isStored || entry.isOver())
             continue;
@@ -512,13 +516,17 @@
             auto rank = [now](const Candidate& each) {
                 const auto& entry = *each.entry;
                 auto isLasting = entry.job.steps[each.steps->step].isLasting;
-                auto isLate = !isLasting && now > entry.due;
+                // What cannot end in time any more lets the others go first.
+                auto isLate = !isLasting && now + entry.remainingChain() > entry.due;
                 return std::tuple(!isLasting, isLate, entry.job.policy.priority, entry.due, entry.job.id);
             };
             return rank(a) < rank(b);
         });
-        for (auto& [entry, steps] : candidates)
+        for (auto& [entry, steps] : candidates) {
             placeStep(*entry, *steps, runners, now, orders);
+            if (steps->waiting() > 0 && !entry->job.steps[steps->step].isLasting)
+                m_loadedPools.insert(pool);
+        }
     }
 }
 
@@ -581,7 +589,7 @@
     }
 }
 
-PoolLoad Shard::loadOf(const PoolId& pool, std::int32_t priority, TimePoint now) const
+PoolLoad Shard::loadOf(const PoolId& pool, std::int32_t priority, TimePoint now, WallTime wallNow) const
 {
     PoolLoad load;
     for (const auto& [id, runner] : m_runners) {
@@ -590,22 +598,25 @@
         load.usableCpu += runner.report().capacity.cpu;
         load.freeCpu += std::max<std::int64_t>(0, runner.room().cpu);
     }
+    if (auto arriving = m_arriving.find(pool); arriving != m_arriving.end())
+        load.arrivingCpu = arriving->second;
     for (const auto& [id, entry] : m_book.all()) {
         if (entry.isOver() || entry.job.policy.pool != pool || entry.job.policy.priority > priority)
             continue;
         for (const auto& steps : entry.stepRuns) {
             const auto& step = entry.job.steps[steps.step];
-            auto work = double(step.each.cpu) / 1000 * double(step.estimate.count());
             if (step.isLasting)
                 continue;
+            auto work = double(step.each.cpu) / 1000 * double(step.estimate.count());
+            (entry.isStartable(steps, wallNow) ? load.waiting : load.later) += work * double(steps.waiting());
             // A placed task is on average half done.
-            load.backlog += work * (double(steps.waiting()) + double(steps.placed) / 2);
+            load.running += work * double(steps.placed) / 2;
         }
     }
     return load;
 }
 
-double Shard::neededCpu(const PoolId& pool, TimePoint now)
+double Shard::neededCpu(const PoolId& pool, TimePoint now, WallTime wallNow)
 {
     std::int64_t lasting = 0;
     std::int64_t busy = 0;
@@ -626,12 +637,23 @@
             const auto& step = entry.job.steps[steps.step];
             if (step.isLasting)
                 lasting += step.reserved().cpu * steps.waiting();
-            else
+            else if (entry.isStartable(steps, wallNow))
                 waiting += double(step.each.cpu) * double(step.estimate.count()) * steps.waiting();
         }
     }
-    auto asked = m_demand[pool].cores(now) * 1000 + waiting / double(backlogHorizon.count());
-    return (std::max(double(busy), asked)) * demandHeadroom + double(lasting);
+    auto asked = m_demand[pool].cores(now) * 1000;
+    auto started = double(busy) + waiting / double(backlogHorizon.count());
+    return std::max(started, asked) * demandHeadroom + double(lasting);
+}
+
+bool Shard::hasLastingRuns(const RunnerId& id)
+{
+    auto found = m_runners.find(id);
+    return found != m_runners.end()
+        && std::any_of(found->second.runs().begin(), found->second.runs().end(), [this](const auto& each) {
+               auto* entry = m_book.find(each.first.job);
+               return entry && entry->job.steps[each.first.step].isLasting;
+           });
 }
 
 void Shard::reserve(const RunnerId& id, bool isReserved)
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -78,7 +78,7 @@
     // The whole list of runners as the store has it now.
     void observeRunners(const std::map<RunnerId, RunnerReport>&, TimePoint now);
 
-    [[nodiscard]] SubmitDecision submit(const Job&, TimePoint now);
+    [[nodiscard]] SubmitDecision submit(const Job&, TimePoint now, WallTime wallNow);
     void cancel(const JobId&, TimePoint now);
     [[nodiscard]] JobEntry* find(const JobId& id) { return m_book.find(id); }
     // Jobs of the queue that are stored and of which no task has started.
@@ -109,12 +109,16 @@
     [[nodiscard]] const std::map<RunnerId, Runner>& runners() const { return m_runners; }
     [[nodiscard]] JobBook& book() { return m_book; }
     // What the pool's demand asks for; the VMs are the caller's to fill in.
-    [[nodiscard]] double neededCpu(const PoolId&, TimePoint now);
+    [[nodiscard]] double neededCpu(const PoolId&, TimePoint now, WallTime wallNow);
+    // Cores (thousandths) that the pool can get within the time of a move.
+    void setArriving(const PoolId& pool, std::int64_t cpu) { m_arriving[pool] = cpu; }
+    [[nodiscard]] bool hasLastingRuns(const RunnerId&);
     // Keeps new work away from a runner that is to be taken away, or lets it come again.
     void reserve(const RunnerId&, bool);
     // Stops lasting tasks of a reserved runner as far as their steps can spare them.
     void evacuate(const RunnerId&, TimePoint now);
-    [[nodiscard]] PoolLoad loadOf(const PoolId&, std::int32_t priority, TimePoint now) const;
+    [[nodiscard]] PoolLoad loadOf(
+        const PoolId&, std::int32_t priority, TimePoint now, WallTime wallNow) const;
     // All runners of the earlier holder have answered or can run nothing of it any more.
     [[nodiscard]] bool mayRestart(const PoolId&, TimePoint now) const;
 
@@ -143,6 +147,9 @@
     std::vector<ShardChange> m_runnerChanges;
     std::vector<JobId> m_newJobs;
     std::map<PoolId, DemandMeter> m_demand;
+    std::map<PoolId, std::int64_t> m_arriving;
+    // Pools in which startable tasks wait for room.
+    std::set<PoolId> m_loadedPools;
 };
 
 } // namespace fulmar::jobs
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -233,13 +233,16 @@
         reply(refusal);
         return;
     }
-    auto decision = m_shard.submit(*job, m_clock.now());
+    auto decision = m_shard.submit(*job, m_clock.now(), m_clock.wallNow());
     logInfo("admission",
         { { "job", job->id.value() }, { "queue", job->queue }, { "pool", job->policy.pool.value() },
             { "verdict",
                 decision.verdict == jobs::SubmitVerdict::Known ? "known"
                                                                : std::string(toString(decision.admission.verdict)) },
-            { "backlog-core-ms", std::to_string(std::int64_t(decision.load.backlog)) },
+            { "waiting-core-ms", std::to_string(std::int64_t(decision.load.waiting)) },
+            { "later-core-ms", std::to_string(std::int64_t(decision.load.later)) },
+            { "running-core-ms", std::to_string(std::int64_t(decision.load.running)) },
+            { "arriving", std::to_string(decision.load.arrivingCpu) },
             { "cpu", std::to_string(decision.load.usableCpu) },
             { "free", std::to_string(decision.load.freeCpu) },
             { "work-core-ms", std::to_string(std::int64_t(job->estimatedWork())) },
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -15,10 +15,14 @@
 constexpr std::chrono::milliseconds listPause { 500 };
 constexpr std::chrono::milliseconds listPauseWhenAway { 1'000 };
 // Time in which the tasks of a VM end once nothing new is started there; most run for under two seconds.
+// A VM that idled this long is not in use between two tasks only.
+constexpr std::chrono::milliseconds spareAfter { 800 };
 constexpr std::chrono::milliseconds emptyingTime { 2'000 };
 // A move that is not seen in the list after this time beyond its own is taken for not done.
 constexpr std::chrono::milliseconds moveSlack { 3'000 };
 constexpr std::chrono::milliseconds reportTimeout { 1'500 };
+// A pool's need changes with every job; a line a second tells its course.
+constexpr std::chrono::milliseconds needLogPause { 1'000 };
 // Every pool keeps this many VMs: one to start on at once, and one should that one fail.
 constexpr std::uint32_t minVmsPerPool = 2;
 
@@ -121,6 +125,14 @@
     });
 }
 
+jobs::Millis VmKeeper::idleTime(const jobs::VmRecord& vm, TimePoint now) const
+{
+    auto runner = m_shard.runners().find(vm.runner);
+    if (runner == m_shard.runners().end() || !runner->second.runs().empty())
+        return jobs::Millis(0);
+    return std::chrono::duration_cast<jobs::Millis>(now - runner->second.idleSince);
+}
+
 bool VmKeeper::hasRuns(const jobs::VmRecord& vm) const
 {
     auto runner = m_shard.runners().find(vm.runner);
@@ -154,9 +166,9 @@
         const auto* vm = find(id);
         if (!vm || wave.done.contains(id) || wave.down.contains(id) || m_moves.contains(id))
             continue;
-        auto runner = m_shard.runners().find(vm->runner);
-        auto busy = runner == m_shard.runners().end() ? 0 : runner->second.reserved().cpu;
-        candidates.push_back({ id, !hasRuns(*vm), vm->state == jobs::VmState::Up, busy });
+        const auto* pool = m_config.pool(vm->pool);
+        auto isSpare = (pool && pool->isStandby) || idleTime(*vm, now) >= spareAfter;
+        candidates.push_back({ id, !hasRuns(*vm), isSpare, vm->state == jobs::VmState::Up, busyCpu(id) });
     }
     auto cycle = m_settings.maintenanceTime + emptyingTime;
     auto steps = jobs::planMaintenance(wave, candidates, cycle, now);
@@ -263,6 +275,7 @@
     jobs::MoveInput input;
     std::map<PoolId, jobs::PoolNeed> needs;
     std::map<PoolId, std::int64_t> cpuOfVm;
+    std::map<PoolId, std::int64_t> arriving;
     for (const auto& pool : m_config.pools) {
         if (pool.isStandby)
             input.standbyPool = pool.id;
@@ -285,24 +298,71 @@
             continue;
         ++need->second.present;
         auto runner = m_shard.runners().find(vm.runner);
-        auto isFree = pending == m_moves.end() && vm.state == jobs::VmState::Up
-            && runner != m_shard.runners().end() && runner->second.runs().empty()
-            && !runner->second.isReserved && !runner->second.report().isDraining;
-        if (isFree)
+        auto isSettled = pending == m_moves.end() && vm.state == jobs::VmState::Up
+            && runner != m_shard.runners().end() && !runner->second.report().isDraining;
+        if (!isSettled) {
+            arriving[pool] += vm.capacity.cpu;
+            continue;
+        }
+        if (runner->second.runs().empty())
             need->second.idle.push_back(
                 { id, std::chrono::duration_cast<jobs::Millis>(now - runner->second.idleSince) });
+        else if (!m_shard.hasLastingRuns(vm.runner))
+            need->second.busy.push_back(id);
     }
+    // VMs that any pool may get: those switched off, and those beyond a pool's need.
+    std::int64_t spare = 0;
+    for (const auto& id : input.standby)
+        spare += find(id)->capacity.cpu;
     for (auto& [pool, need] : needs) {
         auto cpu = std::max<std::int64_t>(1, cpuOfVm[pool]);
-        need.needed = std::max(minVmsPerPool, std::uint32_t(std::ceil(m_shard.neededCpu(pool, now) / double(cpu))));
+        need.needed = std::max(minVmsPerPool, std::uint32_t(std::ceil(m_shard.neededCpu(pool, now, m_clock.wallNow()) / double(cpu))));
         std::sort(need.idle.begin(), need.idle.end(),
             [](const auto& a, const auto& b) { return a.idleFor > b.idleFor; });
+        std::sort(need.busy.begin(), need.busy.end(),
+            [this](const VmId& a, const VmId& b) { return busyCpu(a) < busyCpu(b); });
+        spare += (need.present > need.needed ? need.present - need.needed : 0) * cpu;
+        logNeed(need, now);
         input.pools.push_back(std::move(need));
     }
-    for (const auto& each : jobs::planMoves(std::move(input)))
+    for (const auto& pool : input.pools)
+        m_shard.setArriving(pool.pool, arriving[pool.pool] + spare);
+    auto plan = jobs::planMoves(std::move(input));
+    setEmptying(plan.emptying);
+    for (const auto& each : plan.moves)
         move(each, now);
 }
 
+void VmKeeper::logNeed(const jobs::PoolNeed& need, TimePoint now)
+{
+    auto& last = m_loggedNeeds[need.pool];
+    auto isSame = last.needed == need.needed && last.present == need.present;
+    if (isSame || now < last.at + needLogPause)
+        return;
+    last = { need.needed, need.present, now };
+    logInfo("pool-need",
+        { { "pool", need.pool.value() }, { "needed", std::to_string(need.needed) },
+            { "present", std::to_string(need.present) }, { "idle", std::to_string(need.idle.size()) },
+            { "list-age-ms", std::to_string((now - m_listAt).count() / 1000) } });
+}
+
+void VmKeeper::setEmptying(const std::set<VmId>& emptying)
+{
+    for (const auto& id : m_emptying)
+        if (const auto* vm = find(id); vm && !emptying.contains(id) && !isInWave(id) && !m_moves.contains(id))
+            m_shard.reserve(vm->runner, false);
+    for (const auto& id : emptying)
+        m_shard.reserve(find(id)->runner, true);
+    m_emptying = emptying;
+}
+
+std::int64_t VmKeeper::busyCpu(const VmId& id) const
+{
+    const auto* vm = find(id);
+    auto runner = vm ? m_shard.runners().find(vm->runner) : m_shard.runners().end();
+    return runner == m_shard.runners().end() ? 0 : runner->second.reserved().cpu;
+}
+
 void VmKeeper::move(const jobs::VmMove& move, TimePoint now)
 {
     const auto* vm = find(move.vm);
--- a/src/node/vm_keeper.h
+++ b/src/node/vm_keeper.h
@@ -57,9 +57,13 @@
     void report(jobs::WaveProgress&, bool isCompleted);
     void takeDown(jobs::WaveProgress&, const VmId&, TimePoint now);
     void planMoves(TimePoint now);
+    void logNeed(const jobs::PoolNeed&, TimePoint now);
+    void setEmptying(const std::set<VmId>&);
     void move(const jobs::VmMove&, TimePoint now);
     [[nodiscard]] const jobs::VmRecord* find(const VmId&) const;
+    [[nodiscard]] std::int64_t busyCpu(const VmId&) const;
     [[nodiscard]] bool isInWave(const VmId&) const;
+    [[nodiscard]] jobs::Millis idleTime(const jobs::VmRecord&, TimePoint now) const;
     [[nodiscard]] bool hasRuns(const jobs::VmRecord&) const;
 
     platform::StoreClient& m_store;
@@ -77,6 +81,13 @@
     std::map<std::int64_t, jobs::WaveProgress> m_waves;
     std::map<std::int64_t, std::set<VmId>> m_restoredWaves;
     std::map<VmId, PendingMove> m_moves;
+    std::set<VmId> m_emptying;
+    struct LoggedNeed {
+        std::uint32_t needed { 0 };
+        std::uint32_t present { 0 };
+        TimePoint at;
+    };
+    std::map<PoolId, LoggedNeed> m_loggedNeeds;
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
