--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/maintenance_plan.cpp
@@ -37,7 +37,7 @@
         auto isWanted = isEmptying || candidate.isSpare || inHand < atOnce;
         if (!isWanted)
             continue;
-        auto isReady = candidate.isEmpty || (isEmptying && isForced);
+        auto isReady = candidate.isEmpty || (isEmptying && isForced && candidate.mayEndRuns);
         if (isReady && downNow < wave.order.maxAtOnce) {
             steps.takeDown.push_back(candidate.vm);
             ++downNow;
--- a/src/jobs/maintenance_plan.h
+++ b/src/jobs/maintenance_plan.h
@@ -28,6 +28,8 @@
     bool isSpare { false };
     // It is up; one that moves or is down has to wait.
     bool isUp { false };
+    // What still runs there may be ended: none of it is to last.
+    bool mayEndRuns { false };
     // Cores in use there, thousandths.
     std::int64_t busyCpu { 0 };
 };
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -69,6 +69,7 @@
 
     // The store's list names it.
     bool isListed { true };
+    TimePoint unlistedSince;
     // It answered a look of this epoch, so that it refuses orders of earlier ones.
     bool isFenced { false };
     // Its row is stored, so that the next holder of the shard will ask it too.
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -30,6 +30,9 @@
 constexpr Millis backlogHorizon { 1'000 };
 // Room beyond the estimated demand: tasks do not fill runners exactly, and estimates are off both ways.
 constexpr double demandHeadroom = 1.15;
+// The list of VMs is taken as proof of a runner's end only if it was asked for this much later than the list of
+// runners lost it: a new VM may be in one before it is in the other.
+constexpr Millis unlistedMargin { 300 };
 // A runner answers a look only after orders that it acknowledged before; clocks of one process, so no margin.
 constexpr Millis noDelay { 0 };
 
@@ -52,6 +55,7 @@
     auto id = report.id;
     auto& runner = m_runners.insert_or_assign(id, Runner(std::move(report))).first->second;
     runner.isListed = false;
+    runner.unlistedSince = now;
     runner.isRecorded = true;
     // The earlier holder may have extended its lease until a moment ago.
     runner.forbidLapseBefore(now + m_settings.maxLease + m_settings.maxLease / 10);
@@ -62,8 +66,12 @@
 void Shard::observeRunners(const std::map<RunnerId, RunnerReport>& list, TimePoint now)
 {
     for (auto& [id, runner] : m_runners)
-        runner.isListed = list.contains(id);
+        if (std::exchange(runner.isListed, list.contains(id)) && !runner.isListed)
+            runner.unlistedSince = now;
     for (const auto& [id, report] : list) {
+        // The list still names a life that was seen to end.
+        if (m_endedLives.contains({ id, report.born }))
+            continue;
         auto found = m_runners.find(id);
         if (found == m_runners.end()) {
             found = m_runners.emplace(id, Runner(report)).first;
@@ -674,12 +682,35 @@
             continue;
         auto found = m_runners.find(steps.tasks[index].runner);
         auto* run = found == m_runners.end() ? nullptr : found->second.find(other);
-        if (!run || run->phase != RunPhase::Running || run->percent < 100)
-            ++away;
+        auto isAtWork = run && run->phase == RunPhase::Running && run->percent >= 100
+            && found->second.lookFailures == 0;
+        away += isAtWork ? 0 : 1;
     }
     return away < std::max(1U, step.maxUnavailable);
 }
 
+void Shard::endRunner(const RunnerId& id, TimePoint now, std::string_view why)
+{
+    auto found = m_runners.find(id);
+    if (found == m_runners.end())
+        return;
+    loseRuns(found->second, now, why);
+    if (found->second.isRecorded)
+        m_runnerChanges.push_back({ ShardChange::Kind::RunnerRemoval, id.value(), {} });
+    m_endedLives.insert({ id, found->second.report().born });
+    m_runners.erase(found);
+}
+
+void Shard::endUnlistedRunners(const std::set<RunnerId>& living, TimePoint asked, TimePoint now)
+{
+    std::vector<RunnerId> ended;
+    for (const auto& [id, runner] : m_runners)
+        if (!runner.isListed && !living.contains(id) && runner.unlistedSince + unlistedMargin < asked)
+            ended.push_back(id);
+    for (const auto& id : ended)
+        endRunner(id, now, "vm-has-another-life");
+}
+
 void Shard::evacuate(const RunnerId& id, TimePoint)
 {
     auto found = m_runners.find(id);
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -115,6 +115,10 @@
     [[nodiscard]] bool hasLastingRuns(const RunnerId&);
     // Keeps new work away from a runner that is to be taken away, or lets it come again.
     void reserve(const RunnerId&, bool);
+    // The runner's life is known to be over: nothing of it runs any more.
+    void endRunner(const RunnerId&, TimePoint now, std::string_view why);
+    // Runners that neither the store lists nor live on any VM, by a list of VMs asked for at a moment.
+    void endUnlistedRunners(const std::set<RunnerId>& living, TimePoint asked, TimePoint now);
     // Stops lasting tasks of a reserved runner as far as their steps can spare them.
     void evacuate(const RunnerId&, TimePoint now);
     [[nodiscard]] PoolLoad loadOf(
@@ -146,6 +150,8 @@
     std::map<RunnerId, Runner> m_runners;
     std::vector<ShardChange> m_runnerChanges;
     std::vector<JobId> m_newJobs;
+    // Lives that ended while the store may still list them.
+    std::set<std::pair<RunnerId, std::int64_t>> m_endedLives;
     std::map<PoolId, DemandMeter> m_demand;
     std::map<PoolId, std::int64_t> m_arriving;
     // Pools in which startable tasks wait for room.
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -101,6 +101,10 @@
     for (const auto& vm : list)
         m_list.emplace(vm.vm, vm);
     m_listAt = asked;
+    std::set<jobs::RunnerId> living;
+    for (const auto& vm : list)
+        living.insert(vm.runner);
+    m_shard.endUnlistedRunners(living, asked, m_clock.now());
     for (auto each = m_moves.begin(); each != m_moves.end();) {
         const auto* vm = find(each->first);
         auto hasArrived = vm && vm->pool == each->second.to && vm->state == jobs::VmState::Up
@@ -168,7 +172,8 @@
             continue;
         const auto* pool = m_config.pool(vm->pool);
         auto isSpare = (pool && pool->isStandby) || idleTime(*vm, now) >= spareAfter;
-        candidates.push_back({ id, !hasRuns(*vm), isSpare, vm->state == jobs::VmState::Up, busyCpu(id) });
+        candidates.push_back({ id, !hasRuns(*vm), isSpare, vm->state == jobs::VmState::Up,
+            !m_shard.hasLastingRuns(vm->runner), busyCpu(id) });
     }
     auto cycle = m_settings.maintenanceTime + emptyingTime;
     auto steps = jobs::planMaintenance(wave, candidates, cycle, now);
@@ -377,6 +382,8 @@
                 { { "vm", move.vm.value() }, { "from", move.from.value() }, { "to", move.to.value() },
                     { "outcome", std::string(toString(outcome)) } });
             m_nextList = m_clock.now();
+            if (outcome == platform::VmOrderOutcome::Accepted)
+                m_shard.endRunner(runner, m_clock.now(), "moved");
             auto mayBeDone = outcome == platform::VmOrderOutcome::Accepted
                 || outcome == platform::VmOrderOutcome::Unknown;
             if (mayBeDone)
