--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/maintenance_plan.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+std::uint32_t allowanceOf(std::uint32_t maxAtOnce, std::uint32_t shard, std::uint32_t shards)
+{
+    return maxAtOnce / shards + (shard < maxAtOnce % shards ? 1 : 0);
+}
+
 MaintenanceSteps planMaintenance(
     const WaveProgress& wave, std::vector<MaintenanceCandidate> candidates, Millis cycle, TimePoint now)
 {
@@ -23,7 +28,7 @@
     auto isForced = elapsed > duration * forcedShare;
     auto left = std::max(duration * plannedShare - elapsed, double(cycle.count()));
     auto rate = std::ceil(double(candidates.size() + wave.down.size()) * double(cycle.count()) / left);
-    auto atOnce = std::min(std::uint32_t(std::max(1.0, rate)), wave.order.maxAtOnce);
+    auto atOnce = std::min(std::uint32_t(std::max(1.0, rate)), wave.allowance);
     auto downNow = std::uint32_t(wave.down.size());
     std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
         return std::tuple(!a.isSpare, !a.isEmpty, a.busyCpu, a.vm)
@@ -38,7 +43,7 @@
         if (!isWanted)
             continue;
         auto isReady = candidate.isEmpty || (isEmptying && isForced && candidate.mayEndRuns);
-        if (isReady && downNow < wave.order.maxAtOnce) {
+        if (isReady && downNow < wave.allowance) {
             steps.takeDown.push_back(candidate.vm);
             ++downNow;
             inHand += isEmptying ? 0 : 1;
--- a/src/jobs/maintenance_plan.h
+++ b/src/jobs/maintenance_plan.h
@@ -15,8 +15,14 @@
     // VMs being emptied, and VMs whose maintenance was ordered and is not seen to be over.
     std::map<VmId, TimePoint> emptying;
     std::map<VmId, TimePoint> down;
+    // VMs of this shard that may be down at once.
+    std::uint32_t allowance { 0 };
     bool isReported { false };
+    // All VMs of this shard are done; and the whole wave is, and was said to be.
     bool isCompleted { false };
+    bool isAnnounced { false };
+    bool isAsking { false };
+    TimePoint askAgain;
 };
 
 // A VM that is still to be maintained, as the planner sees it.
@@ -34,6 +40,10 @@
     std::int64_t busyCpu { 0 };
 };
 
+// A shard's share of the VMs of a wave that may be down at once. With fewer than shards, some have none and
+// have to wait until the shards before them are done.
+[[nodiscard]] std::uint32_t allowanceOf(std::uint32_t maxAtOnce, std::uint32_t shard, std::uint32_t shards);
+
 struct MaintenanceSteps {
     // To be emptied: nothing new is started there.
     std::vector<VmId> empty;
--- a/src/node/job_call.h
+++ b/src/node/job_call.h
@@ -21,6 +21,7 @@
     std::string queue;
     // Submit: the encoded job.
     std::string encodedJob;
+    std::uint32_t shard { 0 };
 };
 
 enum class JobVerdict : std::uint8_t {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,8 +16,13 @@
 
 using namespace std::chrono_literals;
 
-// The only shard of a fleet of this size.
-constexpr auto shardPart = "s0";
+constexpr auto operatorTable = "op";
+// The row that says into how many shards the fleet is divided.
+constexpr auto mapTable = "layout";
+constexpr auto mapKey = "shards";
+constexpr std::chrono::milliseconds mapRetry { 250 };
+// Leases change hands seldom, but every renewal is a change of the table; this paces the answers.
+constexpr std::chrono::milliseconds leaseFeedPause { 150 };
 // Rows that the operator writes.
 constexpr std::string_view configKey = "config";
 constexpr std::string_view wavePrefix = "wave/";
@@ -25,10 +30,17 @@
 // A lease is renewed four times in its length, so that one lost answer does not cost it.
 constexpr int renewalsPerLease = 4;
 // Processes wait up to this long beyond a lease's end before they try to take it, each another time.
-constexpr std::int64_t maxAcquireDelayMs = 250;
+constexpr std::int64_t maxJitterMs = 250;
+// A process that holds shards already, or has a small share of a core, leaves a shard to others for this long.
+constexpr std::chrono::milliseconds delayPerHeldShard { 300 };
+constexpr std::chrono::milliseconds delayOfSmallest { 400 };
 // An order of the last holder may still be on its way when its lease ends.
 constexpr std::chrono::milliseconds orderMargin { 300 };
 constexpr std::chrono::milliseconds acquireTimeout { 1'200 };
+// A claim that failed is tried again after this; the store may be away.
+constexpr std::chrono::milliseconds acquireRetry { 250 };
+// Kept beyond the time that the platform asks for.
+constexpr std::chrono::milliseconds finishedMargin { 30'000 };
 constexpr std::chrono::milliseconds feedPause { 10 };
 // The callers wait for an answer for 3 s; one that comes later helps nobody.
 constexpr std::chrono::milliseconds defaultDeadline { 3'000 };
@@ -98,29 +110,19 @@
     , m_runnerClient(m_http)
     , m_vmClient(m_http, m_settings.vmsAddress)
     , m_rpcClient(m_loop)
-    , m_lease(LeaseSettings {}, m_settings.peerAddress, incarnation)
-    , m_configFollower(m_loop, m_store, "op", "", feedPause,
+    , m_configFollower(m_loop, m_store, operatorTable, { "" }, feedPause,
           { [this](const platform::StoredRow& row) { onOperatorRow(row); },
               [this](const std::vector<platform::StoredRow>& rows) {
                   for (const auto& row : rows)
                       onOperatorRow(row);
               },
               [] {} })
-    , m_leaseFollower(m_loop, m_store, leaseTable, shardPart, feedPause,
-          { [this](const platform::StoredRow& row) { onLeaseRow(row); },
-              [this](const std::vector<platform::StoredRow>& rows) {
-                  for (const auto& row : rows)
-                      onLeaseRow(row);
-                  if (rows.empty())
-                      m_lease.observeOwner(std::nullopt, 0, m_clock.now());
-              },
-              [] {} })
+    , m_mapTimer(m_loop)
     , m_tickTimer(m_loop)
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 {
     std::mt19937_64 random(std::random_device {}());
-    m_acquireDelay
-        = std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, maxAcquireDelayMs)(random));
+    m_jitter = std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, maxJitterMs)(random));
 }
 
 Node::~Node() = default;
@@ -143,8 +145,9 @@
         return tl::unexpected(readiness.error());
     m_readiness = std::move(*readiness);
     auto rpc = ShardRpcServer::start(m_settings.peerAddress, m_loop, [this](JobCall call, OnJobReply reply) {
-        if (m_owner)
-            m_owner->handle(std::move(call), std::move(reply));
+        auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
+        if (slot && slot->owner)
+            slot->owner->handle(std::move(call), std::move(reply));
         else
             reply({ JobVerdict::NotHolder, {}, 0, retryWithoutHolder, "not-holder" });
     });
@@ -173,17 +176,80 @@
         });
     };
     waitForSignal();
-    followTables();
+    m_configFollower.start();
+    readShardMap();
     tick();
     m_loop.run();
     logInfo("stop", { { "result", "done" } });
     return {};
 }
 
-void Node::followTables()
+void Node::readShardMap()
 {
-    m_configFollower.start();
-    m_leaseFollower.start();
+    m_store.read(mapTable, "", {}, acquireTimeout, [this](const std::optional<platform::RowPage>& page) {
+        auto map = page && !page->rows.empty() ? decodeShardMap(page->rows.front().value) : std::nullopt;
+        if (map) {
+            onShardMap(*map);
+            return;
+        }
+        m_mapTimer.expires_after(mapRetry + m_jitter);
+        m_mapTimer.async_wait([this, isEmpty = page && page->rows.empty()](const asio::error_code& error) {
+            if (error)
+                return;
+            if (isEmpty)
+                proposeShardMap();
+            else
+                readShardMap();
+        });
+    });
+}
+
+// The first process to write the row settles it; the others read it then.
+void Node::proposeShardMap()
+{
+    m_vmClient.list([this](const std::optional<std::vector<jobs::VmRecord>>& vms) {
+        if (!vms || vms->empty()) {
+            readShardMap();
+            return;
+        }
+        platform::RowName name { mapTable, "", mapKey };
+        platform::RowTransaction transaction;
+        transaction.conditions.push_back({ name, 0 });
+        transaction.puts.push_back({ name, encodeShardMap(shardMapFor(vms->size())) });
+        m_store.commit(
+            std::move(transaction), acquireTimeout, [this](const platform::CommitResult&) { readShardMap(); });
+    });
+}
+
+void Node::onShardMap(const ShardMap& map)
+{
+    logInfo("shard-map", { { "shards", std::to_string(map.count) } });
+    m_map = map;
+    std::vector<std::string> parts;
+    for (std::uint32_t index = 0; index < map.count; ++index) {
+        parts.push_back(ShardMap::partOf(index));
+        m_slots.push_back(std::make_unique<Slot>(Slot { index, parts.back(),
+            ShardLease(LeaseSettings {}, m_settings.peerAddress, m_incarnation), nullptr, false, false, {}, {},
+            {} }));
+    }
+    m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, leaseTable, std::move(parts),
+        leaseFeedPause,
+        TableFollower::Hooks { [this](const platform::StoredRow& row) { onLeaseRow(row); },
+            [this](const std::vector<platform::StoredRow>& rows) {
+                for (const auto& row : rows)
+                    onLeaseRow(row);
+                for (auto& slot : m_slots)
+                    if (!slot->lease.owner())
+                        slot->lease.observeOwner(std::nullopt, slot->lease.ownerVersion(), m_clock.now());
+            },
+            [] {} });
+    m_leaseFollower->start();
+}
+
+Node::Slot* Node::slotOf(const std::string& part)
+{
+    auto found = std::find_if(m_slots.begin(), m_slots.end(), [&](const auto& slot) { return slot->part == part; });
+    return found == m_slots.end() ? nullptr : found->get();
 }
 
 void Node::onOperatorRow(const platform::StoredRow& row)
@@ -204,8 +270,9 @@
         return;
     }
     m_waves.insert_or_assign(wave->wave, *wave);
-    if (m_owner)
-        m_owner->addWave(*wave);
+    for (auto& slot : m_slots)
+        if (slot->owner)
+            slot->owner->addWave(*wave);
 }
 
 void Node::onConfigRow(std::string_view value)
@@ -222,43 +289,39 @@
             { "before", std::to_string(m_config ? m_config->version : 0) },
             { "queues", std::to_string(config->queues.size()) } });
     m_config = std::move(*config);
-    if (m_owner)
-        m_owner->configure(*m_config);
+    for (auto& slot : m_slots)
+        if (slot->owner)
+            slot->owner->configure(*m_config);
 }
 
 void Node::onLeaseRow(const platform::StoredRow& row)
 {
+    auto* slot = slotOf(row.name.part);
+    if (!slot)
+        return;
     auto now = m_clock.now();
     if (row.name.key == renewalKey) {
-        m_lease.observeRenewal(row.version, now);
+        slot->lease.observeRenewal(row.version, now);
         return;
     }
     if (row.name.key != ownerKey)
         return;
     auto owner = row.isRemoved ? std::nullopt : decodeOwner(row.value);
-    auto isNew = row.version > m_lease.ownerVersion();
-    m_lease.observeOwner(owner, row.version, now);
+    auto isNew = row.version > slot->lease.ownerVersion();
+    slot->lease.observeOwner(owner, row.version, now);
     if (isNew)
         logInfo("shard-holder",
-            { { "part", shardPart }, { "address", owner ? owner->address : "" },
+            { { "part", slot->part }, { "address", owner ? owner->address : "" },
                 { "epoch", std::to_string(owner ? owner->epoch : 0) } });
-    if (m_owner && !m_lease.isOwn())
-        dropShard("other-holder");
+    if (slot->owner && !slot->lease.isOwn())
+        dropShard(*slot, "other-holder");
 }
 
 void Node::tick()
 {
     auto now = m_clock.now();
-    if (m_owner && now >= m_renewAt && !m_isReleased) {
-        m_renewAt = now + m_lease.settings().length / renewalsPerLease;
-        m_owner->renew();
-    }
-    if (m_owner)
-        m_owner->tick();
-    if (!m_owner && !m_isAcquiring && !m_isStopping && m_lease.shouldAcquire(now, m_acquireDelay))
-        acquire();
-    if (now >= m_probeAt)
-        probeHolder();
+    for (auto& slot : m_slots)
+        tickSlot(*slot, now);
     if (m_isStopping)
         finishStop();
     m_tickTimer.expires_after(tickPause);
@@ -268,105 +331,168 @@
     });
 }
 
-void Node::acquire()
+void Node::tickSlot(Slot& slot, TimePoint now)
+{
+    if (slot.owner) {
+        if (now >= slot.renewAt && !slot.isReleased) {
+            slot.renewAt = now + slot.lease.settings().length / renewalsPerLease;
+            slot.owner->renew();
+        }
+        slot.owner->tick();
+    } else if (!slot.isAcquiring && !m_isStopping && slot.lease.shouldAcquire(now, acquireDelay())) {
+        acquire(slot);
+    }
+    if (now >= slot.probeAt)
+        probeHolder(slot, now);
+}
+
+std::chrono::milliseconds Node::acquireDelay() const
+{
+    auto held = std::count_if(
+        m_slots.begin(), m_slots.end(), [](const auto& slot) { return slot->owner || slot->isAcquiring; });
+    auto smallness = std::clamp(1 - m_settings.processorShare * 2, 0.0, 1.0);
+    return m_jitter + delayPerHeldShard * held
+        + std::chrono::milliseconds(std::int64_t(double(delayOfSmallest.count()) * smallness));
+}
+
+void Node::acquire(Slot& slot)
 {
-    m_isAcquiring = true;
-    auto claim = m_lease.claim();
-    platform::RowName owner { leaseTable, shardPart, ownerKey };
-    platform::RowName renewal { leaseTable, shardPart, renewalKey };
+    slot.isAcquiring = true;
+    auto claim = slot.lease.claim();
+    platform::RowName owner { leaseTable, slot.part, ownerKey };
+    platform::RowName renewal { leaseTable, slot.part, renewalKey };
     platform::RowTransaction transaction;
-    transaction.conditions = { { owner, m_lease.ownerVersion() }, { renewal, m_lease.renewalVersion() } };
+    transaction.conditions
+        = { { owner, slot.lease.ownerVersion() }, { renewal, slot.lease.renewalVersion() } };
     transaction.puts = { { owner, encodeOwner(claim) }, { renewal, "0" } };
-    auto sent = m_clock.now();
     m_store.commit(std::move(transaction), acquireTimeout,
-        [this, sent, claim, owner, renewal](const platform::CommitResult& result) {
-            m_isAcquiring = false;
+        [this, &slot, sent = m_clock.now(), claim](const platform::CommitResult& result) {
+            slot.isAcquiring = false;
             auto now = m_clock.now();
-            logInfo("shard-claim",
-                { { "part", shardPart }, { "epoch", std::to_string(claim.epoch) },
-                    { "outcome", std::to_string(int(result.outcome)) },
-                    { "version", std::to_string(result.version) } });
             if (result.outcome == platform::CommitOutcome::Committed) {
-                m_lease.observeOwner(claim, result.version, now);
-                m_lease.observeRenewal(result.version, now);
-                onAcquired(result.version, result.version, claim.epoch, sent);
+                slot.lease.observeOwner(claim, result.version, now);
+                slot.lease.observeRenewal(result.version, now);
+                onAcquired(slot, result.version, claim.epoch, sent);
                 return;
             }
+            slot.lease.delayAcquire(now + acquireRetry);
             // A conflict tells the rows as they are; what may have been done is seen by the feed.
             for (const auto& row : result.current)
                 onLeaseRow(row);
         });
 }
 
-void Node::onAcquired(Version ownerVersion, Version renewalVersion, Epoch epoch, TimePoint sent)
+void Node::onAcquired(Slot& slot, Version version, Epoch epoch, TimePoint sent)
 {
     if (m_isStopping)
         return;
-    m_lease.onRenewed(sent);
-    m_renewAt = m_clock.now();
+    auto now = m_clock.now();
+    slot.lease.onRenewed(sent);
+    slot.renewAt = now;
     jobs::ShardSettings settings;
     settings.maxLease = m_settings.maxRunnerLease;
-    settings.keepFinished = m_settings.keepFinished + 30s;
+    settings.keepFinished = m_settings.keepFinished + finishedMargin;
     ShardOwner::Hooks hooks;
-    hooks.mayOrder = [this] { return m_lease.isValid(m_clock.now()) && !m_isReleased; };
-    hooks.onLost = [this] { asio::post(m_loop, [this] { dropShard("store-refused"); }); };
-    hooks.onRenewed = [this](TimePoint at) { m_lease.onRenewed(at); };
+    hooks.mayOrder = [this, &slot] { return slot.lease.isValid(m_clock.now()) && !slot.isReleased; };
+    hooks.onLost = [this, &slot] { asio::post(m_loop, [this, &slot] { dropShard(slot, "store-refused"); }); };
+    hooks.onRenewed = [&slot](TimePoint at) { slot.lease.onRenewed(at); };
+    hooks.isOurs = [this, index = slot.index](const VmId& vm) { return m_map->shardOf(vm) == index; };
     // The first holder of all has no predecessor whose orders could be near.
-    auto ordersFrom = epoch > 1 ? m_clock.now() + m_settings.holderLease + orderMargin : m_clock.now();
-    VmKeeperSettings vmSettings { m_settings.name, epoch, ordersFrom, m_settings.moveTime,
+    auto ordersFrom = epoch > 1 ? now + m_settings.holderLease + orderMargin : now;
+    VmKeeperSettings vmSettings { m_settings.name, epoch, slot.index, *m_map, ordersFrom, m_settings.moveTime,
         m_settings.maintenanceTime };
-    m_owner = std::make_unique<ShardOwner>(m_loop, ShardOwner::Clients { m_store, m_runnerClient, m_vmClient },
-        settings, vmSettings,
-        platform::RowCondition { { leaseTable, shardPart, ownerKey }, ownerVersion }, renewalVersion,
-        std::move(hooks));
+    slot.owner = std::make_unique<ShardOwner>(m_loop,
+        ShardOwner::Clients { m_store, m_runnerClient, m_vmClient }, settings, vmSettings,
+        platform::RowCondition { { leaseTable, slot.part, ownerKey }, version }, version, std::move(hooks));
     if (m_config)
-        m_owner->configure(*m_config);
+        slot.owner->configure(*m_config);
     for (const auto& [number, wave] : m_waves)
-        m_owner->addWave(wave);
-    logInfo("shard-held", { { "part", shardPart }, { "epoch", std::to_string(epoch) } });
+        slot.owner->addWave(wave);
+    logInfo("shard-held",
+        { { "part", slot.part }, { "epoch", std::to_string(epoch) }, { "version", std::to_string(version) } });
 }
 
-void Node::dropShard(std::string_view why)
+void Node::dropShard(Slot& slot, std::string_view why)
 {
-    if (!m_owner)
+    if (!slot.owner)
         return;
-    logWarning("shard-dropped", { { "part", shardPart }, { "reason", std::string(why) } });
-    m_owner.reset();
+    logWarning("shard-dropped", { { "part", slot.part }, { "reason", std::string(why) } });
+    slot.owner.reset();
 }
 
 void Node::passOn(JobCall call, std::chrono::milliseconds timeout, OnJobReply reply)
 {
-    if (m_owner) {
-        m_owner->handle(std::move(call), std::move(reply));
+    auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
+    if (slot && slot->owner) {
+        slot->owner->handle(std::move(call), std::move(reply));
         return;
     }
-    const auto& owner = m_lease.owner();
+    auto owner = slot ? slot->lease.owner() : std::nullopt;
     if (!owner || owner->address.empty() || owner->address == m_settings.peerAddress) {
         reply({ JobVerdict::NotHolder, {}, 0, retryWithoutHolder, "no-holder" });
         return;
     }
-    m_rpcClient.call(owner->address, call, timeout, [this, reply = std::move(reply)](const JobReply& result) {
-        if (result.verdict != JobVerdict::NotHolder && result.verdict != JobVerdict::Uncertain)
-            m_holderAnswered = m_clock.now();
-        reply(result);
-    });
+    m_rpcClient.call(
+        owner->address, call, timeout, [this, slot, reply = std::move(reply)](const JobReply& result) {
+            if (result.verdict != JobVerdict::NotHolder && result.verdict != JobVerdict::Uncertain)
+                slot->holderAnswered = m_clock.now();
+            reply(result);
+        });
 }
 
-void Node::probeHolder()
+void Node::countPending(JobCall call, std::chrono::milliseconds timeout, OnJobReply reply)
 {
-    m_probeAt = m_clock.now() + probeInterval;
-    if (m_owner) {
-        m_holderAnswered = m_clock.now();
-        return;
-    }
-    if (m_clock.now() < m_holderAnswered + probeInterval)
-        return;
-    passOn({ JobCallKind::Count, {}, {}, {} }, probeInterval, [](const JobReply&) {});
+    struct Count {
+        std::size_t left;
+        JobReply total;
+        OnJobReply reply;
+    };
+    auto count = std::make_shared<Count>(Count { m_slots.size(), {}, std::move(reply) });
+    count->total.verdict = JobVerdict::Done;
+    if (m_slots.empty())
+        count->reply({ JobVerdict::NotHolder, {}, 0, retryWithoutHolder, "no-shard-map" });
+    for (call.shard = 0; call.shard < m_slots.size(); ++call.shard)
+        passOn(call, timeout, [count](const JobReply& part) {
+            count->total.pending += part.pending;
+            if (part.verdict != JobVerdict::Done && count->total.verdict == JobVerdict::Done) {
+                auto pending = count->total.pending;
+                count->total = part;
+                count->total.pending = pending;
+            }
+            if (--count->left == 0)
+                count->reply(count->total);
+        });
+}
+
+void Node::search(JobCall call, std::uint32_t asked, std::chrono::milliseconds timeout, OnJobReply reply)
+{
+    passOn(call, timeout,
+        [this, call, asked, timeout, reply = std::move(reply)](const JobReply& result) mutable {
+            auto isLast = asked + 1 >= m_slots.size();
+            if (result.verdict != JobVerdict::UnknownJob || isLast) {
+                reply(result);
+                return;
+            }
+            call.shard = (call.shard + 1) % std::uint32_t(m_slots.size());
+            search(std::move(call), asked + 1, timeout, std::move(reply));
+        });
+}
+
+void Node::probeHolder(Slot& slot, TimePoint now)
+{
+    slot.probeAt = now + probeInterval;
+    if (slot.owner)
+        slot.holderAnswered = now;
+    else if (now >= slot.holderAnswered + probeInterval)
+        passOn({ JobCallKind::Count, {}, {}, {}, slot.index }, probeInterval, [](const JobReply&) {});
 }
 
 bool Node::isReady() const
 {
-    return m_config && !m_isStopping && m_clock.now() < m_holderAnswered + holderSilence;
+    auto now = m_clock.now();
+    return m_config && !m_isStopping && !m_slots.empty()
+        && std::all_of(m_slots.begin(), m_slots.end(),
+            [now](const auto& slot) { return now < slot->holderAnswered + holderSilence; });
 }
 
 void Node::onReadiness(CallId id, const CallerRequest&)
@@ -374,11 +500,16 @@
     m_readiness->answer(id, plain(isReady() ? 200 : 503), false);
 }
 
+std::uint32_t Node::shardFor(const jobs::Job& job) const
+{
+    return job.isLasting() ? m_map->shardOfQueue(job.queue) : m_map->shardOf(job.id);
+}
+
 void Node::onCaller(CallId id, const CallerRequest& request)
 {
     auto received = m_clock.now();
-    if (!m_config) {
-        m_callers->answer(id, refusal(503, retryWithoutHolder, "no-configuration"), m_isStopping);
+    if (!m_config || !m_map) {
+        m_callers->answer(id, refusal(503, retryWithoutHolder, "not-started"), m_isStopping);
         return;
     }
     auto path = request.path.substr(0, request.path.find('?'));
@@ -391,6 +522,7 @@
     JobCall call;
     call.queue = queue->name;
     call.job = JobId(std::string(rest));
+    call.shard = m_map->shardOf(call.job);
     if (request.method == "POST" && !rest.empty()) {
         call.kind = JobCallKind::Submit;
         auto job = platform::decodeSubmission(request.body);
@@ -402,6 +534,7 @@
         job->queue = queue->name;
         job->policy = queue->policy;
         call.encodedJob = jobs::encodeJob(*job);
+        call.shard = shardFor(*job);
     } else if (request.method == "GET") {
         call.kind = rest.empty() ? JobCallKind::Count : JobCallKind::Show;
     } else if (request.method == "DELETE" && !rest.empty()) {
@@ -413,10 +546,16 @@
     ++m_callsInFlight;
     auto timeout = std::max(deadlineOf(request) - answerMargin, answerMargin);
     auto summary = JobCall { call.kind, call.job, call.queue, {} };
-    passOn(std::move(call), timeout, [this, id, summary, received](const JobReply& reply) {
+    auto done = [this, id, summary, received](const JobReply& reply) {
         --m_callsInFlight;
         answer(id, summary, reply, received);
-    });
+    };
+    if (call.kind == JobCallKind::Submit)
+        passOn(std::move(call), timeout, std::move(done));
+    else if (call.kind == JobCallKind::Count)
+        countPending(std::move(call), timeout, std::move(done));
+    else
+        search(std::move(call), 0, timeout, std::move(done));
 }
 
 void Node::answer(CallId id, const JobCall& call, const JobReply& reply, TimePoint received)
@@ -457,16 +596,21 @@
     if (std::exchange(m_isStopping, true))
         return;
     m_stopAt = m_clock.now();
-    logInfo("stopping", { { "calls", std::to_string(m_callsInFlight) }, { "holds", m_owner ? "yes" : "no" } });
-    if (!m_owner)
-        return;
-    auto released = m_lease.claim();
+    logInfo("stopping", { { "calls", std::to_string(m_callsInFlight) }, { "shards", std::to_string(m_slots.size()) } });
+    for (auto& slot : m_slots)
+        if (slot->owner)
+            release(*slot);
+}
+
+void Node::release(Slot& slot)
+{
+    auto released = slot.lease.claim();
     released.address.clear();
     --released.epoch;
-    m_isReleased = true;
-    m_owner->release(encodeOwner(released), [this] {
-        logInfo("shard-released", { { "part", shardPart } });
-        asio::post(m_loop, [this] { m_owner.reset(); });
+    slot.isReleased = true;
+    slot.owner->release(encodeOwner(released), [this, &slot] {
+        logInfo("shard-released", { { "part", slot.part } });
+        asio::post(m_loop, [&slot] { slot.owner.reset(); });
     });
 }
 
@@ -477,7 +621,8 @@
     auto isIdle = m_callsInFlight == 0 && m_callers->openConnections() == 0;
     if (hasTime && (now < m_stopAt + minStopTime || !isIdle))
         return;
-    m_owner.reset();
+    for (auto& slot : m_slots)
+        slot->owner.reset();
     m_loop.stop();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #include "io/caller_server.h"
 #include "node/node_settings.h"
 #include "node/shard_lease.h"
+#include "node/shard_map.h"
 #include "node/shard_owner.h"
 #include "node/shard_rpc.h"
 #include "platform/vm_client.h"
@@ -25,15 +26,34 @@
 
 private:
     [[nodiscard]] Result<void> listen();
-    void followTables();
+    void readShardMap();
+    void onShardMap(const ShardMap&);
+    void proposeShardMap();
     void onOperatorRow(const platform::StoredRow&);
     void onConfigRow(std::string_view value);
     void onWaveRow(std::string_view value);
     void onLeaseRow(const platform::StoredRow&);
     void tick();
-    void acquire();
-    void onAcquired(Version ownerVersion, Version renewalVersion, Epoch, TimePoint sent);
-    void dropShard(std::string_view why);
+    // One shard as this process sees it: its lease, and its state while this process holds it.
+    struct Slot {
+        std::uint32_t index { 0 };
+        std::string part;
+        ShardLease lease;
+        std::unique_ptr<ShardOwner> owner;
+        bool isAcquiring { false };
+        bool isReleased { false };
+        TimePoint renewAt;
+        // The holder's last answer, and when to ask it for one.
+        TimePoint holderAnswered;
+        TimePoint probeAt;
+    };
+    [[nodiscard]] std::chrono::milliseconds acquireDelay() const;
+    void tickSlot(Slot&, TimePoint now);
+    void acquire(Slot&);
+    void onAcquired(Slot&, Version, Epoch, TimePoint sent);
+    void dropShard(Slot&, std::string_view why);
+    void release(Slot&);
+    [[nodiscard]] Slot* slotOf(const std::string& part);
     void stop();
     void finishStop();
 
@@ -41,7 +61,11 @@
     void onReadiness(CallId, const CallerRequest&);
     void passOn(JobCall, std::chrono::milliseconds timeout, OnJobReply);
     void answer(CallId, const JobCall&, const JobReply&, TimePoint received);
-    void probeHolder();
+    void countPending(JobCall, std::chrono::milliseconds timeout, OnJobReply);
+    // Asks the other shards for a job that its own shard does not know.
+    void search(JobCall, std::uint32_t asked, std::chrono::milliseconds timeout, OnJobReply);
+    void probeHolder(Slot&, TimePoint now);
+    [[nodiscard]] std::uint32_t shardFor(const jobs::Job&) const;
     [[nodiscard]] bool isReady() const;
 
     const NodeSettings m_settings;
@@ -53,25 +77,21 @@
     platform::RunnerClient m_runnerClient;
     platform::VmClient m_vmClient;
     ShardRpcClient m_rpcClient;
-    ShardLease m_lease;
     TableFollower m_configFollower;
-    TableFollower m_leaseFollower;
+    std::optional<ShardMap> m_map;
+    std::vector<std::unique_ptr<Slot>> m_slots;
+    std::unique_ptr<TableFollower> m_leaseFollower;
+    asio::steady_timer m_mapTimer;
     std::optional<jobs::FleetConfig> m_config;
     std::map<std::int64_t, jobs::WaveOrder> m_waves;
-    std::unique_ptr<ShardOwner> m_owner;
     std::unique_ptr<ShardRpcServer> m_rpcServer;
     std::unique_ptr<CallerServer> m_callers;
     std::unique_ptr<CallerServer> m_readiness;
     asio::steady_timer m_tickTimer;
     asio::signal_set m_signals;
-    std::chrono::milliseconds m_acquireDelay { 0 };
-    bool m_isAcquiring { false };
-    TimePoint m_renewAt;
-    // Answers of the holder, as a proof that this process can serve.
-    TimePoint m_holderAnswered;
-    TimePoint m_probeAt;
+    // Drawn at the start, so that processes do not try to take a shard at the same time.
+    std::chrono::milliseconds m_jitter { 0 };
     bool m_isStopping { false };
-    bool m_isReleased { false };
     TimePoint m_stopAt;
     std::size_t m_callsInFlight { 0 };
 };
--- a/src/node/shard_lease.cpp
+++ b/src/node/shard_lease.cpp
@@ -51,7 +51,7 @@
 
 bool ShardLease::shouldAcquire(TimePoint now, std::chrono::milliseconds delay) const
 {
-    if (!m_unchangedSince || isOwn())
+    if (!m_unchangedSince || isOwn() || now < m_acquireFrom)
         return false;
     // Released, never held, or held by an earlier start of this very process: nobody gives orders any more.
     auto isFree = !m_owner || m_owner->address.empty() || m_owner->address == m_address;
--- a/src/node/shard_lease.h
+++ b/src/node/shard_lease.h
@@ -42,6 +42,8 @@
 
     // Whether to try to take the shard now. `delay` differs between processes, so that few try at once.
     [[nodiscard]] bool shouldAcquire(TimePoint now, std::chrono::milliseconds delay) const;
+    // Not before; after a claim that failed.
+    void delayAcquire(TimePoint until) { m_acquireFrom = until; }
     // What to write to take it.
     [[nodiscard]] LeaseOwner claim() const;
 
@@ -65,6 +67,7 @@
     // When the rows were first seen as they are; empty before the first look.
     std::optional<TimePoint> m_unchangedSince;
     TimePoint m_validUntil;
+    TimePoint m_acquireFrom;
 };
 
 } // namespace fulmar::node
--- /dev/null
+++ b/src/node/shard_map.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/types.h"
+
+#include <optional>
+#include <string>
+
+namespace fulmar::node {
+
+// How the fleet is divided. A shard has a share of the VMs of every pool, whichever pool they are in, and a
+// share of the jobs; so its holder moves VMs between pools and places jobs without asking anyone. The number of
+// shards is settled once, when the system starts for the first time.
+struct ShardMap {
+    std::uint32_t count { 1 };
+
+    [[nodiscard]] std::uint32_t shardOf(const VmId&) const;
+    [[nodiscard]] std::uint32_t shardOf(const JobId&) const;
+    // Lasting tasks want VMs of their own, so that a queue's lasting jobs share a shard and queues spread.
+    [[nodiscard]] std::uint32_t shardOfQueue(std::string_view queue) const;
+    // The part of the store's tables that holds a shard's rows.
+    [[nodiscard]] static std::string partOf(std::uint32_t shard);
+};
+
+// The number of shards for a fleet of that many VMs.
+[[nodiscard]] ShardMap shardMapFor(std::size_t vms);
+
+[[nodiscard]] std::string encodeShardMap(const ShardMap&);
+[[nodiscard]] std::optional<ShardMap> decodeShardMap(std::string_view);
+
+} // namespace fulmar::node
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -13,6 +13,8 @@
 
 // The list of runners changes with every heartbeat; a draining runner must be known within two seconds.
 constexpr std::chrono::milliseconds runnerListPause { 300 };
+// The store's table in which runners list themselves.
+constexpr auto runnerListTable = "servers";
 constexpr std::chrono::milliseconds readTimeout { 2'000 };
 constexpr std::chrono::milliseconds restoreRetry { 150 };
 // Events of this time are planned together.
@@ -49,32 +51,19 @@
     , m_log(loop, clients.store, lease, [this] { m_hooks.onLost(); })
     , m_shard(settings, vmSettings.epoch)
     , m_vmKeeper(clients.store, clients.vms, m_shard, vmSettings,
-          { m_hooks.mayOrder,
+          { m_hooks.mayOrder, m_hooks.isOurs,
               [this](std::int64_t wave, std::string value, std::function<void()> durable) {
                   m_log.put(rowName(waveTable, std::to_string(wave)), std::move(value), std::move(durable));
               },
               [this] { schedule(); } })
-    , m_runnerList(loop, clients.store, "servers", "", runnerListPause,
-          { [this](const platform::StoredRow& row) {
-               if (row.isRemoved) {
-                   m_listed.erase(jobs::RunnerId(row.name.key));
-                   return;
-               }
-               if (auto report = platform::decodeRunner(row.name.key, row.value))
-                   m_listed.insert_or_assign(report->id, std::move(*report));
-               else if (m_listed.erase(jobs::RunnerId(row.name.key)) > 0)
-                   logWarning("runner-row-unreadable", { { "runner", row.name.key } });
-           },
+    , m_runnerList(loop, clients.store, runnerListTable, { "" }, runnerListPause,
+          { [this](const platform::StoredRow& row) { onRunnerRow(row); },
               [this](const std::vector<platform::StoredRow>& rows) {
                   m_listed.clear();
                   for (const auto& row : rows)
-                      if (auto report = platform::decodeRunner(row.name.key, row.value))
-                          m_listed.insert_or_assign(report->id, std::move(*report));
-                      else
-                          logWarning("runner-row-unreadable", { { "runner", row.name.key } });
+                      onRunnerRow(row);
               },
               [this] {
-                  m_isListRead = true;
                   m_shard.observeRunners(m_listed, m_clock.now());
                   onRestored();
                   schedule();
@@ -182,6 +171,19 @@
         m_vmKeeper.tick();
 }
 
+void ShardOwner::onRunnerRow(const platform::StoredRow& row)
+{
+    jobs::RunnerId id(row.name.key);
+    auto report = row.isRemoved ? std::nullopt : platform::decodeRunner(row.name.key, row.value);
+    if (report && m_hooks.isOurs(report->vm)) {
+        m_listed.insert_or_assign(id, std::move(*report));
+        return;
+    }
+    if (!row.isRemoved && !report)
+        logWarning("runner-row-unreadable", { { "runner", row.name.key } });
+    m_listed.erase(id);
+}
+
 void ShardOwner::onRestored()
 {
     if (std::exchange(m_isRestored, true))
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -16,7 +16,6 @@
 inline constexpr auto jobTable = "jobs";
 inline constexpr auto progressTable = "progress";
 inline constexpr auto runnerTable = "runners";
-inline constexpr auto waveTable = "waves";
 inline constexpr auto ownerKey = "owner";
 inline constexpr auto renewalKey = "renewal";
 
@@ -31,6 +30,8 @@
         // Another process holds the shard.
         std::function<void()> onLost;
         std::function<void(TimePoint sent)> onRenewed;
+        // The VM belongs to this shard.
+        std::function<bool(const VmId&)> isOurs;
     };
 
     // The platform's interfaces that the orders go to.
@@ -75,6 +76,7 @@
     void sendStop(const jobs::OutgoingStop&);
     void sendLook(const jobs::OutgoingLook&);
     void sendNextStart(const jobs::RunnerId&);
+    void onRunnerRow(const platform::StoredRow&);
     [[nodiscard]] platform::RowName rowName(const jobs::ShardChange&) const;
     [[nodiscard]] platform::RowName rowName(std::string table, std::string key) const;
 
@@ -88,7 +90,6 @@
     VmKeeper m_vmKeeper;
     TableFollower m_runnerList;
     std::map<jobs::RunnerId, jobs::RunnerReport> m_listed;
-    bool m_isListRead { false };
     bool m_isRestored { false };
     // Rows read while the shard is restored.
     std::unordered_map<std::string, jobs::JobProgress> m_restoredProgress;
--- a/src/node/shard_rpc.cpp
+++ b/src/node/shard_rpc.cpp
@@ -35,12 +35,14 @@
     message.set_job_id(call.job.value());
     message.set_queue(call.queue);
     message.set_job(call.encodedJob);
+    message.set_shard(call.shard);
     return message;
 }
 
 JobCall fromWire(const wire::JobCall& message)
 {
-    return { JobCallKind(message.kind()), JobId(message.job_id()), message.queue(), message.job() };
+    return { JobCallKind(message.kind()), JobId(message.job_id()), message.queue(), message.job(),
+        message.shard() };
 }
 
 void toWire(const JobReply& reply, wire::JobReply& message)
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -2,6 +2,8 @@
 
 #include "core/log.h"
 
+#include <algorithm>
+
 namespace fulmar::node {
 
 namespace {
@@ -16,10 +18,10 @@
 } // namespace
 
 TableFollower::TableFollower(asio::io_context& loop, platform::StoreClient& store, std::string table,
-    std::string part, std::chrono::milliseconds pause, Hooks hooks)
+    std::vector<std::string> parts, std::chrono::milliseconds pause, Hooks hooks)
     : m_store(store)
     , m_table(std::move(table))
-    , m_part(std::move(part))
+    , m_parts(std::move(parts))
     , m_pause(pause)
     , m_hooks(std::move(hooks))
     , m_timer(loop)
@@ -51,8 +53,14 @@
 
 void TableFollower::readAll()
 {
-    m_store.readAll(m_table, m_part, readTimeout,
-        [this, isAlive = m_isAlive](const std::optional<platform::RowPage>& page) {
+    m_snapshot = {};
+    readPart(0);
+}
+
+void TableFollower::readPart(std::size_t part)
+{
+    m_store.readAll(m_table, m_parts[part], readTimeout,
+        [this, part, isAlive = m_isAlive](std::optional<platform::RowPage> page) {
             if (!*isAlive)
                 return;
             if (!page) {
@@ -60,10 +68,20 @@
                 later(retryPause, &TableFollower::readAll);
                 return;
             }
-            m_version = page->version;
+            // The feed starts at the oldest of the versions, so that it misses nothing.
+            if (part == 0)
+                m_snapshot.version = page->version;
+            for (auto& row : page->rows)
+                m_snapshot.rows.push_back(std::move(row));
+            if (part + 1 < m_parts.size()) {
+                readPart(part + 1);
+                return;
+            }
+            m_version = m_snapshot.version;
             noteAnswer();
-            m_hooks.onSnapshot(page->rows);
+            m_hooks.onSnapshot(m_snapshot.rows);
             m_hooks.onAnswer();
+            m_snapshot = {};
             later(m_pause, &TableFollower::follow);
         });
 }
@@ -88,7 +106,7 @@
         m_version = std::max(m_version, feed.page.version);
         noteAnswer();
         for (const auto& row : feed.page.rows)
-            if (row.name.part == m_part)
+            if (std::find(m_parts.begin(), m_parts.end(), row.name.part) != m_parts.end())
                 m_hooks.onRow(row);
         m_hooks.onAnswer();
         later(m_pause, &TableFollower::follow);
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -9,7 +9,7 @@
 
 namespace fulmar::node {
 
-// Keeps a copy of one table of the store: reads a part once, then follows its changes. Tells of every change
+// Keeps a copy of one table of the store: reads its parts once, then follows its changes. Tells of every change
 // and of losing and regaining the store.
 class TableFollower {
 public:
@@ -23,8 +23,8 @@
     };
 
     // `pause` is the least time between two answers that are taken.
-    TableFollower(asio::io_context&, platform::StoreClient&, std::string table, std::string part,
-        std::chrono::milliseconds pause, Hooks);
+    TableFollower(asio::io_context&, platform::StoreClient&, std::string table,
+        std::vector<std::string> parts, std::chrono::milliseconds pause, Hooks);
     ~TableFollower() { *m_isAlive = false; }
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
@@ -33,6 +33,7 @@
 
 private:
     void readAll();
+    void readPart(std::size_t part);
     void follow();
     void later(std::chrono::milliseconds, void (TableFollower::*next)());
     void noteFailure();
@@ -40,7 +41,9 @@
 
     platform::StoreClient& m_store;
     const std::string m_table;
-    const std::string m_part;
+    const std::vector<std::string> m_parts;
+    // Rows of the parts read so far.
+    platform::RowPage m_snapshot;
     const std::chrono::milliseconds m_pause;
     const Hooks m_hooks;
     asio::steady_timer m_timer;
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -23,9 +23,42 @@
 constexpr std::chrono::milliseconds reportTimeout { 1'500 };
 // A pool's need changes with every job; a line a second tells its course.
 constexpr std::chrono::milliseconds needLogPause { 1'000 };
+// Other shards are asked this often whether they are done with a wave.
+constexpr std::chrono::milliseconds askPause { 700 };
+constexpr std::chrono::milliseconds askTimeout { 1'500 };
 // Every pool keeps this many VMs: one to start on at once, and one should that one fail.
 constexpr std::uint32_t minVmsPerPool = 2;
 
+// What a shard keeps of a wave.
+struct WaveRecord {
+    std::set<VmId> done;
+    bool isCompleted { false };
+};
+
+std::string encodeWaveRecord(const WaveRecord& record)
+{
+    auto done = nlohmann::json::array();
+    for (const auto& vm : record.done)
+        done.push_back(vm.value());
+    return nlohmann::json { { "done", std::move(done) }, { "completed", record.isCompleted } }.dump();
+}
+
+std::optional<WaveRecord> decodeWaveRecord(std::string_view text)
+{
+    auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("done") || !json.contains("completed"))
+        return std::nullopt;
+    try {
+        WaveRecord record;
+        for (const auto& each : json["done"])
+            record.done.insert(VmId(each.get<std::string>()));
+        record.isCompleted = json["completed"].get<bool>();
+        return record;
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 VmKeeper::VmKeeper(platform::StoreClient& store, platform::VmClient& vms, jobs::Shard& shard,
@@ -47,6 +80,8 @@
     if (!isNew)
         return;
     found->second.firstSeen = m_clock.now();
+    found->second.allowance
+        = jobs::allowanceOf(order.maxAtOnce, m_settings.shard, m_settings.shards.count);
     if (auto restored = m_restoredWaves.find(order.wave); restored != m_restoredWaves.end())
         found->second.done = restored->second;
     logInfo("wave",
@@ -56,16 +91,14 @@
             { "done", std::to_string(found->second.done.size()) } });
 }
 
-void VmKeeper::restoreWave(std::int64_t wave, std::string_view done)
+void VmKeeper::restoreWave(std::int64_t wave, std::string_view row)
 {
-    auto json = nlohmann::json::parse(done, nullptr, false);
-    if (!json.is_array())
+    auto record = decodeWaveRecord(row);
+    if (!record)
         return;
-    for (const auto& each : json)
-        if (each.is_string())
-            m_restoredWaves[wave].insert(VmId(each.get<std::string>()));
+    m_restoredWaves[wave] = record->done;
     if (auto known = m_waves.find(wave); known != m_waves.end())
-        known->second.done.merge(m_restoredWaves[wave]);
+        known->second.done.merge(record->done);
 }
 
 void VmKeeper::tick()
@@ -99,7 +132,8 @@
 {
     m_list.clear();
     for (const auto& vm : list)
-        m_list.emplace(vm.vm, vm);
+        if (m_hooks.isOurs(vm.vm))
+            m_list.emplace(vm.vm, vm);
     m_listAt = asked;
     std::set<jobs::RunnerId> living;
     for (const auto& vm : list)
@@ -156,15 +190,22 @@
 
 void VmKeeper::planWaves(TimePoint now)
 {
-    for (auto& [number, wave] : m_waves)
+    for (auto& [number, wave] : m_waves) {
         if (!wave.isCompleted)
             planWave(wave, now);
+        else
+            announceWave(wave, now);
+    }
 }
 
 void VmKeeper::planWave(jobs::WaveProgress& wave, TimePoint now)
 {
     if (!std::exchange(wave.isReported, true))
         report(wave, false);
+    if (wave.allowance == 0) {
+        waitForAllowance(wave, now);
+        return;
+    }
     std::vector<jobs::MaintenanceCandidate> candidates;
     for (const auto& id : wave.order.vms) {
         const auto* vm = find(id);
@@ -188,7 +229,21 @@
         takeDown(wave, id, now);
     if (!steps.empty.empty())
         m_hooks.changed();
-    completeWave(wave, now);
+    completeWave(wave);
+}
+
+void VmKeeper::waitForAllowance(jobs::WaveProgress& wave, TimePoint now)
+{
+    if (wave.isAsking || now < wave.askAgain)
+        return;
+    wave.isAsking = true;
+    askShards(wave.order.wave, 0, m_settings.shard, [this, number = wave.order.wave](bool areDone) {
+        auto& progress = m_waves[number];
+        progress.isAsking = false;
+        progress.askAgain = m_clock.now() + askPause;
+        if (areDone)
+            progress.allowance = 1;
+    });
 }
 
 void VmKeeper::takeDown(jobs::WaveProgress& wave, const VmId& id, TimePoint now)
@@ -233,26 +288,60 @@
         });
 }
 
-void VmKeeper::completeWave(jobs::WaveProgress& wave, TimePoint)
+void VmKeeper::completeWave(jobs::WaveProgress& wave)
 {
     auto isDone = std::all_of(wave.order.vms.begin(), wave.order.vms.end(),
         [&](const VmId& vm) { return wave.done.contains(vm) || !find(vm); });
     if (!isDone || wave.isCompleted)
         return;
     wave.isCompleted = true;
-    record(wave, [this, number = wave.order.wave, isAlive = m_isAlive] {
-        if (*isAlive)
-            report(m_waves[number], true);
+    record(wave, {});
+}
+
+// The wave is over when every shard has recorded that it is done; each looks until it sees that, and says so.
+void VmKeeper::announceWave(jobs::WaveProgress& wave, TimePoint now)
+{
+    if (wave.isAnnounced || wave.isAsking || now < wave.askAgain)
+        return;
+    wave.isAsking = true;
+    askShards(wave.order.wave, 0, m_settings.shards.count, [this, number = wave.order.wave](bool areDone) {
+        auto& progress = m_waves[number];
+        progress.isAsking = false;
+        progress.askAgain = m_clock.now() + askPause;
+        if (areDone && !std::exchange(progress.isAnnounced, true))
+            report(progress, true);
     });
 }
 
+void VmKeeper::askShards(
+    std::int64_t wave, std::uint32_t next, std::uint32_t end, std::function<void(bool)> answer)
+{
+    if (next == end) {
+        answer(true);
+        return;
+    }
+    m_store.read(waveTable, ShardMap::partOf(next), {}, askTimeout,
+        [this, wave, next, end, answer = std::move(answer), isAlive = m_isAlive](
+            const std::optional<platform::RowPage>& page) {
+            if (!*isAlive)
+                return;
+            auto isDone = page
+                && std::any_of(page->rows.begin(), page->rows.end(), [wave](const platform::StoredRow& row) {
+                       auto record = decodeWaveRecord(row.value);
+                       return row.name.key == std::to_string(wave) && record && record->isCompleted;
+                   });
+            if (isDone)
+                askShards(wave, next + 1, end, answer);
+            else
+                answer(false);
+        });
+}
+
 // The next holder goes on with the VMs that are left.
 void VmKeeper::record(const jobs::WaveProgress& wave, std::function<void()> durable)
 {
-    auto done = nlohmann::json::array();
-    for (const auto& vm : wave.done)
-        done.push_back(vm.value());
-    m_hooks.record(wave.order.wave, done.dump(), std::move(durable));
+    m_hooks.record(
+        wave.order.wave, encodeWaveRecord({ wave.done, wave.isCompleted }), std::move(durable));
 }
 
 // The report is a row of a table that has no parts of ours, so that it is written by itself.
@@ -271,7 +360,7 @@
                 return;
             // Told again by the next plan; a report that ran after all says the same.
             auto& progress = m_waves[number];
-            (isCompleted ? progress.isCompleted : progress.isReported) = false;
+            (isCompleted ? progress.isAnnounced : progress.isReported) = false;
         });
 }
 
--- a/src/node/vm_keeper.h
+++ b/src/node/vm_keeper.h
@@ -2,6 +2,7 @@
 
 #include "jobs/maintenance_plan.h"
 #include "jobs/shard.h"
+#include "node/shard_map.h"
 #include "platform/store_client.h"
 #include "platform/vm_client.h"
 
@@ -11,18 +12,24 @@
     // Name under which orders for VMs are given.
     std::string holder;
     Epoch epoch { 0 };
+    std::uint32_t shard { 0 };
+    ShardMap shards;
     // No order before: an earlier holder may have given one until a moment ago.
     TimePoint ordersFrom;
     std::chrono::milliseconds moveTime { 0 };
     std::chrono::milliseconds maintenanceTime { 0 };
 };
 
+inline constexpr auto waveTable = "waves";
+
 // Moves VMs between pools and takes them through maintenance waves, for the holder of a shard. Used by the
 // loop's thread only.
 class VmKeeper {
 public:
     struct Hooks {
         std::function<bool()> mayOrder;
+        // The VM belongs to this shard.
+        std::function<bool(const VmId&)> isOurs;
         // Keeps the VMs of a wave that are done for the next holder.
         std::function<void(std::int64_t wave, std::string done, std::function<void()> durable)> record;
         // Something changed that the shard should plan for.
@@ -52,9 +59,13 @@
     void planWaves(TimePoint now);
     void planWave(jobs::WaveProgress&, TimePoint now);
     void settleDown(jobs::WaveProgress&, TimePoint now);
-    void completeWave(jobs::WaveProgress&, TimePoint now);
+    void completeWave(jobs::WaveProgress&);
+    void announceWave(jobs::WaveProgress&, TimePoint now);
+    // Whether the shards from 0 to `end` are done with the wave.
+    void askShards(std::int64_t wave, std::uint32_t next, std::uint32_t end, std::function<void(bool)>);
     void record(const jobs::WaveProgress&, std::function<void()> durable);
     void report(jobs::WaveProgress&, bool isCompleted);
+    void waitForAllowance(jobs::WaveProgress&, TimePoint now);
     void takeDown(jobs::WaveProgress&, const VmId&, TimePoint now);
     void planMoves(TimePoint now);
     void logNeed(const jobs::PoolNeed&, TimePoint now);
