--- a/src/jobs/job_book.cpp
+++ b/src/jobs/job_book.cpp
@@ -41,19 +41,6 @@
     task.runner = {};
 }
 
-void countFailure(JobEntry& entry, const Step& step, Task& task, Attempt attempt, TimePoint now)
-{
-    task.notBefore = now + pauseAfterFailure;
-    auto isKnown = std::find(task.failedAttempts.begin(), task.failedAttempts.end(), attempt)
-        != task.failedAttempts.end();
-    if (step.isLasting || isKnown)
-        return;
-    task.failedAttempts.push_back(attempt);
-    entry.isDirty = true;
-    if (task.failedAttempts.size() >= entry.job.policy.maxFailures && !entry.isOver())
-        finish(entry, JobState::Failed, now);
-}
-
 } // namespace
 
 Task* JobEntry::find(const TaskName& name)
@@ -181,7 +168,23 @@
     if (!checkpoint.empty())
         task->checkpoint = checkpoint;
     if (kind == EndKind::Failed)
-        countFailure(entry, step, *task, attempt, now);
+        countFailure(entry, name, attempt, now);
+}
+
+void countFailure(JobEntry& entry, const TaskName& name, Attempt attempt, TimePoint now)
+{
+    auto* task = entry.find(name);
+    if (!task)
+        return;
+    task->notBefore = now + pauseAfterFailure;
+    auto isKnown = std::find(task->failedAttempts.begin(), task->failedAttempts.end(), attempt)
+        != task->failedAttempts.end();
+    if (entry.job.steps[name.step].isLasting || isKnown)
+        return;
+    task->failedAttempts.push_back(attempt);
+    entry.isDirty = true;
+    if (task->failedAttempts.size() >= entry.job.policy.maxFailures && !entry.isOver())
+        finish(entry, JobState::Failed, now);
 }
 
 void releaseTask(JobEntry& entry, const TaskName& name, const std::string& checkpoint)
--- a/src/jobs/job_book.h
+++ b/src/jobs/job_book.h
@@ -84,6 +84,9 @@
 // A task's run ended; moves the task and its job on.
 void applyEnd(JobEntry&, const TaskName&, Attempt, EndKind, const std::string& checkpoint, TimePoint now);
 
+// A run of the task failed, wherever it ran; counted once an attempt. Fails the job when there were too many.
+void countFailure(JobEntry&, const TaskName&, Attempt, TimePoint now);
+
 // The run was lost without an end; the task waits again.
 void releaseTask(JobEntry&, const TaskName&, const std::string& checkpoint);
 
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -36,6 +36,12 @@
 // A runner answers a look only after orders that it acknowledged before; clocks of one process, so no margin.
 constexpr Millis noDelay { 0 };
 
+// VMs that a step needs for its tasks, and one more to go to should one of them fail or be maintained.
+std::uint32_t spreadOf(const Step& step)
+{
+    return (step.count + step.maxPerRunner - 1) / step.maxPerRunner + 1;
+}
+
 } // namespace
 
 Shard::Shard(ShardSettings settings, Epoch epoch)
@@ -126,10 +132,7 @@
     entry->state = JobState::Cancelled;
     entry->ended = now;
     entry->isDirty = true;
-    for (auto& [runnerId, runner] : m_runners)
-        for (auto& [task, run] : runner.runs())
-            if (task.job == id)
-                stopRun(run);
+    stopRunsOf(id);
 }
 
 std::uint64_t Shard::pending(const std::string& queue) const
@@ -327,40 +330,59 @@
             continue;
         runner.endsApplied = ended.number;
         noteEvidence(runner, ended, now);
-        auto* run = runner.find(ended.task);
-        auto isOurs = run && run->attempt == ended.attempt;
-        if (isOurs)
-            runner.removeRun(ended.task);
-        auto* entry = m_book.find(ended.task.job);
-        auto* task = entry ? entry->find(ended.task) : nullptr;
-        if (!task)
-            continue;
-        // A task that was placed elsewhere meanwhile goes on there.
-        auto isPlacedElsewhere = task->state == TaskState::Placed && !isOurs;
-        if (isPlacedElsewhere)
-            continue;
-        if (isOurs && task->runner != runner.report().id)
-            continue;
-        auto before = entry->state;
-        applyEnd(*entry, ended.task, ended.attempt, ended.kind, ended.checkpoint, now);
-        if (entry->state != before)
-            logInfo("job-state",
-                { { "job", entry->job.id.value() }, { "state", std::string(toString(entry->state)) },
-                    { "runner", runner.report().id.value() }, { "end", std::string(toString(ended.kind)) },
-                    { "age-ms", std::to_string((now - entry->arrived).count() / 1000) },
-                    { "objective-ms", std::to_string((entry->due - entry->arrived).count() / 1000) } });
-        if (entry->state == JobState::Failed && before != JobState::Failed) {
-            auto id = entry->job.id;
-            for (auto& [otherId, other] : m_runners)
-                for (auto& [name, each] : other.runs())
-                    if (name.job == id)
-                        stopRun(each);
-        }
+        applyEnd(runner, ended, now);
     }
     if (runner.runs().empty())
         runner.idleSince = std::max(runner.idleSince, now);
 }
 
+void Shard::applyEnd(Runner& runner, const EndedTask& ended, TimePoint now)
+{
+    auto* run = runner.find(ended.task);
+    auto isKnownRun = run && run->attempt == ended.attempt;
+    if (isKnownRun)
+        runner.removeRun(ended.task);
+    auto* entry = m_book.find(ended.task.job);
+    auto* task = entry ? entry->find(ended.task) : nullptr;
+    if (!task)
+        return;
+    auto before = entry->state;
+    auto isPlacedElsewhere
+        = task->state == TaskState::Placed && !(isKnownRun && task->runner == runner.report().id);
+    if (!isPlacedElsewhere) {
+        jobs::applyEnd(*entry, ended.task, ended.attempt, ended.kind, ended.checkpoint, now);
+    } else if (ended.kind == EndKind::Done) {
+        // The run that was given up for lost did end; the one that took its place has nothing left to do.
+        if (auto other = m_runners.find(task->runner); other != m_runners.end())
+            if (auto* replacement = other->second.find(ended.task))
+                stopRun(*replacement);
+        jobs::applyEnd(*entry, ended.task, ended.attempt, ended.kind, ended.checkpoint, now);
+    } else if (ended.kind == EndKind::Failed) {
+        countFailure(*entry, ended.task, ended.attempt, now);
+    }
+    if (entry->state != before)
+        onJobState(*entry, runner, ended, now);
+}
+
+void Shard::onJobState(const JobEntry& entry, const Runner& runner, const EndedTask& ended, TimePoint now)
+{
+    logInfo("job-state",
+        { { "job", entry.job.id.value() }, { "state", std::string(toString(entry.state)) },
+            { "runner", runner.report().id.value() }, { "end", std::string(toString(ended.kind)) },
+            { "age-ms", std::to_string((now - entry.arrived).count() / 1000) },
+            { "objective-ms", std::to_string((entry.due - entry.arrived).count() / 1000) } });
+    if (entry.isOver())
+        stopRunsOf(entry.job.id);
+}
+
+void Shard::stopRunsOf(const JobId& job)
+{
+    for (auto& [id, runner] : m_runners)
+        for (auto& [task, run] : runner.runs())
+            if (task.job == job)
+                stopRun(run);
+}
+
 void Shard::adopt(Runner& runner, const RunningTask& running, TimePoint now)
 {
     auto* entry = m_book.find(running.task.job);
@@ -624,8 +646,9 @@
     return load;
 }
 
-double Shard::neededCpu(const PoolId& pool, TimePoint now, WallTime wallNow)
+Shard::Demand Shard::demandOf(const PoolId& pool, TimePoint now, WallTime wallNow)
 {
+    Demand demand;
     std::int64_t lasting = 0;
     std::int64_t busy = 0;
     for (const auto& [id, runner] : m_runners) {
@@ -643,6 +666,8 @@
             continue;
         for (const auto& steps : entry.stepRuns) {
             const auto& step = entry.job.steps[steps.step];
+            if (step.maxPerRunner > 0 && !steps.isDone() && entry.isStartable(steps, wallNow))
+                demand.spread = std::max(demand.spread, spreadOf(step));
             if (step.isLasting)
                 lasting += step.reserved().cpu * steps.waiting();
             else if (entry.isStartable(steps, wallNow))
@@ -651,7 +676,8 @@
     }
     auto asked = m_demand[pool].cores(now) * 1000;
     auto started = double(busy) + waiting / double(backlogHorizon.count());
-    return std::max(started, asked) * demandHeadroom + double(lasting);
+    demand.cpu = std::max(started, asked) * demandHeadroom + double(lasting);
+    return demand;
 }
 
 bool Shard::hasLastingRuns(const RunnerId& id)
@@ -711,7 +737,15 @@
         endRunner(id, now, "vm-has-another-life");
 }
 
-void Shard::evacuate(const RunnerId& id, TimePoint)
+bool Shard::hasOtherPlace(const Runner& here, JobEntry& entry, const TaskName& task, TimePoint now)
+{
+    auto runners = usableRunners(entry.job.policy.pool, now);
+    std::erase(runners, &here);
+    const auto& step = entry.job.steps[task.step];
+    return choosePlace(runners, step, task, RackId(step.dataRack)) != nullptr;
+}
+
+void Shard::evacuate(const RunnerId& id, TimePoint now)
 {
     auto found = m_runners.find(id);
     if (found == m_runners.end())
@@ -720,7 +754,7 @@
         auto* entry = m_book.find(task.job);
         if (!entry || run.phase != RunPhase::Running || !entry->job.steps[task.step].isLasting)
             continue;
-        if (canSpare(*entry, task))
+        if (canSpare(*entry, task) && hasOtherPlace(found->second, *entry, task, now))
             stopRun(run);
     }
 }
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -108,8 +108,14 @@
     [[nodiscard]] std::map<RunnerId, Runner>& runners() { return m_runners; }
     [[nodiscard]] const std::map<RunnerId, Runner>& runners() const { return m_runners; }
     [[nodiscard]] JobBook& book() { return m_book; }
-    // What the pool's demand asks for; the VMs are the caller's to fill in.
-    [[nodiscard]] double neededCpu(const PoolId&, TimePoint now, WallTime wallNow);
+    // What the pool's demand asks for.
+    struct Demand {
+        // Thousandths of a core.
+        double cpu { 0 };
+        // VMs over which a step wants to be spread, whatever room they have.
+        std::uint32_t spread { 0 };
+    };
+    [[nodiscard]] Demand demandOf(const PoolId&, TimePoint now, WallTime wallNow);
     // Cores (thousandths) that the pool can get within the time of a move.
     void setArriving(const PoolId& pool, std::int64_t cpu) { m_arriving[pool] = cpu; }
     [[nodiscard]] bool hasLastingRuns(const RunnerId&);
@@ -129,11 +135,15 @@
 private:
     void loseRuns(Runner&, TimePoint now, std::string_view why);
     void applyEnds(Runner&, const LookAnswer&, TimePoint now);
+    void applyEnd(Runner&, const EndedTask&, TimePoint now);
+    void onJobState(const JobEntry&, const Runner&, const EndedTask&, TimePoint now);
+    void stopRunsOf(const JobId&);
     void applyRunning(Runner&, const LookAnswer&, TimePoint sent, TimePoint now);
     void adopt(Runner&, const RunningTask&, TimePoint now);
     void noteEvidence(Runner&, const EndedTask&, TimePoint now);
     static void stopRun(Run&);
-    [[nodiscard]] bool canSpare(JobEntry&, const TaskName&) ;
+    [[nodiscard]] bool canSpare(JobEntry&, const TaskName&);
+    [[nodiscard]] bool hasOtherPlace(const Runner&, JobEntry&, const TaskName&, TimePoint now);
     void planStops(Runner&, TimePoint now, ShardOrders&);
     void planLook(Runner&, TimePoint now, ShardOrders&);
     void placeJobs(TimePoint now, WallTime wallNow, ShardOrders&);
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -410,7 +410,9 @@
         spare += find(id)->capacity.cpu;
     for (auto& [pool, need] : needs) {
         auto cpu = std::max<std::int64_t>(1, cpuOfVm[pool]);
-        need.needed = std::max(minVmsPerPool, std::uint32_t(std::ceil(m_shard.neededCpu(pool, now, m_clock.wallNow()) / double(cpu))));
+        auto demand = m_shard.demandOf(pool, now, m_clock.wallNow());
+        need.needed = std::max(
+            { minVmsPerPool, demand.spread, std::uint32_t(std::ceil(demand.cpu / double(cpu))) });
         std::sort(need.idle.begin(), need.idle.end(),
             [](const auto& a, const auto& b) { return a.idleFor > b.idleFor; });
         std::sort(need.busy.begin(), need.busy.end(),
