A silent runner's lease is left to end; tests of the shard, its decisions, its lease and the decoders

Cause: each look at a runner that did not answer asked for a later end of its lease, so that its tasks were never taken for ended while it was silent. The test fails without the mend.

--- a/cmake/slice.cmake
+++ b/cmake/slice.cmake
@@ -4,6 +4,17 @@
 target_compile_definitions(fulmar_options INTERFACE ASIO_STANDALONE)
 target_link_libraries(fulmar_options INTERFACE Threads::Threads)
 
+# fulmar_test(name library sources... LINK libs...)
+# Declares the CTest case <name>.
+function(fulmar_test name library)
+    cmake_parse_arguments(TEST "" "" "LINK" ${ARGN})
+    add_executable(test_${name} ${PROJECT_SOURCE_DIR}/cmake/test_main.cpp ${TEST_UNPARSED_ARGUMENTS})
+    target_compile_definitions(test_${name} PRIVATE BOOST_TEST_DYN_LINK)
+    target_link_libraries(test_${name} PRIVATE ${library} ${TEST_LINK} rapidcheck boost_unit_test_framework)
+    add_test(NAME ${name} COMMAND test_${name})
+    set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=42 max_success=200" TIMEOUT 120)
+endfunction()
+
 # fulmar_slice(name LINK libs... TEST_LINK libs...)
 # Declares the library fulmar_<name> and, where tests exist, the CTest case <name>.
 function(fulmar_slice name)
@@ -23,10 +34,6 @@
 
     file(GLOB tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/tests/*.cpp)
     if(tests)
-        add_executable(test_${name} ${PROJECT_SOURCE_DIR}/cmake/test_main.cpp ${tests})
-        target_compile_definitions(test_${name} PRIVATE BOOST_TEST_DYN_LINK)
-        target_link_libraries(test_${name} PRIVATE fulmar_${name} ${SLICE_TEST_LINK} rapidcheck boost_unit_test_framework)
-        add_test(NAME ${name} COMMAND test_${name})
-        set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=42 max_success=200" TIMEOUT 120)
+        fulmar_test(${name} fulmar_${name} ${tests} LINK ${SLICE_TEST_LINK})
     endif()
 endfunction()
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -53,6 +53,8 @@
     [[nodiscard]] std::optional<RunnerTime> clockAtLeast(TimePoint now) const;
     // End of a lease of the given length, to be sent with an order. Remembers the latest.
     RunnerTime extendLease(TimePoint now, Millis length);
+    // The latest end of a lease that was sent.
+    [[nodiscard]] RunnerTime leaseUntil() const { return m_leaseUntil; }
     // Nothing that was ordered before can run there any more.
     [[nodiscard]] bool hasLapsed(TimePoint now) const;
     void forbidLapseBefore(TimePoint moment) { m_lapseNotBefore = moment; }
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -477,7 +477,9 @@
     }
     LookOrder look;
     look.epoch = m_epoch;
-    look.leaseUntil = runner.extendLease(now, m_settings.maxLease);
+    // A runner that does not answer may still hear: its lease must be left to end.
+    auto isSilent = runner.lookFailures > 0;
+    look.leaseUntil = isSilent ? runner.leaseUntil() : runner.extendLease(now, m_settings.maxLease);
     look.endsSeen = runner.endsStored;
     auto isSettled = runner.isFenced && runner.lookFailures == 0 && !runner.runs().empty();
     look.wait = isSettled ? m_settings.lookWait : Millis(0);
--- /dev/null
+++ b/src/jobs/tests/decisions_test.cpp
@@ -0,0 +1,153 @@
+#include "jobs/admission.h"
+#include "jobs/demand.h"
+#include "jobs/maintenance_plan.h"
+#include "jobs/move_plan.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fulmar;
+using namespace fulmar::jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+Job smallJob(std::uint32_t tasks, Millis estimate)
+{
+    Job job;
+    job.id = JobId("j");
+    job.policy = { PoolId("p"), 0, 3, 1.6, 600ms };
+    Step step;
+    step.count = tasks;
+    step.each = { 1'000, 100, 0 };
+    step.estimate = estimate;
+    job.steps.push_back(step);
+    return job;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(decisions)
+
+BOOST_AUTO_TEST_CASE(ARefusalNamesATimeThatTheBacklogTakes)
+{
+    PoolLoad load;
+    load.usableCpu = 10'000;
+    load.waiting = 90'000;
+    auto decision = decideAdmission(smallJob(1, 500ms), load);
+    BOOST_TEST(bool(decision.verdict == Admission::RejectOverload));
+    BOOST_TEST((decision.retryAfter >= 5s));
+    BOOST_TEST((decision.retryAfter <= 10s));
+}
+
+// Found on kspf-sched quiet-1: small jobs were refused beside free cores, since work of later steps counted.
+BOOST_AUTO_TEST_CASE(NothingIsRefusedWhileItCouldStart)
+{
+    PoolLoad load;
+    load.usableCpu = 10'000;
+    load.freeCpu = 5'000;
+    load.later = 900'000;
+    load.running = 50'000;
+    BOOST_TEST(bool(decideAdmission(smallJob(1, 500ms), load).verdict == Admission::Accept));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutRunnersAndNoneToComeAJobIsRefused)
+{
+    BOOST_TEST(bool(decideAdmission(smallJob(1, 500ms), {}).verdict == Admission::RejectNoRunner));
+}
+
+BOOST_AUTO_TEST_CASE(VmsThatCanComeCount)
+{
+    PoolLoad load;
+    load.usableCpu = 10'000;
+    load.waiting = 60'000;
+    BOOST_TEST(bool(decideAdmission(smallJob(1, 4s), load).verdict == Admission::RejectOverload));
+    load.arrivingCpu = 200'000;
+    BOOST_TEST(bool(decideAdmission(smallJob(1, 4s), load).verdict == Admission::Accept));
+}
+
+BOOST_AUTO_TEST_CASE(ATurnsBeginningShowsWithinAFewArrivals)
+{
+    DemandMeter meter;
+    TimePoint now { 1'000s };
+    for (int i = 0; i < 8; ++i)
+        meter.note(JobId("quiet" + std::to_string(i)), 5'000, 800ms, now += 2s);
+    BOOST_TEST(meter.cores(now + 1s) < 10);
+    for (int i = 0; i < 8; ++i)
+        meter.note(JobId("turn" + std::to_string(i)), 5'000, 800ms, now += 25ms);
+    BOOST_TEST(meter.cores(now) > 150);
+    BOOST_TEST(meter.cores(now + 5s) < 10);
+}
+
+BOOST_AUTO_TEST_CASE(AJobThatComesAgainCountsOnce)
+{
+    DemandMeter meter;
+    TimePoint now { 1'000s };
+    for (int i = 0; i < 50; ++i)
+        meter.note(JobId("same"), 5'000, 1s, now += 10ms);
+    BOOST_TEST(meter.cores(now) <= 5);
+}
+
+BOOST_AUTO_TEST_CASE(APoolInItsTurnTakesStandbyAndIdleVms)
+{
+    MoveInput input;
+    input.standbyPool = PoolId("off");
+    input.standby = { VmId("s1"), VmId("s2") };
+    input.pools = { { PoolId("busy"), 5, 2, {}, {} }, { PoolId("quiet"), 2, 4, { { VmId("q1"), 1s } }, {} } };
+    auto plan = planMoves(input);
+    BOOST_TEST(plan.moves.size() == 3U);
+    for (const auto& move : plan.moves)
+        BOOST_TEST(move.to.value() == "busy");
+}
+
+BOOST_AUTO_TEST_CASE(VmsThatIdleAreSwitchedOffAndOthersEmptied)
+{
+    MoveInput input;
+    input.standbyPool = PoolId("off");
+    input.pools = { { PoolId("quiet"), 2, 6, { { VmId("q1"), 5s }, { VmId("q2"), 100ms } }, { VmId("b1"), VmId("b2"), VmId("b3") } } };
+    auto plan = planMoves(input);
+    BOOST_REQUIRE_EQUAL(plan.moves.size(), 1U);
+    BOOST_TEST(plan.moves[0].vm.value() == "q1");
+    BOOST_TEST(plan.emptying.size() == 2U);
+    BOOST_TEST(plan.emptying.contains(VmId("b1")));
+}
+
+BOOST_AUTO_TEST_CASE(AWaveNeverTakesDownMoreThanItMay)
+{
+    WaveProgress wave;
+    wave.order = { 1, {}, 26s, 9 };
+    wave.allowance = 3;
+    TimePoint now { 1'000s };
+    wave.firstSeen = now;
+    std::vector<MaintenanceCandidate> candidates;
+    for (int i = 0; i < 20; ++i)
+        candidates.push_back({ VmId("vm" + std::to_string(i)), true, true, true, true, 0 });
+    for (auto elapsed = 0ms; elapsed < 40s; elapsed += 500ms)
+        BOOST_TEST(planMaintenance(wave, candidates, 4s, now + elapsed).takeDown.size() <= 3U);
+}
+
+// Found on mvinje-caning scale-2: a wave whose time ran out took down a VM with lasting tasks.
+BOOST_AUTO_TEST_CASE(LastingTasksAreNeverEndedByAWave)
+{
+    WaveProgress wave;
+    wave.order = { 1, {}, 26s, 9 };
+    wave.allowance = 9;
+    TimePoint now { 1'000s };
+    wave.firstSeen = now;
+    wave.emptying[VmId("vm")] = now;
+    std::vector<MaintenanceCandidate> candidates { { VmId("vm"), false, false, true, false, 500 } };
+    BOOST_TEST(planMaintenance(wave, candidates, 4s, now + 60s).takeDown.empty());
+    candidates[0].mayEndRuns = true;
+    BOOST_TEST(planMaintenance(wave, candidates, 4s, now + 60s).takeDown.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ShardsShareAWavesLimitExactly)
+{
+    for (std::uint32_t most = 1; most < 20; ++most) {
+        std::uint32_t sum = 0;
+        for (std::uint32_t shard = 0; shard < 6; ++shard)
+            sum += allowanceOf(most, shard, 6);
+        BOOST_TEST(sum == most);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/jobs/tests/shard_fixture.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "jobs/shard.h"
+
+#include <string>
+
+namespace fulmar::jobs::test {
+
+using namespace std::chrono_literals;
+
+inline const PoolId pool { "pool" };
+
+// A shard with helpers that play the store and the runners' answers.
+struct ShardFixture {
+    TimePoint now { std::chrono::seconds(1'000) };
+    Shard shard { ShardSettings {}, 1 };
+    std::map<RunnerId, RunnerReport> listed;
+    std::vector<OutgoingStart> starts;
+    std::vector<OutgoingStop> stops;
+    std::vector<OutgoingLook> looks;
+    std::map<RunnerId, std::uint64_t> ends;
+
+    static RunnerReport report(const std::string& id, std::int64_t cpu = 16'000, std::int64_t born = 1)
+    {
+        RunnerReport report;
+        report.id = RunnerId(id);
+        report.vm = VmId("vm-" + id);
+        report.address = id + ":1";
+        report.pool = pool;
+        report.born = born;
+        report.capacity = { cpu, 32'768, 0 };
+        report.labels = { "a", "r1" };
+        return report;
+    }
+
+    static Job job(const std::string& id, std::uint32_t tasks, std::int64_t cpu = 1'000, Millis estimate = 500ms)
+    {
+        Job job;
+        job.id = JobId(id);
+        job.queue = "queue";
+        job.policy = { pool, 0, 3, 1.6, 600ms };
+        Step step;
+        step.count = tasks;
+        step.each = { cpu, 100, 0 };
+        step.estimate = estimate;
+        job.steps.push_back(step);
+        return job;
+    }
+
+    WallTime wall() const
+    {
+        return WallTime { std::chrono::duration_cast<Millis>(now.time_since_epoch()) };
+    }
+
+    void list(RunnerReport report)
+    {
+        auto id = report.id;
+        listed.insert_or_assign(id, std::move(report));
+        shard.observeRunners(listed, now);
+    }
+
+    // A runner that is listed, has answered and is recorded.
+    void addRunner(const std::string& id, std::int64_t cpu = 16'000)
+    {
+        list(report(id, cpu));
+        step();
+        answerLook(id, {}, {});
+        store();
+    }
+
+    // Makes everything durable that the shard wants to be.
+    void store()
+    {
+        for (const auto& change : shard.takeChanges(now))
+            shard.onStored(change, now);
+        shard.onEndsStored(shard.endsMark());
+    }
+
+    void step(Duration pause = 10ms, bool mayStart = true)
+    {
+        now += pause;
+        auto orders = shard.plan(now, wall(), mayStart);
+        starts = orders.starts;
+        stops = orders.stops;
+        for (const auto& look : orders.looks)
+            looks.push_back(look);
+    }
+
+    SubmitVerdict submit(const Job& job)
+    {
+        auto verdict = shard.submit(job, now, wall()).verdict;
+        store();
+        return verdict;
+    }
+
+    void accept(const OutgoingStart& start, OrderOutcome outcome = OrderOutcome::Accepted)
+    {
+        shard.onStart(start.runner.id, start.order, { outcome, {}, 0 }, now);
+    }
+
+    void answerLook(const std::string& id, std::vector<RunningTask> running, std::vector<EndedTask> ended,
+        OrderOutcome outcome = OrderOutcome::Accepted, std::int64_t born = 1)
+    {
+        auto at = std::find_if(
+            looks.begin(), looks.end(), [&](const auto& look) { return look.runner.id == RunnerId(id); });
+        if (at == looks.end())
+            return;
+        auto order = at->order;
+        looks.erase(at);
+        LookAnswer look { { outcome, {}, born }, std::move(running), std::move(ended) };
+        if (outcome == OrderOutcome::Accepted)
+            look.answer.clock = RunnerTime(std::chrono::duration_cast<Millis>(now.time_since_epoch()));
+        shard.onLook(RunnerId(id), order, look, now - 1ms, now);
+    }
+
+    EndedTask ended(const std::string& runner, const StartOrder& order, EndKind kind)
+    {
+        return { ++ends[RunnerId(runner)], order.task, order.attempt, kind, {} };
+    }
+
+    static RunningTask running(const StartOrder& order) { return { order.task, order.attempt, "", 100, 0 }; }
+};
+
+} // namespace fulmar::jobs::test
--- /dev/null
+++ b/src/jobs/tests/shard_test.cpp
@@ -0,0 +1,260 @@
+#include "jobs/tests/shard_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fulmar;
+using namespace fulmar::jobs;
+using namespace fulmar::jobs::test;
+
+BOOST_AUTO_TEST_SUITE(shard)
+
+BOOST_FIXTURE_TEST_CASE(AJobRunsToItsEnd, ShardFixture)
+{
+    addRunner("r1");
+    BOOST_TEST(bool(submit(job("j1", 2)) == SubmitVerdict::New));
+    step();
+    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
+    auto orders = starts;
+    for (const auto& start : orders)
+        accept(start);
+    step();
+    answerLook("r1", {}, { ended("r1", orders[0].order, EndKind::Done), ended("r1", orders[1].order, EndKind::Done) });
+    BOOST_TEST(bool(shard.find(JobId("j1"))->state == JobState::Completed));
+    BOOST_TEST(bool(shard.find(JobId("j1"))->storedState != JobState::Completed));
+    store();
+    BOOST_TEST(bool(shard.find(JobId("j1"))->storedState == JobState::Completed));
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingStartsBeforeTheJobIsStored, ShardFixture)
+{
+    addRunner("r1");
+    BOOST_TEST(bool(shard.submit(job("j1", 1), now, wall()).verdict == SubmitVerdict::New));
+    step();
+    BOOST_TEST(starts.empty());
+    store();
+    step();
+    BOOST_TEST(starts.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingStartsWhileTheLeaseIsUnsure, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    step(10ms, false);
+    BOOST_TEST(starts.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ARunnerIsNeverFilledBeyondItsCapacity, ShardFixture)
+{
+    addRunner("r1", 4'000);
+    submit(job("j1", 3, 1'500));
+    step();
+    BOOST_TEST(starts.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEndIsAcknowledgedOnlyOnceItIsStored, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    step();
+    auto order = starts.at(0).order;
+    accept(starts[0]);
+    step();
+    answerLook("r1", {}, { ended("r1", order, EndKind::Done) });
+    step(500ms);
+    for (const auto& look : looks)
+        BOOST_TEST(look.order.endsSeen == 0U);
+    looks.clear();
+    store();
+    step(500ms);
+    BOOST_REQUIRE_EQUAL(looks.size(), 1U);
+    BOOST_TEST(looks[0].order.endsSeen == 1U);
+}
+
+// A start without an answer may still come to be; it must not run elsewhere before that is settled.
+BOOST_FIXTURE_TEST_CASE(AStartWithoutAnswerIsSettledByItsStop, ShardFixture)
+{
+    addRunner("r1");
+    addRunner("r2");
+    submit(job("j1", 1));
+    step();
+    auto first = starts.at(0);
+    auto where = first.runner.id.value();
+    accept(first, OrderOutcome::Unknown);
+    step();
+    answerLook(where, {}, {});
+    step(400ms);
+    BOOST_TEST(starts.empty());
+    BOOST_REQUIRE_EQUAL(stops.size(), 1U);
+    auto stop = stops[0];
+    shard.onStop(stop.runner.id, stop.order, { OrderOutcome::Accepted, {}, 0 }, now);
+    step(400ms);
+    BOOST_TEST(starts.empty());
+    answerLook(where, {}, {});
+    step(200ms);
+    BOOST_TEST(starts.size() == 1U);
+    BOOST_TEST(starts.at(0).order.attempt > first.order.attempt);
+}
+
+BOOST_FIXTURE_TEST_CASE(ASilentRunnersTasksWaitForTheEndOfItsLease, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    step();
+    accept(starts.at(0));
+    addRunner("r2");
+    auto since = now;
+    while (starts.empty() && now < since + 20s) {
+        step(100ms);
+        answerLook("r1", {}, {}, OrderOutcome::Unknown);
+        answerLook("r2", {}, {});
+    }
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    BOOST_TEST(starts[0].runner.id.value() == "r2");
+    BOOST_TEST((now >= since + ShardSettings {}.maxLease));
+    BOOST_TEST((now < since + 3 * ShardSettings {}.maxLease));
+}
+
+BOOST_FIXTURE_TEST_CASE(AReborneRunnerHasLostItsRuns, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    step();
+    accept(starts.at(0));
+    auto again = report("r1", 16'000, 2);
+    list(again);
+    step();
+    BOOST_TEST(starts.empty());
+    answerLook("r1", {}, {}, OrderOutcome::Accepted, 2);
+    store();
+    step();
+    BOOST_TEST(starts.size() == 1U);
+}
+
+// Found by a hunt on mvinje-caning: the failure was acknowledged and not counted, so that the task was started
+// once more than its queue allows.
+BOOST_FIXTURE_TEST_CASE(AFailureOfARunGivenUpForLostCounts, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    step();
+    auto first = starts.at(0).order;
+    accept(starts[0]);
+    addRunner("r2");
+    for (auto until = now + 30s; starts.empty() && now < until;) {
+        step(100ms);
+        answerLook("r1", {}, {}, OrderOutcome::Unknown);
+        answerLook("r2", {}, {});
+    }
+    accept(starts.at(0));
+    step(500ms);
+    answerLook("r1", {}, { ended("r1", first, EndKind::Failed) });
+    BOOST_TEST(shard.find(JobId("j1"))->find(first.task)->failedAttempts.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AJobFailsAfterItsQueuesAttempts, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        starts.clear();
+        for (auto until = now + 10s; starts.empty() && now < until;)
+            step(200ms);
+        auto order = starts.at(0).order;
+        accept(starts[0]);
+        step();
+        looks.resize(std::min<std::size_t>(looks.size(), 1));
+        answerLook("r1", {}, { ended("r1", order, EndKind::Failed) });
+        store();
+    }
+    BOOST_TEST(bool(shard.find(JobId("j1"))->state == JobState::Failed));
+    step(1s);
+    BOOST_TEST(starts.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ACancelledJobsRunsAreStopped, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 2));
+    step();
+    for (const auto& start : std::vector(starts))
+        accept(start);
+    shard.cancel(JobId("j1"), now);
+    step(400ms);
+    BOOST_TEST(stops.size() == 2U);
+    BOOST_TEST(starts.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(TheNextHolderAdoptsWhatRuns, ShardFixture)
+{
+    Shard next(ShardSettings {}, 2);
+    next.restoreJob(job("j1", 2), {}, now);
+    next.restoreRunner(report("r1"), now);
+    next.observeRunners({ { RunnerId("r1"), report("r1") } }, now);
+    auto orders = next.plan(now, wall(), true);
+    BOOST_TEST(orders.starts.empty());
+    BOOST_REQUIRE_EQUAL(orders.looks.size(), 1U);
+    LookAnswer look;
+    look.answer = { OrderOutcome::Accepted, RunnerTime(5'000), 1 };
+    look.running.push_back({ { JobId("j1"), 0, 0, 0 }, 7, "", 100, 0 });
+    next.onLook(RunnerId("r1"), orders.looks[0].order, look, now, now);
+    orders = next.plan(now + 10ms, wall(), true);
+    BOOST_REQUIRE_EQUAL(orders.starts.size(), 1U);
+    BOOST_TEST(orders.starts[0].order.task.index == 1U);
+    BOOST_TEST(orders.starts[0].order.attempt > 7U);
+}
+
+BOOST_FIXTURE_TEST_CASE(TheNextHolderWaitsForEveryRunnerOfTheLast, ShardFixture)
+{
+    Shard next(ShardSettings {}, 2);
+    next.restoreJob(job("j1", 1), {}, now);
+    next.restoreRunner(report("r1"), now);
+    next.restoreRunner(report("r2"), now);
+    next.observeRunners({ { RunnerId("r1"), report("r1") } }, now);
+    auto orders = next.plan(now, wall(), true);
+    LookAnswer look;
+    look.answer = { OrderOutcome::Accepted, RunnerTime(5'000), 1 };
+    next.onLook(RunnerId("r1"), orders.looks.at(0).order, look, now, now);
+    BOOST_TEST(next.plan(now + 1s, wall(), true).starts.empty());
+    // The list of VMs shows that the silent one's life is over.
+    next.endUnlistedRunners({ RunnerId("r1") }, now + 1s, now + 1s);
+    BOOST_TEST(next.plan(now + 1s, wall(), true).starts.size() == 1U);
+}
+
+// Found on kspf-sched-grown: a pool sized by cores had too few VMs for a step that wants each task on its own.
+BOOST_FIXTURE_TEST_CASE(DemandCountsTheVmsThatAStepIsSpreadOver, ShardFixture)
+{
+    addRunner("r1");
+    auto lasting = job("j1", 12, 100);
+    lasting.steps[0].isLasting = true;
+    lasting.steps[0].maxPerRunner = 2;
+    submit(lasting);
+    BOOST_TEST(shard.demandOf(pool, now, wall()).spread == 7U);
+}
+
+// Found on mvinje-caning scale-1: tasks on a runner that does not answer are away.
+BOOST_FIXTURE_TEST_CASE(EvacuationSparesStepsThatMissTasksAlready, ShardFixture)
+{
+    addRunner("r1");
+    addRunner("r2");
+    addRunner("r3");
+    auto lasting = job("j1", 2, 100);
+    lasting.steps[0].isLasting = true;
+    lasting.steps[0].maxPerRunner = 1;
+    lasting.steps[0].maxUnavailable = 1;
+    submit(lasting);
+    step();
+    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
+    auto first = starts[0];
+    auto second = starts[1];
+    accept(first);
+    accept(second);
+    step();
+    answerLook(first.runner.id.value(), { running(first.order) }, {});
+    answerLook(second.runner.id.value(), {}, {}, OrderOutcome::Unknown);
+    shard.evacuate(first.runner.id, now);
+    step(500ms);
+    BOOST_TEST(stops.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/node/tests/shard_lease_test.cpp
@@ -0,0 +1,61 @@
+#include "node/shard_lease.h"
+#include "node/shard_map.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fulmar;
+using namespace fulmar::node;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(shard_lease)
+
+BOOST_AUTO_TEST_CASE(AFreeShardIsTakenAtOnceAndAHeldOneAfterItsLease)
+{
+    TimePoint now { 1'000s };
+    ShardLease lease({ 3s, 300ms }, "a:1", 7);
+    BOOST_TEST(!lease.shouldAcquire(now, 0ms));
+    lease.observeOwner(std::nullopt, 0, now);
+    BOOST_TEST(lease.shouldAcquire(now, 0ms));
+    lease.observeOwner(LeaseOwner { "b:1", 3, 1 }, 5, now);
+    lease.observeRenewal(6, now + 1s);
+    BOOST_TEST(!lease.shouldAcquire(now + 3900ms, 0ms));
+    BOOST_TEST(lease.shouldAcquire(now + 4s, 0ms));
+    BOOST_TEST(lease.claim().epoch == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AHolderReliesOnItsLeaseForLessThanOthersWait)
+{
+    TimePoint now { 1'000s };
+    ShardLease lease({ 3s, 300ms }, "a:1", 7);
+    lease.observeOwner(LeaseOwner { "a:1", 7, 1 }, 5, now);
+    lease.onRenewed(now);
+    BOOST_TEST(lease.isValid(now + 2600ms));
+    BOOST_TEST(!lease.isValid(now + 2700ms));
+    lease.observeOwner(LeaseOwner { "b:1", 3, 2 }, 8, now + 1s);
+    BOOST_TEST(!lease.isValid(now + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(ARestartedHolderTakesItsShardBackAtOnce)
+{
+    TimePoint now { 1'000s };
+    ShardLease lease({ 3s, 300ms }, "a:1", 8);
+    lease.observeOwner(LeaseOwner { "a:1", 7, 4 }, 5, now);
+    BOOST_TEST(!lease.isOwn());
+    BOOST_TEST(lease.shouldAcquire(now, 200ms));
+    BOOST_TEST(lease.claim().epoch == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(RowsAreReadBack)
+{
+    LeaseOwner owner { "10.0.0.1:70", 12345, 9 };
+    BOOST_TEST(bool(decodeOwner(encodeOwner(owner)) == owner));
+    BOOST_TEST(!decodeOwner("{}").has_value());
+    BOOST_TEST(!decodeOwner("nonsense").has_value());
+    BOOST_TEST(decodeShardMap(encodeShardMap({ 3 }))->count == 3U);
+    BOOST_TEST(!decodeShardMap("{\"shards\":0}").has_value());
+    BOOST_TEST(shardMapFor(49).count == 1U);
+    BOOST_TEST(shardMapFor(350).count == 3U);
+    BOOST_TEST(shardMapFor(5'200).count == 43U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
