--- a/src/jobs/demand.h
+++ b/src/jobs/demand.h
@@ -2,6 +2,7 @@
 
 #include "jobs/job.h"
 
+#include <algorithm>
 #include <deque>
 #include <set>
 
@@ -20,6 +21,11 @@
     [[nodiscard]] double cores(TimePoint now);
     // Mean latency objective of the jobs asked for; 0 before the first.
     [[nodiscard]] Millis meanObjective() const { return Millis(std::int64_t(m_meanObjective)); }
+    // What the objective leaves beside the chain.
+    [[nodiscard]] Millis meanSlack() const
+    {
+        return Millis(std::int64_t(std::max(0.0, m_meanObjective - m_meanChain)));
+    }
 
 private:
     struct Asked {
--- a/src/jobs/move_plan.cpp
+++ b/src/jobs/move_plan.cpp
@@ -16,9 +16,9 @@
 
 std::uint32_t deficit(const PoolNeed& pool) { return pool.needed > pool.present ? pool.needed - pool.present : 0; }
 
-std::optional<VmId> takeIdle(PoolNeed& pool, Millis idleAtLeast)
+std::optional<VmId> takeIdle(PoolNeed& pool, std::uint32_t leave, Millis idleAtLeast)
 {
-    if (surplus(pool) == 0 || pool.idle.empty() || pool.idle.front().idleFor < idleAtLeast)
+    if (pool.present <= leave || pool.idle.empty() || pool.idle.front().idleFor < idleAtLeast)
         return std::nullopt;
     auto vm = pool.idle.front().vm;
     pool.idle.erase(pool.idle.begin());
@@ -43,7 +43,7 @@
         }
         for (auto& other : pools) {
             while (deficit(pool) > 0) {
-                auto vm = takeIdle(other, idleBeforeTransfer);
+                auto vm = takeIdle(other, other.needed, idleBeforeTransfer);
                 if (!vm)
                     break;
                 moves.push_back({ *vm, other.pool, pool.pool });
@@ -53,7 +53,7 @@
     }
     for (auto& pool : pools) {
         if (!input.standbyPool.empty())
-            while (auto vm = takeIdle(pool, idleBeforeStandby))
+            while (auto vm = takeIdle(pool, std::max(pool.needed, pool.kept), idleBeforeStandby))
                 moves.push_back({ *vm, pool.pool, input.standbyPool });
         auto spare = surplus(pool) - std::min<std::size_t>(surplus(pool), pool.idle.size());
         spare = std::min(spare, pool.busy.size());
--- a/src/jobs/move_plan.h
+++ b/src/jobs/move_plan.h
@@ -17,6 +17,8 @@
     PoolId pool;
     // VMs that the pool's demand asks for.
     std::uint32_t needed { 0 };
+    // VMs that it keeps for its next turn unless another pool needs them now.
+    std::uint32_t kept { 0 };
     // VMs that serve it, or are on their way to it.
     std::uint32_t present { 0 };
     // Of those, longest idle first.
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -28,8 +28,13 @@
 constexpr Millis repeatStop { 300 };
 // Pause before a task is ordered again where the runner had refused it.
 constexpr Millis pauseAfterRefusal { 200 };
-// Work that waits should be started within this time.
-constexpr Millis backlogHorizon { 1'000 };
+// Work that waits should be started within half of the slack that its objective leaves, within these bounds.
+constexpr Millis minBacklogHorizon { 500 };
+constexpr Millis maxBacklogHorizon { 2'500 };
+// A pool with more slack than this spreads its jobs over it, and needs this part of the cores that would start
+// all of them at once.
+constexpr Millis muchSlack { 1'500 };
+constexpr double coresWithMuchSlack = 0.7;
 // Room beyond the estimated demand: tasks do not fill runners exactly, and estimates are off both ways.
 constexpr double demandHeadroom = 1.15;
 // The list of VMs is taken as proof of a runner's end only if it was asked for this much later than the list of
@@ -699,12 +704,15 @@
                 waiting += double(step.each.cpu) * double(step.estimate.count()) * steps.waiting();
         }
     }
-    auto asked = m_demand[pool].cores(now) * 1000;
-    auto started = double(busy) + waiting / double(backlogHorizon.count());
+    auto& meter = m_demand[pool];
+    auto slack = meter.meanSlack();
+    auto asked = meter.cores(now) * 1000 * (slack > muchSlack ? coresWithMuchSlack : 1);
+    auto horizon = std::clamp(slack / 2, minBacklogHorizon, maxBacklogHorizon);
+    auto started = double(busy) + waiting / double(horizon.count());
     // One more to go to, should one of them fail or be maintained.
     demand.spread = std::max(demand.spread, std::uint32_t(std::ceil(filledByLasting)));
     demand.spread += demand.spread > 0 ? 1 : 0;
-    demand.meanObjective = m_demand[pool].meanObjective();
+    demand.meanObjective = meter.meanObjective();
     demand.cpu = std::max(started, asked) * demandHeadroom + double(lasting);
     return demand;
 }
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-// The list of runners changes with every heartbeat; a draining runner must be known within two seconds.
-constexpr std::chrono::milliseconds runnerListPause { 300 };
+// The list of runners changes with every heartbeat; a draining runner must be known within two seconds, and one
+// that has moved should be put to work soon.
+constexpr std::chrono::milliseconds runnerListPause { 150 };
 // The store's table in which runners list themselves.
 constexpr auto runnerListTable = "servers";
 constexpr std::chrono::milliseconds readTimeout { 2'000 };
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -413,9 +413,9 @@
         auto demand = m_shard.demandOf(pool, now, m_clock.wallNow());
         need.needed = std::max(
             { minVmsPerPool, demand.spread, std::uint32_t(std::ceil(demand.cpu / double(cpu))) });
-        auto [initial, isFirst] = m_initialVms.try_emplace(pool, need.present);
-        auto floor = m_floors[pool].update(need.needed, initial->second, demand.meanObjective, now);
-        need.needed = std::max(need.needed, floor);
+        // Before a turn was seen, a pool's equal share of the fleet stands for its peak.
+        auto share = std::uint32_t(m_list.size() / needs.size());
+        need.kept = m_floors[pool].update(need.needed, share, demand.meanObjective, now);
         std::sort(need.idle.begin(), need.idle.end(),
             [](const auto& a, const auto& b) { return a.idleFor > b.idleFor; });
         std::sort(need.busy.begin(), need.busy.end(),
--- a/src/node/vm_keeper.h
+++ b/src/node/vm_keeper.h
@@ -94,8 +94,6 @@
     std::map<VmId, PendingMove> m_moves;
     std::set<VmId> m_emptying;
     std::map<PoolId, jobs::PoolFloor> m_floors;
-    // VMs of a pool when this process began to keep them.
-    std::map<PoolId, std::uint32_t> m_initialVms;
     struct LoggedNeed {
         std::uint32_t needed { 0 };
         std::uint32_t present { 0 };
