A new holder moves VMs at once; jobs are refused at once while the store is away

Cause: the new holder waited 3.3 s before its first order for a VM, just when a turn found its pools empty; what the wait was for cannot happen, since a predecessor released the shard or has been without a lease for its margin.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -402,8 +402,9 @@
     hooks.onLost = [this, &slot] { asio::post(m_loop, [this, &slot] { dropShard(slot, "store-refused"); }); };
     hooks.onRenewed = [&slot](TimePoint at) { slot.lease.onRenewed(at); };
     hooks.isOurs = [this, index = slot.index](const VmId& vm) { return m_map->shardOf(vm) == index; };
-    // The first holder of all has no predecessor whose orders could be near.
-    auto ordersFrom = epoch > 1 ? now + m_settings.holderLease + orderMargin : now;
+    // A predecessor has released the shard, or was without its lease for its margin at least; an order that it sent
+    // before may still be on its way. The first holder of all has none.
+    auto ordersFrom = epoch > 1 ? now + orderMargin : now;
     VmKeeperSettings vmSettings { m_settings.name, epoch, slot.index, *m_map, ordersFrom, m_settings.moveTime,
         m_settings.maintenanceTime };
     slot.owner = std::make_unique<ShardOwner>(m_loop,
--- a/src/node/row_log.h
+++ b/src/node/row_log.h
@@ -35,6 +35,8 @@
     // Writes everything that waits and then the lease row, after which nothing more can be written.
     void release(std::string leaseRow, OnDurable released);
 
+    // The store does not answer or refuses; what is put waits for its return.
+    [[nodiscard]] bool isStoreAway() const { return m_backoff.count() > 0; }
     [[nodiscard]] std::size_t waiting() const { return m_pending.size() + m_inFlight.size(); }
 
     // Nothing more is sent; callbacks are dropped.
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -17,6 +17,8 @@
 // The store's table in which runners list themselves.
 constexpr auto runnerListTable = "servers";
 constexpr std::chrono::milliseconds readTimeout { 2'000 };
+// The log tries the store again twice a second.
+constexpr std::chrono::milliseconds retryWithoutStore { 1'000 };
 constexpr std::chrono::milliseconds restoreRetry { 150 };
 // Events of this time are planned together.
 constexpr std::chrono::milliseconds planPause { 5 };
@@ -236,6 +238,16 @@
         reply(refusal);
         return;
     }
+    // What cannot be stored cannot be accepted; a job that is known may be stored already.
+    if (m_log.isStoreAway() && !m_shard.find(job->id)) {
+        logInfo("admission", { { "job", job->id.value() }, { "queue", job->queue }, { "verdict", "store-away" } });
+        JobReply refusal;
+        refusal.verdict = JobVerdict::Rejected;
+        refusal.retryAfter = retryWithoutStore;
+        refusal.reason = "store-away";
+        reply(refusal);
+        return;
+    }
     auto decision = m_shard.submit(*job, m_clock.now(), m_clock.wallNow());
     logInfo("admission",
         { { "job", job->id.value() }, { "queue", job->queue }, { "pool", job->policy.pool.value() },
