--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,6 +1,8 @@
 #include "core/log.h"
 
-#include <atomic>
+#include "core/log_limit.h"
+#include "core/ring.h"
+
 #include <fmt/format.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -9,12 +11,25 @@
 #include <log4cplus/loggingmacros.h>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace fulmar {
 
 namespace {
 
-std::atomic<bool> isInitialized { false };
+// Lines that wait for a slow reader of standard output; a megabyte or two.
+constexpr std::size_t maxWaitingLines = 8'192;
+constexpr std::chrono::milliseconds writerPause { 500 };
+
+enum class Level : std::uint8_t {
+    Info,
+    Warning,
+};
+
+struct Line {
+    Level level { Level::Info };
+    std::string text;
+};
 
 log4cplus::Logger& logger()
 {
@@ -22,6 +37,76 @@
     return instance;
 }
 
+// Writes lines on a thread of its own, so that no duty waits for whoever reads standard output. Lines beyond the
+// limits are counted instead, and the counts written.
+class LogWriter {
+public:
+    LogWriter()
+        : m_lines(maxWaitingLines)
+        , m_thread([this] { run(); })
+    {
+    }
+    LogWriter(const LogWriter&) = delete;
+    LogWriter& operator=(const LogWriter&) = delete;
+
+    ~LogWriter()
+    {
+        m_lines.close();
+        m_thread.join();
+    }
+
+    void write(Level level, std::string_view event, const LogFields& fields)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            if (level == Level::Info && !m_limit.admit(event, SystemClock().now()))
+                return;
+        }
+        if (!m_lines.tryPush(Line { level, formatFields(event, fields) })) {
+            std::lock_guard lock(m_mutex);
+            m_limit.countLost();
+        }
+    }
+
+private:
+    void run()
+    {
+        while (true) {
+            if (auto line = m_lines.popFor(writerPause))
+                print(*line);
+            else if (m_lines.closed())
+                return;
+            std::vector<std::pair<std::string, std::uint64_t>> omitted;
+            {
+                std::lock_guard lock(m_mutex);
+                omitted = m_limit.takeOmitted(SystemClock().now());
+            }
+            for (const auto& [event, count] : omitted)
+                print({ Level::Warning,
+                    formatFields("log-omitted", { { "kind", event }, { "lines", std::to_string(count) } }) });
+        }
+    }
+
+    static void print(const Line& line)
+    {
+        if (line.level == Level::Warning)
+            LOG4CPLUS_WARN(logger(), line.text);
+        else
+            LOG4CPLUS_INFO(logger(), line.text);
+    }
+
+    std::mutex m_mutex;
+    LogLimit m_limit;
+    BoundedRing<Line> m_lines;
+    std::thread m_thread;
+};
+
+std::unique_ptr<LogWriter>& writer()
+{
+    static std::unique_ptr<LogWriter> instance;
+    return instance;
+}
+
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
@@ -43,19 +128,21 @@
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     logger().addAppender(appender);
     logger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
-    isInitialized = true;
+    writer() = std::make_unique<LogWriter>();
 }
 
+void flushLog() { writer().reset(); }
+
 void logInfo(std::string_view event, const LogFields& fields)
 {
-    if (isInitialized)
-        LOG4CPLUS_INFO(logger(), formatFields(event, fields));
+    if (writer())
+        writer()->write(Level::Info, event, fields);
 }
 
 void logWarning(std::string_view event, const LogFields& fields)
 {
-    if (isInitialized)
-        LOG4CPLUS_WARN(logger(), formatFields(event, fields));
+    if (writer())
+        writer()->write(Level::Warning, event, fields);
 }
 
 std::string formatFields(std::string_view event, const LogFields& fields)
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -9,9 +9,12 @@
 
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
-// Sends log lines to standard output, each prefixed with time, level and process name. Called once by a
-// program.
+// Sends log lines to standard output, each prefixed with time, level and process name. Lines are written by a
+// thread of their own; beyond a limit for each event and second they are counted instead, warnings excepted.
+// Called once by a program.
 void initializeLog(std::string_view processName);
+// Writes what waits and ends the log; before the program ends.
+void flushLog();
 
 // Writes "event=<event> key=value ..." as one line. Does nothing before initializeLog.
 void logInfo(std::string_view event, const LogFields& fields);
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -47,6 +47,8 @@
     // Comma-separated items, trimmed; empty if the key is absent.
     [[nodiscard]] std::vector<std::string> takeList(const std::string& section, const std::string& key);
 
+    [[nodiscard]] const std::string& file() const { return m_file; }
+
     // All problems, including keys that nothing has taken.
     [[nodiscard]] std::vector<SettingsError> finish();
 
--- a/src/core/tests/core_test.cpp
+++ b/src/core/tests/core_test.cpp
@@ -1,5 +1,6 @@
 #include "core/event.h"
 #include "core/log.h"
+#include "core/log_limit.h"
 #include "core/ring.h"
 #include "core/verdict.h"
 
@@ -44,4 +45,21 @@
     BOOST_TEST(toString(Outcome::MayHaveRun) == "may-have-run");
 }
 
+BOOST_AUTO_TEST_CASE(LogLinesBeyondTheLimitAreCounted)
+{
+    LogLimit limit;
+    TimePoint now { std::chrono::seconds(100) };
+    int admitted = 0;
+    for (int i = 0; i < 1'000; ++i)
+        admitted += limit.admit("admission", now) ? 1 : 0;
+    BOOST_TEST(admitted == 200);
+    BOOST_TEST(limit.admit("answer", now));
+    BOOST_TEST(limit.takeOmitted(now).empty());
+    now += std::chrono::seconds(1);
+    auto omitted = limit.takeOmitted(now);
+    BOOST_REQUIRE_EQUAL(omitted.size(), 1U);
+    BOOST_TEST(omitted[0].second == 800U);
+    BOOST_TEST(limit.admit("admission", now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/job_call.cpp
+++ b/src/node/job_call.cpp
@@ -4,6 +4,12 @@
 
 namespace fulmar::node {
 
+std::string_view toString(JobCallKind kind)
+{
+    static constexpr std::array<std::string_view, 4> names { "submit", "show", "cancel", "count" };
+    return names[std::size_t(kind)];
+}
+
 std::string_view toString(JobVerdict verdict)
 {
     static constexpr std::array<std::string_view, 5> names { "not-holder", "done", "rejected", "unknown-job",
--- a/src/node/job_call.h
+++ b/src/node/job_call.h
@@ -14,6 +14,8 @@
     Count,
 };
 
+[[nodiscard]] std::string_view toString(JobCallKind);
+
 // What an entry asks of the holder of a shard.
 struct JobCall {
     JobCallKind kind { JobCallKind::Show };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -53,11 +53,12 @@
 constexpr std::chrono::milliseconds tryPause { 100 };
 // Without another answer of the holder it is asked this often.
 constexpr std::chrono::milliseconds probeInterval { 800 };
-// Two missed probes: this process cannot serve.
-constexpr std::chrono::milliseconds holderSilence { 2'500 };
+// Two missed probes: this process cannot serve, and says so to the balancer and to callers.
+constexpr std::chrono::milliseconds holderSilence { 1'700 };
 constexpr std::chrono::milliseconds retryWithoutHolder { 1'000 };
 // Callers keep using open connections after a stop was ordered; the process stays for them this long at
 // least, and leaves before it would be killed.
+constexpr std::size_t maxMetricsConnections = 16;
 constexpr std::chrono::milliseconds minStopTime { 2'500 };
 constexpr std::chrono::milliseconds killMargin { 1'200 };
 
@@ -107,8 +108,9 @@
 
 } // namespace
 
-Node::Node(NodeSettings settings, std::uint64_t incarnation)
+Node::Node(NodeSettings settings, std::uint64_t incarnation, Reload reload)
     : m_settings(std::move(settings))
+    , m_reload(std::move(reload))
     , m_incarnation(incarnation)
     , m_http(m_loop)
     , m_store(m_http, m_settings.storeAddress)
@@ -149,6 +151,12 @@
     if (!readiness)
         return tl::unexpected(readiness.error());
     m_readiness = std::move(*readiness);
+    limits.address = m_settings.metricsAddress;
+    limits.maxConnections = maxMetricsConnections;
+    auto metrics = CallerServer::start(m_loop, limits, [this](CallId id, const CallerRequest&) { onMetrics(id); });
+    if (!metrics)
+        return tl::unexpected(metrics.error());
+    m_metricsServer = std::move(*metrics);
     auto rpc = ShardRpcServer::start(m_settings.peerAddress, m_loop, [this](JobCall call, OnJobReply reply) {
         auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
         if (slot && slot->owner)
@@ -174,7 +182,7 @@
             if (error)
                 return;
             if (signal == SIGHUP)
-                logInfo("reload", { { "result", "no-setting-changes-at-run-time" } });
+                this->reload();
             else
                 stop();
             waitForSignal();
@@ -314,6 +322,9 @@
     auto owner = row.isRemoved ? std::nullopt : decodeOwner(row.value);
     auto isNew = row.version > slot->lease.ownerVersion();
     slot->lease.observeOwner(owner, row.version, now);
+    // A process that has just written the row is there.
+    if (isNew)
+        slot->holderAnswered = now;
     if (isNew)
         logInfo("shard-holder",
             { { "part", slot->part }, { "address", owner ? owner->address : "" },
@@ -408,7 +419,7 @@
     VmKeeperSettings vmSettings { m_settings.name, epoch, slot.index, *m_map, ordersFrom, m_settings.moveTime,
         m_settings.maintenanceTime };
     slot.owner = std::make_unique<ShardOwner>(m_loop,
-        ShardOwner::Clients { m_store, m_runnerClient, m_vmClient }, settings, vmSettings,
+        ShardOwner::Clients { m_store, m_runnerClient, m_vmClient, m_metrics }, settings, vmSettings,
         platform::RowCondition { { leaseTable, slot.part, ownerKey }, version }, version, std::move(hooks));
     if (m_config)
         slot.owner->configure(*m_config);
@@ -438,6 +449,12 @@
         reply({ JobVerdict::NotHolder, {}, 0, retryWithoutHolder, "no-holder" });
         return;
     }
+    // A holder that has not answered for a while is not asked, so that the caller is told at once; probes go on.
+    auto isProbe = call.kind == JobCallKind::Count && call.queue.empty();
+    if (!isProbe && m_clock.now() >= slot->holderAnswered + holderSilence) {
+        reply({ JobVerdict::NotHolder, {}, 0, retryWithoutHolder, "holder-silent" });
+        return;
+    }
     m_rpcClient.call(
         owner->address, call, timeout, [this, slot, reply = std::move(reply)](const JobReply& result) {
             if (result.verdict != JobVerdict::NotHolder && result.verdict != JobVerdict::Uncertain)
@@ -540,6 +557,43 @@
     return job.isLasting() ? m_map->shardOfQueue(job.queue) : m_map->shardOf(job.id);
 }
 
+void Node::onMetrics(CallId id)
+{
+    std::size_t held = 0;
+    std::size_t runners = 0;
+    std::size_t known = 0;
+    for (const auto& slot : m_slots) {
+        if (!slot->owner)
+            continue;
+        ++held;
+        runners += slot->owner->shard().runners().size();
+        known += slot->owner->shard().book().all().size();
+    }
+    m_metrics.setShardsHeld(held);
+    m_metrics.setFleet(runners, known);
+    m_metrics.setConfigVersion(m_config ? m_config->version : 0);
+    HttpAnswer answer { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.serialize() };
+    m_metricsServer->answer(id, std::move(answer), false);
+}
+
+// Addresses stay as they are until the next start; the rest is in force for what begins after this.
+void Node::reload()
+{
+    auto settings = m_reload();
+    if (!settings) {
+        logWarning("reload", { { "result", "refused" } });
+        return;
+    }
+    settings->callerAddress = m_settings.callerAddress;
+    settings->readinessAddress = m_settings.readinessAddress;
+    settings->peerAddress = m_settings.peerAddress;
+    settings->metricsAddress = m_settings.metricsAddress;
+    settings->storeAddress = m_settings.storeAddress;
+    settings->vmsAddress = m_settings.vmsAddress;
+    m_settings = std::move(*settings);
+    logInfo("reload", { { "result", "done" } });
+}
+
 void Node::onCaller(CallId id, const CallerRequest& request)
 {
     auto received = m_clock.now();
@@ -617,9 +671,11 @@
         answer = plain(504, R"({"reason":"outcome-unknown"})");
         break;
     }
-    if (answer.status >= 500 || call.kind != JobCallKind::Show)
-        logInfo("answer",
-            { { "job", call.job.value() }, { "kind", std::to_string(int(call.kind)) },
+    m_metrics.countAnswer(std::string(toString(call.kind)), int(answer.status), m_clock.now() - received);
+    auto log = answer.status >= 400 ? logWarning : logInfo;
+    if (answer.status >= 400 || call.kind == JobCallKind::Submit || call.kind == JobCallKind::Cancel)
+        log("answer",
+            { { "job", call.job.value() }, { "kind", std::string(toString(call.kind)) },
                 { "status", std::to_string(answer.status) }, { "verdict", std::string(toString(reply.verdict)) },
                 { "reason", reply.reason },
                 { "ms", std::to_string((m_clock.now() - received).count() / 1000) } });
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,7 +16,10 @@
 // shard itself when it is its turn. One loop thread; gRPC brings its own.
 class Node {
 public:
-    Node(NodeSettings, std::uint64_t incarnation);
+    // Reads the settings anew; empty if they are wrong.
+    using Reload = std::function<std::optional<NodeSettings>()>;
+
+    Node(NodeSettings, std::uint64_t incarnation, Reload);
     ~Node();
     Node(const Node&) = delete;
     Node& operator=(const Node&) = delete;
@@ -55,10 +58,12 @@
     void release(Slot&);
     [[nodiscard]] Slot* slotOf(const std::string& part);
     void stop();
+    void reload();
     void finishStop();
 
     void onCaller(CallId, const CallerRequest&);
     void onReadiness(CallId, const CallerRequest&);
+    void onMetrics(CallId);
     void passOn(JobCall, std::chrono::milliseconds timeout, OnJobReply);
     void answer(CallId, const JobCall&, const JobReply&, TimePoint received);
     void countPending(JobCall, std::chrono::milliseconds timeout, OnJobReply);
@@ -69,7 +74,8 @@
     [[nodiscard]] std::uint32_t shardFor(const jobs::Job&) const;
     [[nodiscard]] bool isReady() const;
 
-    const NodeSettings m_settings;
+    NodeSettings m_settings;
+    const Reload m_reload;
     const std::uint64_t m_incarnation;
     BootClock m_clock;
     asio::io_context m_loop { 1 };
@@ -88,6 +94,8 @@
     std::unique_ptr<ShardRpcServer> m_rpcServer;
     std::unique_ptr<CallerServer> m_callers;
     std::unique_ptr<CallerServer> m_readiness;
+    std::unique_ptr<CallerServer> m_metricsServer;
+    NodeMetrics m_metrics;
     asio::steady_timer m_tickTimer;
     asio::signal_set m_signals;
     // Drawn at the start, so that processes do not try to take a shard at the same time.
--- /dev/null
+++ b/src/node/node_metrics.cpp
@@ -0,0 +1,97 @@
+#include "node/node_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace fulmar::node {
+
+namespace {
+
+// Seconds; callers wait 3 s at most, and an answer takes some milliseconds when all is well.
+const prometheus::Histogram::BucketBoundaries answerBounds { 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3 };
+
+} // namespace
+
+class NodeMetrics::Families {
+public:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& answers { prometheus::BuildCounter()
+                                                           .Name("fulmar_answers_total")
+                                                           .Help("Answers to callers by kind of call and status")
+                                                           .Register(registry) };
+    prometheus::Family<prometheus::Histogram>& answerTimes { prometheus::BuildHistogram()
+                                                                 .Name("fulmar_answer_seconds")
+                                                                 .Help("Time from a call to its answer")
+                                                                 .Register(registry) };
+    prometheus::Family<prometheus::Counter>& admissions { prometheus::BuildCounter()
+                                                              .Name("fulmar_admissions_total")
+                                                              .Help("Decisions on submitted jobs by verdict")
+                                                              .Register(registry) };
+    prometheus::Family<prometheus::Counter>& orders { prometheus::BuildCounter()
+                                                          .Name("fulmar_runner_orders_total")
+                                                          .Help("Orders to runners by kind and outcome")
+                                                          .Register(registry) };
+    prometheus::Family<prometheus::Counter>& commits { prometheus::BuildCounter()
+                                                           .Name("fulmar_store_commits_total")
+                                                           .Help("Transactions of the shards' logs by outcome")
+                                                           .Register(registry) };
+    prometheus::Family<prometheus::Gauge>& gauges { prometheus::BuildGauge()
+                                                        .Name("fulmar_node")
+                                                        .Help("State of this node")
+                                                        .Register(registry) };
+};
+
+NodeMetrics::NodeMetrics()
+    : m_families(std::make_unique<Families>())
+{
+}
+
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::countAnswer(const std::string& kind, int status, Duration took)
+{
+    m_families->answers.Add({ { "kind", kind }, { "status", std::to_string(status) } }).Increment();
+    m_families->answerTimes.Add({ { "kind", kind } }, answerBounds)
+        .Observe(std::chrono::duration<double>(took).count());
+}
+
+void NodeMetrics::countAdmission(const std::string& verdict)
+{
+    m_families->admissions.Add({ { "verdict", verdict } }).Increment();
+}
+
+void NodeMetrics::countOrder(const std::string& order, const std::string& outcome)
+{
+    m_families->orders.Add({ { "order", order }, { "outcome", outcome } }).Increment();
+}
+
+void NodeMetrics::countCommit(const std::string& outcome)
+{
+    m_families->commits.Add({ { "outcome", outcome } }).Increment();
+}
+
+void NodeMetrics::setShardsHeld(std::size_t shards)
+{
+    m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
+}
+
+void NodeMetrics::setConfigVersion(std::int64_t version)
+{
+    m_families->gauges.Add({ { "what", "config_version" } }).Set(double(version));
+}
+
+void NodeMetrics::setFleet(std::size_t runners, std::size_t jobs)
+{
+    m_families->gauges.Add({ { "what", "runners" } }).Set(double(runners));
+    m_families->gauges.Add({ { "what", "jobs" } }).Set(double(jobs));
+}
+
+std::string NodeMetrics::serialize() const
+{
+    return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
+}
+
+} // namespace fulmar::node
--- a/src/node/row_log.cpp
+++ b/src/node/row_log.cpp
@@ -20,10 +20,10 @@
 } // namespace
 
 RowLog::RowLog(
-    asio::io_context& loop, platform::StoreClient& store, platform::RowCondition lease, OnLost onLost)
+    asio::io_context& loop, platform::StoreClient& store, platform::RowCondition lease, Hooks hooks)
     : m_store(store)
     , m_lease(std::move(lease))
-    , m_onLost(std::move(onLost))
+    , m_hooks(std::move(hooks))
     , m_timer(loop)
 {
 }
@@ -115,6 +115,7 @@
 void RowLog::onCommit(const platform::CommitResult& result)
 {
     m_isSending = false;
+    m_hooks.onCommit(result.outcome);
     if (result.outcome == platform::CommitOutcome::Committed) {
         m_backoff = {};
         auto written = std::exchange(m_inFlight, {});
@@ -134,7 +135,7 @@
             [&](const platform::StoredRow& row) { return row.name == m_lease.name; });
         if (lease == result.current.end() || lease->version != m_lease.version) {
             logWarning("shard-lost", { { "part", m_lease.name.part }, { "reason", "lease-row-changed" } });
-            m_onLost();
+            m_hooks.onLost();
             return;
         }
         adoptVersions(result);
--- a/src/node/row_log.h
+++ b/src/node/row_log.h
@@ -16,10 +16,13 @@
 class RowLog {
 public:
     using OnDurable = std::function<void()>;
-    // The lease row has changed: another process holds the shard, and nothing can be written any more.
-    using OnLost = std::function<void()>;
+    struct Hooks {
+        // The lease row has changed: another process holds the shard, and nothing can be written any more.
+        std::function<void()> onLost;
+        std::function<void(platform::CommitOutcome)> onCommit;
+    };
 
-    RowLog(asio::io_context&, platform::StoreClient&, platform::RowCondition lease, OnLost);
+    RowLog(asio::io_context&, platform::StoreClient&, platform::RowCondition lease, Hooks);
 
     // A row that exists already.
     void seed(const platform::RowName&, Version);
@@ -57,7 +60,7 @@
 
     platform::StoreClient& m_store;
     const platform::RowCondition m_lease;
-    const OnLost m_onLost;
+    const Hooks m_hooks;
     asio::steady_timer m_timer;
     std::map<platform::RowName, Version> m_versions;
     std::map<platform::RowName, Pending> m_pending;
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -49,9 +49,12 @@
     const VmKeeperSettings& vmSettings, const platform::RowCondition& lease, Version renewalVersion, Hooks hooks)
     : m_store(clients.store)
     , m_runnerClient(clients.runners)
+    , m_metrics(clients.metrics)
     , m_part(lease.name.part)
     , m_hooks(std::move(hooks))
-    , m_log(loop, clients.store, lease, [this] { m_hooks.onLost(); })
+    , m_log(loop, clients.store, lease,
+          { [this] { m_hooks.onLost(); },
+              [this](platform::CommitOutcome outcome) { m_metrics.countCommit(std::string(toString(outcome))); } })
     , m_shard(settings, vmSettings.epoch)
     , m_vmKeeper(clients.store, clients.vms, m_shard, vmSettings,
           { m_hooks.mayOrder, m_hooks.isOurs,
@@ -240,6 +243,7 @@
     }
     // What cannot be stored cannot be accepted; a job that is known may be stored already.
     if (m_log.isStoreAway() && !m_shard.find(job->id)) {
+        m_metrics.countAdmission("store-away");
         logInfo("admission", { { "job", job->id.value() }, { "queue", job->queue }, { "verdict", "store-away" } });
         JobReply refusal;
         refusal.verdict = JobVerdict::Rejected;
@@ -249,11 +253,13 @@
         return;
     }
     auto decision = m_shard.submit(*job, m_clock.now(), m_clock.wallNow());
+    auto verdict = decision.verdict == jobs::SubmitVerdict::Known
+        ? std::string("known")
+        : std::string(toString(decision.admission.verdict));
+    m_metrics.countAdmission(verdict);
     logInfo("admission",
         { { "job", job->id.value() }, { "queue", job->queue }, { "pool", job->policy.pool.value() },
-            { "verdict",
-                decision.verdict == jobs::SubmitVerdict::Known ? "known"
-                                                               : std::string(toString(decision.admission.verdict)) },
+            { "verdict", verdict },
             { "waiting-core-ms", std::to_string(std::int64_t(decision.load.waiting)) },
             { "later-core-ms", std::to_string(std::int64_t(decision.load.later)) },
             { "running-core-ms", std::to_string(std::int64_t(decision.load.running)) },
@@ -432,6 +438,7 @@
                 if (!*isAlive)
                     return;
                 --m_outboxes[id].inFlight;
+                m_metrics.countOrder("start", std::string(toString(answer.outcome)));
                 if (answer.outcome != jobs::OrderOutcome::Accepted)
                     logWarning("start",
                         { { "task", platform::taskText(order.task) }, { "runner", id.value() },
@@ -449,6 +456,7 @@
         [this, id = stop.runner.id, order = stop.order, isAlive = m_isAlive](const jobs::OrderAnswer& answer) {
             if (!*isAlive)
                 return;
+            m_metrics.countOrder("stop", std::string(toString(answer.outcome)));
             m_shard.onStop(id, order, answer, m_clock.now());
             schedule();
         });
@@ -461,6 +469,7 @@
             const jobs::LookAnswer& answer) {
             if (!*isAlive)
                 return;
+            m_metrics.countOrder("look", std::string(toString(answer.answer.outcome)));
             m_shard.onLook(id, order, answer, sent, m_clock.now());
             schedule();
         });
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -2,6 +2,7 @@
 
 #include "jobs/shard.h"
 #include "node/job_call.h"
+#include "node/node_metrics.h"
 #include "node/row_log.h"
 #include "node/table_follower.h"
 #include "node/vm_keeper.h"
@@ -39,6 +40,7 @@
         platform::StoreClient& store;
         platform::RunnerClient& runners;
         platform::VmClient& vms;
+        NodeMetrics& metrics;
     };
 
     ShardOwner(asio::io_context&, Clients, jobs::ShardSettings, const VmKeeperSettings&,
@@ -82,6 +84,7 @@
 
     platform::StoreClient& m_store;
     platform::RunnerClient& m_runnerClient;
+    NodeMetrics& m_metrics;
     const std::string m_part;
     const Hooks m_hooks;
     BootClock m_clock;
--- a/src/programs/fulmarramp.cpp
+++ b/src/programs/fulmarramp.cpp
@@ -8,7 +8,15 @@
         auto settings = fulmar::node::readNodeSettings(reader);
         return fulmar::startChecked(reader, checksOnly, [&] {
             fulmar::initializeLog(settings.name);
-            return fulmar::node::Node(std::move(settings), fulmar::newIncarnation()).run();
+            auto file = reader.file();
+            auto reload = [file]() -> std::optional<fulmar::node::NodeSettings> {
+                auto again = fulmar::SettingsReader::fromFile(file);
+                auto changed = fulmar::node::readNodeSettings(again);
+                return again.finish().empty() ? std::optional(std::move(changed)) : std::nullopt;
+            };
+            auto result = fulmar::node::Node(std::move(settings), fulmar::newIncarnation(), reload).run();
+            fulmar::flushLog();
+            return result;
         });
     });
 }
