--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/maintenance_plan.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+void noteDown(WaveProgress& wave, const std::map<VmId, VmRecord>& list, TimePoint asked)
+{
+    for (const auto& id : wave.order.vms)
+        if (auto vm = list.find(id); vm != list.end() && vm->second.state == VmState::Upkeep)
+            wave.down.try_emplace(id, asked);
+}
+
 std::uint32_t allowanceOf(std::uint32_t maxAtOnce, std::uint32_t shard, std::uint32_t shards)
 {
     return maxAtOnce / shards + (shard < maxAtOnce % shards ? 1 : 0);
--- a/src/jobs/maintenance_plan.h
+++ b/src/jobs/maintenance_plan.h
@@ -44,6 +44,9 @@
 // have to wait until the shards before them are done.
 [[nodiscard]] std::uint32_t allowanceOf(std::uint32_t maxAtOnce, std::uint32_t shard, std::uint32_t shards);
 
+// Counts VMs of the wave as down that the list shows in maintenance: an earlier holder may have ordered it.
+void noteDown(WaveProgress&, const std::map<VmId, VmRecord>& list, TimePoint asked);
+
 struct MaintenanceSteps {
     // To be emptied: nothing new is started there.
     std::vector<VmId> empty;
--- a/src/jobs/tests/decisions_test.cpp
+++ b/src/jobs/tests/decisions_test.cpp
@@ -159,6 +159,24 @@
         BOOST_TEST(planMaintenance(wave, candidates, 4s, now + elapsed).takeDown.size() <= 3U);
 }
 
+// Found by a hunt on kspf-sched (hunt-3d52-7): a new holder did not know what the last one had taken down.
+BOOST_AUTO_TEST_CASE(VmsThatAnEarlierHolderTookDownCount)
+{
+    WaveProgress wave;
+    wave.order = { 1, { VmId("vm0"), VmId("vm1"), VmId("vm2") }, 26s, 2 };
+    wave.allowance = 2;
+    TimePoint now { 1'000s };
+    wave.firstSeen = now;
+    std::map<VmId, VmRecord> list;
+    for (auto id : wave.order.vms)
+        list[id] = { id, PoolId("p"), VmState::Up, {}, {}, {} };
+    list[VmId("vm0")].state = VmState::Upkeep;
+    list[VmId("vm1")].state = VmState::Upkeep;
+    noteDown(wave, list, now);
+    std::vector<MaintenanceCandidate> candidates { { VmId("vm2"), true, true, true, true, 0 } };
+    BOOST_TEST(planMaintenance(wave, candidates, 4s, now).takeDown.empty());
+}
+
 // Found on mvinje-caning scale-2: a wave whose time ran out took down a VM with lasting tasks.
 BOOST_AUTO_TEST_CASE(LastingTasksAreNeverEndedByAWave)
 {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include "core/log.h"
+#include "node/stop_plan.h"
 #include "platform/decode.h"
 
 #include <algorithm>
@@ -56,11 +57,7 @@
 // Two missed probes: this process cannot serve, and says so to the balancer and to callers.
 constexpr std::chrono::milliseconds holderSilence { 1'700 };
 constexpr std::chrono::milliseconds retryWithoutHolder { 1'000 };
-// Callers keep using open connections after a stop was ordered; the process stays for them this long at
-// least, and leaves before it would be killed.
 constexpr std::size_t maxMetricsConnections = 16;
-constexpr std::chrono::milliseconds minStopTime { 2'500 };
-constexpr std::chrono::milliseconds killMargin { 1'200 };
 
 std::string headerOf(const CallerRequest& request, std::string_view name)
 {
@@ -597,6 +594,12 @@
 void Node::onCaller(CallId id, const CallerRequest& request)
 {
     auto received = m_clock.now();
+    auto stopping = std::chrono::duration_cast<std::chrono::milliseconds>(received - m_stopAt);
+    if (m_isStopping && !takesCalls(stopping, m_settings.stopGrace)) {
+        m_answeredAt = received;
+        m_callers->answer(id, refusal(503, retryWithoutHolder, "stopping"), true);
+        return;
+    }
     if (!m_config || !m_map) {
         m_callers->answer(id, refusal(503, retryWithoutHolder, "not-started"), m_isStopping);
         return;
@@ -671,6 +674,7 @@
         answer = plain(504, R"({"reason":"outcome-unknown"})");
         break;
     }
+    m_answeredAt = m_clock.now();
     m_metrics.countAnswer(std::string(toString(call.kind)), int(answer.status), m_clock.now() - received);
     auto log = answer.status >= 400 ? logWarning : logInfo;
     if (answer.status >= 400 || call.kind == JobCallKind::Submit || call.kind == JobCallKind::Cancel)
@@ -707,10 +711,14 @@
 
 void Node::finishStop()
 {
-    auto now = m_clock.now();
-    auto hasTime = now < m_stopAt + m_settings.stopGrace - killMargin;
-    auto isIdle = m_callsInFlight == 0 && m_callers->openConnections() == 0;
-    if (hasTime && (now < m_stopAt + minStopTime || !isIdle))
+    StopState state;
+    state.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_stopAt);
+    state.grace = m_settings.stopGrace;
+    state.callsInFlight = m_callsInFlight;
+    state.openConnections = m_callers->openConnections();
+    state.sinceLastAnswer
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_answeredAt);
+    if (!mayExit(state))
         return;
     for (auto& slot : m_slots)
         slot->owner.reset();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -102,6 +102,7 @@
     std::chrono::milliseconds m_jitter { 0 };
     bool m_isStopping { false };
     TimePoint m_stopAt;
+    TimePoint m_answeredAt;
     std::size_t m_callsInFlight { 0 };
 };
 
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -107,7 +107,9 @@
     readList(now);
     if (m_list.empty() || now < m_settings.ordersFrom || !m_hooks.mayOrder())
         return;
-    planWaves(now);
+    // An earlier holder's orders show in the list once it was asked for after they can have come.
+    if (m_listAt >= m_settings.ordersFrom)
+        planWaves(now);
     planMoves(now);
 }
 
@@ -146,8 +148,10 @@
         auto isOverdue = asked > each->second.ordered + m_settings.moveTime + moveSlack;
         each = hasArrived || isOverdue ? m_moves.erase(each) : std::next(each);
     }
-    for (auto& [number, wave] : m_waves)
+    for (auto& [number, wave] : m_waves) {
+        jobs::noteDown(wave, m_list, asked);
         settleDown(wave, asked);
+    }
 }
 
 const jobs::VmRecord* VmKeeper::find(const VmId& vm) const
