A VM counts as empty only when its runner has answered this holder and its ends are stored

Ruled out: the log's order of rows and acknowledgements (the rows were never written). Tests fail without it.

--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -845,15 +845,17 @@
     EndsMark mark;
     for (const auto& [id, runner] : m_runners)
         if (runner.endsApplied > runner.endsStored)
-            mark.ends.emplace_back(id, runner.endsApplied);
+            mark.ends.push_back({ id, runner.report().born, runner.endsApplied });
     return mark;
 }
 
 void Shard::onEndsStored(const EndsMark& mark)
 {
-    for (const auto& [id, number] : mark.ends)
-        if (auto found = m_runners.find(id); found != m_runners.end())
-            found->second.endsStored = std::max(found->second.endsStored, std::min(number, found->second.endsApplied));
+    for (const auto& [id, born, number] : mark.ends) {
+        auto found = m_runners.find(id);
+        if (found != m_runners.end() && found->second.report().born == born)
+            found->second.endsStored = std::max(found->second.endsStored, number);
+    }
 }
 
 } // namespace fulmar::jobs
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -100,7 +100,13 @@
     void onStored(const ShardChange&, TimePoint now);
     // Everything that takeChanges returned up to now is durable: the runners may forget these ends.
     struct EndsMark {
-        std::vector<std::pair<RunnerId, std::uint64_t>> ends;
+        struct Ends {
+            RunnerId runner;
+            // Life of the runner that counts them.
+            std::int64_t born { 0 };
+            std::uint64_t number { 0 };
+        };
+        std::vector<Ends> ends;
     };
     [[nodiscard]] EndsMark endsMark() const;
     void onEndsStored(const EndsMark&);
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -221,6 +221,38 @@
     BOOST_TEST(next.plan(now + 1s, wall(), true).starts.size() == 1U);
 }
 
+// Found on kspf-sched-grown trouble-3: a new holder took VMs of runners that it had not heard for empty, and ended
+// their lasting tasks.
+BOOST_FIXTURE_TEST_CASE(ARunnerIsNotEmptyBeforeItHasAnswered, ShardFixture)
+{
+    list(report("r1"));
+    BOOST_TEST(!shard.runners().at(RunnerId("r1")).isKnownEmpty());
+    step();
+    answerLook("r1", {}, {});
+    BOOST_TEST(shard.runners().at(RunnerId("r1")).isKnownEmpty());
+    step(1s);
+    shard.reserve(RunnerId("r1"), true);
+    submit(job("j1", 1));
+    step();
+    BOOST_TEST(starts.empty());
+}
+
+// Found on kspf-sched-grown trouble-3: VMs were moved with ends that no row held yet, and the tasks ran again.
+BOOST_FIXTURE_TEST_CASE(ARunnerIsNotEmptyBeforeItsEndsAreStored, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    step();
+    auto order = starts.at(0).order;
+    accept(starts[0]);
+    step();
+    answerLook("r1", {}, { ended("r1", order, EndKind::Done) });
+    BOOST_TEST(shard.runners().at(RunnerId("r1")).runs().empty());
+    BOOST_TEST(!shard.runners().at(RunnerId("r1")).isKnownEmpty());
+    store();
+    BOOST_TEST(shard.runners().at(RunnerId("r1")).isKnownEmpty());
+}
+
 // Found on kspf-sched-grown: a pool sized by cores had too few VMs for a step that wants each task on its own.
 BOOST_FIXTURE_TEST_CASE(DemandCountsTheVmsThatAStepIsSpreadOver, ShardFixture)
 {
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -170,15 +170,25 @@
 jobs::Millis VmKeeper::idleTime(const jobs::VmRecord& vm, TimePoint now) const
 {
     auto runner = m_shard.runners().find(vm.runner);
-    if (runner == m_shard.runners().end() || !runner->second.runs().empty())
+    if (runner == m_shard.runners().end() || !runner->second.isKnownEmpty())
         return jobs::Millis(0);
     return std::chrono::duration_cast<jobs::Millis>(now - runner->second.idleSince);
 }
 
-bool VmKeeper::hasRuns(const jobs::VmRecord& vm) const
+bool VmKeeper::mayEndRuns(const jobs::VmRecord& vm) const
 {
     auto runner = m_shard.runners().find(vm.runner);
-    return runner != m_shard.runners().end() && !runner->second.runs().empty();
+    return runner != m_shard.runners().end() && runner->second.isFenced && !m_shard.hasLastingRuns(vm.runner);
+}
+
+// Whether nothing runs there. A runner that has not answered this holder may run what an earlier one started.
+bool VmKeeper::isEmpty(const jobs::VmRecord& vm) const
+{
+    const auto* pool = m_config.pool(vm.pool);
+    if (pool && pool->isStandby)
+        return true;
+    auto runner = m_shard.runners().find(vm.runner);
+    return runner != m_shard.runners().end() && runner->second.isKnownEmpty();
 }
 
 // A VM that the list shows up again after its maintenance time makes room for the next one.
@@ -217,8 +227,8 @@
             continue;
         const auto* pool = m_config.pool(vm->pool);
         auto isSpare = (pool && pool->isStandby) || idleTime(*vm, now) >= spareAfter;
-        candidates.push_back({ id, !hasRuns(*vm), isSpare, vm->state == jobs::VmState::Up,
-            !m_shard.hasLastingRuns(vm->runner), busyCpu(id) });
+        candidates.push_back({ id, isEmpty(*vm), isSpare, vm->state == jobs::VmState::Up,
+            mayEndRuns(*vm), busyCpu(id) });
     }
     auto cycle = m_settings.maintenanceTime + emptyingTime;
     auto steps = jobs::planMaintenance(wave, candidates, cycle, now);
@@ -402,10 +412,10 @@
             arriving[pool] += vm.capacity.cpu;
             continue;
         }
-        if (runner->second.runs().empty())
+        if (runner->second.isKnownEmpty())
             need->second.idle.push_back(
                 { id, std::chrono::duration_cast<jobs::Millis>(now - runner->second.idleSince) });
-        else if (!m_shard.hasLastingRuns(vm.runner))
+        else if (runner->second.isFenced && !m_shard.hasLastingRuns(vm.runner))
             need->second.busy.push_back(id);
     }
     // VMs that any pool may get: those switched off, and those beyond a pool's need.
--- a/src/node/vm_keeper.h
+++ b/src/node/vm_keeper.h
@@ -75,7 +75,8 @@
     [[nodiscard]] std::int64_t busyCpu(const VmId&) const;
     [[nodiscard]] bool isInWave(const VmId&) const;
     [[nodiscard]] jobs::Millis idleTime(const jobs::VmRecord&, TimePoint now) const;
-    [[nodiscard]] bool hasRuns(const jobs::VmRecord&) const;
+    [[nodiscard]] bool isEmpty(const jobs::VmRecord&) const;
+    [[nodiscard]] bool mayEndRuns(const jobs::VmRecord&) const;
 
     platform::StoreClient& m_store;
     platform::VmClient& m_vms;
