--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -123,9 +123,12 @@
 
 void Shard::loseRuns(Runner& runner, TimePoint now, std::string_view why)
 {
-    if (!runner.runs().empty())
-        logWarning("runner-runs-lost",
-            { { "runner", runner.report().id.value() }, { "runs", std::to_string(runner.runs().size()) },
+    std::set<JobId> affected;
+    for (const auto& [task, run] : runner.runs())
+        affected.insert(task.job);
+    for (const auto& job : affected)
+        logWarning("job-runs-lost",
+            { { "job", job.value() }, { "runner", runner.report().id.value() },
                 { "reason", std::string(why) } });
     for (auto& [task, run] : runner.runs())
         if (auto* entry = m_book.find(task.job))
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -154,6 +154,7 @@
     void planLook(Runner&, TimePoint now, ShardOrders&);
     void placeJobs(TimePoint now, WallTime wallNow, ShardOrders&);
     void placeStep(JobEntry&, StepRun&, std::vector<Runner*>&, TimePoint now, ShardOrders&);
+    void placeTasks(JobEntry&, StepRun&, std::vector<Runner*>&, TimePoint now, ShardOrders&);
     void order(JobEntry&, const TaskName&, Task&, Runner&, Attempt, TimePoint now, ShardOrders&);
     [[nodiscard]] std::vector<Runner*> usableRunners(const PoolId&, TimePoint now);
     [[nodiscard]] Attempt nextAttempt() { return m_attemptBase + ++m_attempts; }
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -1,5 +1,6 @@
 #include "jobs/shard.h"
 
+#include "core/log.h"
 #include "jobs/placement.h"
 
 #include <algorithm>
@@ -173,6 +174,23 @@
         }
         return;
     }
+    auto before = steps.placed;
+    placeTasks(entry, steps, runners, now, orders);
+    if (steps.placed > before)
+        logInfo("placed",
+            { { "job", entry.job.id.value() }, { "step", std::to_string(steps.step) },
+                { "tasks", std::to_string(steps.placed - before) },
+                { "waiting", std::to_string(steps.waiting()) },
+                { "age-ms", std::to_string((now - entry.arrived).count() / 1000) },
+                { "slack-ms", std::to_string((entry.due - now).count() / 1000) } });
+}
+
+void Shard::placeTasks(
+    JobEntry& entry, StepRun& steps, std::vector<Runner*>& runners, TimePoint now, ShardOrders& orders)
+{
+    const auto& step = entry.job.steps[steps.step];
+    TaskName name { entry.job.id, steps.occurrence, steps.step, 0 };
+    RackId rack(step.dataRack);
     for (name.index = 0; name.index < steps.tasks.size(); ++name.index) {
         auto& task = steps.tasks[name.index];
         if (task.state != TaskState::Waiting || now < task.notBefore)
