--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "node/stop_plan.h"
 #include "platform/decode.h"
+#include "platform/names.h"
 
 #include <algorithm>
 #include <asio/post.hpp>
@@ -14,16 +15,12 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto operatorTable = "op";
 // The row that says into how many shards the fleet is divided.
 constexpr auto mapTable = "layout";
 constexpr auto mapKey = "shards";
 constexpr std::chrono::milliseconds mapRetry { 250 };
 // Leases change hands seldom, but every renewal is a change of the table; this paces the answers.
 constexpr std::chrono::milliseconds leaseFeedPause { 150 };
-// Rows that the operator writes.
-constexpr std::string_view configKey = "config";
-constexpr std::string_view wavePrefix = "wave/";
 constexpr std::chrono::milliseconds tickPause { 50 };
 // A lease is renewed four times in its length, so that one lost answer does not cost it.
 constexpr int renewalsPerLease = 4;
@@ -55,7 +52,7 @@
     , m_runnerClient(m_http)
     , m_vmClient(m_http, m_settings.vmsAddress)
     , m_rpcClient(m_loop)
-    , m_configFollower(m_loop, m_store, operatorTable, { "" }, feedPause,
+    , m_configFollower(m_loop, m_store, platform::operatorTable, { "" }, feedPause,
           { [this](const platform::StoredRow& row) { onOperatorRow(row); },
               [this](const std::vector<platform::StoredRow>& rows) {
                   for (const auto& row : rows)
@@ -209,9 +206,9 @@
 {
     if (row.isRemoved)
         return;
-    if (row.name.key == configKey)
+    if (row.name.key == platform::configKey)
         onConfigRow(row.value);
-    else if (row.name.key.starts_with(wavePrefix))
+    else if (row.name.key.starts_with(platform::waveKeyPrefix))
         onWaveRow(row.value);
 }
 
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "node/stop_plan.h"
 #include "platform/decode.h"
+#include "platform/names.h"
 
 #include <algorithm>
 #include <charconv>
@@ -47,7 +48,7 @@
 
 std::chrono::milliseconds deadlineOf(const CallerRequest& request)
 {
-    auto text = headerOf(request, "Deadline-Ms");
+    auto text = headerOf(request, platform::deadlineHeader);
     std::int64_t value = 0;
     auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (error != std::errc() || value <= 0)
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "jobs/runner_row.h"
 #include "platform/decode.h"
+#include "platform/names.h"
 
 #include <algorithm>
 #include <array>
@@ -14,8 +15,6 @@
 // The list of runners changes with every heartbeat; a draining runner must be known within two seconds, and
 // one that has moved should be put to work soon.
 constexpr std::chrono::milliseconds runnerListPause { 150 };
-// The store's table in which runners list themselves.
-constexpr auto runnerListTable = "servers";
 constexpr std::chrono::milliseconds readTimeout { 2'000 };
 // The log tries the store again twice a second.
 constexpr std::chrono::milliseconds retryWithoutStore { 1'000 };
@@ -65,7 +64,7 @@
                   m_log.put(rowName(waveTable, std::to_string(wave)), std::move(value), std::move(durable));
               },
               [this] { schedule(); } })
-    , m_runnerList(loop, clients.store, runnerListTable, { "" }, runnerListPause,
+    , m_runnerList(loop, clients.store, platform::runnerListTable, { "" }, runnerListPause,
           { [this](const platform::StoredRow& row) { onRunnerRow(row); },
               [this](const std::vector<platform::StoredRow>& rows) {
                   m_listed.clear();
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "platform/decode.h"
+#include "platform/names.h"
 
 #include <algorithm>
 #include <cmath>
@@ -361,8 +362,8 @@
 {
     auto number = wave.order.wave;
     platform::RowTransaction transaction;
-    transaction.puts.push_back(
-        { { "status", "", "wave/" + std::to_string(number) }, platform::encodeWaveState(isCompleted) });
+    transaction.puts.push_back({ { platform::reportTable, "", platform::waveReportKey(number) },
+        platform::encodeWaveState(isCompleted) });
     logInfo("wave-state",
         { { "wave", std::to_string(number) }, { "state", isCompleted ? "completed" : "running" },
             { "done", std::to_string(wave.done.size()) } });
