--- a/src/jobs/tests/decisions_test.cpp
+++ b/src/jobs/tests/decisions_test.cpp
@@ -172,7 +172,7 @@
     TimePoint now { 1'000s };
     wave.firstSeen = now;
     std::map<VmId, VmRecord> list;
-    for (auto id : wave.order.vms)
+    for (const auto& id : wave.order.vms)
         list[id] = { id, PoolId("p"), VmState::Up, {}, {}, {} };
     list[VmId("vm0")].state = VmState::Upkeep;
     list[VmId("vm1")].state = VmState::Upkeep;
