--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -19,7 +19,6 @@
     NodeSettings settings;
     settings.name = reader.takeString("process", "name");
     settings.zone = ZoneId(reader.takeString("process", "zone"));
-    settings.region = RegionId(reader.takeString("process", "region"));
     settings.callerAddress = reader.takeAddress("listen", "callers");
     settings.readinessAddress = reader.takeAddress("listen", "readiness");
     settings.peerAddress = reader.takeAddress("listen", "peers");
@@ -28,13 +27,9 @@
     settings.vmsAddress = reader.takeAddress("platform", "vms", "");
     settings.maxRunnerLease = takeMillis(reader, "runners", "max_lease", 6s);
     settings.stopGrace = takeMillis(reader, "process", "stop_grace", 6s);
-    settings.holderLease = takeMillis(reader, "vms", "holder_lease", 3s);
     settings.moveTime = takeMillis(reader, "vms", "move_time", 1500ms);
     settings.maintenanceTime = takeMillis(reader, "vms", "maintenance_time", 2s);
     settings.keepFinished = takeMillis(reader, "jobs", "keep_finished", 2min);
-    settings.awayNotice = takeMillis(reader, "jobs", "away_notice", 4500ms);
-    settings.tailHarm = takeMillis(reader, "jobs", "tail_harm", 4s);
-    settings.memoryMb = reader.takeInteger("process", "memory_mb", 32, 1 << 20, 256);
     settings.maxDescriptors = reader.takeInteger("process", "max_descriptors", 64, 1 << 20, 1024);
     settings.processorShare = reader.takeNumber("process", "processor_share", 0.01, 1024, 1);
     return settings;
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -9,7 +9,6 @@
 struct NodeSettings {
     std::string name;
     ZoneId zone;
-    RegionId region;
     // Where callers, the balancer's readiness check, other processes and the metrics reader connect.
     std::string callerAddress;
     std::string readinessAddress;
@@ -21,19 +20,14 @@
     std::chrono::milliseconds maxRunnerLease { 0 };
     // Time between the order to stop and the kill.
     std::chrono::milliseconds stopGrace { 0 };
-    // Two holders must not give orders for one VM within this time.
-    std::chrono::milliseconds holderLease { 0 };
     // How long a VM is away for a move and for maintenance.
     std::chrono::milliseconds moveTime { 0 };
     std::chrono::milliseconds maintenanceTime { 0 };
     // How long finished jobs can be asked for.
     std::chrono::milliseconds keepFinished { 0 };
-    // How long a lasting task counts as away after its last run.
-    std::chrono::milliseconds awayNotice { 0 };
-    // Time after which a lasting task's tail above its target harms callers.
-    std::chrono::milliseconds tailHarm { 0 };
-    std::int64_t memoryMb { 0 };
+    // Files and sockets that the process may have open.
     std::int64_t maxDescriptors { 0 };
+    // Of one core.
     double processorShare { 1 };
 };
 
