--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -19,8 +19,6 @@
 
 constexpr std::size_t inboxCapacity = 65'536;
 constexpr std::size_t eventCapacity = 20'000;
-// Bytes of one streamed answer that may wait for a slow caller.
-constexpr std::size_t maxUnsentBytes = 256 * 1024;
 constexpr std::chrono::milliseconds loopAnswerTimeout { 200 };
 constexpr std::chrono::milliseconds confirmTimeout { 800 };
 constexpr std::chrono::milliseconds askTimeout { 500 };
@@ -324,49 +322,6 @@
         });
 }
 
-AnswerSink Entry::makeSink(serve::RequestId request, serve::AttemptId attempt)
-{
-    AnswerSink sink;
-    sink.begin = [this, request, attempt](HttpAnswer head, std::optional<std::uint64_t> length) {
-        auto& call = m_calls.at(request);
-        if (call.isAnswered || call.streaming)
-            return;
-        call.streaming = attempt;
-        head.headers.emplace_back(outcomeHeader, std::string(toString(Outcome::Ran)));
-        m_callers->beginAnswer(request, std::move(head), length);
-    };
-    sink.append = [this, request, attempt](
-                      std::string piece) { return appendPiece(request, attempt, std::move(piece)); };
-    return sink;
-}
-
-// Passes a piece on, unless the caller has been answered otherwise. False while too much is on its way to the
-// caller.
-bool Entry::appendPiece(serve::RequestId request, serve::AttemptId attempt, std::string piece)
-{
-    auto& call = m_calls.at(request);
-    if (call.streaming != attempt)
-        return true;
-    auto bytes = piece.size();
-    call.unsentBytes += bytes;
-    m_callers->append(request, std::move(piece),
-        [this, request, attempt, bytes](bool wasSent) { onPieceSent(request, attempt, bytes, wasSent); });
-    return call.unsentBytes <= maxUnsentBytes;
-}
-
-void Entry::onPieceSent(serve::RequestId request, serve::AttemptId attempt, std::size_t bytes, bool wasSent)
-{
-    auto position = m_calls.find(request);
-    if (position == m_calls.end())
-        return;
-    position->second.unsentBytes -= bytes;
-    if (!wasSent) {
-        endStream(request, false);
-        perform(m_dispatcher.onCallerGone(request, m_clock.now()));
-    } else if (position->second.unsentBytes <= maxUnsentBytes)
-        m_targets.resume(attempt);
-}
-
 void Entry::onAttemptEnd(
     serve::RequestId request, serve::AttemptId attempt, const serve::AttemptEnd& end, HttpAnswer answer)
 {
@@ -405,15 +360,6 @@
     answer(refuse.request, problemAnswer(refuse.failure, refuse.retryAfter));
 }
 
-void Entry::endStream(serve::RequestId request, bool isWhole)
-{
-    m_callers->endAnswer(request, isWhole);
-    auto& call = m_calls.at(request);
-    call.isAnswered = true;
-    call.streaming.reset();
-    forgetIfDone(request);
-}
-
 void Entry::perform(const serve::ClaimKey& claim)
 {
     if (m_store->tryClaim(claim))
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -27,12 +27,10 @@
     // Doubtful and Stopping: when the runner acknowledged the stop, after which the run cannot begin there.
     std::optional<TimePoint> stopAnswered;
     bool isStopInFlight { false };
-    // Stopping: the task is to be placed anew after the end.
+    // Where the task's next run may resume.
     std::string checkpoint;
+    // Share at which it works; 100 when at work.
     std::uint32_t percent { 0 };
-    std::int64_t gauge { 0 };
-    // Share that was last ordered.
-    std::uint32_t pacedTo { 100 };
 };
 
 // A runner as the holder of the shard knows it: what may run there, until when, and what was heard.
--- a/src/jobs/runner_orders.h
+++ b/src/jobs/runner_orders.h
@@ -45,14 +45,6 @@
     Millis wait { 0 };
 };
 
-struct PaceOrder {
-    TaskName task;
-    Attempt attempt { 0 };
-    Epoch epoch { 0 };
-    // Share of the processor time that the task may use.
-    std::uint32_t percent { 100 };
-};
-
 enum class OrderOutcome : std::uint8_t {
     Accepted,
     // Not sent, since it was called off or this process is not sure that it holds the shard.
@@ -105,8 +97,6 @@
     std::string checkpoint;
     // Share at which it works; 100 when at work.
     std::uint32_t percent { 0 };
-    // A serving task: its tail latency in milliseconds. Any other: thousandths of a core in use.
-    std::int64_t gauge { 0 };
 };
 
 struct EndedTask {
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -44,6 +44,7 @@
     for (auto& [id, runner] : m_runners)
         if (std::exchange(runner.isListed, list.contains(id)) && !runner.isListed)
             runner.unlistedSince = now;
+    std::erase_if(m_endedLives, [&](const auto& life) { return !list.contains(life.first); });
     for (const auto& [id, report] : list) {
         // The list still names a life that was seen to end.
         if (m_endedLives.contains({ id, report.born }))
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -84,7 +84,7 @@
     [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
 
     // A start that waited to be sent is still wanted.
-    [[nodiscard]] bool mayStillStart(const RunnerId&, const StartOrder&) const;
+    [[nodiscard]] bool mayStillStart(const RunnerId&, const StartOrder&);
     void onStart(const RunnerId&, const StartOrder&, const OrderAnswer&, TimePoint now);
     void onStop(const RunnerId&, const StopOrder&, const OrderAnswer&, TimePoint now);
     // `sent` is when the look was sent.
@@ -139,6 +139,12 @@
     [[nodiscard]] bool mayRestart(const PoolId&, TimePoint now) const;
 
 private:
+    // Both null if that run is not known there.
+    struct KnownRun {
+        Runner* runner { nullptr };
+        Run* run { nullptr };
+    };
+    [[nodiscard]] KnownRun findRun(const RunnerId&, const TaskName&, Attempt);
     void loseRuns(Runner&, TimePoint now, std::string_view why);
     void applyEnds(Runner&, const LookAnswer&, TimePoint now);
     void applyEnd(Runner&, const EndedTask&, TimePoint now);
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -27,13 +27,10 @@
 
 void Shard::onStart(const RunnerId& id, const StartOrder& order, const OrderAnswer& answer, TimePoint now)
 {
-    auto found = m_runners.find(id);
-    if (found == m_runners.end())
-        return;
-    auto& runner = found->second;
-    auto* run = runner.find(order.task);
-    if (!run || run->attempt != order.attempt)
+    auto [known, run] = findRun(id, order.task, order.attempt);
+    if (!run)
         return;
+    auto& runner = *known;
     auto putBack = [&] {
         if (auto* entry = m_book.find(order.task.job)) {
             releaseTask(*entry, order.task, {});
@@ -85,25 +82,27 @@
     }
 }
 
-bool Shard::mayStillStart(const RunnerId& id, const StartOrder& order) const
+Shard::KnownRun Shard::findRun(const RunnerId& id, const TaskName& task, Attempt attempt)
 {
     auto found = m_runners.find(id);
     if (found == m_runners.end())
-        return false;
-    auto run = found->second.runs().find(order.task);
-    return run != found->second.runs().end() && run->second.attempt == order.attempt
-        && run->second.phase == RunPhase::Starting;
+        return {};
+    auto* run = found->second.find(task);
+    return run && run->attempt == attempt ? KnownRun { &found->second, run } : KnownRun {};
+}
+
+bool Shard::mayStillStart(const RunnerId& id, const StartOrder& order)
+{
+    auto [runner, run] = findRun(id, order.task, order.attempt);
+    return run && run->phase == RunPhase::Starting;
 }
 
 void Shard::onStop(const RunnerId& id, const StopOrder& order, const OrderAnswer& answer, TimePoint now)
 {
-    auto found = m_runners.find(id);
-    if (found == m_runners.end())
-        return;
-    auto& runner = found->second;
-    auto* run = runner.find(order.task);
-    if (!run || run->attempt != order.attempt)
+    auto [known, run] = findRun(id, order.task, order.attempt);
+    if (!run)
         return;
+    auto& runner = *known;
     run->isStopInFlight = false;
     if (answer.outcome == OrderOutcome::OtherLife) {
         loseRuns(runner, now, "other-life");
@@ -272,7 +271,6 @@
             continue;
         run->checkpoint = running.checkpoint;
         run->percent = running.percent;
-        run->gauge = running.gauge;
         if (run->phase == RunPhase::Starting || run->phase == RunPhase::Doubtful)
             run->phase = RunPhase::Running;
     }
--- a/src/jobs/tests/shard_fixture.h
+++ b/src/jobs/tests/shard_fixture.h
@@ -111,12 +111,22 @@
         shard.onLook(RunnerId(id), order, look, now - 1ms, now);
     }
 
+    // One runner does not answer, the other does, until something starts again.
+    void silenceUntilStart(const std::string& silent, const std::string& sound)
+    {
+        for (auto until = now + 30s; starts.empty() && now < until;) {
+            step(100ms);
+            answerLook(silent, {}, {}, OrderOutcome::Unknown);
+            answerLook(sound, {}, {});
+        }
+    }
+
     EndedTask ended(const std::string& runner, const StartOrder& order, EndKind kind)
     {
         return { ++ends[RunnerId(runner)], order.task, order.attempt, kind, {} };
     }
 
-    static RunningTask running(const StartOrder& order) { return { order.task, order.attempt, "", 100, 0 }; }
+    static RunningTask running(const StartOrder& order) { return { order.task, order.attempt, "", 100 }; }
 };
 
 } // namespace fulmar::jobs::test
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -63,6 +63,8 @@
     step();
     answerLook("r1", {}, { ended("r1", order, EndKind::Done) });
     step(500ms);
+    BOOST_TEST(shard.runners().at(RunnerId("r1")).endsApplied == 1U);
+    BOOST_TEST(shard.runners().at(RunnerId("r1")).endsStored == 0U);
     for (const auto& look : looks)
         BOOST_TEST(look.order.endsSeen == 0U);
     looks.clear();
@@ -105,11 +107,7 @@
     accept(starts.at(0));
     addRunner("r2");
     auto since = now;
-    while (starts.empty() && now < since + 20s) {
-        step(100ms);
-        answerLook("r1", {}, {}, OrderOutcome::Unknown);
-        answerLook("r2", {}, {});
-    }
+    silenceUntilStart("r1", "r2");
     BOOST_REQUIRE_EQUAL(starts.size(), 1U);
     BOOST_TEST(starts[0].runner.id.value() == "r2");
     BOOST_TEST((now >= since + ShardSettings {}.maxLease));
@@ -142,11 +140,7 @@
     auto first = starts.at(0).order;
     accept(starts[0]);
     addRunner("r2");
-    for (auto until = now + 30s; starts.empty() && now < until;) {
-        step(100ms);
-        answerLook("r1", {}, {}, OrderOutcome::Unknown);
-        answerLook("r2", {}, {});
-    }
+    silenceUntilStart("r1", "r2");
     accept(starts.at(0));
     step(500ms);
     answerLook("r1", {}, { ended("r1", first, EndKind::Failed) });
@@ -197,7 +191,7 @@
     BOOST_REQUIRE_EQUAL(orders.looks.size(), 1U);
     LookAnswer look;
     look.answer = { OrderOutcome::Accepted, RunnerTime(5'000), 1 };
-    look.running.push_back({ { JobId("j1"), 0, 0, 0 }, 7, "", 100, 0 });
+    look.running.push_back({ { JobId("j1"), 0, 0, 0 }, 7, "", 100 });
     next.onLook(RunnerId("r1"), orders.looks[0].order, look, now, now);
     orders = next.plan(now + 10ms, wall(), true);
     BOOST_REQUIRE_EQUAL(orders.starts.size(), 1U);
--- a/src/node/job_call.h
+++ b/src/node/job_call.h
@@ -30,11 +30,13 @@
     // Nothing was done: the process does not hold the shard.
     NotHolder,
     Done,
-    // Not accepted, and it will not run.
+    // Not accepted, and it will not run: the pool's work ahead takes too long.
     Rejected,
     UnknownJob,
     // It may be done, or become so.
     Uncertain,
+    // Not accepted, and it will not run: the store or every runner is away.
+    Unavailable,
 };
 
 [[nodiscard]] std::string_view toString(JobVerdict);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -39,6 +39,10 @@
 constexpr std::chrono::milliseconds finishedMargin { 30'000 };
 constexpr std::chrono::milliseconds feedPause { 10 };
 constexpr std::chrono::milliseconds retryWithoutHolder { 1'000 };
+// A job has 4,000 bytes of spec and 64 steps of a few hundred bytes at most.
+constexpr std::size_t maxBodyBytes = 1024 * 1024;
+// Callers keep connections open between calls.
+constexpr std::chrono::milliseconds idleTimeout { 60'000 };
 constexpr std::size_t maxMetricsConnections = 16;
 
 } // namespace
@@ -73,8 +77,8 @@
 {
     CallerServerLimits limits { m_settings.callerAddress };
     limits.maxConnections = std::size_t(m_settings.maxDescriptors) / 2;
-    limits.maxBodyBytes = 1024 * 1024;
-    limits.readTimeout = 60s;
+    limits.maxBodyBytes = maxBodyBytes;
+    limits.readTimeout = idleTimeout;
     auto callers = CallerServer::start(
         m_loop, limits, [this](CallId id, const CallerRequest& request) { onCaller(id, request); });
     if (!callers)
@@ -141,6 +145,8 @@
             onShardMap(*map);
             return;
         }
+        if (!page)
+            logWarning("shard-map-unread", { { "retry-ms", std::to_string(mapRetry.count()) } });
         m_mapTimer.expires_after(mapRetry + m_jitter);
         m_mapTimer.async_wait([this, isEmpty = page && page->rows.empty()](const asio::error_code& error) {
             if (error)
@@ -165,8 +171,11 @@
         platform::RowTransaction transaction;
         transaction.conditions.push_back({ name, 0 });
         transaction.puts.push_back({ name, encodeShardMap(shardMapFor(vms->size())) });
-        m_store.commit(
-            transaction, acquireTimeout, [this](const platform::CommitResult&) { readShardMap(); });
+        m_store.commit(transaction, acquireTimeout, [this](const platform::CommitResult& result) {
+            // Whatever came of it, the row tells.
+            logInfo("shard-map-proposed", { { "outcome", std::string(toString(result.outcome)) } });
+            readShardMap();
+        });
     });
 }
 
@@ -328,6 +337,9 @@
                 onAcquired(slot, result.version, claim.epoch, sent);
                 return;
             }
+            logInfo("shard-claim-failed",
+                { { "part", slot.part }, { "epoch", std::to_string(claim.epoch) },
+                    { "outcome", std::string(toString(result.outcome)) } });
             slot.lease.delayAcquire(now + acquireRetry);
             // A conflict tells the rows as they are; what may have been done is seen by the feed.
             for (const auto& row : result.current)
@@ -337,8 +349,6 @@
 
 void Node::onAcquired(Slot& slot, Version version, Epoch epoch, TimePoint sent)
 {
-    if (m_isStopping)
-        return;
     auto now = m_clock.now();
     slot.lease.onRenewed(sent);
     slot.renewAt = now;
@@ -362,6 +372,9 @@
         slot.owner->configure(*m_config);
     for (const auto& [number, wave] : m_waves)
         slot.owner->addWave(wave);
+    // The order to stop came while the claim was on its way.
+    if (m_isStopping)
+        release(slot);
     logInfo("shard-held",
         { { "part", slot.part }, { "epoch", std::to_string(epoch) },
             { "version", std::to_string(version) } });
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -293,6 +293,9 @@
     case JobVerdict::Rejected:
         answer = refusal(429, reply.retryAfter, reply.reason);
         break;
+    case JobVerdict::Unavailable:
+        answer = refusal(503, reply.retryAfter, reply.reason);
+        break;
     case JobVerdict::NotHolder:
         answer = refusal(503, retryWithoutHolder, reply.reason);
         break;
--- a/src/node/row_log.cpp
+++ b/src/node/row_log.cpp
@@ -94,7 +94,10 @@
     if (result.outcome == platform::CommitOutcome::Committed) {
         m_backoff = {};
         for (const auto& [name, entry] : m_queue.batch())
-            m_versions[name] = entry.value ? result.version : 0;
+            if (entry.value)
+                m_versions[name] = result.version;
+            else
+                m_versions.erase(name);
         auto isAlive = m_isAlive;
         for (auto& durable : m_queue.commit())
             if (*isAlive)
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -42,6 +42,15 @@
     return reply;
 }
 
+JobReply refusal(JobVerdict verdict, std::chrono::milliseconds retryAfter, std::string reason)
+{
+    JobReply reply;
+    reply.verdict = verdict;
+    reply.retryAfter = retryAfter;
+    reply.reason = std::move(reason);
+    return reply;
+}
+
 } // namespace
 
 ShardOwner::ShardOwner(asio::io_context& loop, Clients clients, jobs::ShardSettings settings,
@@ -87,6 +96,8 @@
 {
     *m_isAlive = false;
     m_log.stop();
+    for (auto& [call, reply] : m_waitingForRestore)
+        reply(refusal(JobVerdict::NotHolder, retryWithoutStore, "shard-lost"));
     for (auto* waiting : { &m_waitingForStore, &m_waitingForCancel })
         for (auto& [job, replies] : *waiting)
             for (auto& reply : replies)
@@ -152,20 +163,21 @@
     if (table == progressTable) {
         auto progress = jobs::decodeProgress(row.value);
         isRead = progress.has_value();
-        if (progress)
-            m_restoredProgress.emplace(key, std::move(*progress));
+        m_restoredProgress.emplace(key, std::move(progress));
     } else if (table == jobTable) {
         auto job = jobs::decodeJob(row.value);
-        isRead = job.has_value();
-        if (job)
-            m_shard.restoreJob(std::move(*job), m_restoredProgress[key], m_clock.now());
+        // A job whose progress cannot be read is left alone: what is done of it would run again.
+        auto [progress, isUntouched] = m_restoredProgress.try_emplace(key, jobs::JobProgress {});
+        isRead = job.has_value() && progress->second.has_value();
+        if (isRead)
+            m_shard.restoreJob(std::move(*job), *progress->second, m_clock.now());
     } else if (table == runnerTable) {
         auto runner = jobs::decodeRunnerRow(key, row.value);
         isRead = runner.has_value();
         if (runner)
             m_shard.restoreRunner(std::move(*runner), m_clock.now());
     } else if (table == waveTable) {
-        m_vmKeeper.restoreWave(std::atoll(key.c_str()), row.value);
+        isRead = m_vmKeeper.restoreWave(key, row.value);
     }
     if (!isRead)
         logWarning("row-unreadable", { { "table", table }, { "key", key } });
@@ -196,8 +208,8 @@
 {
     if (std::exchange(m_isRestored, true))
         return;
-    for (auto& call : std::exchange(m_waitingForRestore, {}))
-        call();
+    for (auto& [call, reply] : std::exchange(m_waitingForRestore, {}))
+        handle(std::move(call), std::move(reply));
 }
 
 void ShardOwner::configure(const jobs::FleetConfig& config)
@@ -209,8 +221,7 @@
 void ShardOwner::handle(JobCall call, OnJobReply reply)
 {
     if (!m_isRestored) {
-        m_waitingForRestore.emplace_back(
-            [this, call = std::move(call), reply = std::move(reply)] { handle(call, reply); });
+        m_waitingForRestore.push_back({ std::move(call), std::move(reply) });
         return;
     }
     switch (call.kind) {
@@ -236,10 +247,7 @@
 {
     auto job = jobs::decodeJob(call.encodedJob);
     if (!job) {
-        JobReply refusal;
-        refusal.verdict = JobVerdict::Rejected;
-        refusal.reason = "unreadable";
-        reply(refusal);
+        reply(refusal(JobVerdict::Rejected, retryWithoutStore, "unreadable"));
         return;
     }
     // What cannot be stored cannot be accepted; a job that is known may be stored already.
@@ -247,11 +255,7 @@
         m_metrics.countAdmission("store-away");
         logInfo("admission",
             { { "job", job->id.value() }, { "queue", job->queue }, { "verdict", "store-away" } });
-        JobReply refusal;
-        refusal.verdict = JobVerdict::Rejected;
-        refusal.retryAfter = retryWithoutStore;
-        refusal.reason = "store-away";
-        reply(refusal);
+        reply(refusal(JobVerdict::Unavailable, retryWithoutStore, "store-away"));
         return;
     }
     auto decision = m_shard.submit(*job, m_clock.now(), m_clock.wallNow());
@@ -273,11 +277,9 @@
             { "objective-ms", std::to_string(job->objective().count()) },
             { "retry-ms", std::to_string(decision.admission.retryAfter.count()) } });
     if (decision.verdict == jobs::SubmitVerdict::Rejected) {
-        JobReply refusal;
-        refusal.verdict = JobVerdict::Rejected;
-        refusal.retryAfter = decision.admission.retryAfter;
-        refusal.reason = std::string(toString(decision.admission.verdict));
-        reply(refusal);
+        auto isOverload = decision.admission.verdict == jobs::Admission::RejectOverload;
+        reply(refusal(isOverload ? JobVerdict::Rejected : JobVerdict::Unavailable,
+            decision.admission.retryAfter, verdict));
         return;
     }
     if (m_shard.find(job->id)->isStored) {
@@ -439,7 +441,8 @@
             [this, id, order = start.order, isAlive = m_isAlive](const jobs::OrderAnswer& answer) {
                 if (!*isAlive)
                     return;
-                --m_outboxes[id].inFlight;
+                auto& sent = m_outboxes[id];
+                --sent.inFlight;
                 m_metrics.countOrder("start", std::string(toString(answer.outcome)));
                 if (answer.outcome != jobs::OrderOutcome::Accepted)
                     logWarning("start",
@@ -447,6 +450,9 @@
                             { "outcome", std::string(toString(answer.outcome)) } });
                 m_shard.onStart(id, order, answer, m_clock.now());
                 sendNextStart(id);
+                if (auto done = m_outboxes.find(id);
+                    done->second.inFlight == 0 && done->second.waiting.empty())
+                    m_outboxes.erase(done);
                 schedule();
             });
     }
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -94,9 +94,13 @@
     TableFollower m_runnerList;
     std::map<jobs::RunnerId, jobs::RunnerReport> m_listed;
     bool m_isRestored { false };
-    // Rows read while the shard is restored.
-    std::unordered_map<std::string, jobs::JobProgress> m_restoredProgress;
-    std::vector<std::function<void()>> m_waitingForRestore;
+    // Rows read while the shard is restored; empty where one cannot be read.
+    std::unordered_map<std::string, std::optional<jobs::JobProgress>> m_restoredProgress;
+    struct WaitingCall {
+        JobCall call;
+        OnJobReply reply;
+    };
+    std::vector<WaitingCall> m_waitingForRestore;
     std::unordered_map<JobId, std::vector<OnJobReply>> m_waitingForStore;
     std::unordered_map<JobId, std::vector<OnJobReply>> m_waitingForCancel;
     asio::steady_timer m_planTimer;
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -5,6 +5,7 @@
 #include "platform/names.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,8 @@
 
 // The list is a call with a price; moves take 1.5 s, so a view of this age plans them well enough.
 constexpr std::chrono::milliseconds listPause { 500 };
+// Orders are not planned on an older list; twice a slow answer of the interface.
+constexpr std::chrono::milliseconds maxListAge { 5'000 };
 constexpr std::chrono::milliseconds listPauseWhenAway { 1'000 };
 // Time in which the tasks of a VM end once nothing new is started there; most run for under two seconds.
 // A VM that idled this long is not in use between two tasks only.
@@ -91,21 +94,24 @@
             { "done", std::to_string(found->second.done.size()) } });
 }
 
-void VmKeeper::restoreWave(std::int64_t wave, std::string_view row)
+bool VmKeeper::restoreWave(const std::string& wave, std::string_view row)
 {
+    std::int64_t number = 0;
+    auto [end, error] = std::from_chars(wave.data(), wave.data() + wave.size(), number);
     auto record = decodeWaveRecord(row);
-    if (!record)
-        return;
-    m_restoredWaves[wave] = record->done;
-    if (auto known = m_waves.find(wave); known != m_waves.end())
+    if (error != std::errc() || end != wave.data() + wave.size() || !record)
+        return false;
+    m_restoredWaves[number] = record->done;
+    if (auto known = m_waves.find(number); known != m_waves.end())
         known->second.done.merge(record->done);
+    return true;
 }
 
 void VmKeeper::tick()
 {
     auto now = m_clock.now();
     readList(now);
-    if (m_list.empty() || now < m_settings.ordersFrom || !m_hooks.mayOrder())
+    if (m_list.empty() || now < m_settings.ordersFrom || now > m_listAt + maxListAge || !m_hooks.mayOrder())
         return;
     // An earlier holder's orders show in the list once it was asked for after they can have come.
     if (m_listAt >= m_settings.ordersFrom)
--- a/src/node/vm_keeper.h
+++ b/src/node/vm_keeper.h
@@ -43,8 +43,8 @@
 
     void configure(const jobs::FleetConfig&);
     void addWave(const jobs::WaveOrder&);
-    // What record() kept.
-    void restoreWave(std::int64_t wave, std::string_view done);
+    // What record() kept, by the wave's number. False if it cannot be read.
+    [[nodiscard]] bool restoreWave(const std::string& wave, std::string_view record);
     void tick();
 
 private:
