A refusal after a try of unknown outcome is not passed on as 'not run'

Found by reading: a holder that was frozen could refuse a second try and then handle the first, so that a refused job ran.

--- /dev/null
+++ b/src/node/call_retry.cpp
@@ -0,0 +1,31 @@
+#include "node/call_retry.h"
+
+#include <algorithm>
+
+namespace fulmar::node {
+
+namespace {
+
+// A holder answers within 50 ms when it and the store are well, and within a second when the store is slow.
+constexpr std::chrono::milliseconds shortestTry { 200 };
+constexpr std::chrono::milliseconds longestTry { 1'200 };
+
+} // namespace
+
+RetryStep decideRetry(JobVerdict verdict, bool wasUncertain, std::chrono::milliseconds left)
+{
+    // An earlier try may be handled after this one was refused.
+    auto saysNotRun = verdict == JobVerdict::NotHolder || verdict == JobVerdict::Rejected
+        || verdict == JobVerdict::Unavailable;
+    auto isUncertain = verdict == JobVerdict::Uncertain || (saysNotRun && wasUncertain);
+    if (!isUncertain)
+        return RetryStep::Answer;
+    return left > tryPause + shortestTry ? RetryStep::Again : RetryStep::AnswerUncertain;
+}
+
+std::chrono::milliseconds timeForTry(std::chrono::milliseconds left)
+{
+    return std::clamp(left, shortestTry, longestTry);
+}
+
+} // namespace fulmar::node
--- /dev/null
+++ b/src/node/call_retry.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "node/job_call.h"
+
+namespace fulmar::node {
+
+// What to do with a holder's reply to a call.
+enum class RetryStep : std::uint8_t {
+    // Pass the reply on.
+    Answer,
+    // Ask again: holders know a job by its id, so that a call whose outcome is unknown can be made once more,
+    // to
+    // the same holder or to the next one, which has read what the last one stored.
+    Again,
+    // The outcome stays unknown.
+    AnswerUncertain,
+};
+
+// `wasUncertain`: an earlier try of this call may have taken effect, so that "not done" can no longer be said
+// for sure. `left` is the time until the caller's deadline.
+[[nodiscard]] RetryStep decideRetry(JobVerdict, bool wasUncertain, std::chrono::milliseconds left);
+
+// Time for one try with that much left.
+[[nodiscard]] std::chrono::milliseconds timeForTry(std::chrono::milliseconds left);
+
+// Pause before the next try.
+inline constexpr std::chrono::milliseconds tryPause { 100 };
+
+} // namespace fulmar::node
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include "core/log.h"
+#include "node/call_retry.h"
 #include "node/stop_plan.h"
 #include "platform/decode.h"
 #include "platform/names.h"
@@ -20,11 +21,6 @@
 constexpr std::chrono::milliseconds defaultDeadline { 3'000 };
 // Taken off a caller's deadline for the way back.
 constexpr std::chrono::milliseconds answerMargin { 150 };
-// One try of a call to a holder, which answers within 50 ms when it and the store are well, and the pause
-// before the next one.
-constexpr std::chrono::milliseconds shortestTry { 200 };
-constexpr std::chrono::milliseconds longestTry { 1'200 };
-constexpr std::chrono::milliseconds tryPause { 100 };
 // Without another answer of the holder it is asked this often.
 constexpr std::chrono::milliseconds probeInterval { 800 };
 // Two missed probes: this process cannot serve, and says so to the balancer and to callers.
@@ -104,25 +100,23 @@
         });
 }
 
-// Holders know a job by its id, so that a call whose outcome is unknown can be made again: to the same
-// holder, or to the next one, which has read what the last one stored.
 void Node::passOnUntilSure(JobCall call, TimePoint deadline, bool wasUncertain, OnJobReply reply)
 {
-    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - m_clock.now());
-    auto timeout = std::clamp(left, shortestTry, longestTry);
-    passOn(call, timeout,
-        [this, call, deadline, wasUncertain, reply = std::move(reply)](const JobReply& result) mutable {
-            auto isUncertain = result.verdict == JobVerdict::Uncertain
-                || (result.verdict == JobVerdict::NotHolder && wasUncertain);
-            if (!isUncertain) {
-                reply(result);
+    auto left = [this, deadline] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - m_clock.now());
+    };
+    passOn(call, timeForTry(left()),
+        [this, call, deadline, left, wasUncertain, reply = std::move(reply)](JobReply result) mutable {
+            switch (decideRetry(result.verdict, wasUncertain, left())) {
+            case RetryStep::Answer:
+                reply(std::move(result));
                 return;
-            }
-            if (m_clock.now() + tryPause + shortestTry >= deadline) {
-                auto last = result;
-                last.verdict = JobVerdict::Uncertain;
-                reply(last);
+            case RetryStep::AnswerUncertain:
+                result.verdict = JobVerdict::Uncertain;
+                reply(std::move(result));
                 return;
+            case RetryStep::Again:
+                break;
             }
             auto timer = std::make_shared<asio::steady_timer>(m_loop, tryPause);
             timer->async_wait([this, timer, call = std::move(call), deadline, reply = std::move(reply)](
--- a/src/node/shard_rpc.cpp
+++ b/src/node/shard_rpc.cpp
@@ -71,7 +71,12 @@
         grpc::CallbackServerContext* context, const wire::JobCall* request, wire::JobReply* reply) override
     {
         auto* reactor = context->DefaultReactor();
-        asio::post(m_loop, [this, call = fromWire(*request), reactor, reply]() mutable {
+        asio::post(m_loop, [this, call = fromWire(*request), context, reactor, reply]() mutable {
+            // The entry has given this try up, and may have made another.
+            if (context->IsCancelled()) {
+                reactor->Finish(grpc::Status::CANCELLED);
+                return;
+            }
             m_handler(std::move(call), [reactor, reply](const JobReply& result) {
                 toWire(result, *reply);
                 reactor->Finish(grpc::Status::OK);
--- /dev/null
+++ b/src/node/tests/call_retry_test.cpp
@@ -0,0 +1,35 @@
+#include "node/call_retry.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fulmar::node;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(call_retry)
+
+BOOST_AUTO_TEST_CASE(AnUnknownOutcomeIsAskedForAgainWhileThereIsTime)
+{
+    BOOST_TEST(bool(decideRetry(JobVerdict::Uncertain, false, 2s) == RetryStep::Again));
+    BOOST_TEST(bool(decideRetry(JobVerdict::Uncertain, true, 2s) == RetryStep::Again));
+    BOOST_TEST(bool(decideRetry(JobVerdict::Uncertain, false, 250ms) == RetryStep::AnswerUncertain));
+}
+
+// A refusal says nothing of an earlier try, which may have been stored or may still be handled: to say that
+// the job does not run would be untrue.
+BOOST_AUTO_TEST_CASE(NotRunIsNeverSaidAfterAnUnknownOutcome)
+{
+    for (auto verdict : { JobVerdict::NotHolder, JobVerdict::Rejected, JobVerdict::Unavailable }) {
+        BOOST_TEST(bool(decideRetry(verdict, false, 2s) == RetryStep::Answer));
+        BOOST_TEST(bool(decideRetry(verdict, true, 2s) == RetryStep::Again));
+        BOOST_TEST(bool(decideRetry(verdict, true, 100ms) == RetryStep::AnswerUncertain));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(SureRepliesArePassedOn)
+{
+    for (auto verdict : { JobVerdict::Done, JobVerdict::UnknownJob })
+        for (auto wasUncertain : { false, true })
+            BOOST_TEST(bool(decideRetry(verdict, wasUncertain, 2s) == RetryStep::Answer));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
