Orders without an answer are sent again after the usual time of an answer

A start took 1.5 s to show as unanswered and then a stop and a look to settle; a lost look hid all ends of its runner for 2.2 s and silenced the runner.

Change: the time to wait follows the answers (RFC 6298); the same run is sent again to the same runner up to three times before it is called off; a refusal of a later try leaves the run doubtful, as the first may still be carried out; one lost look is repeated at once; a look waits until about the next end.

Ruled out: processor time of the holder (0.15 of a core at most), room.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -28,7 +28,7 @@
 bool isUsable(const Runner& runner, TimePoint now)
 {
     return runner.isListed && runner.isFenced && runner.isRecorded && !runner.isReserved
-        && !runner.report().isDraining && runner.lookFailures == 0 && now >= runner.avoidUntil;
+        && !runner.report().isDraining && !runner.isSilent() && now >= runner.avoidUntil;
 }
 
 Runner* choosePlace(
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -24,6 +24,14 @@
     RunPhase phase { RunPhase::Starting };
     // When the order to start was given.
     TimePoint ordered;
+    // When the task is expected to end; empty if it lasts, or an earlier holder started it.
+    std::optional<TimePoint> expectedEnd;
+    // Orders to start that were sent, and that got no answer.
+    std::uint32_t unanswered { 0 };
+    // Starting: the order is to be sent once more.
+    bool isResendDue { false };
+    std::uint32_t unansweredStops { 0 };
+    TimePoint stopNotBefore;
     // Doubtful and Stopping: when the runner acknowledged the stop, after which the run cannot begin there.
     std::optional<TimePoint> stopAnswered;
     bool isStopInFlight { false };
@@ -33,6 +41,9 @@
     std::uint32_t percent { 0 };
 };
 
+// Looks without an answer after which a runner counts as silent.
+inline constexpr std::uint32_t looksUntilSilent = 2;
+
 // A runner as the holder of the shard knows it: what may run there, until when, and what was heard.
 class Runner {
 public:
@@ -62,6 +73,8 @@
     [[nodiscard]] Run* find(const TaskName&);
     [[nodiscard]] std::map<TaskName, Run>& runs() { return m_runs; }
     [[nodiscard]] const std::map<TaskName, Run>& runs() const { return m_runs; }
+    // Several looks in a row had no answer; a single one may be lost on a runner that is well.
+    [[nodiscard]] bool isSilent() const { return lookFailures >= looksUntilSilent; }
     // Tasks of one step that are here.
     [[nodiscard]] std::uint32_t countOfStep(const TaskName&) const;
     [[nodiscard]] const Resources& reserved() const { return m_reserved; }
--- a/src/jobs/runner_orders.h
+++ b/src/jobs/runner_orders.h
@@ -27,12 +27,16 @@
     std::string checkpoint;
     // Permission by the queue's adviser; empty if none is needed.
     std::string ticket;
+    // How long to wait for the answer.
+    std::chrono::milliseconds timeout { 0 };
 };
 
 struct StopOrder {
     TaskName task;
     Attempt attempt { 0 };
     Epoch epoch { 0 };
+    // How long to wait for the answer.
+    std::chrono::milliseconds timeout { 0 };
 };
 
 // Asks a runner what runs and what ended, and extends the lease of all that runs there.
@@ -43,6 +47,8 @@
     std::uint64_t endsSeen { 0 };
     // How long the runner may wait for an end before it answers.
     Millis wait { 0 };
+    // How long to wait for the answer beyond that.
+    Millis timeout { 0 };
 };
 
 enum class OrderOutcome : std::uint8_t {
@@ -75,6 +81,8 @@
     // The runner's clock and its start, where the answer carried them.
     std::optional<RunnerTime> clock;
     std::int64_t born { 0 };
+    // From sending the order to its answer.
+    Duration took { 0 };
 };
 
 enum class EndKind : std::uint8_t {
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/admission.h"
+#include "jobs/answer_patience.h"
 #include "jobs/demand.h"
 #include "jobs/job_book.h"
 #include "jobs/move_plan.h"
@@ -144,6 +145,7 @@
         Runner* runner { nullptr };
         Run* run { nullptr };
     };
+    void observe(const OrderAnswer&);
     [[nodiscard]] KnownRun findRun(const RunnerId&, const TaskName&, Attempt);
     void loseRuns(Runner&, TimePoint now, std::string_view why);
     void applyEnds(Runner&, const LookAnswer&, TimePoint now);
@@ -156,6 +158,8 @@
     static void stopRun(Run&);
     [[nodiscard]] bool canSpare(JobEntry&, const TaskName&);
     [[nodiscard]] bool hasOtherPlace(const Runner&, JobEntry&, const TaskName&, TimePoint now);
+    void planResends(Runner&, ShardOrders&);
+    [[nodiscard]] Millis waitOfLook(const Runner&, TimePoint now) const;
     void planStops(Runner&, TimePoint now, ShardOrders&);
     void planLook(Runner&, TimePoint now, ShardOrders&);
     void placeJobs(TimePoint now, WallTime wallNow, ShardOrders&);
@@ -175,6 +179,7 @@
     std::vector<JobId> m_newJobs;
     // Lives that ended while the store may still list them.
     std::set<std::pair<RunnerId, std::int64_t>> m_endedLives;
+    AnswerPatience m_patience;
     std::map<PoolId, DemandMeter> m_demand;
     std::map<PoolId, std::int64_t> m_arriving;
     // Pools in which startable tasks wait for room.
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -18,10 +18,14 @@
 // Jobs that fail on a runner in a row before it gets no new work for a while.
 constexpr std::size_t failuresToAvoid = 3;
 constexpr Millis avoidTime { 4'000 };
+// A stop that was refused or could not be sent is sent again after this.
+constexpr Millis pauseAfterRefusedStop { 300 };
 // Pause before a task is ordered again where the runner had refused it.
 constexpr Millis pauseAfterRefusal { 200 };
 // A runner answers a look only after orders that it acknowledged before; clocks of one process, so no margin.
 constexpr Millis noDelay { 0 };
+// Orders to start one run that may stay without an answer before it is called off and placed elsewhere.
+constexpr std::uint32_t maxUnansweredStarts = 3;
 
 } // namespace
 
@@ -31,7 +35,13 @@
     if (!run)
         return;
     auto& runner = *known;
+    observe(answer);
     auto putBack = [&] {
+        // An order before this one may still be carried out.
+        if (run->unanswered > 0) {
+            run->phase = RunPhase::Doubtful;
+            return;
+        }
         if (auto* entry = m_book.find(order.task.job)) {
             releaseTask(*entry, order.task, {});
             if (auto* task = entry->find(order.task))
@@ -48,6 +58,14 @@
         runner.nextLook = std::min(runner.nextLook, now);
         break;
     case OrderOutcome::Unknown:
+        runner.nextLook = std::min(runner.nextLook, now);
+        if (run->phase != RunPhase::Starting)
+            break;
+        if (++run->unanswered < maxUnansweredStarts)
+            run->isResendDue = true;
+        else
+            run->phase = RunPhase::Doubtful;
+        break;
     case OrderOutcome::Superseded:
         // Superseded: a run as high was there, so that it may also have ended there.
         if (run->phase == RunPhase::Starting)
@@ -71,6 +89,7 @@
     case OrderOutcome::NotSent:
         ++runner.lookFailures;
         runner.nextLook = now;
+        runner.avoidUntil = now + pauseAfterRefusal;
         putBack();
         break;
     case OrderOutcome::Withheld:
@@ -103,6 +122,7 @@
     if (!run)
         return;
     auto& runner = *known;
+    observe(answer);
     run->isStopInFlight = false;
     if (answer.outcome == OrderOutcome::OtherLife) {
         loseRuns(runner, now, "other-life");
@@ -111,9 +131,21 @@
     if (answer.outcome == OrderOutcome::Accepted) {
         run->stopAnswered = now;
         runner.nextLook = std::min(runner.nextLook, now);
+    } else if (answer.outcome == OrderOutcome::Unknown) {
+        ++run->unansweredStops;
+    } else {
+        run->stopNotBefore = now + pauseAfterRefusedStop;
     }
 }
 
+void Shard::observe(const OrderAnswer& answer)
+{
+    auto isAnswered = answer.outcome != OrderOutcome::Unknown && answer.outcome != OrderOutcome::NotSent
+        && answer.outcome != OrderOutcome::Withheld;
+    if (isAnswered)
+        m_patience.observe(answer.took);
+}
+
 void Shard::onLook(
     const RunnerId& id, const LookOrder& order, const LookAnswer& look, TimePoint sent, TimePoint now)
 {
@@ -133,16 +165,16 @@
         return;
     }
     if (answer.outcome != OrderOutcome::Accepted) {
-        if (++runner.lookFailures == 1)
+        if (++runner.lookFailures == looksUntilSilent)
             logWarning("runner-silent",
                 { { "runner", id.value() }, { "outcome", std::string(toString(answer.outcome)) },
                     { "runs", std::to_string(runner.runs().size()) } });
-        runner.nextLook = now + pauseAfterSilence;
+        runner.nextLook = runner.isSilent() ? now + pauseAfterSilence : now;
         if (runner.hasLapsed(now))
             loseRuns(runner, now, "lease-lapsed");
         return;
     }
-    if (runner.lookFailures > 0)
+    if (runner.isSilent())
         logInfo("runner-answers",
             { { "runner", id.value() }, { "failures", std::to_string(runner.lookFailures) } });
     runner.lookFailures = 0;
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -9,20 +9,54 @@
 
 namespace {
 
-// Time after which a stop without an answer is sent again.
-constexpr Millis repeatStop { 300 };
+// Shortest time that a look may wait for an end: of tasks that run on beyond their estimate.
+constexpr Millis shortestLookWait { 200 };
+// Tasks end around their estimate; an answer that waits this much longer mostly brings the end along.
+constexpr Millis lookWaitMargin { 100 };
 
 } // namespace
 
+// The same run again: a runner on which it is there says so, and does not start it twice.
+void Shard::planResends(Runner& runner, ShardOrders& orders)
+{
+    for (auto& [task, run] : runner.runs()) {
+        if (!std::exchange(run.isResendDue, false) || run.phase != RunPhase::Starting)
+            continue;
+        auto* entry = m_book.find(task.job);
+        if (!entry || entry->isOver()) {
+            run.phase = RunPhase::Doubtful;
+            continue;
+        }
+        orders.starts.push_back({ runner.address(),
+            { task, run.attempt, entry->job.spec, runner.leaseUntil(), m_epoch, run.checkpoint, {},
+                m_patience.timeout(run.unanswered) } });
+    }
+}
+
+// Until about the next end that is expected: a look whose answer is lost then hides that end for no longer
+// than need be.
+Millis Shard::waitOfLook(const Runner& runner, TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    for (const auto& [task, run] : runner.runs())
+        if (run.expectedEnd && (!next || *run.expectedEnd < *next))
+            next = run.expectedEnd;
+    if (!next)
+        return m_settings.lookWait;
+    auto until = std::chrono::ceil<Millis>(*next - now) + lookWaitMargin;
+    return std::clamp(until, std::min(shortestLookWait, m_settings.lookWait), m_settings.lookWait);
+}
+
 void Shard::planStops(Runner& runner, TimePoint now, ShardOrders& orders)
 {
     for (auto& [task, run] : runner.runs()) {
         if (run.phase != RunPhase::Stopping && run.phase != RunPhase::Doubtful)
             continue;
-        if (run.stopAnswered || run.isStopInFlight || now < run.ordered + repeatStop)
+        if (run.stopAnswered || run.isStopInFlight || now < run.stopNotBefore)
             continue;
         run.isStopInFlight = true;
-        orders.stops.push_back({ runner.address(), { task, run.attempt, m_epoch } });
+        orders.stops.push_back(
+            { runner.address(), { task, run.attempt, m_epoch, m_patience.timeout(run.unansweredStops) } });
     }
 }
 
@@ -42,11 +76,12 @@
     LookOrder look;
     look.epoch = m_epoch;
     // A runner that does not answer may still hear: its lease must be left to end.
-    auto isSilent = runner.lookFailures > 0;
-    look.leaseUntil = isSilent ? runner.leaseUntil() : runner.extendLease(now, m_settings.maxLease);
+    auto hasFailed = runner.lookFailures > 0;
+    look.leaseUntil = hasFailed ? runner.leaseUntil() : runner.extendLease(now, m_settings.maxLease);
     look.endsSeen = runner.endsStored;
     auto isSettled = runner.isFenced && runner.lookFailures == 0 && !runner.runs().empty();
-    look.wait = isSettled ? m_settings.lookWait : Millis(0);
+    look.wait = isSettled ? waitOfLook(runner, now) : Millis(0);
+    look.timeout = m_patience.timeout(runner.lookFailures);
     runner.isLookInFlight = true;
     orders.looks.push_back({ runner.address(), look });
 }
@@ -66,6 +101,8 @@
                 if (auto* entry = m_book.find(task.job);
                     entry && run.phase == RunPhase::Running && entry->job.steps[task.step].isLasting)
                     stopRun(run);
+        if (mayStart)
+            planResends(runner, orders);
         planStops(runner, now, orders);
         planLook(runner, now, orders);
     }
@@ -134,13 +171,15 @@
     run.attempt = attempt;
     run.reserved = step.reserved();
     run.ordered = now;
+    if (!step.isLasting)
+        run.expectedEnd = now + step.estimate;
     run.checkpoint = task.checkpoint;
     runner.addRun(name, std::move(run));
     task.state = TaskState::Placed;
     task.runner = runner.report().id;
     ++entry.stepRun(name.occurrence, name.step).placed;
     StartOrder order { name, attempt, entry.job.spec, runner.extendLease(now, m_settings.maxLease), m_epoch,
-        task.checkpoint, {} };
+        task.checkpoint, {}, m_patience.timeout(0) };
     orders.starts.push_back({ runner.address(), std::move(order) });
 }
 
--- /dev/null
+++ b/src/jobs/tests/fleet_replay.cpp
@@ -0,0 +1,257 @@
+#include "jobs/tests/fleet_replay.h"
+
+#include "jobs/tests/shard_fixture.h"
+
+namespace fulmar::jobs::test {
+
+namespace {
+
+// One way between a holder and a runner in another zone.
+constexpr Millis oneWay { 2 };
+// A holder plans this long after an event, as the process around it does.
+constexpr Millis planPause { 5 };
+// An order that is carried out late is so by 2 to 12 s.
+constexpr int earliestLateMs = 2'000;
+constexpr int latestLateMs = 12'000;
+
+} // namespace
+
+FleetReplay::FleetReplay(ReplaySettings settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_shard(ShardSettings {}, 1)
+{
+    std::map<RunnerId, RunnerReport> listed;
+    for (std::uint32_t i = 0; i < settings.runners; ++i) {
+        auto report = ShardFixture::report("r" + std::to_string(i), settings.cpuOfRunner);
+        m_runners[report.id].report = report;
+        listed.emplace(report.id, report);
+    }
+    m_shard.observeRunners(listed, m_now);
+}
+
+void FleetReplay::play(const std::vector<ReplayJob>& jobs, Millis length)
+{
+    auto begin = m_now + 1s;
+    for (const auto& each : jobs)
+        at(begin + (each.at - TimePoint {}), [this, each] { arrive(each); });
+    schedulePlan();
+    auto until = begin + length;
+    while (!m_events.empty() && m_events.begin()->first <= until) {
+        auto event = m_events.extract(m_events.begin());
+        m_now = event.key();
+        event.mapped()();
+        store();
+        noteCompleted();
+        schedulePlan();
+    }
+}
+
+void FleetReplay::at(TimePoint when, std::function<void()> what) { m_events.emplace(when, std::move(what)); }
+
+void FleetReplay::schedulePlan()
+{
+    if (std::exchange(m_isPlanSet, true))
+        return;
+    at(m_now + planPause, [this] { plan(); });
+}
+
+void FleetReplay::plan()
+{
+    m_isPlanSet = false;
+    auto wall = WallTime { std::chrono::duration_cast<Millis>(m_now.time_since_epoch()) };
+    auto orders = m_shard.plan(m_now, wall, true);
+    for (const auto& each : orders.starts)
+        send(each);
+    for (const auto& each : orders.stops)
+        send(each);
+    for (const auto& each : orders.looks)
+        send(each);
+}
+
+void FleetReplay::store()
+{
+    for (const auto& change : m_shard.takeChanges(m_now))
+        m_shard.onStored(change, m_now);
+    m_shard.onEndsStored(m_shard.endsMark());
+}
+
+bool FleetReplay::isLost() { return std::bernoulli_distribution(m_settings.lostShare)(m_random); }
+
+Millis FleetReplay::lateness()
+{
+    return Millis(std::uniform_int_distribution<int>(earliestLateMs, latestLateMs)(m_random));
+}
+
+void FleetReplay::send(const OutgoingStart& out)
+{
+    auto& runner = m_runners.at(out.runner.id);
+    if (isLost()) {
+        at(m_now + lateness(), [this, &runner, order = out.order] { start(runner, order); });
+        at(m_now + timeoutOf(out.order.timeout),
+            [this, out] { m_shard.onStart(out.runner.id, out.order, { OrderOutcome::Unknown }, m_now); });
+        return;
+    }
+    at(m_now + oneWay, [this, &runner, out] {
+        auto outcome = start(runner, out.order);
+        at(m_now + oneWay, [this, out, outcome] {
+            OrderAnswer answer { outcome, clock() };
+            answer.took = oneWay * 2;
+            m_shard.onStart(out.runner.id, out.order, answer, m_now);
+        });
+    });
+}
+
+OrderOutcome FleetReplay::start(VirtualRunner& runner, const StartOrder& order)
+{
+    if (auto run = runner.runs.find(order.task); run != runner.runs.end())
+        return run->second.attempt == order.attempt ? OrderOutcome::Accepted : OrderOutcome::Superseded;
+    if (auto settled = runner.settled.find(order.task);
+        settled != runner.settled.end() && settled->second >= order.attempt)
+        return OrderOutcome::Superseded;
+    if (order.leaseUntil < clock())
+        return OrderOutcome::TooLate;
+    auto runsElsewhere = std::any_of(m_runners.begin(), m_runners.end(),
+        [&](const auto& each) { return each.second.runs.contains(order.task); });
+    doubled += runsElsewhere || m_done.contains(order.task) ? 1 : 0;
+    const auto& [at0, job, durations] = m_jobs.at(order.task.job);
+    auto cpu = job.steps[order.task.step].each.cpu;
+    runner.runs[order.task] = { order.attempt, cpu };
+    std::int64_t used = 0;
+    for (const auto& [task, run] : runner.runs)
+        used += run.cpu;
+    overfilled += used > runner.report.capacity.cpu ? 1 : 0;
+    std::size_t number = order.task.index;
+    for (std::uint32_t step = 0; step < order.task.step; ++step)
+        number += job.steps[step].count;
+    at(m_now + durations[number], [this, &runner, order] {
+        if (auto run = runner.runs.find(order.task);
+            run != runner.runs.end() && run->second.attempt == order.attempt)
+            end(runner, order.task, EndKind::Done);
+    });
+    return OrderOutcome::Accepted;
+}
+
+void FleetReplay::end(VirtualRunner& runner, const TaskName& task, EndKind kind)
+{
+    auto attempt = runner.runs.at(task).attempt;
+    runner.runs.erase(task);
+    runner.settled[task] = attempt;
+    runner.ended.push_back({ ++runner.endCount, task, attempt, kind, {} });
+    if (kind == EndKind::Done)
+        m_done.insert(task);
+    if (auto answer = std::exchange(runner.answerLook, nullptr))
+        answer();
+}
+
+void FleetReplay::send(const OutgoingStop& out)
+{
+    auto& runner = m_runners.at(out.runner.id);
+    auto isAnswered = !isLost();
+    at(m_now + (isAnswered ? oneWay : lateness()), [this, &runner, out] { stop(runner, out.order); });
+    at(m_now + (isAnswered ? oneWay * 2 : timeoutOf(out.order.timeout)), [this, out, isAnswered] {
+        OrderAnswer answer { isAnswered ? OrderOutcome::Accepted : OrderOutcome::Unknown, clock() };
+        answer.took = oneWay * 2;
+        m_shard.onStop(out.runner.id, out.order, answer, m_now);
+    });
+}
+
+void FleetReplay::stop(VirtualRunner& runner, const StopOrder& order)
+{
+    auto& settled = runner.settled[order.task];
+    settled = std::max(settled, order.attempt);
+    if (auto run = runner.runs.find(order.task);
+        run != runner.runs.end() && run->second.attempt <= order.attempt)
+        end(runner, order.task, EndKind::Stopped);
+}
+
+void FleetReplay::send(const OutgoingLook& out)
+{
+    ++looks;
+    auto sent = m_now;
+    auto& runner = m_runners.at(out.runner.id);
+    if (isLost()) {
+        at(m_now + out.order.wait + timeoutOf(out.order.timeout), [this, out, sent] {
+            m_shard.onLook(out.runner.id, out.order, { { OrderOutcome::Unknown }, {}, {} }, sent, m_now);
+        });
+        return;
+    }
+    at(m_now + oneWay, [this, &runner, out, sent] {
+        std::erase_if(runner.ended, [&](const EndedTask& each) { return each.number <= out.order.endsSeen; });
+        auto answer = [this, &runner, out, sent] {
+            LookAnswer look { { OrderOutcome::Accepted, clock(), 1 }, {}, runner.ended };
+            for (const auto& [task, run] : runner.runs)
+                look.running.push_back({ task, run.attempt, {}, 100 });
+            at(m_now + oneWay,
+                [this, out, look, sent] { m_shard.onLook(out.runner.id, out.order, look, sent, m_now); });
+        };
+        if (!runner.ended.empty() || out.order.wait.count() == 0) {
+            answer();
+            return;
+        }
+        auto number = runner.endCount;
+        runner.answerLook = answer;
+        at(m_now + out.order.wait, [&runner, number] {
+            if (runner.endCount != number)
+                return;
+            if (auto waiting = std::exchange(runner.answerLook, nullptr))
+                waiting();
+        });
+    });
+}
+
+void FleetReplay::arrive(const ReplayJob& replay)
+{
+    ++asked;
+    m_jobs[replay.job.id] = replay;
+    m_jobs[replay.job.id].at = m_now;
+    auto wall = WallTime { std::chrono::duration_cast<Millis>(m_now.time_since_epoch()) };
+    if (m_shard.submit(replay.job, m_now, wall).verdict == SubmitVerdict::New)
+        m_open.insert(replay.job.id);
+    else
+        ++rejected;
+}
+
+void FleetReplay::noteCompleted()
+{
+    for (auto id = m_open.begin(); id != m_open.end();) {
+        auto* entry = m_shard.find(*id);
+        if (!entry || entry->storedState != JobState::Completed) {
+            ++id;
+            continue;
+        }
+        const auto& [arrived, job, durations] = m_jobs.at(*id);
+        inTime += m_now <= arrived + job.objective() ? 1 : 0;
+        id = m_open.erase(id);
+    }
+}
+
+std::vector<ReplayJob> turnOfSmallJobs(double perSecond, Millis length, double off, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(perSecond / 1000);
+    std::uniform_int_distribution<std::uint32_t> width(4, 12);
+    std::uniform_int_distribution<int> cpu(500, 1'500);
+    std::uniform_int_distribution<int> duration(400, 900);
+    std::uniform_real_distribution<double> error(1 - off, 1 + off);
+    std::vector<ReplayJob> jobs;
+    for (double at = gap(random); at < double(length.count()); at += gap(random)) {
+        auto id = "job" + std::to_string(jobs.size());
+        ReplayJob replay { TimePoint(Millis(std::int64_t(at))), ShardFixture::job(id, 1), {} };
+        replay.job.steps.assign(jobs.size() % 3 == 0 ? 2 : 1, replay.job.steps.front());
+        for (std::uint32_t i = 0; i < replay.job.steps.size(); ++i) {
+            auto& step = replay.job.steps[i];
+            step.count = width(random);
+            step.each.cpu = cpu(random);
+            step.estimate = Millis(duration(random));
+            if (i > 0)
+                step.after = { i - 1 };
+            for (std::uint32_t task = 0; task < step.count; ++task)
+                replay.durations.emplace_back(std::int64_t(double(step.estimate.count()) * error(random)));
+        }
+        jobs.push_back(std::move(replay));
+    }
+    return jobs;
+}
+
+} // namespace fulmar::jobs::test
--- /dev/null
+++ b/src/jobs/tests/fleet_replay.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "jobs/shard.h"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+namespace fulmar::jobs::test {
+
+using namespace std::chrono_literals;
+
+struct ReplaySettings {
+    std::uint32_t runners { 10 };
+    std::int64_t cpuOfRunner { 16'000 };
+    // Share of orders that get no answer and are carried out seconds later.
+    double lostShare { 0 };
+    // In place of the time that the shard waits for an answer: what a naive holder does.
+    std::optional<Millis> fixedTimeout;
+    std::uint64_t seed { 1 };
+};
+
+// A job and how long each of its tasks really runs, in the order of its steps.
+struct ReplayJob {
+    TimePoint at;
+    Job job;
+    std::vector<Millis> durations;
+};
+
+// Plays jobs against a shard in virtual time: a store that answers at once, and runners that run tasks, lose
+// answers and carry out orders late. Counts what the shard must never do.
+class FleetReplay {
+public:
+    explicit FleetReplay(ReplaySettings);
+
+    void play(const std::vector<ReplayJob>&, Millis length);
+
+    // Jobs that were completed within their objective; and all that were handed in.
+    std::uint32_t inTime { 0 };
+    std::uint32_t asked { 0 };
+    std::uint32_t rejected { 0 };
+    std::uint32_t looks { 0 };
+    // Two runs of one task at one time, or a start after it was done; a runner filled beyond its capacity.
+    std::uint32_t doubled { 0 };
+    std::uint32_t overfilled { 0 };
+
+private:
+    struct VirtualRun {
+        Attempt attempt { 0 };
+        std::int64_t cpu { 0 };
+    };
+    struct VirtualRunner {
+        RunnerReport report;
+        std::map<TaskName, VirtualRun> runs;
+        std::map<TaskName, Attempt> settled;
+        std::vector<EndedTask> ended;
+        std::uint64_t endCount { 0 };
+        // Answers the look that waits.
+        std::function<void()> answerLook;
+    };
+
+    void at(TimePoint, std::function<void()>);
+    void schedulePlan();
+    void plan();
+    void store();
+    void send(const OutgoingStart&);
+    void send(const OutgoingStop&);
+    void send(const OutgoingLook&);
+    OrderOutcome start(VirtualRunner&, const StartOrder&);
+    void stop(VirtualRunner&, const StopOrder&);
+    void end(VirtualRunner&, const TaskName&, EndKind);
+    void arrive(const ReplayJob&);
+    void noteCompleted();
+    [[nodiscard]] bool isLost();
+    [[nodiscard]] Millis timeoutOf(Millis wanted) const { return m_settings.fixedTimeout.value_or(wanted); }
+    [[nodiscard]] Millis lateness();
+    [[nodiscard]] RunnerTime clock() const
+    {
+        return RunnerTime(std::chrono::duration_cast<Millis>(m_now.time_since_epoch()));
+    }
+
+    ReplaySettings m_settings;
+    std::mt19937_64 m_random;
+    TimePoint m_now { 1'000s };
+    Shard m_shard;
+    std::map<RunnerId, VirtualRunner> m_runners;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::map<JobId, ReplayJob> m_jobs;
+    std::set<TaskName> m_done;
+    std::set<JobId> m_open;
+    bool m_isPlanSet { false };
+};
+
+// A queue's turn: jobs of a few small tasks in one or two steps, `perSecond` of them for `length`. Each
+// task's run time is off its estimate by up to `off` both ways.
+[[nodiscard]] std::vector<ReplayJob> turnOfSmallJobs(
+    double perSecond, Millis length, double off, std::uint64_t seed);
+
+} // namespace fulmar::jobs::test
--- a/src/jobs/tests/shard_fixture.h
+++ b/src/jobs/tests/shard_fixture.h
@@ -111,6 +111,17 @@
         shard.onLook(RunnerId(id), order, look, now - 1ms, now);
     }
 
+    // None of the orders to start the run is answered, until it is called off.
+    void exhaustStarts(OutgoingStart start)
+    {
+        for (int tries = 0; tries < 10 && stops.empty(); ++tries) {
+            accept(start, OrderOutcome::Unknown);
+            step();
+            if (!starts.empty())
+                start = starts.front();
+        }
+    }
+
     // One runner does not answer, the other does, until something starts again.
     void silenceUntilStart(const std::string& silent, const std::string& sound)
     {
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -438,11 +438,11 @@
         }
         ++outbox.inFlight;
         m_runnerClient.start(start.runner, start.order,
-            [this, id, order = start.order, isAlive = m_isAlive](const jobs::OrderAnswer& answer) {
+            [this, id, order = start.order, sent = now, isAlive = m_isAlive](jobs::OrderAnswer answer) {
                 if (!*isAlive)
                     return;
-                auto& sent = m_outboxes[id];
-                --sent.inFlight;
+                answer.took = m_clock.now() - sent;
+                --m_outboxes[id].inFlight;
                 m_metrics.countOrder("start", std::string(toString(answer.outcome)));
                 if (answer.outcome != jobs::OrderOutcome::Accepted)
                     logWarning("start",
@@ -461,10 +461,11 @@
 void ShardOwner::sendStop(const jobs::OutgoingStop& stop)
 {
     m_runnerClient.stop(stop.runner, stop.order,
-        [this, id = stop.runner.id, order = stop.order, isAlive = m_isAlive](
-            const jobs::OrderAnswer& answer) {
+        [this, id = stop.runner.id, order = stop.order, sent = m_clock.now(), isAlive = m_isAlive](
+            jobs::OrderAnswer answer) {
             if (!*isAlive)
                 return;
+            answer.took = m_clock.now() - sent;
             m_metrics.countOrder("stop", std::string(toString(answer.outcome)));
             m_shard.onStop(id, order, answer, m_clock.now());
             schedule();
