--- /dev/null
+++ b/src/jobs/tests/vm_standing_test.cpp
@@ -0,0 +1,44 @@
+#include "jobs/vm_standing.h"
+
+#include "jobs/tests/shard_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fulmar;
+using namespace fulmar::jobs;
+using namespace fulmar::jobs::test;
+
+BOOST_AUTO_TEST_SUITE(vm_standing)
+
+// Found on kspf-sched scale-1: while a zone was cut off, pools counted its VMs and asked for no others.
+BOOST_FIXTURE_TEST_CASE(AVmWhoseRunnerIsSilentDoesNotCount, ShardFixture)
+{
+    addRunner("r1");
+    const auto& runner = shard.runners().at(RunnerId("r1"));
+    VmFacts vm { VmState::Up, false, &runner };
+    BOOST_TEST(bool(standingOf(vm) == VmStanding::Idle));
+    submit(job("j1", 1));
+    step();
+    accept(starts.at(0));
+    BOOST_TEST(bool(standingOf(vm) == VmStanding::Busy));
+    step();
+    answerLook("r1", {}, {}, OrderOutcome::Unknown);
+    BOOST_TEST(bool(standingOf(vm) == VmStanding::Busy));
+    step();
+    answerLook("r1", {}, {}, OrderOutcome::Unknown);
+    BOOST_TEST(bool(standingOf(vm) == VmStanding::Absent));
+}
+
+BOOST_AUTO_TEST_CASE(AVmThatStartsCountsUntilItsRunnerIsOverdue)
+{
+    VmFacts vm { VmState::Up, false, nullptr, false, 500ms };
+    BOOST_TEST(bool(standingOf(vm) == VmStanding::Arriving));
+    vm.withoutRunner = 10s;
+    BOOST_TEST(bool(standingOf(vm) == VmStanding::Absent));
+    vm.isMoving = true;
+    BOOST_TEST(bool(standingOf(vm) == VmStanding::Arriving));
+    BOOST_TEST(bool(standingOf({ VmState::Down }) == VmStanding::Absent));
+    BOOST_TEST(bool(standingOf({ VmState::Moving }) == VmStanding::Arriving));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -389,6 +389,22 @@
         });
 }
 
+jobs::VmFacts VmKeeper::factsOf(const jobs::VmRecord& vm, bool isMoving, TimePoint now)
+{
+    jobs::VmFacts facts { vm.state, isMoving };
+    auto runner = m_shard.runners().find(vm.runner);
+    if (runner != m_shard.runners().end()) {
+        facts.runner = &runner->second;
+        facts.hasLastingRuns = m_shard.hasLastingRuns(vm.runner);
+    }
+    if (facts.runner || isMoving || vm.state != jobs::VmState::Up)
+        m_withoutRunnerSince.erase(vm.vm);
+    else
+        facts.withoutRunner = std::chrono::duration_cast<jobs::Millis>(
+            now - m_withoutRunnerSince.try_emplace(vm.vm, now).first->second);
+    return facts;
+}
+
 void VmKeeper::planMoves(TimePoint now)
 {
     jobs::MoveInput input;
@@ -413,21 +429,24 @@
         if (need == needs.end())
             continue;
         cpuOfVm[pool] = std::max(cpuOfVm[pool], vm.capacity.cpu);
-        if (vm.state == jobs::VmState::Down || isInWave(id))
+        if (isInWave(id))
             continue;
-        ++need->second.present;
-        auto runner = m_shard.runners().find(vm.runner);
-        auto isSettled = pending == m_moves.end() && vm.state == jobs::VmState::Up
-            && runner != m_shard.runners().end() && !runner->second.report().isDraining;
-        if (!isSettled) {
-            arriving[pool] += vm.capacity.cpu;
+        switch (jobs::standingOf(factsOf(vm, pending != m_moves.end(), now))) {
+        case jobs::VmStanding::Absent:
             continue;
-        }
-        if (runner->second.isKnownEmpty())
-            need->second.idle.push_back(
-                { id, std::chrono::duration_cast<jobs::Millis>(now - runner->second.idleSince) });
-        else if (runner->second.isFenced && !m_shard.hasLastingRuns(vm.runner))
+        case jobs::VmStanding::Arriving:
+            arriving[pool] += vm.capacity.cpu;
+            break;
+        case jobs::VmStanding::Idle:
+            need->second.idle.push_back({ id, idleTime(vm, now) });
+            break;
+        case jobs::VmStanding::Busy:
             need->second.busy.push_back(id);
+            break;
+        case jobs::VmStanding::Held:
+            break;
+        }
+        ++need->second.present;
     }
     // VMs that any pool may get: those switched off, and those beyond a pool's need.
     std::int64_t spare = 0;
--- a/src/node/vm_keeper.h
+++ b/src/node/vm_keeper.h
@@ -2,6 +2,7 @@
 
 #include "jobs/maintenance_plan.h"
 #include "jobs/shard.h"
+#include "jobs/vm_standing.h"
 #include "node/shard_map.h"
 #include "platform/store_client.h"
 #include "platform/vm_client.h"
@@ -69,6 +70,7 @@
     void takeDown(jobs::WaveProgress&, const VmId&, TimePoint now);
     void planMoves(TimePoint now);
     void logNeed(const jobs::PoolNeed&, TimePoint now);
+    [[nodiscard]] jobs::VmFacts factsOf(const jobs::VmRecord&, bool isMoving, TimePoint now);
     void setEmptying(const std::set<VmId>&);
     void move(const jobs::VmMove&, TimePoint now);
     [[nodiscard]] const jobs::VmRecord* find(const VmId&) const;
@@ -95,6 +97,7 @@
     std::map<VmId, PendingMove> m_moves;
     std::set<VmId> m_emptying;
     std::map<PoolId, jobs::PoolFloor> m_floors;
+    std::map<VmId, TimePoint> m_withoutRunnerSince;
     struct LoggedNeed {
         std::uint32_t needed { 0 };
         std::uint32_t present { 0 };
