--- a/src/jobs/runner_orders.h
+++ b/src/jobs/runner_orders.h
@@ -120,6 +120,8 @@
     OrderAnswer answer;
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
+    // Entries of the answer that could not be read and are in neither list.
+    std::uint32_t unreadable { 0 };
 };
 
 } // namespace fulmar::jobs
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,6 +18,8 @@
 // The row that says into how many shards the fleet is divided.
 constexpr auto mapTable = "layout";
 constexpr auto mapKey = "shards";
+// A row that never exists.
+constexpr auto probeKey = "none";
 constexpr std::chrono::milliseconds mapRetry { 250 };
 // Leases change hands seldom, but every renewal is a change of the table; this paces the answers.
 constexpr std::chrono::milliseconds leaseFeedPause { 150 };
@@ -67,6 +69,7 @@
               [] {} })
     , m_mapTimer(m_loop)
     , m_tickTimer(m_loop)
+    , m_probeTimer(m_loop)
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 {
     std::mt19937_64 random(std::random_device {}());
@@ -351,12 +354,48 @@
                 { { "part", slot.part }, { "epoch", std::to_string(claim.epoch) },
                     { "outcome", std::string(toString(result.outcome)) } });
             slot.lease.delayAcquire(now + acquireRetry);
+            if (result.outcome != platform::CommitOutcome::Conflict)
+                awaitWritableStore();
             // A conflict tells the rows as they are; what may have been done is seen by the feed.
             for (const auto& row : result.current)
                 onLeaseRow(row);
         });
 }
 
+// A store that refuses a claim may have refused the holder's renewal too, while it still serves reads.
+// Whoever claims at its return would take the shard from a holder that is well; so it is asked by a write
+// that changes nothing, and holders get time to renew.
+void Node::awaitWritableStore()
+{
+    for (auto& slot : m_slots)
+        slot->lease.observeStoreLost();
+    if (std::exchange(m_isStoreProbed, true))
+        return;
+    logWarning("store-refuses-writes", { { "retry-ms", std::to_string(acquireRetry.count()) } });
+    probeStore();
+}
+
+void Node::probeStore()
+{
+    m_probeTimer.expires_after(acquireRetry + m_jitter);
+    m_probeTimer.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        platform::RowTransaction nothing;
+        nothing.removals.push_back({ leaseTable, "", probeKey });
+        m_store.commit(nothing, acquireTimeout, [this](const platform::CommitResult& result) {
+            if (result.outcome != platform::CommitOutcome::Committed) {
+                probeStore();
+                return;
+            }
+            m_isStoreProbed = false;
+            logInfo("store-takes-writes", { { "version", std::to_string(result.version) } });
+            for (auto& slot : m_slots)
+                slot->lease.observeStoreRegained(m_clock.now());
+        });
+    });
+}
+
 void Node::onAcquired(Slot& slot, Version version, Epoch epoch, TimePoint sent)
 {
     auto now = m_clock.now();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -53,6 +53,8 @@
     [[nodiscard]] std::chrono::milliseconds acquireDelay() const;
     void tickSlot(Slot&, TimePoint now);
     void acquire(Slot&);
+    void awaitWritableStore();
+    void probeStore();
     void onAcquired(Slot&, Version, Epoch, TimePoint sent);
     void dropShard(Slot&, std::string_view why);
     void release(Slot&);
@@ -97,6 +99,8 @@
     std::unique_ptr<CallerServer> m_metricsServer;
     NodeMetrics m_metrics;
     asio::steady_timer m_tickTimer;
+    asio::steady_timer m_probeTimer;
+    bool m_isStoreProbed { false };
     asio::signal_set m_signals;
     // Drawn at the start, so that processes do not try to take a shard at the same time.
     std::chrono::milliseconds m_jitter { 0 };
