A process that holds several shards gives the newest up to others

Calls for a shard that changes hands are tried again for up to a second, those of a lost one are refused at once as before; a shard that is being released takes no more calls, which would have ended as 'may have run'. Ways weighed: naming the successor needs each process to know the others, which nothing here does; moving the load by job needs two holders for one VM.

--- a/src/node/call_retry.cpp
+++ b/src/node/call_retry.cpp
@@ -23,6 +23,21 @@
     return left > tryPause + shortestTry ? RetryStep::Again : RetryStep::AnswerUncertain;
 }
 
+JobReply refusalWithoutHolder(bool isChangingHands)
+{
+    JobReply reply;
+    reply.verdict = JobVerdict::NotHolder;
+    reply.retryAfter = isChangingHands ? handOverTime : retryWithoutHolder;
+    reply.reason = isChangingHands ? "changing-hands" : "no-holder";
+    return reply;
+}
+
+bool isBetweenHolders(const JobReply& reply)
+{
+    return reply.verdict == JobVerdict::NotHolder && reply.retryAfter > std::chrono::milliseconds(0)
+        && reply.retryAfter <= handOverTime;
+}
+
 std::chrono::milliseconds timeForTry(std::chrono::milliseconds left)
 {
     return std::clamp(left, shortestTry, longestTry);
--- a/src/node/call_retry.h
+++ b/src/node/call_retry.h
@@ -26,4 +26,17 @@
 // Pause before the next try.
 inline constexpr std::chrono::milliseconds tryPause { 100 };
 
+// When a caller may come back that found no holder: others take a lost shard after its lease of three
+// seconds, or sooner.
+inline constexpr std::chrono::milliseconds retryWithoutHolder { 1'000 };
+// A shard that was given up is taken within about this time, so that a call is tried again rather than
+// refused; for this long at most.
+inline constexpr std::chrono::milliseconds handOverTime { 300 };
+inline constexpr std::chrono::milliseconds handOverPatience { 1'000 };
+
+// The reply of a process that does not hold the shard; it may be between two holders.
+[[nodiscard]] JobReply refusalWithoutHolder(bool isChangingHands);
+// Nothing was done, and the next holder is about to take the shard.
+[[nodiscard]] bool isBetweenHolders(const JobReply&);
+
 } // namespace fulmar::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include "core/log.h"
+#include "node/call_retry.h"
 #include "node/stop_plan.h"
 #include "platform/decode.h"
 #include "platform/names.h"
@@ -37,12 +38,14 @@
 // An order of the last holder may still be on its way when its lease ends.
 constexpr std::chrono::milliseconds orderMargin { 300 };
 constexpr std::chrono::milliseconds acquireTimeout { 1'200 };
+// A shard that is given up is left to others for this long: they see it within the pause of the feed, and
+// wait their own delays.
+constexpr std::chrono::milliseconds offerTime { 700 };
 // A claim that failed is tried again after this; the store may be away.
 constexpr std::chrono::milliseconds acquireRetry { 250 };
 // Kept beyond the time that the platform asks for.
 constexpr std::chrono::milliseconds finishedMargin { 30'000 };
 constexpr std::chrono::milliseconds feedPause { 10 };
-constexpr std::chrono::milliseconds retryWithoutHolder { 1'000 };
 // A job has 4,000 bytes of spec and 64 steps of a few hundred bytes at most.
 constexpr std::size_t maxBodyBytes = 1024 * 1024;
 // Callers keep connections open between calls.
@@ -104,10 +107,10 @@
     m_metricsServer = std::move(*metrics);
     auto rpc = ShardRpcServer::start(m_settings.peerAddress, m_loop, [this](JobCall call, OnJobReply reply) {
         auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
-        if (slot && slot->owner)
+        if (slot && isServed(*slot))
             slot->owner->handle(std::move(call), std::move(reply));
         else
-            reply({ JobVerdict::NotHolder, {}, 0, retryWithoutHolder, "not-holder" });
+            reply(refusalWithoutHolder(slot && slot->isReleased));
     });
     if (!rpc)
         return tl::unexpected(rpc.error());
@@ -193,7 +196,7 @@
         parts.push_back(ShardMap::partOf(index));
         m_slots.push_back(std::make_unique<Slot>(
             Slot { index, parts.back(), ShardLease(LeaseSettings {}, m_settings.peerAddress, m_incarnation),
-                nullptr, false, false, {}, {}, {} }));
+                nullptr, false, false, {}, {}, {}, {}, {} }));
     }
     m_leaseFollower
         = std::make_unique<TableFollower>(m_loop, m_store, leaseTable, std::move(parts), leaseFeedPause,
@@ -299,6 +302,8 @@
         tickSlot(*slot, now);
     if (m_isStopping)
         finishStop();
+    else
+        planHandOver(now);
     m_tickTimer.expires_after(tickPause);
     m_tickTimer.async_wait([this](const asio::error_code& error) {
         if (!error)
@@ -309,6 +314,8 @@
 void Node::tickSlot(Slot& slot, TimePoint now)
 {
     if (slot.owner) {
+        if (slot.handOverAt && now >= *slot.handOverAt && !slot.isReleased)
+            release(slot);
         if (now >= slot.renewAt && !slot.isReleased) {
             slot.renewAt = now + slot.lease.settings().length / renewalsPerLease;
             slot.owner->renew();
@@ -401,11 +408,15 @@
     auto now = m_clock.now();
     slot.lease.onRenewed(sent);
     slot.renewAt = now;
+    slot.heldSince = now;
+    slot.handOverAt.reset();
+    slot.isReleased = false;
     jobs::ShardSettings settings;
     settings.maxLease = m_settings.maxRunnerLease;
     settings.keepFinished = m_settings.keepFinished + finishedMargin;
     ShardOwner::Hooks hooks;
     hooks.mayOrder = [this, &slot] { return slot.lease.isValid(m_clock.now()) && !slot.isReleased; };
+    hooks.mayOrderVms = [mayOrder = hooks.mayOrder, &slot] { return mayOrder() && !slot.handOverAt; };
     hooks.onLost = [this, &slot] { asio::post(m_loop, [this, &slot] { dropShard(slot, "store-refused"); }); };
     hooks.onRenewed = [&slot](TimePoint at) { slot.lease.onRenewed(at); };
     hooks.isOurs = [this, index = slot.index](const VmId& vm) { return m_map->shardOf(vm) == index; };
@@ -473,12 +484,35 @@
     released.address.clear();
     --released.epoch;
     slot.isReleased = true;
-    slot.owner->release(encodeOwner(released), [this, &slot] {
-        logInfo("shard-released", { { "part", slot.part } });
+    slot.lease.delayAcquire(m_clock.now() + offerTime);
+    slot.owner->release(encodeOwner(released), [this, &slot, epoch = released.epoch] {
+        logInfo("shard-released", { { "part", slot.part }, { "epoch", std::to_string(epoch) } });
         asio::post(m_loop, [&slot] { slot.owner.reset(); });
     });
 }
 
+void Node::planHandOver(TimePoint now)
+{
+    std::size_t held = 0;
+    Slot* newest = nullptr;
+    for (auto& slot : m_slots) {
+        if (!slot->owner)
+            continue;
+        if (slot->handOverAt || slot->isReleased)
+            return;
+        ++held;
+        if (!newest || slot->heldSince > newest->heldSince)
+            newest = slot.get();
+    }
+    if (!m_handOver.isDue(held, newest ? newest->heldSince : now, now))
+        return;
+    m_handOver.onBegun(now);
+    newest->handOverAt = now + quietBeforeHandOver;
+    logInfo("shard-hand-over",
+        { { "part", newest->part }, { "held", std::to_string(held) },
+            { "quiet-ms", std::to_string(quietBeforeHandOver.count()) } });
+}
+
 void Node::finishStop()
 {
     StopState state;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "io/caller_server.h"
+#include "node/hand_over.h"
 #include "node/node_settings.h"
 #include "node/shard_lease.h"
 #include "node/shard_map.h"
@@ -44,7 +45,11 @@
         ShardLease lease;
         std::unique_ptr<ShardOwner> owner;
         bool isAcquiring { false };
+        // The lease is being given up: no calls are taken and no orders given.
         bool isReleased { false };
+        TimePoint heldSince;
+        // The shard is given up then, and gives no orders for VMs until then.
+        std::optional<TimePoint> handOverAt;
         TimePoint renewAt;
         // The holder's last answer, and when to ask it for one.
         TimePoint holderAnswered;
@@ -58,6 +63,9 @@
     void onAcquired(Slot&, Version, Epoch, TimePoint sent);
     void dropShard(Slot&, std::string_view why);
     void release(Slot&);
+    // Begins to give the newest shard up if this process holds more than its share.
+    void planHandOver(TimePoint now);
+    [[nodiscard]] static bool isServed(const Slot& slot) { return slot.owner && !slot.isReleased; }
     [[nodiscard]] Slot* slotOf(const std::string& part);
     void stop();
     void reload();
@@ -71,7 +79,15 @@
     void countPending(JobCall, std::chrono::milliseconds timeout, OnJobReply);
     // Asks the other shards for a job that its own shard does not know.
     void search(JobCall, std::uint32_t asked, TimePoint deadline, OnJobReply);
-    void passOnUntilSure(JobCall, TimePoint deadline, bool wasUncertain, OnJobReply);
+    // Tries of one call so far.
+    struct CallTries {
+        TimePoint deadline;
+        bool wasUncertain { false };
+        // Until when a shard that is changing hands is waited for.
+        TimePoint holderBy;
+    };
+    [[nodiscard]] CallTries triesUntil(TimePoint deadline) const;
+    void passOnUntilSure(JobCall, CallTries, OnJobReply);
     void probeHolder(Slot&, TimePoint now);
     [[nodiscard]] std::uint32_t shardFor(const jobs::Job&) const;
     [[nodiscard]] bool isReady() const;
@@ -104,6 +120,7 @@
     asio::signal_set m_signals;
     // Drawn at the start, so that processes do not try to take a shard at the same time.
     std::chrono::milliseconds m_jitter { 0 };
+    HandOverPlan m_handOver;
     bool m_isStopping { false };
     TimePoint m_stopAt;
     TimePoint m_answeredAt;
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -25,7 +25,6 @@
 constexpr std::chrono::milliseconds probeInterval { 800 };
 // Two missed probes: this process cannot serve, and says so to the balancer and to callers.
 constexpr std::chrono::milliseconds holderSilence { 1'700 };
-constexpr std::chrono::milliseconds retryWithoutHolder { 1'000 };
 
 std::string headerOf(const CallerRequest& request, std::string_view name)
 {
@@ -76,13 +75,14 @@
 void Node::passOn(JobCall call, std::chrono::milliseconds timeout, OnJobReply reply)
 {
     auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
-    if (slot && slot->owner) {
+    if (slot && isServed(*slot)) {
         slot->owner->handle(std::move(call), std::move(reply));
         return;
     }
     auto owner = slot ? slot->lease.owner() : std::nullopt;
     if (!owner || owner->address.empty() || owner->address == m_settings.peerAddress) {
-        reply({ JobVerdict::NotHolder, {}, 0, retryWithoutHolder, "no-holder" });
+        auto wasReleased = slot && (slot->isReleased || (owner && owner->address.empty()));
+        reply(refusalWithoutHolder(wasReleased));
         return;
     }
     // A holder that has not answered for a while is not asked, so that the caller is told at once; probes go
@@ -100,14 +100,22 @@
         });
 }
 
-void Node::passOnUntilSure(JobCall call, TimePoint deadline, bool wasUncertain, OnJobReply reply)
+Node::CallTries Node::triesUntil(TimePoint deadline) const
 {
-    auto left = [this, deadline] {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - m_clock.now());
+    return { deadline, false, std::min(deadline, m_clock.now() + handOverPatience) };
+}
+
+void Node::passOnUntilSure(JobCall call, CallTries tries, OnJobReply reply)
+{
+    auto until = [this](TimePoint moment) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(moment - m_clock.now());
     };
-    passOn(call, timeForTry(left()),
-        [this, call, deadline, left, wasUncertain, reply = std::move(reply)](JobReply result) mutable {
-            switch (decideRetry(result.verdict, wasUncertain, left())) {
+    passOn(call, timeForTry(until(tries.deadline)),
+        [this, call, tries, until, reply = std::move(reply)](JobReply result) mutable {
+            auto mayWait = isBetweenHolders(result) && until(tries.holderBy) > tryPause;
+            auto step = mayWait ? RetryStep::Again
+                                : decideRetry(result.verdict, tries.wasUncertain, until(tries.deadline));
+            switch (step) {
             case RetryStep::Answer:
                 reply(std::move(result));
                 return;
@@ -118,11 +126,13 @@
             case RetryStep::Again:
                 break;
             }
+            // A try that no holder took has not run.
+            tries.wasUncertain |= !mayWait;
             auto timer = std::make_shared<asio::steady_timer>(m_loop, tryPause);
-            timer->async_wait([this, timer, call = std::move(call), deadline, reply = std::move(reply)](
+            timer->async_wait([this, timer, call = std::move(call), tries, reply = std::move(reply)](
                                   const asio::error_code& error) mutable {
                 if (!error)
-                    passOnUntilSure(std::move(call), deadline, true, std::move(reply));
+                    passOnUntilSure(std::move(call), tries, std::move(reply));
             });
         });
 }
@@ -153,7 +163,7 @@
 
 void Node::search(JobCall call, std::uint32_t asked, TimePoint deadline, OnJobReply reply)
 {
-    passOnUntilSure(call, deadline, false,
+    passOnUntilSure(call, triesUntil(deadline),
         [this, call, asked, deadline, reply = std::move(reply)](const JobReply& result) mutable {
             auto isLast = asked + 1 >= m_slots.size();
             if (result.verdict != JobVerdict::UnknownJob || isLast) {
@@ -269,7 +279,7 @@
         answer(id, summary, reply, received);
     };
     if (call.kind == JobCallKind::Submit)
-        passOnUntilSure(std::move(call), received + timeout, false, std::move(done));
+        passOnUntilSure(std::move(call), triesUntil(received + timeout), std::move(done));
     else if (call.kind == JobCallKind::Count)
         countPending(std::move(call), timeout, std::move(done));
     else
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -68,7 +68,7 @@
               } })
     , m_shard(settings, vmSettings.epoch)
     , m_vmKeeper(clients.store, clients.vms, m_shard, vmSettings,
-          { m_hooks.mayOrder, m_hooks.isOurs,
+          { m_hooks.mayOrderVms, m_hooks.isOurs,
               [this](std::int64_t wave, std::string value, std::function<void()> durable) {
                   m_log.put(rowName(waveTable, std::to_string(wave)), std::move(value), std::move(durable));
               },
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -28,6 +28,8 @@
     struct Hooks {
         // The lease is sure enough to give orders.
         std::function<bool()> mayOrder;
+        // The same for orders that move or maintain VMs, which pause before the shard is given up.
+        std::function<bool()> mayOrderVms;
         // Another process holds the shard.
         std::function<void()> onLost;
         std::function<void(TimePoint sent)> onRenewed;
--- a/src/node/tests/call_retry_test.cpp
+++ b/src/node/tests/call_retry_test.cpp
@@ -25,6 +25,17 @@
     }
 }
 
+// A shard that was given up has a holder again within a fraction of a second: its callers wait that long,
+// those of a shard that was lost are told at once to come back.
+BOOST_AUTO_TEST_CASE(OnlyAShardThatChangesHandsIsWaitedFor)
+{
+    BOOST_TEST(isBetweenHolders(refusalWithoutHolder(true)));
+    BOOST_TEST(!isBetweenHolders(refusalWithoutHolder(false)));
+    BOOST_TEST(!isBetweenHolders(unknownJobReply(false)));
+    BOOST_TEST(!isBetweenHolders({ JobVerdict::Rejected, {}, 0, handOverTime, "overload" }));
+    BOOST_TEST(!isBetweenHolders({ JobVerdict::Uncertain, {}, 0, handOverTime, "shard-lost" }));
+}
+
 BOOST_AUTO_TEST_CASE(SureRepliesArePassedOn)
 {
     for (auto verdict : { JobVerdict::Done, JobVerdict::UnknownJob })
--- a/src/node/tests/shard_owner_test.cpp
+++ b/src/node/tests/shard_owner_test.cpp
@@ -17,7 +17,7 @@
     platform::RunnerClient runners(http);
     platform::VmClient vms(http, "127.0.0.1:1");
     NodeMetrics metrics;
-    ShardOwner::Hooks hooks { [] { return true; }, [] {}, [](TimePoint) {},
+    ShardOwner::Hooks hooks { [] { return true; }, [] { return true; }, [] {}, [](TimePoint) {},
         [](const VmId&) { return true; } };
     std::optional<JobReply> reply;
     {
