Holders that are late or small offer their shard; a pool's lasting jobs keep their shard

Two changes of the same files.

Lasting jobs: their shard followed from the pool's rank among the configured ones, so a job that was submitted again after a pool was added or dropped could be accepted in two shards. Pools now get places in the order in which they are first seen, in a row that is only added to.

--- a/src/node/hand_over.h
+++ b/src/node/hand_over.h
@@ -2,26 +2,48 @@
 
 #include "core/clock.h"
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 namespace fulmar::node {
 
-// Decides when a process gives a shard up to others. Load pattern: holders are cut off or stopped, and the
-// one process that is left takes their shards too; when the others are back it still carries them all,
-// answers late, and they idle. A process cannot know whether another one is there to take a shard, so it
-// tries, and tries less often while nobody does.
-class HandOverPlan {
+// How late a process gets to what is due: the lateness of its own timer, averaged over a second. Tells a
+// process whose processor is used up, or that is slow, from one that is well.
+class LoopLag {
 public:
-    // `held`: shards that this process holds; `newestSince`: when it took the last of them.
-    [[nodiscard]] bool isDue(std::size_t held, TimePoint newestSince, TimePoint now);
-    // A hand-over begins.
-    void onBegun(TimePoint now);
+    // A timer that was due at `due` is handled now.
+    void observe(TimePoint due, TimePoint now);
+    [[nodiscard]] std::chrono::milliseconds average() const;
+    // Orders and answers wait for about as long as this process waits for a runner's answer.
+    [[nodiscard]] bool isOverloaded() const;
 
 private:
-    std::chrono::milliseconds m_pause { 0 };
-    TimePoint m_notBefore;
+    std::chrono::duration<double, std::milli> m_average { 0 };
 };
 
+// A holder and one of its shards.
+struct HolderState {
+    // Shards that this process holds.
+    std::size_t held { 0 };
+    bool isOverloaded { false };
+    // It has less of a core than a holder needs at the worst load, and a smaller link mostly.
+    bool isSmall { false };
+    // When it took the shard, or gave its last one up: its load is not yet what it will be.
+    TimePoint changedAt;
+    // Times in a row that the shard was given up and taken by a holder no better.
+    std::uint32_t offers { 0 };
+};
+
+// Whether another process, if one is there, would be the better holder.
+[[nodiscard]] bool isStrained(const HolderState&);
+
+// Decides when a process begins to give a shard up to others. Load pattern: holders are cut off or stopped,
+// and the one process that is left, or a small one, takes their shards; when the others are back it still
+// carries them, answers late, and they idle. A process cannot know whether another one is there to take a
+// shard, so it tries, and tries less often while nobody better does.
+[[nodiscard]] bool isHandOverDue(const HolderState&, TimePoint now);
+
 // From the last order for a VM until the shard is given up: the next holder's orders may not come within a
 // lease of this one's, and one that was not answered may still be on its way.
 inline constexpr std::chrono::milliseconds quietBeforeHandOver { 3'500 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,7 +17,6 @@
 using namespace std::chrono_literals;
 
 // The row that says into how many shards the fleet is divided.
-constexpr auto mapTable = "layout";
 constexpr auto mapKey = "shards";
 // A row that never exists.
 constexpr auto probeKey = "none";
@@ -71,6 +70,7 @@
               },
               [] {} })
     , m_mapTimer(m_loop)
+    , m_poolOrder(m_loop, m_store)
     , m_tickTimer(m_loop)
     , m_probeTimer(m_loop)
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
@@ -147,7 +147,7 @@
 
 void Node::readShardMap()
 {
-    m_store.read(mapTable, "", {}, acquireTimeout, [this](const std::optional<platform::RowPage>& page) {
+    m_store.read(layoutTable, "", {}, acquireTimeout, [this](const std::optional<platform::RowPage>& page) {
         auto map = page && !page->rows.empty() ? decodeShardMap(page->rows.front().value) : std::nullopt;
         if (map) {
             onShardMap(*map);
@@ -175,7 +175,7 @@
             readShardMap();
             return;
         }
-        platform::RowName name { mapTable, "", mapKey };
+        platform::RowName name { layoutTable, "", mapKey };
         platform::RowTransaction transaction;
         transaction.conditions.push_back({ name, 0 });
         transaction.puts.push_back({ name, encodeShardMap(shardMapFor(vms->size())) });
@@ -264,6 +264,11 @@
             { "before", std::to_string(m_config ? m_config->version : 0) },
             { "queues", std::to_string(config->queues.size()) } });
     m_config = std::move(*config);
+    std::vector<PoolId> pools;
+    for (const auto& pool : m_config->pools)
+        if (!pool.isStandby)
+            pools.push_back(pool.id);
+    m_poolOrder.require(std::move(pools), m_jitter);
     for (auto& slot : m_slots)
         if (slot->owner)
             slot->owner->configure(*m_config);
@@ -298,12 +303,14 @@
 void Node::tick()
 {
     auto now = m_clock.now();
+    observeLag(now);
     for (auto& slot : m_slots)
         tickSlot(*slot, now);
     if (m_isStopping)
         finishStop();
     else
         planHandOver(now);
+    m_tickDue = m_clock.now() + tickPause;
     m_tickTimer.expires_after(tickPause);
     m_tickTimer.async_wait([this](const asio::error_code& error) {
         if (!error)
@@ -341,6 +348,8 @@
 {
     slot.isAcquiring = true;
     auto claim = slot.lease.claim();
+    if (!isStrained({ shardsHeld() + 1, m_isOverloaded, isSmall(), {}, 0 }))
+        claim.offers = 0;
     platform::RowName owner { leaseTable, slot.part, ownerKey };
     platform::RowName renewal { leaseTable, slot.part, renewalKey };
     platform::RowTransaction transaction;
@@ -445,6 +454,7 @@
     if (!slot.owner)
         return;
     logWarning("shard-dropped", { { "part", slot.part }, { "reason", std::string(why) } });
+    m_gaveUpAt = m_clock.now();
     slot.owner.reset();
 }
 
@@ -480,39 +490,62 @@
 
 void Node::release(Slot& slot)
 {
-    auto released = slot.lease.claim();
-    released.address.clear();
-    --released.epoch;
+    auto released = slot.lease.release(slot.handOverAt.has_value());
     slot.isReleased = true;
     slot.lease.delayAcquire(m_clock.now() + offerTime);
     slot.owner->release(encodeOwner(released), [this, &slot, epoch = released.epoch] {
         logInfo("shard-released", { { "part", slot.part }, { "epoch", std::to_string(epoch) } });
+        m_gaveUpAt = m_clock.now();
         asio::post(m_loop, [&slot] { slot.owner.reset(); });
     });
 }
 
 void Node::planHandOver(TimePoint now)
 {
-    std::size_t held = 0;
     Slot* newest = nullptr;
     for (auto& slot : m_slots) {
         if (!slot->owner)
             continue;
+        // One at a time.
         if (slot->handOverAt || slot->isReleased)
             return;
-        ++held;
         if (!newest || slot->heldSince > newest->heldSince)
             newest = slot.get();
     }
-    if (!m_handOver.isDue(held, newest ? newest->heldSince : now, now))
+    if (!newest)
+        return;
+    HolderState holder { shardsHeld(), m_isOverloaded, isSmall(), std::max(newest->heldSince, m_gaveUpAt),
+        newest->lease.owner()->offers };
+    if (!isHandOverDue(holder, now))
         return;
-    m_handOver.onBegun(now);
     newest->handOverAt = now + quietBeforeHandOver;
     logInfo("shard-hand-over",
-        { { "part", newest->part }, { "held", std::to_string(held) },
+        { { "part", newest->part }, { "held", std::to_string(holder.held) },
+            { "lag-ms", std::to_string(m_lag.average().count()) },
+            { "offers", std::to_string(holder.offers) },
             { "quiet-ms", std::to_string(quietBeforeHandOver.count()) } });
 }
 
+std::size_t Node::shardsHeld() const
+{
+    return std::size_t(
+        std::count_if(m_slots.begin(), m_slots.end(), [](const auto& slot) { return bool(slot->owner); }));
+}
+
+bool Node::isSmall() const { return m_settings.processorShare < shareOfHolder; }
+
+void Node::observeLag(TimePoint now)
+{
+    if (m_tickDue != TimePoint {})
+        m_lag.observe(m_tickDue, now);
+    if (m_isOverloaded == m_lag.isOverloaded())
+        return;
+    m_isOverloaded = !m_isOverloaded;
+    logWarning(m_isOverloaded ? "overloaded" : "overload-over",
+        { { "lag-ms", std::to_string(m_lag.average().count()) },
+            { "shards", std::to_string(shardsHeld()) } });
+}
+
 void Node::finishStop()
 {
     StopState state;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #include "io/caller_server.h"
 #include "node/hand_over.h"
 #include "node/node_settings.h"
+#include "node/pool_order.h"
 #include "node/shard_lease.h"
 #include "node/shard_map.h"
 #include "node/shard_owner.h"
@@ -63,8 +64,11 @@
     void onAcquired(Slot&, Version, Epoch, TimePoint sent);
     void dropShard(Slot&, std::string_view why);
     void release(Slot&);
-    // Begins to give the newest shard up if this process holds more than its share.
+    void observeLag(TimePoint now);
+    // Begins to give the newest shard up if this process is strained.
     void planHandOver(TimePoint now);
+    [[nodiscard]] std::size_t shardsHeld() const;
+    [[nodiscard]] bool isSmall() const;
     [[nodiscard]] static bool isServed(const Slot& slot) { return slot.owner && !slot.isReleased; }
     [[nodiscard]] Slot* slotOf(const std::string& part);
     void stop();
@@ -89,7 +93,8 @@
     [[nodiscard]] CallTries triesUntil(TimePoint deadline) const;
     void passOnUntilSure(JobCall, CallTries, OnJobReply);
     void probeHolder(Slot&, TimePoint now);
-    [[nodiscard]] std::uint32_t shardFor(const jobs::Job&) const;
+    // Empty while the place of a lasting job's pool is not settled.
+    [[nodiscard]] std::optional<std::uint32_t> shardFor(const jobs::Job&) const;
     [[nodiscard]] bool isReady() const;
 
     NodeSettings m_settings;
@@ -107,6 +112,7 @@
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::unique_ptr<TableFollower> m_leaseFollower;
     asio::steady_timer m_mapTimer;
+    PoolOrderKeeper m_poolOrder;
     std::optional<jobs::FleetConfig> m_config;
     std::map<std::int64_t, jobs::WaveOrder> m_waves;
     std::unique_ptr<ShardRpcServer> m_rpcServer;
@@ -120,7 +126,11 @@
     asio::signal_set m_signals;
     // Drawn at the start, so that processes do not try to take a shard at the same time.
     std::chrono::milliseconds m_jitter { 0 };
-    HandOverPlan m_handOver;
+    LoopLag m_lag;
+    bool m_isOverloaded { false };
+    // When this process gave a shard up last.
+    TimePoint m_gaveUpAt;
+    TimePoint m_tickDue;
     bool m_isStopping { false };
     TimePoint m_stopAt;
     TimePoint m_answeredAt;
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -197,15 +197,12 @@
     m_readiness->answer(id, plain(isReady() ? 200 : 503), false);
 }
 
-std::uint32_t Node::shardFor(const jobs::Job& job) const
+std::optional<std::uint32_t> Node::shardFor(const jobs::Job& job) const
 {
     if (!job.isLasting())
         return m_map->shardOf(job.id);
-    std::vector<PoolId> pools;
-    for (const auto& pool : m_config->pools)
-        if (!pool.isStandby)
-            pools.push_back(pool.id);
-    return m_map->shardOfLasting(job.policy.pool, pools);
+    auto place = m_poolOrder.placeOf(job.policy.pool);
+    return place ? std::optional(m_map->shardOfLasting(*place)) : std::nullopt;
 }
 
 void Node::onMetrics(CallId id)
@@ -262,7 +259,16 @@
         job->queue = queue->name;
         job->policy = queue->policy;
         call.encodedJob = jobs::encodeJob(*job);
-        call.shard = shardFor(*job);
+        auto shard = shardFor(*job);
+        if (!shard) {
+            logWarning("answer",
+                { { "job", call.job.value() }, { "kind", std::string(toString(call.kind)) },
+                    { "status", "503" }, { "reason", "pool-not-placed" },
+                    { "pool", job->policy.pool.value() } });
+            m_callers->answer(id, refusal(503, retryWithoutHolder, "pool-not-placed"), m_isStopping);
+            return;
+        }
+        call.shard = *shard;
     } else if (request.method == "GET") {
         call.kind = rest.empty() ? JobCallKind::Count : JobCallKind::Show;
     } else if (request.method == "DELETE" && !rest.empty()) {
--- a/src/node/shard_lease.cpp
+++ b/src/node/shard_lease.cpp
@@ -7,7 +7,8 @@
 std::string encodeOwner(const LeaseOwner& owner)
 {
     return nlohmann::json {
-        { "address", owner.address }, { "incarnation", owner.incarnation }, { "epoch", owner.epoch }
+        { "address", owner.address }, { "incarnation", owner.incarnation }, { "epoch", owner.epoch },
+        { "offers", owner.offers }
     }.dump();
 }
 
@@ -18,7 +19,8 @@
         return std::nullopt;
     try {
         return LeaseOwner { json.at("address").get<std::string>(),
-            json.at("incarnation").get<std::uint64_t>(), json.at("epoch").get<Epoch>() };
+            json.at("incarnation").get<std::uint64_t>(), json.at("epoch").get<Epoch>(),
+            json.value("offers", 0U) };
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
@@ -68,7 +70,15 @@
 
 LeaseOwner ShardLease::claim() const
 {
-    return { m_address, m_incarnation, (m_owner ? m_owner->epoch : 0) + 1 };
+    return { m_address, m_incarnation, (m_owner ? m_owner->epoch : 0) + 1, m_owner ? m_owner->offers : 0 };
+}
+
+LeaseOwner ShardLease::release(bool isOffered) const
+{
+    auto owner = m_owner.value_or(LeaseOwner {});
+    owner.address.clear();
+    owner.offers += isOffered ? 1 : 0;
+    return owner;
 }
 
 void ShardLease::onRenewed(TimePoint sent)
--- a/src/node/shard_lease.h
+++ b/src/node/shard_lease.h
@@ -15,6 +15,8 @@
     // Differs at each start of a process.
     std::uint64_t incarnation { 0 };
     Epoch epoch { 0 };
+    // Times in a row that a strained holder gave the shard up and another strained one took it.
+    std::uint32_t offers { 0 };
 
     bool operator==(const LeaseOwner&) const = default;
 };
@@ -58,6 +60,8 @@
     void delayAcquire(TimePoint until) { m_acquireFrom = until; }
     // What to write to take it.
     [[nodiscard]] LeaseOwner claim() const;
+    // What to write to give it up; `isOffered` if that is to find a better holder.
+    [[nodiscard]] LeaseOwner release(bool isOffered) const;
 
     void onRenewed(TimePoint sent);
     // The shard is ours until then unless it is renewed.
--- a/src/node/shard_map.cpp
+++ b/src/node/shard_map.cpp
@@ -25,12 +25,6 @@
 
 std::uint32_t ShardMap::shardOf(const JobId& job) const { return slot(job.value(), count); }
 
-std::uint32_t ShardMap::shardOfLasting(const PoolId& pool, const std::vector<PoolId>& pools) const
-{
-    auto before = std::count_if(pools.begin(), pools.end(), [&](const PoolId& each) { return each < pool; });
-    return std::uint32_t(before) % count;
-}
-
 std::string ShardMap::partOf(std::uint32_t shard) { return fmt::format("s{}", shard); }
 
 ShardMap shardMapFor(std::size_t vms)
--- a/src/node/shard_map.h
+++ b/src/node/shard_map.h
@@ -4,10 +4,12 @@
 
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace fulmar::node {
 
+// The table of what every process has to know alike.
+inline constexpr auto layoutTable = "layout";
+
 // How the fleet is divided. A shard has a share of the VMs of every pool, whichever pool they are in, and a
 // share of the jobs; so its holder moves VMs between pools and places jobs without asking anyone. The number
 // of shards is settled once, when the system starts for the first time.
@@ -18,8 +20,12 @@
     [[nodiscard]] std::uint32_t shardOf(const JobId&) const;
     // Lasting tasks want many VMs of one pool, so that a pool's lasting jobs share a shard. Pools take turns
     // over the shards: by a hash, several would meet in one shard and leave it no VMs for anything else.
-    // `pools` are those of the configuration; all processes order them alike.
-    [[nodiscard]] std::uint32_t shardOfLasting(const PoolId&, const std::vector<PoolId>& pools) const;
+    // `place` is the pool's in the PoolOrder, which never changes: a job that is submitted again, after pools
+    // were added, still comes to the shard that has it.
+    [[nodiscard]] std::uint32_t shardOfLasting(std::size_t place) const
+    {
+        return std::uint32_t(place % count);
+    }
     // The part of the store's tables that holds a shard's rows.
     [[nodiscard]] static std::string partOf(std::uint32_t shard);
 };
