Lasting runs of unknown outcome are looked for before they are called off

Such a run is now stopped only if a look that was sent after all its orders does not list it. Tests shard/ALastingRunOfUnknownOutcomeIsLookedForBeforeItIsCalledOff (failed before) and ...IsCalledOffAndPlacedAgain.

Also, found on the way: evacuation does not rest on answers older than 2.5 s (EvacuationDoesNotRestOnOldAnswers; it was not the cause); a VM whose runner leaves does not count for its pool (AVmWhoseRunnerLeavesDoesNotCount); the list of VMs is no longer read after each order but paced by what it takes (ListsOfVmsLeaveASmallLinkToOthers).

--- a/src/jobs/move_plan.cpp
+++ b/src/jobs/move_plan.cpp
@@ -12,6 +12,12 @@
 // it takes a second and a half to come back.
 constexpr Millis idleBeforeStandby { 1'500 };
 
+// The list is a call with a price; moves take 1.5 s, so a view of this age plans them well enough.
+constexpr Millis listPause { 500 };
+// Lists may take a tenth of the time, and with it of the link; but a plan needs one each two seconds.
+constexpr int pausesPerList = 9;
+constexpr Millis maxListPause { 2'000 };
+
 std::uint32_t surplus(const PoolNeed& pool)
 {
     return pool.present > pool.needed ? pool.present - pool.needed : 0;
@@ -34,6 +40,11 @@
 
 } // namespace
 
+Millis pauseAfterList(Duration took)
+{
+    return std::clamp(std::chrono::ceil<Millis>(took) * pausesPerList, listPause, maxListPause);
+}
+
 MovePlan planMoves(MoveInput input)
 {
     MovePlan plan;
--- a/src/jobs/move_plan.h
+++ b/src/jobs/move_plan.h
@@ -46,6 +46,11 @@
     std::set<VmId> emptying;
 };
 
+// How long to wait before the list of VMs is asked for again, by how long the last one took. Load pattern:
+// the list of a fleet fills a small holder's link for a good part of a second, and nothing else comes
+// through.
+[[nodiscard]] Millis pauseAfterList(Duration took);
+
 // Decides which VMs change pools. Load pattern: queues take turns, each asking for more than its pool holds
 // for some seconds and for almost nothing between; so a pool whose turn comes takes VMs that are switched
 // off, then those that idle in other pools, and VMs that idle beyond their pool's need are switched off. Only
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -24,6 +24,12 @@
     RunPhase phase { RunPhase::Starting };
     // When the order to start was given.
     TimePoint ordered;
+    // It runs until its job is cancelled.
+    bool isLasting { false };
+    // Doubtful: an answer to a look that was sent after all orders to start it does not list it.
+    bool isMissing { false };
+    // When the last order to start it was answered, or given up.
+    TimePoint startEnded;
     // When the task is expected to end; empty if it lasts, or an earlier holder started it.
     std::optional<TimePoint> expectedEnd;
     // Orders to start that were sent, and that got no answer.
@@ -101,6 +107,8 @@
 
     bool isLookInFlight { false };
     TimePoint nextLook;
+    // When the last look that was answered had been sent: what is known of its runs is no older.
+    TimePoint seenAt;
     // Looks in a row without an answer.
     std::uint32_t lookFailures { 0 };
 
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -160,7 +160,7 @@
     void adopt(Runner&, const RunningTask&, TimePoint now);
     void noteEvidence(Runner&, const EndedTask&, TimePoint now);
     static void stopRun(Run&);
-    [[nodiscard]] bool canSpare(JobEntry&, const TaskName&);
+    [[nodiscard]] bool canSpare(JobEntry&, const TaskName&, TimePoint now);
     [[nodiscard]] bool hasOtherPlace(const Runner&, JobEntry&, const TaskName&, TimePoint now);
     void logWaiting(const JobEntry&, const StepRun&, TimePoint now);
     void planResends(Runner&, ShardOrders&);
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -36,10 +36,12 @@
         return;
     auto& runner = *known;
     observe(answer);
+    run->startEnded = now;
     auto putBack = [&] {
         // An order before this one may still be carried out.
         if (run->unanswered > 0) {
             run->phase = RunPhase::Doubtful;
+            runner.nextLook = std::min(runner.nextLook, now);
             return;
         }
         if (auto* entry = m_book.find(order.task.job)) {
@@ -178,6 +180,7 @@
         logInfo("runner-answers",
             { { "runner", id.value() }, { "failures", std::to_string(runner.lookFailures) } });
     runner.lookFailures = 0;
+    runner.seenAt = std::max(runner.seenAt, sent);
     if (answer.clock)
         runner.observeClock(*answer.clock, now);
     if (!runner.isFenced) {
@@ -275,8 +278,11 @@
     run.ordered = now;
     run.checkpoint = running.checkpoint;
     run.percent = running.percent;
-    if (task)
-        run.reserved = entry->job.steps[running.task.step].reserved();
+    if (task) {
+        const auto& step = entry->job.steps[running.task.step];
+        run.reserved = step.reserved();
+        run.isLasting = step.isLasting;
+    }
     auto& added = runner.addRun(running.task, std::move(run));
     if (!isWanted) {
         stopRun(added);
@@ -324,10 +330,13 @@
             releaseTask(*entry, task, checkpoint);
     }
     // A run that should be there and is not listed: asks for its stop, which settles whether it can begin.
-    for (auto& [task, run] : runner.runs())
-        if (run.phase == RunPhase::Running && run.ordered < sent && !present.contains({ task, run.attempt })
-            && run.ordered + pauseAfterSilence < sent)
+    for (auto& [task, run] : runner.runs()) {
+        if (present.contains({ task, run.attempt }))
+            continue;
+        if (run.phase == RunPhase::Running && run.ordered + pauseAfterSilence < sent)
             run.phase = RunPhase::Doubtful;
+        run.isMissing |= run.phase == RunPhase::Doubtful && run.startEnded < sent;
+    }
 }
 
 } // namespace fulmar::jobs
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -16,6 +16,9 @@
 constexpr Millis shortestLookWait { 200 };
 // The same while work waits for the room that an end frees: a runner whose look was lost idles until then.
 constexpr Millis shortestLookWaitUnderLoad { 50 };
+// A task counts as at work by what its runner said in answer to a look that was sent no earlier: two waits of
+// a look, and an answer that takes half a second. Shorter than the least notice that the users' budgets give.
+constexpr Millis maxEvidenceAge { 2'500 };
 // Tasks end around their estimate; an answer that waits this much longer mostly brings the end along.
 constexpr Millis lookWaitMargin { 100 };
 
@@ -61,6 +64,9 @@
             continue;
         if (run.stopAnswered || run.isStopInFlight || now < run.stopNotBefore)
             continue;
+        // A lasting task that came to run, although nobody said so, is not taken down again.
+        if (run.phase == RunPhase::Doubtful && run.isLasting && !run.isMissing)
+            continue;
         run.isStopInFlight = true;
         orders.stops.push_back(
             { runner.address(), { task, run.attempt, m_epoch, m_patience.timeout(run.unansweredStops) } });
@@ -207,6 +213,7 @@
     run.attempt = attempt;
     run.reserved = step.reserved();
     run.ordered = now;
+    run.isLasting = step.isLasting;
     if (!step.isLasting)
         run.expectedEnd = now + step.estimate;
     run.checkpoint = task.checkpoint;
@@ -287,8 +294,9 @@
            });
 }
 
-// As many tasks of the step as it can spare may be away at once, for whatever cause.
-bool Shard::canSpare(JobEntry& entry, const TaskName& name)
+// As many tasks of the step as it can spare may be away at once, for whatever cause. A task of which nothing
+// was heard lately counts as away: the holder may be late itself, and the lease there may have ended.
+bool Shard::canSpare(JobEntry& entry, const TaskName& name, TimePoint now)
 {
     const auto& step = entry.job.steps[name.step];
     auto& steps = entry.stepRun(name.occurrence, name.step);
@@ -300,7 +308,7 @@
         auto found = m_runners.find(steps.tasks[index].runner);
         auto* run = found == m_runners.end() ? nullptr : found->second.find(other);
         auto isAtWork = run && run->phase == RunPhase::Running && run->percent >= 100
-            && found->second.lookFailures == 0;
+            && found->second.lookFailures == 0 && now <= found->second.seenAt + maxEvidenceAge;
         away += isAtWork ? 0 : 1;
     }
     return away < std::max(1U, step.maxUnavailable);
@@ -323,7 +331,7 @@
         auto* entry = m_book.find(task.job);
         if (!entry || run.phase != RunPhase::Running || !entry->job.steps[task.step].isLasting)
             continue;
-        if (canSpare(*entry, task) && hasOtherPlace(found->second, *entry, task, now))
+        if (canSpare(*entry, task, now) && hasOtherPlace(found->second, *entry, task, now))
             stopRun(run);
     }
 }
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -429,4 +429,90 @@
     BOOST_TEST(stops.empty());
 }
 
+// Found on the small twin of the large trouble-2: with its link full the holder got no answer to the starts
+// of a step, and called all of them off; the runners had carried them out, and the step lost all its tasks at
+// once.
+BOOST_FIXTURE_TEST_CASE(ALastingRunOfUnknownOutcomeIsLookedForBeforeItIsCalledOff, ShardFixture)
+{
+    addRunner("r1");
+    auto lasting = job("j1", 1, 100);
+    lasting.steps[0].isLasting = true;
+    lasting.steps[0].maxUnavailable = 1;
+    submit(lasting);
+    step();
+    auto first = starts.at(0);
+    accept(first, OrderOutcome::Unknown);
+    step();
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    accept(starts.at(0), OrderOutcome::NotSent);
+    step();
+    BOOST_TEST(stops.empty());
+    // The order was carried out, and its answer lost.
+    answerLook("r1", { running(first.order) }, {});
+    step();
+    answerLook("r1", { running(first.order) }, {});
+    step(500ms);
+    BOOST_TEST(stops.empty());
+    BOOST_TEST(starts.empty());
+}
+
+// It is not there, but may come to be: only a stop makes sure that it does not.
+BOOST_FIXTURE_TEST_CASE(ALastingRunThatIsNotThereIsCalledOffAndPlacedAgain, ShardFixture)
+{
+    addRunner("r1");
+    auto lasting = job("j1", 1, 100);
+    lasting.steps[0].isLasting = true;
+    submit(lasting);
+    step();
+    accept(starts.at(0), OrderOutcome::Unknown);
+    step();
+    accept(starts.at(0), OrderOutcome::NotSent);
+    for (int i = 0; i < 20 && stops.empty(); ++i) {
+        step(100ms);
+        answerLook("r1", {}, {});
+    }
+    BOOST_REQUIRE_EQUAL(stops.size(), 1U);
+    shard.onStop(stops[0].runner.id, stops[0].order, { OrderOutcome::Accepted, {}, 0 }, now);
+    for (int i = 0; i < 20 && starts.empty(); ++i) {
+        step(100ms);
+        answerLook("r1", {}, {});
+    }
+    BOOST_TEST(starts.size() == 1U);
+}
+
+// Found on the small twin of the large trouble-1: with its link full the holder ended a task while another
+// one of the step had been away for seconds, by answers as old as that.
+BOOST_FIXTURE_TEST_CASE(EvacuationDoesNotRestOnOldAnswers, ShardFixture)
+{
+    addRunner("r1");
+    addRunner("r2");
+    addRunner("r3");
+    auto lasting = job("j1", 2, 100);
+    lasting.steps[0].isLasting = true;
+    lasting.steps[0].maxPerRunner = 1;
+    lasting.steps[0].maxUnavailable = 1;
+    submit(lasting);
+    step();
+    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
+    auto first = starts[0];
+    auto second = starts[1];
+    accept(first);
+    accept(second);
+    step();
+    answerLook(first.runner.id.value(), { running(first.order) }, {});
+    answerLook(second.runner.id.value(), { running(second.order) }, {});
+    // Looks are under way and nothing comes back, no failure either.
+    step(4s);
+    shard.evacuate(first.runner.id, now);
+    step();
+    BOOST_TEST(stops.empty());
+    // With fresh answers of the others the task may go.
+    answerLook(second.runner.id.value(), { running(second.order) }, {});
+    step();
+    shard.evacuate(first.runner.id, now);
+    step();
+    BOOST_REQUIRE_EQUAL(stops.size(), 1U);
+    BOOST_TEST(bool(stops[0].order.task == first.order.task));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/tests/vm_standing_test.cpp
+++ b/src/jobs/tests/vm_standing_test.cpp
@@ -1,3 +1,4 @@
+#include "jobs/move_plan.h"
 #include "jobs/vm_standing.h"
 
 #include "jobs/tests/shard_fixture.h"
@@ -29,6 +30,20 @@
     BOOST_TEST(bool(standingOf(vm) == VmStanding::Absent));
 }
 
+// Runners that leave are emptied and taken away in the middle of a turn: a pool that counts them as its own
+// asks for no others until they are gone.
+BOOST_FIXTURE_TEST_CASE(AVmWhoseRunnerLeavesDoesNotCount, ShardFixture)
+{
+    addRunner("r1");
+    auto leaving = report("r1");
+    leaving.isDraining = true;
+    list(leaving);
+    VmFacts vm { VmState::Up, false, &shard.runners().at(RunnerId("r1")) };
+    BOOST_TEST(bool(standingOf(vm) == VmStanding::Absent));
+    vm.isMoving = true;
+    BOOST_TEST(bool(standingOf(vm) == VmStanding::Arriving));
+}
+
 BOOST_AUTO_TEST_CASE(AVmThatStartsCountsUntilItsRunnerIsOverdue)
 {
     VmFacts vm { VmState::Up, false, nullptr, false, 500ms };
@@ -41,4 +56,13 @@
     BOOST_TEST(bool(standingOf({ VmState::Moving }) == VmStanding::Arriving));
 }
 
+// Found on the small twins of the large deployment: after each of thirteen moves a second the list of VMs was
+// read again, 32 KB over a link of 2 Mbit/s, and callers' submissions waited behind it.
+BOOST_AUTO_TEST_CASE(ListsOfVmsLeaveASmallLinkToOthers)
+{
+    BOOST_TEST((pauseAfterList(5ms) == 500ms));
+    BOOST_TEST((pauseAfterList(130ms) >= 1'170ms));
+    BOOST_TEST((pauseAfterList(3s) == 2s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/vm_standing.cpp
+++ b/src/jobs/vm_standing.cpp
@@ -22,7 +22,7 @@
     if (vm.runner->isSilent())
         return VmStanding::Absent;
     if (vm.runner->report().isDraining)
-        return VmStanding::Arriving;
+        return VmStanding::Absent;
     if (vm.runner->isKnownEmpty())
         return VmStanding::Idle;
     return vm.runner->isFenced && !vm.hasLastingRuns ? VmStanding::Busy : VmStanding::Held;
--- a/src/jobs/vm_standing.h
+++ b/src/jobs/vm_standing.h
@@ -6,7 +6,7 @@
 
 // What a VM is to the pool that it is in, or on its way to.
 enum class VmStanding : std::uint8_t {
-    // It serves nobody and is not about to: it is down, or its runner does not answer.
+    // It serves nobody and is not about to: it is down, or its runner does not answer, or leaves.
     Absent,
     // It will serve within the time of a move.
     Arriving,
--- a/src/node/vm_keeper.cpp
+++ b/src/node/vm_keeper.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-// The list is a call with a price; moves take 1.5 s, so a view of this age plans them well enough.
-constexpr std::chrono::milliseconds listPause { 500 };
 // Orders are not planned on an older list; twice a slow answer of the interface.
 constexpr std::chrono::milliseconds maxListAge { 5'000 };
 constexpr std::chrono::milliseconds listPauseWhenAway { 1'000 };
@@ -128,7 +126,7 @@
         if (!*isAlive)
             return;
         m_isListInFlight = false;
-        m_nextList = m_clock.now() + (list ? listPause : listPauseWhenAway);
+        m_nextList = m_clock.now() + (list ? jobs::pauseAfterList(m_clock.now() - now) : listPauseWhenAway);
         if (std::exchange(m_isListAway, !list) != !list)
             logWarning(
                 list ? "vm-list-regained" : "vm-list-lost", { { "known", std::to_string(m_list.size()) } });
@@ -310,7 +308,6 @@
                 m_shard.reserve(runner, false);
                 break;
             }
-            m_nextList = m_clock.now();
         });
 }
 
@@ -519,7 +516,6 @@
             logInfo("move",
                 { { "vm", move.vm.value() }, { "from", move.from.value() }, { "to", move.to.value() },
                     { "outcome", std::string(toString(outcome)) } });
-            m_nextList = m_clock.now();
             if (outcome == platform::VmOrderOutcome::Accepted)
                 m_shard.endRunner(runner, m_clock.now(), "moved");
             auto mayBeDone = outcome == platform::VmOrderOutcome::Accepted
