--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds mapRetry { 250 };
 // Leases change hands seldom, but every renewal is a change of the table; this paces the answers.
 constexpr std::chrono::milliseconds leaseFeedPause { 150 };
+// A small process would take a shard only seconds later, and mostly there are many of them.
+constexpr std::chrono::milliseconds leaseFeedPauseOfSmall { 400 };
 constexpr std::chrono::milliseconds tickPause { 50 };
 // A lease is renewed four times in its length, so that one lost answer does not cost it.
 constexpr int renewalsPerLease = 4;
@@ -198,25 +200,25 @@
             Slot { index, parts.back(), ShardLease(LeaseSettings {}, m_settings.peerAddress, m_incarnation),
                 nullptr, false, false, {}, {}, {}, {}, {} }));
     }
-    m_leaseFollower
-        = std::make_unique<TableFollower>(m_loop, m_store, leaseTable, std::move(parts), leaseFeedPause,
-            TableFollower::Hooks { [this](const platform::StoredRow& row) { onLeaseRow(row); },
-                [this](const std::vector<platform::StoredRow>& rows) {
-                    for (const auto& row : rows)
-                        onLeaseRow(row);
-                    for (auto& slot : m_slots)
-                        if (!slot->lease.owner())
-                            slot->lease.observeOwner(std::nullopt, slot->lease.ownerVersion(), m_clock.now());
-                },
-                [] {},
-                [this] {
-                    for (auto& slot : m_slots)
-                        slot->lease.observeStoreLost();
-                },
-                [this] {
-                    for (auto& slot : m_slots)
-                        slot->lease.observeStoreRegained(m_clock.now());
-                } });
+    m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, leaseTable, std::move(parts),
+        isSmall() ? leaseFeedPauseOfSmall : leaseFeedPause,
+        TableFollower::Hooks { [this](const platform::StoredRow& row) { onLeaseRow(row); },
+            [this](const std::vector<platform::StoredRow>& rows) {
+                for (const auto& row : rows)
+                    onLeaseRow(row);
+                for (auto& slot : m_slots)
+                    if (!slot->lease.owner())
+                        slot->lease.observeOwner(std::nullopt, slot->lease.ownerVersion(), m_clock.now());
+            },
+            [] {},
+            [this] {
+                for (auto& slot : m_slots)
+                    slot->lease.observeStoreLost();
+            },
+            [this] {
+                for (auto& slot : m_slots)
+                    slot->lease.observeStoreRegained(m_clock.now());
+            } });
     m_leaseFollower->start();
 }
 
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "node/call_retry.h"
+#include "node/readiness.h"
 #include "node/stop_plan.h"
 #include "platform/decode.h"
 #include "platform/names.h"
@@ -187,9 +188,9 @@
 bool Node::isReady() const
 {
     auto now = m_clock.now();
-    return m_config && !m_isStopping && !m_slots.empty()
-        && std::all_of(m_slots.begin(), m_slots.end(),
-            [now](const auto& slot) { return now < slot->holderAnswered + holderSilence; });
+    auto silent = std::count_if(m_slots.begin(), m_slots.end(),
+        [now](const auto& slot) { return now >= slot->holderAnswered + holderSilence; });
+    return m_config && !m_isStopping && isReadyWith(std::size_t(silent), m_slots.size());
 }
 
 void Node::onReadiness(CallId id, const CallerRequest&)
