A claim that the store refused is tried again when that part takes writes

Each claimed the shard, failed, probed the other part, and claimed again; or gave the holder two seconds anew each time. When the part came back the first of 39 to ask took the shard, mostly one with an eighth of a core and a tenth of the link. Now the part of the shard itself is probed, small processes probe less often, and an outage shorter than a second gives no new time. Test shard_lease/AClaimThatFailedOnceDoesNotPutTheNextOneOff (failed before).

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -74,7 +74,6 @@
     , m_mapTimer(m_loop)
     , m_poolOrder(m_loop, m_store)
     , m_tickTimer(m_loop)
-    , m_probeTimer(m_loop)
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 {
     std::mt19937_64 random(std::random_device {}());
@@ -198,7 +197,7 @@
         parts.push_back(ShardMap::partOf(index));
         m_slots.push_back(std::make_unique<Slot>(
             Slot { index, parts.back(), ShardLease(LeaseSettings {}, m_settings.peerAddress, m_incarnation),
-                nullptr, false, false, {}, {}, {}, {}, {} }));
+                asio::steady_timer(m_loop), false, nullptr, false, false, {}, {}, {}, {}, {} }));
     }
     m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, leaseTable, std::move(parts),
         isSmall() ? leaseFeedPauseOfSmall : leaseFeedPause,
@@ -213,7 +212,7 @@
             [] {},
             [this] {
                 for (auto& slot : m_slots)
-                    slot->lease.observeStoreLost();
+                    slot->lease.observeStoreLost(m_clock.now());
             },
             [this] {
                 for (auto& slot : m_slots)
@@ -373,43 +372,44 @@
                     { "outcome", std::string(toString(result.outcome)) } });
             slot.lease.delayAcquire(now + acquireRetry);
             if (result.outcome != platform::CommitOutcome::Conflict)
-                awaitWritableStore();
+                awaitWritablePart(slot);
             // A conflict tells the rows as they are; what may have been done is seen by the feed.
             for (const auto& row : result.current)
                 onLeaseRow(row);
         });
 }
 
-// A store that refuses a claim may have refused the holder's renewal too, while it still serves reads.
-// Whoever claims at its return would take the shard from a holder that is well; so it is asked by a write
-// that changes nothing, and holders get time to renew.
-void Node::awaitWritableStore()
+// A store that refuses a claim may have refused the holder's renewal too, while it still serves reads, and
+// other parts. Whoever claims at its return would take the shard from a holder that is well; so the part is
+// asked by a write that changes nothing, and its holder gets time to renew.
+void Node::awaitWritablePart(Slot& slot)
 {
-    for (auto& slot : m_slots)
-        slot->lease.observeStoreLost();
-    if (std::exchange(m_isStoreProbed, true))
+    slot.lease.observeStoreLost(m_clock.now());
+    if (std::exchange(slot.isAwaitingWritable, true))
         return;
-    logWarning("store-refuses-writes", { { "retry-ms", std::to_string(acquireRetry.count()) } });
-    probeStore();
+    logWarning("store-refuses-writes", { { "part", slot.part } });
+    probePart(slot);
 }
 
-void Node::probeStore()
+// Processes that would claim the shard first ask more often, and the others so seldom that all of them
+// together stay below a part's rate of writes.
+void Node::probePart(Slot& slot)
 {
-    m_probeTimer.expires_after(acquireRetry + m_jitter);
-    m_probeTimer.async_wait([this](const asio::error_code& error) {
+    slot.writableTimer.expires_after(acquireRetry + acquireDelay() * 2);
+    slot.writableTimer.async_wait([this, &slot](const asio::error_code& error) {
         if (error)
             return;
         platform::RowTransaction nothing;
-        nothing.removals.push_back({ leaseTable, "", probeKey });
-        m_store.commit(nothing, acquireTimeout, [this](const platform::CommitResult& result) {
+        nothing.removals.push_back({ leaseTable, slot.part, probeKey });
+        m_store.commit(nothing, acquireTimeout, [this, &slot](const platform::CommitResult& result) {
             if (result.outcome != platform::CommitOutcome::Committed) {
-                probeStore();
+                probePart(slot);
                 return;
             }
-            m_isStoreProbed = false;
-            logInfo("store-takes-writes", { { "version", std::to_string(result.version) } });
-            for (auto& slot : m_slots)
-                slot->lease.observeStoreRegained(m_clock.now());
+            slot.isAwaitingWritable = false;
+            logInfo("store-takes-writes",
+                { { "part", slot.part }, { "version", std::to_string(result.version) } });
+            slot.lease.observeStoreRegained(m_clock.now());
         });
     });
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -44,6 +44,9 @@
         std::uint32_t index { 0 };
         std::string part;
         ShardLease lease;
+        // Until its next look at whether the store takes writes of this shard's part again.
+        asio::steady_timer writableTimer;
+        bool isAwaitingWritable { false };
         std::unique_ptr<ShardOwner> owner;
         bool isAcquiring { false };
         // The lease is being given up: no calls are taken and no orders given.
@@ -59,8 +62,8 @@
     [[nodiscard]] std::chrono::milliseconds acquireDelay() const;
     void tickSlot(Slot&, TimePoint now);
     void acquire(Slot&);
-    void awaitWritableStore();
-    void probeStore();
+    void awaitWritablePart(Slot&);
+    void probePart(Slot&);
     void onAcquired(Slot&, Version, Epoch, TimePoint sent);
     void dropShard(Slot&, std::string_view why);
     void release(Slot&);
@@ -121,8 +124,6 @@
     std::unique_ptr<CallerServer> m_metricsServer;
     NodeMetrics m_metrics;
     asio::steady_timer m_tickTimer;
-    asio::steady_timer m_probeTimer;
-    bool m_isStoreProbed { false };
     asio::signal_set m_signals;
     // Drawn at the start, so that processes do not try to take a shard at the same time.
     std::chrono::milliseconds m_jitter { 0 };
--- a/src/node/shard_lease.cpp
+++ b/src/node/shard_lease.cpp
@@ -51,6 +51,19 @@
     m_unchangedSince = now;
 }
 
+void ShardLease::observeStoreLost(TimePoint now)
+{
+    if (!m_storeLostAt)
+        m_storeLostAt = now;
+}
+
+void ShardLease::observeStoreRegained(TimePoint now)
+{
+    if (m_storeLostAt && now >= *m_storeLostAt + m_settings.shortOutage)
+        m_readableSince = now;
+    m_storeLostAt.reset();
+}
+
 bool ShardLease::shouldAcquire(TimePoint now, std::chrono::milliseconds delay) const
 {
     if (!m_unchangedSince || now < m_acquireFrom)
@@ -61,7 +74,7 @@
     auto wait = isFree ? delay : m_settings.length + delay;
     if (m_owner && m_owner->address == m_address)
         wait = {};
-    auto mayRenewYet = m_isStoreAway
+    auto mayRenewYet = m_storeLostAt
         || (m_readableSince && now < *m_readableSince + m_settings.renewalAfterOutage + delay);
     if (!isFree && mayRenewYet)
         return false;
--- a/src/node/shard_lease.h
+++ b/src/node/shard_lease.h
@@ -32,6 +32,8 @@
     // After the store was away a holder may renew for this long before others take its shard: a write that
     // was lost takes 1.2 s to show and half a second until it is sent again.
     std::chrono::milliseconds renewalAfterOutage { 2'000 };
+    // An outage shorter than this costs a holder one renewal of four, so that it needs no such time.
+    std::chrono::milliseconds shortOutage { 1'000 };
 };
 
 // What a process knows of a shard's lease, and when it may take it or rely on it. Times are of this process's
@@ -46,12 +48,8 @@
     void observeRenewal(Version, TimePoint now);
 
     // The store does not answer this process, or does again: its holder may just be unable to renew a lease.
-    void observeStoreLost() { m_isStoreAway = true; }
-    void observeStoreRegained(TimePoint now)
-    {
-        m_isStoreAway = false;
-        m_readableSince = now;
-    }
+    void observeStoreLost(TimePoint now);
+    void observeStoreRegained(TimePoint now);
 
     // Whether to try to take the shard now, for a process that does not hold it. `delay` differs between
     // processes, so that few try at once.
@@ -84,8 +82,9 @@
     std::optional<TimePoint> m_unchangedSince;
     TimePoint m_validUntil;
     TimePoint m_acquireFrom;
-    bool m_isStoreAway { false };
-    // Empty if the store was never away.
+    // Since when the store does not answer.
+    std::optional<TimePoint> m_storeLostAt;
+    // Empty if the store was never away for long.
     std::optional<TimePoint> m_readableSince;
 };
 
--- a/src/node/tests/shard_lease_test.cpp
+++ b/src/node/tests/shard_lease_test.cpp
@@ -32,7 +32,7 @@
     ShardLease lease({ 3s, 300ms }, "a:1", 7);
     lease.observeOwner(LeaseOwner { "b:1", 3, 1 }, 5, now);
     lease.observeRenewal(6, now + 1s);
-    lease.observeStoreLost();
+    lease.observeStoreLost(now);
     now += 5s;
     // A claim that is on its way when the store comes back would be first.
     BOOST_TEST(!lease.shouldAcquire(now, 0ms));
@@ -45,6 +45,28 @@
     BOOST_TEST(lease.shouldAcquire(now + 4'700ms, 0ms));
 }
 
+// Found on further-grown trouble-2: a store that came back by and by failed one more claim of each of the
+// large processes, which asked first; each then gave the lost holders two seconds anew, and small ones took
+// their shards.
+BOOST_AUTO_TEST_CASE(AClaimThatFailedOnceDoesNotPutTheNextOneOff)
+{
+    TimePoint now { 1'000s };
+    ShardLease lease({ 3s, 300ms }, "a:1", 7);
+    lease.observeOwner(LeaseOwner { "b:1", 3, 1 }, 5, now);
+    lease.observeStoreLost(now + 1s);
+    lease.observeStoreRegained(now + 5s);
+    BOOST_TEST(!lease.shouldAcquire(now + 6s, 0ms));
+    lease.observeStoreLost(now + 6'500ms);
+    BOOST_TEST(!lease.shouldAcquire(now + 6'600ms, 0ms));
+    lease.observeStoreRegained(now + 6'900ms);
+    BOOST_TEST(lease.shouldAcquire(now + 7'100ms, 0ms));
+    // A long one does: the holder could not renew either.
+    lease.observeStoreLost(now + 7'200ms);
+    lease.observeStoreLost(now + 8'500ms);
+    lease.observeStoreRegained(now + 8'600ms);
+    BOOST_TEST(!lease.shouldAcquire(now + 9s, 0ms));
+}
+
 BOOST_AUTO_TEST_CASE(AHolderReliesOnItsLeaseForLessThanOthersWait)
 {
     TimePoint now { 1'000s };
