--- /dev/null
+++ b/src/node/tests/lease_property_test.cpp
@@ -0,0 +1,233 @@
+#include "node/shard_lease.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace fulmar;
+using namespace fulmar::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto step = 50ms;
+constexpr auto renewEvery = 750ms;
+
+// Faults of one run, each a chance a step or a longest time in steps.
+struct Faults {
+    int longestWrite { 1 };
+    int longestFeedLag { 1 };
+    double lostAnswer { 0 };
+    double pause { 0 };
+    double cut { 0 };
+    double release { 0 };
+};
+
+// The two rows of a shard's lease, with the store's rule that a write is done only if its condition holds.
+struct Rows {
+    std::optional<LeaseOwner> owner;
+    Version ownerVersion { 0 };
+    Version renewalVersion { 0 };
+    Version last { 0 };
+};
+
+// Processes that compete for one shard in virtual time. Writes take effect late, answers are lost, processes
+// are paused and cut off, and holders give the shard up.
+class Contest {
+public:
+    Contest(std::uint32_t seed, Faults faults, LeaseSettings settings)
+        : m_random(seed)
+        , m_faults(faults)
+    {
+        for (int i = 0; i < 4; ++i)
+            m_processes.push_back({ ShardLease(settings, "p" + std::to_string(i), 100 + i) });
+    }
+
+    void run(Duration length)
+    {
+        for (auto end = m_now + length; m_now < end; m_now += step) {
+            while (!m_due.empty() && m_due.begin()->first <= m_now) {
+                auto work = std::move(m_due.begin()->second);
+                m_due.erase(m_due.begin());
+                work();
+            }
+            m_history.push_back(m_rows);
+            for (auto& process : m_processes)
+                act(process);
+            auto holders = std::count_if(m_processes.begin(), m_processes.end(),
+                [this](const Process& process) { return gives(process); });
+            m_mostHolders = std::max(m_mostHolders, holders);
+            m_stepsHeld += holders > 0 ? 1 : 0;
+        }
+    }
+
+    [[nodiscard]] std::int64_t mostHolders() const { return m_mostHolders; }
+    [[nodiscard]] int stepsHeld() const { return m_stepsHeld; }
+    [[nodiscard]] Epoch epoch() const { return m_rows.owner ? m_rows.owner->epoch : 0; }
+
+private:
+    struct Process {
+        ShardLease lease;
+        TimePoint pausedUntil {};
+        TimePoint cutUntil {};
+        TimePoint renewAt {};
+        bool isClaiming { false };
+        bool isReleased { false };
+    };
+
+    bool chance(double probability) { return std::bernoulli_distribution(probability)(m_random); }
+    int upTo(int most) { return std::uniform_int_distribution(0, most)(m_random); }
+    // It would give an order now.
+    bool gives(const Process& process) const
+    {
+        return m_now >= process.pausedUntil && process.lease.isValid(m_now) && !process.isReleased;
+    }
+
+    void act(Process& process)
+    {
+        if (m_now < process.pausedUntil)
+            return;
+        if (chance(m_faults.pause))
+            process.pausedUntil = m_now + step * upTo(120);
+        if (chance(m_faults.cut))
+            process.cutUntil = m_now + step * upTo(120);
+        if (m_now < process.cutUntil)
+            return;
+        auto lag = std::min<std::size_t>(std::size_t(upTo(m_faults.longestFeedLag)), m_history.size() - 1);
+        const auto& seen = m_history[m_history.size() - 1 - lag];
+        process.lease.observeOwner(seen.owner, seen.ownerVersion, m_now);
+        process.lease.observeRenewal(seen.renewalVersion, m_now);
+        if (process.lease.isValid(m_now) && !process.isReleased) {
+            if (chance(m_faults.release))
+                release(process);
+            else if (m_now >= process.renewAt)
+                renew(process);
+        } else if (!process.isClaiming && process.lease.shouldAcquire(m_now, step * upTo(5))) {
+            claim(process);
+        }
+    }
+
+    // The write is done some steps from now; its answer comes some steps later, or never.
+    void write(std::function<bool()> apply, std::function<void(bool)> answer)
+    {
+        at(upTo(m_faults.longestWrite), [this, apply = std::move(apply), answer = std::move(answer)] {
+            auto isDone = apply();
+            auto isLost = chance(m_faults.lostAnswer);
+            at(isLost ? 24 : upTo(2), [isDone, isLost, answer] { answer(isDone && !isLost); });
+        });
+    }
+
+    void at(int steps, std::function<void()> work) { m_due.emplace(m_now + step * steps, std::move(work)); }
+
+    void renew(Process& process)
+    {
+        process.renewAt = m_now + renewEvery;
+        write(
+            [this, version = process.lease.ownerVersion()] {
+                auto isDone = m_rows.ownerVersion == version;
+                if (isDone)
+                    m_rows.renewalVersion = ++m_rows.last;
+                return isDone;
+            },
+            [&process, sent = m_now](bool isKnownDone) {
+                if (isKnownDone)
+                    process.lease.onRenewed(sent);
+            });
+    }
+
+    void claim(Process& process)
+    {
+        process.isClaiming = true;
+        auto owner = process.lease.claim();
+        auto versions = std::pair(process.lease.ownerVersion(), process.lease.renewalVersion());
+        auto written = std::make_shared<Version>(0);
+        write(
+            [this, owner, versions, written] {
+                if (std::pair(m_rows.ownerVersion, m_rows.renewalVersion) != versions)
+                    return false;
+                m_rows.owner = owner;
+                m_rows.ownerVersion = m_rows.renewalVersion = *written = ++m_rows.last;
+                return true;
+            },
+            [this, &process, owner, written, sent = m_now](bool isKnownDone) {
+                process.isClaiming = false;
+                if (!isKnownDone) {
+                    process.lease.delayAcquire(m_now + 250ms);
+                    return;
+                }
+                process.lease.observeOwner(owner, *written, m_now);
+                process.lease.observeRenewal(*written, m_now);
+                process.lease.onRenewed(sent);
+                process.isReleased = false;
+            });
+    }
+
+    void release(Process& process)
+    {
+        process.isReleased = true;
+        process.lease.delayAcquire(m_now + 700ms);
+        auto released = process.lease.release(true);
+        write(
+            [this, released, version = process.lease.ownerVersion()] {
+                if (m_rows.ownerVersion != version)
+                    return false;
+                m_rows.owner = released;
+                m_rows.ownerVersion = ++m_rows.last;
+                return true;
+            },
+            [](bool) {});
+    }
+
+    std::mt19937 m_random;
+    const Faults m_faults;
+    TimePoint m_now { 1'000s };
+    Rows m_rows;
+    std::vector<Rows> m_history;
+    std::vector<Process> m_processes;
+    std::multimap<TimePoint, std::function<void()>> m_due;
+    std::int64_t m_mostHolders { 0 };
+    int m_stepsHeld { 0 };
+};
+
+Contest contest(std::uint32_t seed, Faults faults, LeaseSettings settings = {})
+{
+    Contest run(seed, faults, settings);
+    run.run(60s);
+    return run;
+}
+
+const Faults severe { 30, 6, 0.2, 0.01, 0.01, 0.005 };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(lease_property)
+
+BOOST_AUTO_TEST_CASE(AShardIsHeldNearlyAllTheTimeWithoutFaults)
+{
+    auto run = contest(1, {});
+    BOOST_TEST(run.mostHolders() == 1);
+    BOOST_TEST(run.stepsHeld() > 1'180);
+    BOOST_TEST(run.epoch() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NeverTwoProcessesGiveOrders)
+{
+    BOOST_TEST(rc::check("late writes, lost answers, pauses, cuts and hand-overs never make two holders",
+        [](std::uint32_t seed) { RC_ASSERT(contest(seed, severe).mostHolders() <= 1); }));
+}
+
+// The property notices a holder that relies on its lease for longer than others wait.
+BOOST_AUTO_TEST_CASE(ATooLongLeaseIsNoticed)
+{
+    LeaseSettings broken;
+    broken.margin = -1s;
+    std::int64_t most = 0;
+    for (std::uint32_t seed = 0; seed < 200 && most < 2; ++seed)
+        most = std::max(most, contest(seed, severe, broken).mostHolders());
+    BOOST_TEST(most >= 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
