Overload counts once it lasts; holders that did not cope are counted over hand-overs

Now overload counts after two seconds, and five after the shard was taken, and only a holder that coped for 20 s starts the count anew.

--- a/src/node/hand_over.cpp
+++ b/src/node/hand_over.cpp
@@ -10,6 +10,8 @@
 constexpr double lagWeight = 0.05;
 // A quarter of the least time after which an order without an answer is sent again.
 constexpr std::chrono::milliseconds overloadLag { 25 };
+// Restoring a shard of a thousand jobs takes a second of a quarter of a core, and is no overload.
+constexpr std::chrono::milliseconds overloadTime { 2'000 };
 // A new holder has asked all runners by then.
 constexpr std::chrono::milliseconds settleTime { 1'500 };
 // A hand-over leaves the shard without a holder for a fraction of a second, and its VMs without moves for
@@ -31,6 +33,11 @@
     auto late = std::max<std::chrono::duration<double, std::milli>>(
         now - due, std::chrono::duration<double, std::milli>(0));
     m_average += (late - m_average) * lagWeight;
+    if (m_average < overloadLag)
+        m_lateSince.reset();
+    else if (!m_lateSince)
+        m_lateSince = now;
+    m_observed = now;
 }
 
 std::chrono::milliseconds LoopLag::average() const
@@ -38,7 +45,7 @@
     return std::chrono::round<std::chrono::milliseconds>(m_average);
 }
 
-bool LoopLag::isOverloaded() const { return m_average >= overloadLag; }
+bool LoopLag::isOverloaded() const { return m_lateSince && m_observed >= *m_lateSince + overloadTime; }
 
 bool isStrained(const HolderState& holder)
 {
@@ -48,8 +55,11 @@
 bool isHandOverDue(const HolderState& holder, TimePoint now)
 {
     // Where all are small, somebody has to hold the shard.
-    auto isSettled = holder.held <= 1 && !holder.isOverloaded && holder.offers >= offersOfSmall;
-    return isStrained(holder) && !isSettled && now >= holder.changedAt + pauseAfter(holder.offers);
+    auto isBetterElsewhere = holder.held > 1 || (holder.isSmall && holder.offers < offersOfSmall);
+    auto pause = pauseAfter(holder.offers);
+    if (isBetterElsewhere)
+        return now >= holder.changedAt + pause;
+    return holder.isOverloaded && now >= holder.changedAt + std::max(pause, firstPause);
 }
 
 } // namespace fulmar::node
--- a/src/node/hand_over.h
+++ b/src/node/hand_over.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace fulmar::node {
 
@@ -15,11 +16,14 @@
     // A timer that was due at `due` is handled now.
     void observe(TimePoint due, TimePoint now);
     [[nodiscard]] std::chrono::milliseconds average() const;
-    // Orders and answers wait for about as long as this process waits for a runner's answer.
+    // For some time orders and answers have waited for about as long as this process waits for a runner's
+    // answer.
     [[nodiscard]] bool isOverloaded() const;
 
 private:
     std::chrono::duration<double, std::milli> m_average { 0 };
+    std::optional<TimePoint> m_lateSince;
+    TimePoint m_observed;
 };
 
 // A holder and one of its shards.
@@ -31,11 +35,11 @@
     bool isSmall { false };
     // When it took the shard, or gave its last one up: its load is not yet what it will be.
     TimePoint changedAt;
-    // Times in a row that the shard was given up and taken by a holder no better.
+    // Times in a row that the shard was given up by holders that did not cope.
     std::uint32_t offers { 0 };
 };
 
-// Whether another process, if one is there, would be the better holder.
+// Whether another process, if one is there, may be the better holder.
 [[nodiscard]] bool isStrained(const HolderState&);
 
 // Decides when a process begins to give a shard up to others. Load pattern: holders are cut off or stopped,
@@ -44,6 +48,9 @@
 // shard, so it tries, and tries less often while nobody better does.
 [[nodiscard]] bool isHandOverDue(const HolderState&, TimePoint now);
 
+// A holder that was not strained for this long after it took the shard copes with it.
+inline constexpr std::chrono::milliseconds copingTime { 20'000 };
+
 // From the last order for a VM until the shard is given up: the next holder's orders may not come within a
 // lease of this one's, and one that was not answered may still be on its way.
 inline constexpr std::chrono::milliseconds quietBeforeHandOver { 3'500 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -197,7 +197,7 @@
         parts.push_back(ShardMap::partOf(index));
         m_slots.push_back(std::make_unique<Slot>(
             Slot { index, parts.back(), ShardLease(LeaseSettings {}, m_settings.peerAddress, m_incarnation),
-                asio::steady_timer(m_loop), false, nullptr, false, false, {}, {}, {}, {}, {} }));
+                asio::steady_timer(m_loop), false, nullptr, false, false, {}, {}, false, {}, {}, {} }));
     }
     m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, leaseTable, std::move(parts),
         isSmall() ? leaseFeedPauseOfSmall : leaseFeedPause,
@@ -349,8 +349,6 @@
 {
     slot.isAcquiring = true;
     auto claim = slot.lease.claim();
-    if (!isStrained({ shardsHeld() + 1, m_isOverloaded, isSmall(), {}, 0 }))
-        claim.offers = 0;
     platform::RowName owner { leaseTable, slot.part, ownerKey };
     platform::RowName renewal { leaseTable, slot.part, renewalKey };
     platform::RowTransaction transaction;
@@ -421,6 +419,7 @@
     slot.renewAt = now;
     slot.heldSince = now;
     slot.handOverAt.reset();
+    slot.hasCoped = false;
     slot.isReleased = false;
     jobs::ShardSettings settings;
     settings.maxLease = m_settings.maxRunnerLease;
@@ -492,7 +491,7 @@
 
 void Node::release(Slot& slot)
 {
-    auto released = slot.lease.release(slot.handOverAt.has_value());
+    auto released = slot.lease.release(slot.handOverAt.has_value(), slot.hasCoped);
     slot.isReleased = true;
     slot.lease.delayAcquire(m_clock.now() + offerTime);
     slot.owner->release(encodeOwner(released), [this, &slot, epoch = released.epoch] {
@@ -518,6 +517,8 @@
         return;
     HolderState holder { shardsHeld(), m_isOverloaded, isSmall(), std::max(newest->heldSince, m_gaveUpAt),
         newest->lease.owner()->offers };
+    if (!isStrained(holder) && now >= newest->heldSince + copingTime)
+        newest->hasCoped = true;
     if (!isHandOverDue(holder, now))
         return;
     newest->handOverAt = now + quietBeforeHandOver;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -54,6 +54,8 @@
         TimePoint heldSince;
         // The shard is given up then, and gives no orders for VMs until then.
         std::optional<TimePoint> handOverAt;
+        // This holder was not strained for a while after it took the shard.
+        bool hasCoped { false };
         TimePoint renewAt;
         // The holder's last answer, and when to ask it for one.
         TimePoint holderAnswered;
--- a/src/node/shard_lease.cpp
+++ b/src/node/shard_lease.cpp
@@ -86,11 +86,12 @@
     return { m_address, m_incarnation, (m_owner ? m_owner->epoch : 0) + 1, m_owner ? m_owner->offers : 0 };
 }
 
-LeaseOwner ShardLease::release(bool isOffered) const
+LeaseOwner ShardLease::release(bool isOffered, bool hasCoped) const
 {
     auto owner = m_owner.value_or(LeaseOwner {});
     owner.address.clear();
-    owner.offers += isOffered ? 1 : 0;
+    if (isOffered)
+        owner.offers = hasCoped ? 1 : owner.offers + 1;
     return owner;
 }
 
--- a/src/node/shard_lease.h
+++ b/src/node/shard_lease.h
@@ -15,7 +15,7 @@
     // Differs at each start of a process.
     std::uint64_t incarnation { 0 };
     Epoch epoch { 0 };
-    // Times in a row that a strained holder gave the shard up and another strained one took it.
+    // Times in a row that the shard was given up by holders that did not cope with it.
     std::uint32_t offers { 0 };
 
     bool operator==(const LeaseOwner&) const = default;
@@ -58,8 +58,9 @@
     void delayAcquire(TimePoint until) { m_acquireFrom = until; }
     // What to write to take it.
     [[nodiscard]] LeaseOwner claim() const;
-    // What to write to give it up; `isOffered` if that is to find a better holder.
-    [[nodiscard]] LeaseOwner release(bool isOffered) const;
+    // What to write to give it up; `isOffered` if that is to find a better holder, `hasCoped` if this one was
+    // good enough until lately.
+    [[nodiscard]] LeaseOwner release(bool isOffered, bool hasCoped) const;
 
     void onRenewed(TimePoint sent);
     // The shard is ours until then unless it is renewed.
