--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -6,6 +6,34 @@
 using namespace fulmar::jobs;
 using namespace fulmar::jobs::test;
 
+namespace {
+
+// Two lasting tasks, each on a runner of its own, of which our orders may take one away; and a runner to
+// spare.
+struct LastingPairFixture : ShardFixture {
+    OutgoingStart first;
+    OutgoingStart second;
+
+    LastingPairFixture()
+    {
+        for (const auto* id : { "r1", "r2", "r3" })
+            addRunner(id);
+        auto lasting = job("j1", 2, 100);
+        lasting.steps[0].isLasting = true;
+        lasting.steps[0].maxPerRunner = 1;
+        lasting.steps[0].maxUnavailable = 1;
+        submit(lasting);
+        step();
+        first = starts.at(0);
+        second = starts.at(1);
+        accept(first);
+        accept(second);
+        step();
+    }
+};
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(shard)
 
 BOOST_FIXTURE_TEST_CASE(AJobRunsToItsEnd, ShardFixture)
@@ -405,23 +433,8 @@
 }
 
 // Found on mvinje-caning scale-1: tasks on a runner that does not answer are away.
-BOOST_FIXTURE_TEST_CASE(EvacuationSparesStepsThatMissTasksAlready, ShardFixture)
+BOOST_FIXTURE_TEST_CASE(EvacuationSparesStepsThatMissTasksAlready, LastingPairFixture)
 {
-    addRunner("r1");
-    addRunner("r2");
-    addRunner("r3");
-    auto lasting = job("j1", 2, 100);
-    lasting.steps[0].isLasting = true;
-    lasting.steps[0].maxPerRunner = 1;
-    lasting.steps[0].maxUnavailable = 1;
-    submit(lasting);
-    step();
-    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
-    auto first = starts[0];
-    auto second = starts[1];
-    accept(first);
-    accept(second);
-    step();
     answerLook(first.runner.id.value(), { running(first.order) }, {});
     answerLook(second.runner.id.value(), {}, {}, OrderOutcome::Unknown);
     shard.evacuate(first.runner.id, now);
@@ -482,23 +495,8 @@
 
 // Found on the small twin of the large trouble-1: with its link full the holder ended a task while another
 // one of the step had been away for seconds, by answers as old as that.
-BOOST_FIXTURE_TEST_CASE(EvacuationDoesNotRestOnOldAnswers, ShardFixture)
+BOOST_FIXTURE_TEST_CASE(EvacuationDoesNotRestOnOldAnswers, LastingPairFixture)
 {
-    addRunner("r1");
-    addRunner("r2");
-    addRunner("r3");
-    auto lasting = job("j1", 2, 100);
-    lasting.steps[0].isLasting = true;
-    lasting.steps[0].maxPerRunner = 1;
-    lasting.steps[0].maxUnavailable = 1;
-    submit(lasting);
-    step();
-    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
-    auto first = starts[0];
-    auto second = starts[1];
-    accept(first);
-    accept(second);
-    step();
     answerLook(first.runner.id.value(), { running(first.order) }, {});
     answerLook(second.runner.id.value(), { running(second.order) }, {});
     // Looks are under way and nothing comes back, no failure either.
