CONFIG: logs and metrics tell by which configuration a call was decided, and how old it was

An answer of 404 wrote no line, so from a caller's request a node that was behind could not be told from a route that was gone. Each answer now names the version that decided and the time since the store last confirmed it; store-lost and store-regained give the time without an answer; config_age_ms is a gauge. No decision changes.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -86,7 +86,16 @@
     void onReadiness(CallId, const CallerRequest&);
     void onMetrics(CallId);
     void forward(JobCall, std::chrono::milliseconds timeout, OnJobReply);
-    void answer(CallId, const JobCall&, const JobReply&, TimePoint received);
+    // The configuration by which a call is decided.
+    struct ConfigView {
+        std::int64_t version { 0 };
+        // Time since the store last confirmed that it has no newer one.
+        std::chrono::milliseconds age { 0 };
+    };
+    [[nodiscard]] ConfigView configView() const;
+    void answer(CallId, const JobCall&, const JobReply&, TimePoint received, const ConfigView&);
+    // Answers a call for which no holder is asked.
+    void refuse(CallId, const CallerRequest&, HttpAnswer, std::string_view reason);
     void countPending(JobCall, std::chrono::milliseconds timeout, OnJobReply);
     // Asks the shards in turn for a job until one knows it, starting at `call.shard`.
     void search(JobCall, std::uint32_t shardsAsked, TimePoint deadline, OnJobReply);
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -27,6 +27,7 @@
 // A holder that misses two probes is unreachable: calls for its shard are refused, and it counts against this
 // process's readiness.
 constexpr std::chrono::milliseconds holderTimeout { 1'700 };
+constexpr std::size_t maxLoggedPathBytes = 200;
 
 std::string headerOf(const CallerRequest& request, std::string_view name)
 {
@@ -222,29 +223,47 @@
     }
     m_metrics.setShardsHeld(held);
     m_metrics.setFleet(runners, known);
-    m_metrics.setConfigVersion(m_config ? m_config->version : 0);
+    m_metrics.setConfig(configView().version, configView().age);
     HttpAnswer answer { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.serialize() };
     m_metricsServer->answer(id, std::move(answer), false);
 }
 
+Node::ConfigView Node::configView() const
+{
+    return { m_config ? m_config->version : 0, m_configFollower.sinceLastAnswer() };
+}
+
+void Node::refuse(CallId id, const CallerRequest& request, HttpAnswer answer, std::string_view reason)
+{
+    auto config = configView();
+    m_lastAnswerAt = m_clock.now();
+    m_metrics.countAnswer("none", int(answer.status), {});
+    logWarning("refused",
+        { { "host", hostOf(request) }, { "method", request.method },
+            { "path", std::string(request.path.substr(0, maxLoggedPathBytes)) },
+            { "status", std::to_string(answer.status) }, { "reason", std::string(reason) },
+            { "config", std::to_string(config.version) },
+            { "config-age-ms", std::to_string(config.age.count()) } });
+    m_callers->answer(id, std::move(answer), m_isStopping);
+}
+
 void Node::onCaller(CallId id, const CallerRequest& request)
 {
     auto received = m_clock.now();
     auto sinceStop = std::chrono::duration_cast<std::chrono::milliseconds>(received - m_stopRequestedAt);
     if (m_isStopping && !acceptsCalls(sinceStop, m_settings.stopGrace)) {
-        m_lastAnswerAt = received;
-        m_callers->answer(id, refusal(503, noHolderRetryAfter, "stopping"), true);
+        refuse(id, request, refusal(503, noHolderRetryAfter, "stopping"), "stopping");
         return;
     }
     if (!m_config || !m_map) {
-        m_callers->answer(id, refusal(503, noHolderRetryAfter, "not-started"), m_isStopping);
+        refuse(id, request, refusal(503, noHolderRetryAfter, "not-started"), "not-started");
         return;
     }
     auto path = request.path.substr(0, request.path.find('?'));
     const auto* queue = m_config->queueFor(hostOf(request), path);
     auto rest = queue ? path.substr(queue->pathPrefix.size()) : std::string_view();
     if (!queue || (!rest.empty() && !isJobId(rest))) {
-        m_callers->answer(id, makeJsonAnswer(404), m_isStopping);
+        refuse(id, request, makeJsonAnswer(404), queue ? "no-job-id" : "unknown-queue");
         return;
     }
     JobCall call;
@@ -255,7 +274,7 @@
         call.kind = JobCallKind::Submit;
         auto job = platform::decodeSubmission(request.body);
         if (!job) {
-            m_callers->answer(id, makeJsonAnswer(400, R"({"reason":"unreadable-job"})"), m_isStopping);
+            refuse(id, request, makeJsonAnswer(400, R"({"reason":"unreadable-job"})"), "unreadable-job");
             return;
         }
         job->id = call.job;
@@ -264,11 +283,7 @@
         call.encodedJob = jobs::encodeJob(*job);
         auto shard = shardFor(*job);
         if (!shard) {
-            logWarning("answer",
-                { { "job", call.job.value() }, { "kind", std::string(toString(call.kind)) },
-                    { "status", "503" }, { "reason", "pool-not-placed" },
-                    { "pool", job->policy.pool.value() } });
-            m_callers->answer(id, refusal(503, noHolderRetryAfter, "pool-not-placed"), m_isStopping);
+            refuse(id, request, refusal(503, noHolderRetryAfter, "pool-not-placed"), "pool-not-placed");
             return;
         }
         call.shard = *shard;
@@ -277,15 +292,15 @@
     } else if (request.method == "DELETE" && !rest.empty()) {
         call.kind = JobCallKind::Cancel;
     } else {
-        m_callers->answer(id, makeJsonAnswer(405), m_isStopping);
+        refuse(id, request, makeJsonAnswer(405), "unknown-method");
         return;
     }
     ++m_callsInFlight;
     auto timeout = std::max(deadlineOf(request) - answerMargin, answerMargin);
     auto summary = JobCall { call.kind, call.job, call.queue, {} };
-    auto done = [this, id, summary, received](const JobReply& reply) {
+    auto done = [this, id, summary, received, config = configView()](const JobReply& reply) {
         --m_callsInFlight;
-        answer(id, summary, reply, received);
+        answer(id, summary, reply, received, config);
     };
     if (call.kind == JobCallKind::Submit)
         forwardWithRetries(std::move(call), newRetryState(received + timeout), std::move(done));
@@ -295,7 +310,8 @@
         search(std::move(call), 0, received + timeout, std::move(done));
 }
 
-void Node::answer(CallId id, const JobCall& call, const JobReply& reply, TimePoint received)
+void Node::answer(
+    CallId id, const JobCall& call, const JobReply& reply, TimePoint received, const ConfigView& config)
 {
     HttpAnswer answer;
     switch (reply.verdict) {
@@ -330,7 +346,9 @@
             { { "job", call.job.value() }, { "kind", std::string(toString(call.kind)) },
                 { "status", std::to_string(answer.status) },
                 { "verdict", std::string(toString(reply.verdict)) }, { "reason", reply.reason },
-                { "ms", std::to_string((m_clock.now() - received).count() / 1000) } });
+                { "ms", std::to_string((m_clock.now() - received).count() / 1000) },
+                { "config", std::to_string(config.version) },
+                { "config-age-ms", std::to_string(config.age.count()) } });
     m_callers->answer(id, std::move(answer), m_isStopping || !isReady());
 }
 
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -81,9 +81,10 @@
     m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
 }
 
-void NodeMetrics::setConfigVersion(std::int64_t version)
+void NodeMetrics::setConfig(std::int64_t version, std::chrono::milliseconds age)
 {
     m_families->gauges.Add({ { "what", "config_version" } }).Set(double(version));
+    m_families->gauges.Add({ { "what", "config_age_ms" } }).Set(double(age.count()));
 }
 
 void NodeMetrics::setFleet(std::size_t runners, std::size_t jobs)
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -15,7 +15,8 @@
     NodeMetrics(const NodeMetrics&) = delete;
     NodeMetrics& operator=(const NodeMetrics&) = delete;
 
-    // Counts an answer to a caller by kind of call and HTTP status, and records its latency.
+    // Counts an answer to a caller by kind of call ("none" if no holder was asked) and HTTP status, and
+    // records its latency.
     void countAnswer(const std::string& kind, int status, Duration took);
     // Counts an admission decision on a submitted job.
     void countAdmission(const std::string& verdict);
@@ -24,7 +25,8 @@
     // Counts a transaction of a shard's row log by outcome.
     void countCommit(const std::string& outcome);
     void setShardsHeld(std::size_t);
-    void setConfigVersion(std::int64_t);
+    // `age`: time since the store last confirmed that it has no newer version.
+    void setConfig(std::int64_t version, std::chrono::milliseconds age);
     // Runners and jobs known to the shards held by this node.
     void setFleet(std::size_t runners, std::size_t jobs);
 
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -30,6 +30,11 @@
 
 void TableFollower::start() { readAll(); }
 
+std::chrono::milliseconds TableFollower::sinceLastAnswer() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_answeredAt);
+}
+
 void TableFollower::runAfter(std::chrono::milliseconds pause, void (TableFollower::*next)())
 {
     m_timer.expires_after(pause);
@@ -43,15 +48,21 @@
 {
     if (std::exchange(m_isStoreLost, true))
         return;
-    logWarning("store-lost", { { "table", m_table }, { "version", std::to_string(m_version) } });
+    logWarning("store-lost",
+        { { "table", m_table }, { "version", std::to_string(m_version) },
+            { "silent-ms", std::to_string(sinceLastAnswer().count()) } });
     m_hooks.onLost();
 }
 
 void TableFollower::noteAnswer()
 {
+    auto silent = sinceLastAnswer();
+    m_answeredAt = m_clock.now();
     if (!std::exchange(m_isStoreLost, false))
         return;
-    logInfo("store-regained", { { "table", m_table }, { "version", std::to_string(m_version) } });
+    logInfo("store-regained",
+        { { "table", m_table }, { "version", std::to_string(m_version) },
+            { "silent-ms", std::to_string(silent.count()) } });
     m_hooks.onRegained();
 }
 
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -34,6 +34,10 @@
 
     void start();
 
+    // Time since the store last answered; since the start if it never has. The rows reported so far are at
+    // most this old.
+    [[nodiscard]] std::chrono::milliseconds sinceLastAnswer() const;
+
 private:
     void readAll();
     void readPart(std::size_t partIndex);
@@ -50,6 +54,8 @@
     const std::chrono::milliseconds m_pause;
     const Hooks m_hooks;
     asio::steady_timer m_timer;
+    BootClock m_clock;
+    TimePoint m_answeredAt { m_clock.now() };
     Version m_version { 0 };
     bool m_isStoreLost { false };
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
