CONFIG: a failing test of a follower's requests over a silent outage of the store

When a follower sends its next request is decided apart from input and output, so that a test plays it in virtual time.

--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -6,17 +6,6 @@
 
 namespace fulmar::node {
 
-namespace {
-
-// A dead feed is detected after this plus the client's margin: a configuration must be in force within 2 s on
-// a node whose links have worked for 3 s.
-constexpr std::chrono::milliseconds longPollTimeout { 1'500 };
-constexpr std::chrono::milliseconds readTimeout { 2'000 };
-// All nodes retry after an outage; a few calls per second from each stay well below the store's rate limit.
-constexpr std::chrono::milliseconds retryPause { 250 };
-
-} // namespace
-
 TableFollower::TableFollower(asio::io_context& loop, platform::StoreClient& store, std::string table,
     std::vector<std::string> parts, std::chrono::milliseconds pause, Hooks hooks)
     : m_store(store)
@@ -28,20 +17,15 @@
 {
 }
 
-void TableFollower::start() { readAll(); }
-
-std::chrono::milliseconds TableFollower::sinceLastAnswer() const
+void TableFollower::start()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_answeredAt);
+    beginSnapshot();
+    sendRequest();
 }
 
-void TableFollower::runAfter(std::chrono::milliseconds pause, void (TableFollower::*next)())
+std::chrono::milliseconds TableFollower::sinceLastAnswer() const
 {
-    m_timer.expires_after(pause);
-    m_timer.async_wait([this, next, isAlive = m_isAlive](const asio::error_code& error) {
-        if (!error && *isAlive)
-            (this->*next)();
-    });
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_answeredAt);
 }
 
 void TableFollower::noteFailure()
@@ -66,69 +50,118 @@
     m_hooks.onRegained();
 }
 
-void TableFollower::readAll()
+void TableFollower::beginSnapshot() { m_snapshot.emplace(); }
+
+void TableFollower::awaitNextSend()
+{
+    auto next = m_schedule.nextSend();
+    if (!next) {
+        m_timer.cancel();
+        return;
+    }
+    m_timer.expires_after(*next - m_clock.now());
+    m_timer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
+        if (!error && *isAlive)
+            sendRequest();
+    });
+}
+
+void TableFollower::sendRequest()
 {
-    m_snapshot = {};
-    readPart(0);
+    if (m_snapshot)
+        sendPageRead();
+    else
+        sendFeedPoll();
+    awaitNextSend();
 }
 
-void TableFollower::readPart(std::size_t partIndex)
+void TableFollower::sendPageRead()
 {
-    m_store.readAll(m_table, m_parts[partIndex], readTimeout,
-        [this, partIndex, isAlive = m_isAlive](std::optional<platform::RowPage> page) {
-            if (!*isAlive)
-                return;
-            if (!page) {
-                noteFailure();
-                runAfter(retryPause, &TableFollower::readAll);
-                return;
-            }
-            // The feed starts at the version of the first part read, the oldest, so that no change is
-            // missed.
-            if (partIndex == 0)
-                m_snapshot.version = page->version;
-            for (auto& row : page->rows)
-                m_snapshot.rows.push_back(std::move(row));
-            if (partIndex + 1 < m_parts.size()) {
-                readPart(partIndex + 1);
-                return;
-            }
-            m_version = m_snapshot.version;
-            noteAnswer();
-            m_hooks.onSnapshot(m_snapshot.rows);
-            m_hooks.onBatchEnd();
-            m_snapshot = {};
-            runAfter(m_pause, &TableFollower::follow);
+    m_schedule.onSent(m_clock.now(), {});
+    m_store.read(m_table, m_parts[m_snapshot->partIndex], m_snapshot->fromKey, requestTimeout({}),
+        [this, step = m_step, isAlive = m_isAlive](std::optional<platform::RowPage> page) {
+            if (*isAlive && step == m_step)
+                onPage(std::move(page));
         });
 }
 
-void TableFollower::follow()
+void TableFollower::sendFeedPoll()
 {
-    m_store.pollFeed(
-        m_table, m_version, longPollTimeout, [this, isAlive = m_isAlive](const platform::FeedResult& feed) {
-            if (!*isAlive)
-                return;
-            switch (feed.outcome) {
-            case platform::FeedOutcome::HistoryGone:
-                logInfo(
-                    "store-history-gone", { { "table", m_table }, { "version", std::to_string(m_version) } });
-                readAll();
-                return;
-            case platform::FeedOutcome::Failed:
-                noteFailure();
-                runAfter(retryPause, &TableFollower::follow);
-                return;
-            case platform::FeedOutcome::Changes:
-                break;
-            }
-            m_version = std::max(m_version, feed.page.version);
-            noteAnswer();
-            for (const auto& row : feed.page.rows)
-                if (std::find(m_parts.begin(), m_parts.end(), row.name.part) != m_parts.end())
-                    m_hooks.onRow(row);
-            m_hooks.onBatchEnd();
-            runAfter(m_pause, &TableFollower::follow);
+    m_schedule.onSent(m_clock.now(), feedWait);
+    m_store.pollFeed(m_table, m_version, feedWait, requestTimeout(feedWait),
+        [this, step = m_step, isAlive = m_isAlive](const platform::FeedResult& feed) {
+            if (*isAlive && step == m_step)
+                onFeed(feed);
         });
 }
 
+void TableFollower::onPage(std::optional<platform::RowPage> page)
+{
+    if (!page) {
+        onFailure();
+        return;
+    }
+    auto& snapshot = *m_snapshot;
+    if (snapshot.version == 0)
+        snapshot.version = page->version;
+    auto hasMore = page->hasMore && !page->rows.empty();
+    for (auto& row : page->rows)
+        snapshot.rows.push_back(std::move(row));
+    if (hasMore) {
+        snapshot.fromKey = platform::keyAfter(snapshot.rows.back().name.key);
+    } else {
+        snapshot.fromKey.clear();
+        ++snapshot.partIndex;
+    }
+    if (snapshot.partIndex == m_parts.size())
+        reportSnapshot();
+    onAnswer();
+}
+
+void TableFollower::reportSnapshot()
+{
+    m_version = m_snapshot->version;
+    noteAnswer();
+    m_hooks.onSnapshot(m_snapshot->rows);
+    m_hooks.onBatchEnd();
+    m_snapshot.reset();
+}
+
+void TableFollower::onFeed(const platform::FeedResult& feed)
+{
+    switch (feed.outcome) {
+    case platform::FeedOutcome::Failed:
+        onFailure();
+        return;
+    case platform::FeedOutcome::HistoryGone:
+        logInfo("store-history-gone", { { "table", m_table }, { "version", std::to_string(m_version) } });
+        beginSnapshot();
+        break;
+    case platform::FeedOutcome::Changes:
+        m_version = std::max(m_version, feed.page.version);
+        noteAnswer();
+        for (const auto& row : feed.page.rows)
+            if (std::find(m_parts.begin(), m_parts.end(), row.name.part) != m_parts.end())
+                m_hooks.onRow(row);
+        m_hooks.onBatchEnd();
+        break;
+    }
+    onAnswer();
+}
+
+void TableFollower::onFailure()
+{
+    noteFailure();
+    m_schedule.onFailure(m_clock.now());
+    awaitNextSend();
+}
+
+void TableFollower::onAnswer()
+{
+    ++m_step;
+    // The pages of a snapshot are read without a pause.
+    m_schedule.onAnswer(m_clock.now(), m_snapshot ? std::chrono::milliseconds(0) : m_pause);
+    awaitNextSend();
+}
+
 } // namespace fulmar::node
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -2,10 +2,10 @@
 
 #include "core/clock.h"
 #include "jobs/fleet.h"
+#include "node/request_schedule.h"
 #include "platform/store_client.h"
 
 #include <asio/steady_timer.hpp>
-#include <map>
 
 namespace fulmar::node {
 
@@ -39,22 +39,42 @@
     [[nodiscard]] std::chrono::milliseconds sinceLastAnswer() const;
 
 private:
-    void readAll();
-    void readPart(std::size_t partIndex);
-    void follow();
-    void runAfter(std::chrono::milliseconds, void (TableFollower::*next)());
+    // Sends the request of the current step: a page of the snapshot, or the changes since m_version.
+    void sendRequest();
+    void sendPageRead();
+    void sendFeedPoll();
+    void onPage(std::optional<platform::RowPage>);
+    void onFeed(const platform::FeedResult&);
+    // Reads the table anew.
+    void beginSnapshot();
+    void reportSnapshot();
+    void onFailure();
+    // The current step is answered; later answers to it are ignored.
+    void onAnswer();
+    // Wakes up when the schedule says so.
+    void awaitNextSend();
     void noteFailure();
     void noteAnswer();
 
     platform::StoreClient& m_store;
     const std::string m_table;
     const std::vector<std::string> m_parts;
-    // Rows of the parts read so far.
-    platform::RowPage m_snapshot;
     const std::chrono::milliseconds m_pause;
     const Hooks m_hooks;
-    asio::steady_timer m_timer;
     BootClock m_clock;
+    asio::steady_timer m_timer;
+    RequestSchedule m_schedule;
+    // A table that is being read in full: the rows read so far, and where to continue.
+    struct Snapshot {
+        std::vector<platform::StoredRow> rows;
+        // Of the first page, the oldest, so that a feed that starts there misses no change.
+        Version version { 0 };
+        std::size_t partIndex { 0 };
+        std::string fromKey;
+    };
+    std::optional<Snapshot> m_snapshot;
+    // Number of the current step, which tells the answers to it from those to earlier ones.
+    std::uint64_t m_step { 0 };
     TimePoint m_answeredAt { m_clock.now() };
     Version m_version { 0 };
     bool m_isStoreLost { false };
--- /dev/null
+++ b/src/node/tests/request_schedule_test.cpp
@@ -0,0 +1,147 @@
+#include "node/request_schedule.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace fulmar;
+using namespace fulmar::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A node is expected to be up to date from this long after the end of an outage on.
+constexpr auto contactTime = 3'000ms;
+constexpr auto step = 5ms;
+constexpr auto pause = 10ms;
+constexpr auto roundTrip = 10ms;
+
+struct Outage {
+    TimePoint begin;
+    TimePoint end;
+};
+
+// A follower of a store that answers nothing during an outage, in virtual time. A request that the store
+// receives or would answer during the outage, or holds back over it, gets no answer. A row changes during the
+// outage, so no poll is held back after it.
+class FollowedStore {
+public:
+    // `holdsPolls`: no row changes before the outage, so polls are held back. `pages` pages are read first.
+    FollowedStore(Outage outage, bool holdsPolls, int pages)
+        : m_outage(outage)
+        , m_holdsPolls(holdsPolls)
+        , m_pagesLeft(pages)
+    {
+    }
+
+    // Time from the end of the outage until the follower has read all pages and then an answer that the store
+    // gave after the outage.
+    [[nodiscard]] Duration recoveryTime(TimePoint begin)
+    {
+        m_now = begin;
+        send();
+        while (!m_recoveredAt) {
+            m_now += step;
+            deliver();
+            if (auto next = m_schedule.nextSend(); next && m_now >= *next)
+                send();
+        }
+        return *m_recoveredAt - m_outage.end;
+    }
+
+    [[nodiscard]] std::size_t maxInFlight() const { return m_maxInFlight; }
+
+private:
+    struct Request {
+        int stepNumber { 0 };
+        TimePoint answeredAt;
+        TimePoint timesOutAt;
+        bool isLost { false };
+    };
+
+    void send()
+    {
+        auto wait = m_pagesLeft > 0 ? 0ms : feedWait;
+        auto holdsBack = m_holdsPolls && m_now < m_outage.end ? wait : 0ms;
+        m_schedule.onSent(m_now, wait);
+        auto answeredAt = m_now + holdsBack + roundTrip;
+        auto isLost = m_now < m_outage.end && answeredAt > m_outage.begin;
+        m_requests.push_back({ m_stepNumber, answeredAt, m_now + requestTimeout(wait), isLost });
+        m_maxInFlight = std::max(m_maxInFlight, m_requests.size());
+    }
+
+    void deliver()
+    {
+        for (auto& request : std::exchange(m_requests, {})) {
+            if (!request.isLost && m_now >= request.answeredAt)
+                answer(request);
+            else if (m_now >= request.timesOutAt)
+                fail(request);
+            else
+                m_requests.push_back(request);
+        }
+    }
+
+    void answer(const Request& request)
+    {
+        if (request.stepNumber != m_stepNumber)
+            return;
+        ++m_stepNumber;
+        m_schedule.onAnswer(m_now, m_pagesLeft > 1 ? 0ms : pause);
+        if (m_pagesLeft > 0)
+            --m_pagesLeft;
+        else if (request.answeredAt >= m_outage.end)
+            m_recoveredAt = m_now;
+    }
+
+    void fail(const Request& request)
+    {
+        if (request.stepNumber == m_stepNumber)
+            m_schedule.onFailure(m_now);
+    }
+
+    const Outage m_outage;
+    const bool m_holdsPolls;
+    int m_pagesLeft;
+    TimePoint m_now;
+    int m_stepNumber { 0 };
+    RequestSchedule m_schedule;
+    std::vector<Request> m_requests;
+    std::size_t m_maxInFlight { 0 };
+    std::optional<TimePoint> m_recoveredAt;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(request_schedule)
+
+// Guards against a follower whose only request is lost in an outage, and the next one too.
+BOOST_AUTO_TEST_CASE(ASilentOutageOfAnyLengthEndsWithinTheContactTime)
+{
+    auto holds = rc::check("a node is up to date in time after a silent outage", [] {
+        TimePoint begin { 1'000s };
+        auto outageBegin = begin + std::chrono::milliseconds(*rc::gen::inRange(0, 4'000));
+        Outage outage { outageBegin,
+            outageBegin + std::chrono::milliseconds(*rc::gen::inRange(100, 10'000)) };
+        FollowedStore store(outage, *rc::gen::arbitrary<bool>(), 0);
+        RC_ASSERT(store.recoveryTime(begin) < contactTime);
+    });
+    BOOST_TEST(holds);
+}
+
+// Guards against time-outs that add up over the pages of a table that is read in full.
+BOOST_AUTO_TEST_CASE(AnOutageDuringASnapshotEndsWithinTheContactTime)
+{
+    auto holds = rc::check("a node has read a table in time after a silent outage", [] {
+        TimePoint begin { 1'000s };
+        auto outageBegin = begin + std::chrono::milliseconds(*rc::gen::inRange(0, 100));
+        Outage outage { outageBegin,
+            outageBegin + std::chrono::milliseconds(*rc::gen::inRange(100, 10'000)) };
+        FollowedStore store(outage, *rc::gen::arbitrary<bool>(), *rc::gen::inRange(1, 10));
+        RC_ASSERT(store.recoveryTime(begin) < contactTime);
+    });
+    BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
