CONFIG: an overdue request to the store is repeated beside the first, on a new connection

Callers saw requests refused with 404, or run on a removed route, by a configuration 6 s old, 3 s after a silent outage of the store was over.

Cause: a follower had one request in flight and gave it up only by its time-out (3.0 s for a poll); the next was sent 0.25 s later. Any silence, even of 0.1 s, so left the follower without news for 3.25 s, and an outage of 3.0 to 3.3 s swallowed the second request too. Every node loses its poll as the outage begins, so all were behind together. The time without news was a sum of time-outs, and a shorter constant would only move the outage that hits it.

Fix: an answer that is 0.4 s late is not waited for; short requests follow every 0.4 s on connections of their own, and the first answer counts. The time without news is then at most the wait of a poll (1.5 s) or the time to the next request (0.4 s), whatever the time-outs are. Requests are held back while an answer is arriving. At most six are in flight, two or three a second, fewer than after a refusal today.

--- a/src/io/target_client.cpp
+++ b/src/io/target_client.cpp
@@ -61,6 +61,7 @@
     curl_slist* headers { nullptr };
     TargetClient::Done done;
     AnswerSink sink;
+    std::function<void()> onProgress;
     HttpAnswer answer;
     std::size_t maxBufferedBytes { 0 };
     int sends { 0 };
@@ -116,6 +117,8 @@
     auto bytes = size * count;
     if (attempt.isPaused)
         return CURL_WRITEFUNC_PAUSE;
+    if (attempt.onProgress)
+        attempt.onProgress();
     if (attempt.isStreaming) {
         attempt.isPaused = !attempt.sink.append(std::string(data, bytes));
         return bytes;
@@ -254,6 +257,7 @@
         attempt->id = id;
         attempt->done = std::move(done);
         attempt->sink = std::move(sink);
+        attempt->onProgress = request.onProgress;
         attempt->maxBufferedBytes = m_limits.maxBufferedBytes;
         attempt->isHeadRequest = request.method == "HEAD";
         attempt->headers = buildHeaders(request);
@@ -334,6 +338,7 @@
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.empty() ? "" : request.body.data());
         }
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.opensConnection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, mayKeepConnection(request) ? 0L : 1L);
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, attempt.headers);
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, beforeSend);
--- a/src/io/target_client.h
+++ b/src/io/target_client.h
@@ -26,6 +26,10 @@
     // If more connections than this, idle ones included, are open to the target, the request's connection is
     // closed after it instead of being reused.
     std::uint32_t maxReusableConnections { 0 };
+    // Opens a connection instead of reusing an idle one.
+    bool opensConnection { false };
+    // Called when a piece of the answer's body has arrived; may be empty. Must not call the client.
+    std::function<void()> onProgress;
 };
 
 struct TargetClientLimits {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -149,24 +149,26 @@
 
 void Node::readShardMap()
 {
-    m_store.read(layoutTable, "", {}, acquireTimeout, [this](const std::optional<platform::RowPage>& page) {
-        auto map = page && !page->rows.empty() ? decodeShardMap(page->rows.front().value) : std::nullopt;
-        if (map) {
-            onShardMap(*map);
-            return;
-        }
-        if (!page)
-            logWarning("shard-map-read-failed", { { "retry-ms", std::to_string(mapRetry.count()) } });
-        m_mapTimer.expires_after(mapRetry + m_jitter);
-        m_mapTimer.async_wait([this, isEmpty = page && page->rows.empty()](const asio::error_code& error) {
-            if (error)
+    m_store.read(
+        layoutTable, "", {}, { acquireTimeout }, [this](const std::optional<platform::RowPage>& page) {
+            auto map = page && !page->rows.empty() ? decodeShardMap(page->rows.front().value) : std::nullopt;
+            if (map) {
+                onShardMap(*map);
                 return;
-            if (isEmpty)
-                proposeShardMap();
-            else
-                readShardMap();
+            }
+            if (!page)
+                logWarning("shard-map-read-failed", { { "retry-ms", std::to_string(mapRetry.count()) } });
+            m_mapTimer.expires_after(mapRetry + m_jitter);
+            m_mapTimer.async_wait(
+                [this, isEmpty = page && page->rows.empty()](const asio::error_code& error) {
+                    if (error)
+                        return;
+                    if (isEmpty)
+                        proposeShardMap();
+                    else
+                        readShardMap();
+                });
         });
-    });
 }
 
 // The first process to write the row decides the number of shards; the others then read it.
--- a/src/node/pool_order.cpp
+++ b/src/node/pool_order.cpp
@@ -84,7 +84,7 @@
 void PoolOrderSync::read(bool mayWrite)
 {
     m_isBusy = true;
-    m_store.read(layoutTable, orderPart, {}, readTimeout,
+    m_store.read(layoutTable, orderPart, {}, { readTimeout },
         [this, mayWrite, isAlive = m_isAlive](const std::optional<platform::RowPage>& page) {
             if (!*isAlive)
                 return;
--- a/src/node/request_schedule.cpp
+++ b/src/node/request_schedule.cpp
@@ -1,5 +1,7 @@
 #include "node/request_schedule.h"
 
+#include <algorithm>
+
 namespace fulmar::node {
 
 namespace {
@@ -10,11 +12,33 @@
 
 } // namespace
 
-void RequestSchedule::onSent(TimePoint, std::chrono::milliseconds) { m_nextSend.reset(); }
-
-void RequestSchedule::onAnswer(TimePoint now, std::chrono::milliseconds pause) { m_nextSend = now + pause; }
-
-void RequestSchedule::onFailure(TimePoint now) { m_nextSend = now + retryPause; }
+RequestSchedule::Plan RequestSchedule::plan(std::chrono::milliseconds wait) const
+{
+    return m_attempts == 0 ? Plan { wait, false } : Plan { std::chrono::milliseconds(0), true };
+}
+
+void RequestSchedule::onSent(TimePoint now, const Plan& plan)
+{
+    ++m_attempts;
+    m_nextSend = now + plan.wait + answerPatience;
+}
+
+void RequestSchedule::onProgress(TimePoint now)
+{
+    if (m_nextSend)
+        m_nextSend = std::max(*m_nextSend, now + answerPatience);
+}
+
+void RequestSchedule::onAnswer(TimePoint now, std::chrono::milliseconds pause)
+{
+    m_attempts = 0;
+    m_nextSend = now + pause;
+}
+
+void RequestSchedule::onFailure(TimePoint now)
+{
+    m_nextSend = std::min(m_nextSend.value_or(TimePoint::max()), now + retryPause);
+}
 
 std::chrono::milliseconds requestTimeout(std::chrono::milliseconds wait) { return wait + answerTimeout; }
 
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -68,6 +68,9 @@
 
 void TableFollower::sendRequest()
 {
+    // One late answer may be due to a slow store.
+    if (m_schedule.attempts() > 1)
+        noteFailure();
     if (m_snapshot)
         sendPageRead();
     else
@@ -75,10 +78,21 @@
     awaitNextSend();
 }
 
+platform::ReadOptions TableFollower::readOptions(const RequestSchedule::Plan& plan)
+{
+    return { requestTimeout(plan.wait), plan.opensConnection, [this, step = m_step, isAlive = m_isAlive] {
+                if (!*isAlive || step != m_step)
+                    return;
+                m_schedule.onProgress(m_clock.now());
+                awaitNextSend();
+            } };
+}
+
 void TableFollower::sendPageRead()
 {
-    m_schedule.onSent(m_clock.now(), {});
-    m_store.read(m_table, m_parts[m_snapshot->partIndex], m_snapshot->fromKey, requestTimeout({}),
+    auto plan = m_schedule.plan({});
+    m_schedule.onSent(m_clock.now(), plan);
+    m_store.read(m_table, m_parts[m_snapshot->partIndex], m_snapshot->fromKey, readOptions(plan),
         [this, step = m_step, isAlive = m_isAlive](std::optional<platform::RowPage> page) {
             if (*isAlive && step == m_step)
                 onPage(std::move(page));
@@ -87,8 +101,9 @@
 
 void TableFollower::sendFeedPoll()
 {
-    m_schedule.onSent(m_clock.now(), feedWait);
-    m_store.pollFeed(m_table, m_version, feedWait, requestTimeout(feedWait),
+    auto plan = m_schedule.plan(feedWait);
+    m_schedule.onSent(m_clock.now(), plan);
+    m_store.pollFeed(m_table, m_version, plan.wait, readOptions(plan),
         [this, step = m_step, isAlive = m_isAlive](const platform::FeedResult& feed) {
             if (*isAlive && step == m_step)
                 onFeed(feed);
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -43,6 +43,7 @@
     void sendRequest();
     void sendPageRead();
     void sendFeedPoll();
+    [[nodiscard]] platform::ReadOptions readOptions(const RequestSchedule::Plan&);
     void onPage(std::optional<platform::RowPage>);
     void onFeed(const platform::FeedResult&);
     // Reads the table anew.
--- a/src/node/tests/request_schedule_test.cpp
+++ b/src/node/tests/request_schedule_test.cpp
@@ -62,12 +62,12 @@
 
     void send()
     {
-        auto wait = m_pagesLeft > 0 ? 0ms : feedWait;
-        auto holdsBack = m_holdsPolls && m_now < m_outage.end ? wait : 0ms;
-        m_schedule.onSent(m_now, wait);
+        auto plan = m_schedule.plan(m_pagesLeft > 0 ? 0ms : feedWait);
+        auto holdsBack = m_holdsPolls && m_now < m_outage.end ? plan.wait : 0ms;
+        m_schedule.onSent(m_now, plan);
         auto answeredAt = m_now + holdsBack + roundTrip;
         auto isLost = m_now < m_outage.end && answeredAt > m_outage.begin;
-        m_requests.push_back({ m_stepNumber, answeredAt, m_now + requestTimeout(wait), isLost });
+        m_requests.push_back({ m_stepNumber, answeredAt, m_now + requestTimeout(plan.wait), isLost });
         m_maxInFlight = std::max(m_maxInFlight, m_requests.size());
     }
 
@@ -144,4 +144,38 @@
     BOOST_TEST(holds);
 }
 
+// Requests sent beside overdue ones must not exceed the store's rate limit or a process's descriptors.
+BOOST_AUTO_TEST_CASE(FewRequestsAreInFlightDuringAnOutage)
+{
+    TimePoint begin { 1'000s };
+    FollowedStore store({ begin + 1s, begin + 60s }, true, 0);
+    static_cast<void>(store.recoveryTime(begin));
+    BOOST_TEST(store.maxInFlight() <= 6U);
+}
+
+// A second request for an answer that is still arriving would only take bandwidth from it.
+BOOST_AUTO_TEST_CASE(NothingIsSentBesideAnAnswerThatArrives)
+{
+    TimePoint now { 1'000s };
+    RequestSchedule schedule;
+    schedule.onSent(now, schedule.plan(0ms));
+    for (int piece = 0; piece < 20; ++piece) {
+        now += answerPatience / 2;
+        schedule.onProgress(now);
+        BOOST_TEST((*schedule.nextSend() > now + answerPatience / 2));
+    }
+}
+
+// An idle connection may have been silent since before the request that is overdue.
+BOOST_AUTO_TEST_CASE(AnOverdueRequestIsRepeatedOnANewConnection)
+{
+    TimePoint now { 1'000s };
+    RequestSchedule schedule;
+    BOOST_TEST(!schedule.plan(feedWait).opensConnection);
+    schedule.onSent(now, schedule.plan(feedWait));
+    BOOST_TEST(schedule.plan(feedWait).opensConnection);
+    schedule.onAnswer(now + 1s, 10ms);
+    BOOST_TEST(!schedule.plan(feedWait).opensConnection);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/vm_controller.cpp
+++ b/src/node/vm_controller.cpp
@@ -352,7 +352,7 @@
         answer(true);
         return;
     }
-    m_store.read(waveTable, ShardMap::partOf(next), {}, shardCheckTimeout,
+    m_store.read(waveTable, ShardMap::partOf(next), {}, { shardCheckTimeout },
         [this, wave, next, end, answer = std::move(answer), isAlive = m_isAlive](
             const std::optional<platform::RowPage>& page) {
             if (!*isAlive)
