CONFIG: a configuration that the store has not confirmed denies no queue

Callers saw 404 for a route that had been added. A node that is without the store cannot know whether a queue exists, and 404 is final to a caller.

Cause: 404 was decided by whatever configuration the node had, of any age. The same class as a job denied by a holder whose lease is unsure, which answers 503 already.

Fix: 404 only if the store confirmed the configuration within the time in which changes must be in force (a new setting, platform.config_apply_time, 2 s unless given); else 503 with a Retry-After of 1 s. So no answer of 404 is later than that time after a route was added, whatever the store or the links do. Known queues are served on in an outage.

--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "node/call_retry.h"
+#include "node/queue_denial.h"
 #include "node/readiness.h"
 #include "node/stop_plan.h"
 #include "platform/decode.h"
@@ -27,6 +28,8 @@
 // A holder that misses two probes is unreachable: calls for its shard are refused, and it counts against this
 // process's readiness.
 constexpr std::chrono::milliseconds holderTimeout { 1'700 };
+// The store confirms the configuration within 0.5 s after an outage.
+constexpr std::chrono::milliseconds unconfirmedRetryAfter { 1'000 };
 constexpr std::size_t maxLoggedPathBytes = 200;
 
 std::string headerOf(const CallerRequest& request, std::string_view name)
@@ -263,7 +266,13 @@
     const auto* queue = m_config->queueFor(hostOf(request), path);
     auto rest = queue ? path.substr(queue->pathPrefix.size()) : std::string_view();
     if (!queue || (!rest.empty() && !isJobId(rest))) {
-        refuse(id, request, makeJsonAnswer(404), queue ? "no-job-id" : "unknown-queue");
+        if (queue)
+            refuse(id, request, makeJsonAnswer(404), "no-job-id");
+        else if (mayDenyQueue(m_configFollower.sinceLastAnswer(), m_settings.configApplyTime))
+            refuse(id, request, makeJsonAnswer(404), "unknown-queue");
+        else
+            refuse(
+                id, request, refusal(503, unconfirmedRetryAfter, "config-unconfirmed"), "config-unconfirmed");
         return;
     }
     JobCall call;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -25,6 +25,7 @@
     settings.metricsAddress = reader.takeAddress("listen", "metrics");
     settings.storeAddress = reader.takeAddress("platform", "store");
     settings.vmsAddress = reader.takeAddress("platform", "vms", "");
+    settings.configApplyTime = takeMillis(reader, "platform", "config_apply_time", 2s);
     settings.maxRunnerLease = takeMillis(reader, "runners", "max_lease", 6s);
     settings.stopGrace = takeMillis(reader, "process", "stop_grace", 6s);
     settings.moveTime = takeMillis(reader, "vms", "move_time", 1500ms);
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -17,6 +17,8 @@
     std::string metricsAddress;
     std::string storeAddress;
     std::string vmsAddress;
+    // A change of the configuration must be in force this long after the store has acknowledged it.
+    std::chrono::milliseconds configApplyTime { 0 };
     // Longest lease that a runner grants to its tasks.
     std::chrono::milliseconds maxRunnerLease { 0 };
     // Time from the stop signal to the kill.
--- a/src/node/request_schedule.h
+++ b/src/node/request_schedule.h
@@ -10,8 +10,8 @@
 // Decides when a follower of a store table sends its next request. The follower takes a step with each
 // answer: it reads the next page of a snapshot, or the next changes. A request may be lost without a sign of
 // it: in an outage, or on a dead connection. So an overdue request is not waited for: others are sent beside
-// it, and the first answer counts. How long a follower is without news then depends on answerPatience, not on
-// time-outs.
+// it, and the first answer counts. How long a follower is without news then depends on feedWait and
+// answerPatience, not on time-outs.
 class RequestSchedule {
 public:
     // How the next request of the current step is to be sent.
