--- a/src/io/target_client.cpp
+++ b/src/io/target_client.cpp
@@ -62,6 +62,10 @@
     TargetClient::Done done;
     AnswerSink sink;
     std::function<void()> onProgress;
+    Duration timeout {};
+    bool restartsTimeout { false };
+    // When the last piece of the body arrived.
+    std::optional<asio::steady_timer::time_point> progressAt;
     HttpAnswer answer;
     std::size_t maxBufferedBytes { 0 };
     int sends { 0 };
@@ -117,6 +121,7 @@
     auto bytes = size * count;
     if (attempt.isPaused)
         return CURL_WRITEFUNC_PAUSE;
+    attempt.progressAt = asio::steady_timer::clock_type::now();
     if (attempt.onProgress)
         attempt.onProgress();
     if (attempt.isStreaming) {
@@ -258,6 +263,8 @@
         attempt->done = std::move(done);
         attempt->sink = std::move(sink);
         attempt->onProgress = request.onProgress;
+        attempt->timeout = request.timeout;
+        attempt->restartsTimeout = request.restartsTimeout;
         attempt->maxBufferedBytes = m_limits.maxBufferedBytes;
         attempt->isHeadRequest = request.method == "HEAD";
         attempt->headers = buildHeaders(request);
@@ -515,9 +522,18 @@
         for (auto each = m_deadlines.begin(); each != end; ++each)
             overdue.push_back(each->second);
         m_deadlines.erase(m_deadlines.begin(), end);
-        for (auto id : overdue)
-            if (auto position = m_attempts.find(id); position != m_attempts.end())
+        for (auto id : overdue) {
+            auto position = m_attempts.find(id);
+            if (position == m_attempts.end())
+                continue;
+            const auto& attempt = *position->second;
+            auto isArriving = attempt.restartsTimeout && attempt.progressAt
+                && *attempt.progressAt + attempt.timeout > now;
+            if (isArriving)
+                m_deadlines.emplace(*attempt.progressAt + attempt.timeout, id);
+            else
                 finish(position, CURLE_OPERATION_TIMEDOUT);
+        }
     }
 
     template <typename Work> void postIfAlive(Work work)
--- a/src/io/target_client.h
+++ b/src/io/target_client.h
@@ -22,12 +22,14 @@
     std::string path;
     std::vector<HeaderField> headers;
     std::string_view body;
+    // Measured from the start; with `restartsTimeout` from the last piece of the answer's body.
     Duration timeout {};
     // If more connections than this, idle ones included, are open to the target, the request's connection is
     // closed after it instead of being reused.
     std::uint32_t maxReusableConnections { 0 };
     // Opens a connection instead of reusing an idle one.
     bool opensConnection { false };
+    bool restartsTimeout { false };
     // Called when a piece of the answer's body has arrived; may be empty. Must not call the client.
     std::function<void()> onProgress;
 };
--- a/src/io/tests/scripted_target.h
+++ b/src/io/tests/scripted_target.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 #include <deque>
@@ -18,6 +19,8 @@
     bool closes { false };
     // Never replies and keeps the connection open.
     bool isSilent { false };
+    // If set, the reply's body is sent one byte at a time, this far apart.
+    std::chrono::milliseconds byteInterval { 0 };
 };
 
 // A target on a free port that runs one step of a script per request and counts requests and connections.
@@ -81,6 +84,13 @@
             m_silent.push_back(connection);
             return;
         }
+        if (step.byteInterval.count() > 0) {
+            auto headBytes = step.reply.find("\r\n\r\n") + 4;
+            asio::error_code ignored;
+            asio::write(connection->socket, asio::buffer(step.reply.data(), headBytes), ignored);
+            sendBytes(connection, step, headBytes);
+            return;
+        }
         asio::error_code ignored;
         asio::write(connection->socket, asio::buffer(step.reply), ignored);
         if (step.closes)
@@ -89,6 +99,22 @@
             readRequest(connection);
     }
 
+    void sendBytes(const std::shared_ptr<Connection>& connection, const Step& step, std::size_t sent)
+    {
+        if (sent == step.reply.size()) {
+            readRequest(connection);
+            return;
+        }
+        asio::error_code ignored;
+        asio::write(connection->socket, asio::buffer(step.reply.data() + sent, 1), ignored);
+        auto timer
+            = std::make_shared<asio::steady_timer>(connection->socket.get_executor(), step.byteInterval);
+        timer->async_wait([this, timer, connection, step, sent](const asio::error_code& error) {
+            if (!error)
+                sendBytes(connection, step, sent + 1);
+        });
+    }
+
     asio::ip::tcp::acceptor m_acceptor;
     std::deque<Step> m_script;
     std::deque<std::shared_ptr<Connection>> m_silent;
