LIMIT: no start is sent to a runner whose capacity has shrunk below what is reserved

A runner may shrink while it runs, and says so. Placement went by the last report already; a start that had been placed before, and waited behind others to be sent or to be sent again after an unanswered order, did not, and brought the runner over its capacity seconds later.

Fix: both look at the last report again when they are sent. What runs and what is being stopped still counts.

Evidence: shard/NoStartIsSentToARunnerThatHasShrunk failed before.

--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -104,6 +104,8 @@
     [[nodiscard]] bool hasLongRunningRuns() const;
     [[nodiscard]] const Resources& reserved() const { return m_reserved; }
     [[nodiscard]] Resources room() const;
+    // The capacity has shrunk below what is reserved.
+    [[nodiscard]] bool isOvercommitted() const { return !m_reserved.fitsIn(m_report.capacity); }
     // The runner has reported to this holder, is reachable, runs nothing, and its reported ends are stored:
     // they would be lost with its incarnation.
     [[nodiscard]] bool isKnownEmpty() const
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -91,7 +91,8 @@
     // Stored jobs of the queue of which no task has started.
     [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
 
-    // Whether a start that waited to be sent is still wanted.
+    // Whether a start that waited to be sent is still wanted, and its runner has not shrunk below what is
+    // reserved.
     [[nodiscard]] bool mayStillStart(const RunnerId&, const StartOrder&);
     void onStart(const RunnerId&, const StartOrder&, const OrderAnswer&, TimePoint now);
     void onStop(const RunnerId&, const StopOrder&, const OrderAnswer&, TimePoint now);
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -127,7 +127,7 @@
 bool Shard::mayStillStart(const RunnerId& id, const StartOrder& order)
 {
     auto [runner, run] = findRun(id, order.task, order.attempt);
-    return run && run->phase == RunPhase::Starting;
+    return run && run->phase == RunPhase::Starting && !runner->isOvercommitted();
 }
 
 void Shard::onStop(const RunnerId& id, const StopOrder& order, const OrderAnswer& answer, TimePoint now)
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -42,7 +42,7 @@
         if (!std::exchange(run.isResendDue, false) || run.phase != RunPhase::Starting)
             continue;
         auto* entry = m_jobTable.find(task.job);
-        if (!entry || entry->isOver()) {
+        if (!entry || entry->isOver() || runner.isOvercommitted()) {
             run.phase = RunPhase::Unconfirmed;
             continue;
         }
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -80,6 +80,29 @@
     BOOST_TEST(starts.size() == 2U);
 }
 
+// A runner's capacity may shrink while start orders for it wait to be sent or to be sent again.
+BOOST_FIXTURE_TEST_CASE(NoStartIsSentToARunnerThatHasShrunk, ShardFixture)
+{
+    addRunner("r1", 2'000);
+    submit(job("j1", 2));
+    advance();
+    BOOST_REQUIRE_EQUAL(starts.size(), 2U);
+    auto answered = starts[0];
+    auto waiting = starts[1];
+    answerStart(answered, OrderOutcome::Unknown);
+    list(report("r1", 1'000));
+    BOOST_TEST(!shard.mayStillStart(waiting.runner.id, waiting.order));
+    advance();
+    BOOST_TEST(starts.empty());
+    shard.onStart(waiting.runner.id, waiting.order, { OrderOutcome::Withheld, {}, 0 }, now);
+    advance(1s);
+    // What is being stopped still counts.
+    BOOST_TEST(starts.empty());
+    list(report("r1", 4'000));
+    advance(10ms);
+    BOOST_TEST(starts.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnEndIsAcknowledgedOnlyOnceItIsStored, ShardFixture)
 {
     addRunner("r1");
