CONFIG: an old configuration denies no queue below a known one

Callers would see 404 for an added queue whose path extends that of a queue which the node knows, however old the node's configuration is.

Cause: a path below a known queue that is no job id of it was answered 404 before the age of the configuration was looked at.

Fix: one function, lookUpQueue, decides from the configuration and its age; 404 has a single place, behind the age.

--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -2,7 +2,7 @@
 
 #include "core/log.h"
 #include "node/call_retry.h"
-#include "node/queue_denial.h"
+#include "node/queue_lookup.h"
 #include "node/readiness.h"
 #include "node/stop_plan.h"
 #include "platform/decode.h"
@@ -57,12 +57,6 @@
     return std::chrono::milliseconds(value);
 }
 
-bool isJobId(std::string_view text)
-{
-    return text.size() == 16
-        && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isxdigit(c); });
-}
-
 HttpAnswer makeJsonAnswer(std::uint32_t status, std::string body = "{}")
 {
     return { status, { { "Content-Type", "application/json" } }, std::move(body) };
@@ -263,23 +257,22 @@
         return;
     }
     auto path = request.path.substr(0, request.path.find('?'));
-    const auto* queue = m_config->queueFor(hostOf(request), path);
-    auto rest = queue ? path.substr(queue->pathPrefix.size()) : std::string_view();
-    if (!queue || (!rest.empty() && !isJobId(rest))) {
-        if (queue)
-            refuse(id, request, makeJsonAnswer(404), "no-job-id");
-        else if (mayDenyQueue(m_configFollower.sinceLastAnswer(), m_settings.configApplyTime))
-            refuse(id, request, makeJsonAnswer(404), "unknown-queue");
-        else
-            refuse(
-                id, request, refusal(503, unconfirmedRetryAfter, "config-unconfirmed"), "config-unconfirmed");
+    auto host = hostOf(request);
+    auto [verdict, queue, jobId] = lookUpQueue(
+        *m_config, host, path, { m_configFollower.sinceLastAnswer(), m_settings.configApplyTime });
+    if (verdict == QueueVerdict::Denied) {
+        refuse(id, request, makeJsonAnswer(404), "unknown-queue");
+        return;
+    }
+    if (verdict == QueueVerdict::Unconfirmed) {
+        refuse(id, request, refusal(503, unconfirmedRetryAfter, "config-unconfirmed"), "config-unconfirmed");
         return;
     }
     JobCall call;
     call.queue = queue->name;
-    call.job = JobId(std::string(rest));
+    call.job = JobId(std::string(jobId));
     call.shard = m_map->shardOf(call.job);
-    if (request.method == "POST" && !rest.empty()) {
+    if (request.method == "POST" && !jobId.empty()) {
         call.kind = JobCallKind::Submit;
         auto job = platform::decodeSubmission(request.body);
         if (!job) {
@@ -297,8 +290,8 @@
         }
         call.shard = *shard;
     } else if (request.method == "GET") {
-        call.kind = rest.empty() ? JobCallKind::Count : JobCallKind::Show;
-    } else if (request.method == "DELETE" && !rest.empty()) {
+        call.kind = jobId.empty() ? JobCallKind::Count : JobCallKind::Show;
+    } else if (request.method == "DELETE" && !jobId.empty()) {
         call.kind = JobCallKind::Cancel;
     } else {
         refuse(id, request, makeJsonAnswer(405), "unknown-method");
