CONFIG: an answer read after a suspension confirms the configuration only as of its request

Callers would see 404 for an added queue from a process that was suspended and wakes up. Found by reading; a process is not expected to be up to date that early, so no rule says it.

Cause: an answer that waited in the socket during the suspension counted as news of the moment at which it was read, so the configuration seemed to be confirmed just then.

Fix: an answer that is overdue confirms what the store held when its request was sent, not when it is read; a table read in full counts from its first page. The age may still be too low by the longest wait of a poll and the patience, 1.9 s.

Evidence: request_schedule/AnAnswerReadAfterASuspensionConfirmsNothingRecent failed with the moment of arrival, and passes.

--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -227,7 +227,7 @@
 
 Node::ConfigView Node::configView() const
 {
-    return { m_config ? m_config->version : 0, m_configFollower.sinceLastAnswer() };
+    return { m_config ? m_config->version : 0, m_configFollower.age() };
 }
 
 void Node::refuse(CallId id, const CallerRequest& request, HttpAnswer answer, std::string_view reason)
@@ -258,8 +258,8 @@
     }
     auto path = request.path.substr(0, request.path.find('?'));
     auto host = hostOf(request);
-    auto [verdict, queue, jobId] = lookUpQueue(
-        *m_config, host, path, { m_configFollower.sinceLastAnswer(), m_settings.configApplyTime });
+    auto [verdict, queue, jobId]
+        = lookUpQueue(*m_config, host, path, { m_configFollower.age(), m_settings.configApplyTime });
     if (verdict == QueueVerdict::Denied) {
         refuse(id, request, makeJsonAnswer(404), "unknown-queue");
         return;
--- a/src/node/request_schedule.cpp
+++ b/src/node/request_schedule.cpp
@@ -40,6 +40,11 @@
     m_nextSend = std::min(m_nextSend.value_or(TimePoint::max()), now + retryPause);
 }
 
+TimePoint confirmedTime(TimePoint sent, std::chrono::milliseconds wait, TimePoint received)
+{
+    return received <= sent + wait + answerPatience ? received : sent;
+}
+
 std::chrono::milliseconds requestTimeout(std::chrono::milliseconds wait) { return wait + answerTimeout; }
 
 } // namespace fulmar::node
--- a/src/node/request_schedule.h
+++ b/src/node/request_schedule.h
@@ -48,6 +48,10 @@
 // An answer that is this late is overdue.
 inline constexpr std::chrono::milliseconds answerPatience { 400 };
 
+// The time that an answer confirms: what the store held then, the follower knows. An overdue answer may have
+// been given at any time since its request was sent, as the process may have been suspended.
+[[nodiscard]] TimePoint confirmedTime(TimePoint sent, std::chrono::milliseconds wait, TimePoint received);
+
 // Time-out of a request whose answer the store may hold back for `wait`.
 [[nodiscard]] std::chrono::milliseconds requestTimeout(std::chrono::milliseconds wait);
 
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -23,9 +23,9 @@
     sendRequest();
 }
 
-std::chrono::milliseconds TableFollower::sinceLastAnswer() const
+std::chrono::milliseconds TableFollower::age() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_answeredAt);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_confirmedAt);
 }
 
 void TableFollower::noteFailure()
@@ -34,14 +34,14 @@
         return;
     logWarning("store-lost",
         { { "table", m_table }, { "version", std::to_string(m_version) },
-            { "silent-ms", std::to_string(sinceLastAnswer().count()) } });
+            { "silent-ms", std::to_string(age().count()) } });
     m_hooks.onLost();
 }
 
-void TableFollower::noteAnswer()
+void TableFollower::noteAnswer(TimePoint confirmedAt)
 {
-    auto silent = sinceLastAnswer();
-    m_answeredAt = m_clock.now();
+    auto silent = age();
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
     if (!std::exchange(m_isStoreLost, false))
         return;
     logInfo("store-regained",
@@ -91,34 +91,38 @@
 void TableFollower::sendPageRead()
 {
     auto plan = m_schedule.plan({});
-    m_schedule.onSent(m_clock.now(), plan);
+    auto sent = m_clock.now();
+    m_schedule.onSent(sent, plan);
     m_store.read(m_table, m_parts[m_snapshot->partIndex], m_snapshot->fromKey, readOptions(plan),
-        [this, step = m_step, isAlive = m_isAlive](std::optional<platform::RowPage> page) {
+        [this, sent, plan, step = m_step, isAlive = m_isAlive](std::optional<platform::RowPage> page) {
             if (*isAlive && step == m_step)
-                onPage(std::move(page));
+                onPage(std::move(page), confirmedTime(sent, plan.wait, m_clock.now()));
         });
 }
 
 void TableFollower::sendFeedPoll()
 {
     auto plan = m_schedule.plan(feedWait);
-    m_schedule.onSent(m_clock.now(), plan);
+    auto sent = m_clock.now();
+    m_schedule.onSent(sent, plan);
     m_store.pollFeed(m_table, m_version, plan.wait, readOptions(plan),
-        [this, step = m_step, isAlive = m_isAlive](const platform::FeedResult& feed) {
+        [this, sent, plan, step = m_step, isAlive = m_isAlive](const platform::FeedResult& feed) {
             if (*isAlive && step == m_step)
-                onFeed(feed);
+                onFeed(feed, confirmedTime(sent, plan.wait, m_clock.now()));
         });
 }
 
-void TableFollower::onPage(std::optional<platform::RowPage> page)
+void TableFollower::onPage(std::optional<platform::RowPage> page, TimePoint confirmedAt)
 {
     if (!page) {
         onFailure();
         return;
     }
     auto& snapshot = *m_snapshot;
-    if (snapshot.version == 0)
+    if (snapshot.version == 0) {
         snapshot.version = page->version;
+        snapshot.confirmedAt = confirmedAt;
+    }
     auto hasMore = page->hasMore && !page->rows.empty();
     for (auto& row : page->rows)
         snapshot.rows.push_back(std::move(row));
@@ -136,13 +140,13 @@
 void TableFollower::reportSnapshot()
 {
     m_version = m_snapshot->version;
-    noteAnswer();
+    noteAnswer(m_snapshot->confirmedAt);
     m_hooks.onSnapshot(m_snapshot->rows);
     m_hooks.onBatchEnd();
     m_snapshot.reset();
 }
 
-void TableFollower::onFeed(const platform::FeedResult& feed)
+void TableFollower::onFeed(const platform::FeedResult& feed, TimePoint confirmedAt)
 {
     switch (feed.outcome) {
     case platform::FeedOutcome::Failed:
@@ -154,7 +158,7 @@
         break;
     case platform::FeedOutcome::Changes:
         m_version = std::max(m_version, feed.page.version);
-        noteAnswer();
+        noteAnswer(confirmedAt);
         for (const auto& row : feed.page.rows)
             if (std::find(m_parts.begin(), m_parts.end(), row.name.part) != m_parts.end())
                 m_hooks.onRow(row);
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -34,9 +34,8 @@
 
     void start();
 
-    // Time since the store last answered; since the start if it never has. The rows reported so far are at
-    // most this old.
-    [[nodiscard]] std::chrono::milliseconds sinceLastAnswer() const;
+    // Time since the store confirmed the rows reported so far; since the start if it never has.
+    [[nodiscard]] std::chrono::milliseconds age() const;
 
 private:
     // Sends the request of the current step: a page of the snapshot, or the changes since m_version.
@@ -44,8 +43,8 @@
     void sendPageRead();
     void sendFeedPoll();
     [[nodiscard]] platform::ReadOptions readOptions(const RequestSchedule::Plan&);
-    void onPage(std::optional<platform::RowPage>);
-    void onFeed(const platform::FeedResult&);
+    void onPage(std::optional<platform::RowPage>, TimePoint confirmedAt);
+    void onFeed(const platform::FeedResult&, TimePoint confirmedAt);
     // Reads the table anew.
     void beginSnapshot();
     void reportSnapshot();
@@ -55,7 +54,7 @@
     // Wakes up when the schedule says so.
     void awaitNextSend();
     void noteFailure();
-    void noteAnswer();
+    void noteAnswer(TimePoint confirmedAt);
 
     platform::StoreClient& m_store;
     const std::string m_table;
@@ -68,15 +67,16 @@
     // A table that is being read in full: the rows read so far, and where to continue.
     struct Snapshot {
         std::vector<platform::StoredRow> rows;
-        // Of the first page, the oldest, so that a feed that starts there misses no change.
+        // Both of the first page, the oldest, so that a feed that starts there misses no change.
         Version version { 0 };
+        TimePoint confirmedAt;
         std::size_t partIndex { 0 };
         std::string fromKey;
     };
     std::optional<Snapshot> m_snapshot;
     // Number of the current step, which tells the answers to it from those to earlier ones.
     std::uint64_t m_step { 0 };
-    TimePoint m_answeredAt { m_clock.now() };
+    TimePoint m_confirmedAt { m_clock.now() };
     Version m_version { 0 };
     bool m_isStoreLost { false };
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
--- a/src/node/tests/request_schedule_test.cpp
+++ b/src/node/tests/request_schedule_test.cpp
@@ -178,4 +178,19 @@
     BOOST_TEST(!schedule.plan(feedWait).opensConnection);
 }
 
+// Guards against a process that is suspended, and on waking up takes an answer from before for a recent one.
+BOOST_AUTO_TEST_CASE(AnAnswerReadAfterASuspensionConfirmsNothingRecent)
+{
+    TimePoint sent { 1'000s };
+    BOOST_TEST((confirmedTime(sent, feedWait, sent + 8s) == sent));
+    BOOST_TEST((confirmedTime(sent, 0ms, sent + 1s) == sent));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerInTimeConfirmsTheMomentItArrives)
+{
+    TimePoint sent { 1'000s };
+    auto received = sent + feedWait + roundTrip;
+    BOOST_TEST((confirmedTime(sent, feedWait, received) == received));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
