CONFIG: the wait of a poll follows the time in which changes must be in force

Callers of a deployment with a shorter bound than the present ones would be served by a configuration older than it allows.

Cause: the store holds a poll back for 1.5 s, whatever the deployment's bound is; with the 0.4 s after which a poll is overdue this fits a bound of 2 s, and no less.

Fix: the wait is what the bound leaves, and 1.5 s at most, so nothing changes for bounds of 2 s and more. A bound under 0.6 s is an error in the settings. Leases and the list of runners keep their wait.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -65,7 +65,8 @@
     , m_runnerClient(m_http)
     , m_vmClient(m_http, m_settings.vmsAddress)
     , m_rpcClient(m_loop)
-    , m_configFollower(m_loop, m_store, platform::operatorTable, { "" }, feedPause,
+    , m_configFollower(m_loop, m_store, platform::operatorTable, { "" },
+          { feedPause, feedWaitFor(m_settings.configApplyTime) },
           { [this](const platform::StoredRow& row) { onOperatorRow(row); },
               [this](const std::vector<platform::StoredRow>& rows) {
                   for (const auto& row : rows)
@@ -203,7 +204,7 @@
                 asio::steady_timer(m_loop), false, nullptr, false, false, {}, {}, false, {}, {}, {} }));
     }
     m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, leaseTable, std::move(parts),
-        isSmall() ? leaseFeedPauseOfSmall : leaseFeedPause,
+        TableFollower::Timing { isSmall() ? leaseFeedPauseOfSmall : leaseFeedPause },
         TableFollower::Hooks { [this](const platform::StoredRow& row) { onLeaseRow(row); },
             [this](const std::vector<platform::StoredRow>& rows) {
                 for (const auto& row : rows)
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -1,5 +1,7 @@
 #include "node/node_settings.h"
 
+#include "node/request_schedule.h"
+
 namespace fulmar::node {
 
 using namespace std::chrono_literals;
@@ -25,7 +27,8 @@
     settings.metricsAddress = reader.takeAddress("listen", "metrics");
     settings.storeAddress = reader.takeAddress("platform", "store");
     settings.vmsAddress = reader.takeAddress("platform", "vms", "");
-    settings.configApplyTime = takeMillis(reader, "platform", "config_apply_time", 2s);
+    settings.configApplyTime = std::chrono::ceil<std::chrono::milliseconds>(
+        reader.takeDuration("platform", "config_apply_time", minNewsAge, 1h, 2s));
     settings.maxRunnerLease = takeMillis(reader, "runners", "max_lease", 6s);
     settings.stopGrace = takeMillis(reader, "process", "stop_grace", 6s);
     settings.moveTime = takeMillis(reader, "vms", "move_time", 1500ms);
--- a/src/node/request_schedule.cpp
+++ b/src/node/request_schedule.cpp
@@ -1,6 +1,7 @@
 #include "node/request_schedule.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace fulmar::node {
 
@@ -40,6 +41,12 @@
     m_nextSend = std::min(m_nextSend.value_or(TimePoint::max()), now + retryPause);
 }
 
+std::chrono::milliseconds feedWaitFor(std::chrono::milliseconds maxAge)
+{
+    assert(maxAge >= minNewsAge);
+    return std::min(maxFeedWait, maxAge - answerPatience - transferTime);
+}
+
 TimePoint confirmedTime(TimePoint sent, std::chrono::milliseconds wait, TimePoint received)
 {
     return received <= sent + wait + answerPatience ? received : sent;
--- a/src/node/request_schedule.h
+++ b/src/node/request_schedule.h
@@ -10,8 +10,8 @@
 // Decides when a follower of a store table sends its next request. The follower takes a step with each
 // answer: it reads the next page of a snapshot, or the next changes. A request may be lost without a sign of
 // it: in an outage, or on a dead connection. So an overdue request is not waited for: others are sent beside
-// it, and the first answer counts. How long a follower is without news then depends on feedWait and
-// answerPatience, not on time-outs.
+// it, and the first answer counts. How long a follower is without news then depends on the wait of
+// its polls and answerPatience, not on time-outs.
 class RequestSchedule {
 public:
     // How the next request of the current step is to be sent.
@@ -44,9 +44,17 @@
 };
 
 // How long the store may hold back the answer to a feed poll.
-inline constexpr std::chrono::milliseconds feedWait { 1'500 };
+inline constexpr std::chrono::milliseconds maxFeedWait { 1'500 };
 // An answer that is this late is overdue.
 inline constexpr std::chrono::milliseconds answerPatience { 400 };
+// Longest exchange with a store that answers at once.
+inline constexpr std::chrono::milliseconds transferTime { 100 };
+// Least bound that a follower can keep.
+inline constexpr std::chrono::milliseconds minNewsAge { 600 };
+
+// The wait with which the news of a follower is at most `maxAge` old, even if its poll is lost and the next
+// request has to be sent. `maxAge` is at least minNewsAge.
+[[nodiscard]] std::chrono::milliseconds feedWaitFor(std::chrono::milliseconds maxAge);
 
 // The time that an answer confirms: what the store held then, the follower knows. An overdue answer may have
 // been given at any time since its request was sent, as the process may have been suspended.
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -74,7 +74,7 @@
                   m_log.put(rowName(waveTable, std::to_string(wave)), std::move(value), std::move(durable));
               },
               [this] { schedule(); } })
-    , m_runnerList(loop, clients.store, platform::runnerListTable, { "" }, runnerListPause,
+    , m_runnerList(loop, clients.store, platform::runnerListTable, { "" }, { runnerListPause },
           { [this](const platform::StoredRow& row) { onRunnerRow(row); },
               [this](const std::vector<platform::StoredRow>& rows) {
                   m_listedRunners.clear();
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -7,11 +7,11 @@
 namespace fulmar::node {
 
 TableFollower::TableFollower(asio::io_context& loop, platform::StoreClient& store, std::string table,
-    std::vector<std::string> parts, std::chrono::milliseconds pause, Hooks hooks)
+    std::vector<std::string> parts, Timing timing, Hooks hooks)
     : m_store(store)
     , m_table(std::move(table))
     , m_parts(std::move(parts))
-    , m_pause(pause)
+    , m_timing(timing)
     , m_hooks(std::move(hooks))
     , m_timer(loop)
 {
@@ -102,7 +102,7 @@
 
 void TableFollower::sendFeedPoll()
 {
-    auto plan = m_schedule.plan(feedWait);
+    auto plan = m_schedule.plan(m_timing.feedWait);
     auto sent = m_clock.now();
     m_schedule.onSent(sent, plan);
     m_store.pollFeed(m_table, m_version, plan.wait, readOptions(plan),
@@ -179,7 +179,7 @@
 {
     ++m_step;
     // The pages of a snapshot are read without a pause.
-    m_schedule.onAnswer(m_clock.now(), m_snapshot ? std::chrono::milliseconds(0) : m_pause);
+    m_schedule.onAnswer(m_clock.now(), m_snapshot ? std::chrono::milliseconds(0) : m_timing.pause);
     awaitNextSend();
 }
 
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -25,9 +25,15 @@
         std::function<void()> onRegained = [] {};
     };
 
-    // `pause` is the minimum time between an answer and the next poll.
+    struct Timing {
+        // Minimum time between an answer and the next poll.
+        std::chrono::milliseconds pause { 0 };
+        // How long the store may hold back the answer to a poll.
+        std::chrono::milliseconds feedWait { maxFeedWait };
+    };
+
     TableFollower(asio::io_context&, platform::StoreClient&, std::string table,
-        std::vector<std::string> parts, std::chrono::milliseconds pause, Hooks);
+        std::vector<std::string> parts, Timing, Hooks);
     ~TableFollower() { *m_isAlive = false; }
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
@@ -59,7 +65,7 @@
     platform::StoreClient& m_store;
     const std::string m_table;
     const std::vector<std::string> m_parts;
-    const std::chrono::milliseconds m_pause;
+    const Timing m_timing;
     const Hooks m_hooks;
     BootClock m_clock;
     asio::steady_timer m_timer;
--- a/src/node/tests/queue_lookup_test.cpp
+++ b/src/node/tests/queue_lookup_test.cpp
@@ -72,7 +72,10 @@
 // Without changes the store confirms the configuration once per poll.
 BOOST_AUTO_TEST_CASE(AConfigurationConfirmedByTheLastPollDeniesQueues)
 {
-    BOOST_TEST((verdictOn("/routes/", { feedWait + 200ms, 2s }) == QueueVerdict::Denied));
+    for (auto applyTime : { 1'000ms, 2'000ms, 3'000ms, 4'000ms }) {
+        ConfigAge age { feedWaitFor(applyTime) + 200ms, applyTime };
+        BOOST_TEST((verdictOn("/routes/", age) == QueueVerdict::Denied));
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/tests/request_schedule_test.cpp
+++ b/src/node/tests/request_schedule_test.cpp
@@ -13,6 +13,8 @@
 
 // A node is expected to be up to date from this long after the end of an outage on.
 constexpr auto contactTime = 3'000ms;
+// A change of the configuration must be in force after at most this time.
+constexpr auto applyTime = 2'000ms;
 constexpr auto step = 5ms;
 constexpr auto pause = 10ms;
 constexpr auto roundTrip = 10ms;
@@ -28,10 +30,11 @@
 class FollowedStore {
 public:
     // `holdsPolls`: no row changes before the outage, so polls are held back. `pages` pages are read first.
-    FollowedStore(Outage outage, bool holdsPolls, int pages)
+    FollowedStore(Outage outage, bool holdsPolls, int pages, std::chrono::milliseconds feedWait)
         : m_outage(outage)
         , m_holdsPolls(holdsPolls)
         , m_pagesLeft(pages)
+        , m_feedWait(feedWait)
     {
     }
 
@@ -62,7 +65,7 @@
 
     void send()
     {
-        auto plan = m_schedule.plan(m_pagesLeft > 0 ? 0ms : feedWait);
+        auto plan = m_schedule.plan(m_pagesLeft > 0 ? 0ms : m_feedWait);
         auto holdsBack = m_holdsPolls && m_now < m_outage.end ? plan.wait : 0ms;
         m_schedule.onSent(m_now, plan);
         auto answeredAt = m_now + holdsBack + roundTrip;
@@ -104,6 +107,7 @@
     const Outage m_outage;
     const bool m_holdsPolls;
     int m_pagesLeft;
+    const std::chrono::milliseconds m_feedWait;
     TimePoint m_now;
     int m_stepNumber { 0 };
     RequestSchedule m_schedule;
@@ -124,12 +128,27 @@
         auto outageBegin = begin + std::chrono::milliseconds(*rc::gen::inRange(0, 4'000));
         Outage outage { outageBegin,
             outageBegin + std::chrono::milliseconds(*rc::gen::inRange(100, 10'000)) };
-        FollowedStore store(outage, *rc::gen::arbitrary<bool>(), 0);
+        FollowedStore store(outage, *rc::gen::arbitrary<bool>(), 0, feedWaitFor(applyTime));
         RC_ASSERT(store.recoveryTime(begin) < contactTime);
     });
     BOOST_TEST(holds);
 }
 
+// Guards against a wait for the store that does not follow the time in which changes must be in force.
+BOOST_AUTO_TEST_CASE(NewsAfterALostPollAreNoOlderThanTheApplyTime)
+{
+    auto holds = rc::check("the wait of polls follows the apply time", [] {
+        std::chrono::milliseconds maxAge(*rc::gen::inRange(int(minNewsAge.count()), 6'000));
+        TimePoint begin { 1'000s };
+        auto outageBegin = begin + std::chrono::milliseconds(*rc::gen::inRange(0, 4'000));
+        Outage outage { outageBegin,
+            outageBegin + std::chrono::milliseconds(*rc::gen::inRange(100, 10'000)) };
+        FollowedStore store(outage, *rc::gen::arbitrary<bool>(), 0, feedWaitFor(maxAge));
+        RC_ASSERT(store.recoveryTime(begin) <= maxAge);
+    });
+    BOOST_TEST(holds);
+}
+
 // Guards against time-outs that add up over the pages of a table that is read in full.
 BOOST_AUTO_TEST_CASE(AnOutageDuringASnapshotEndsWithinTheContactTime)
 {
@@ -138,7 +157,8 @@
         auto outageBegin = begin + std::chrono::milliseconds(*rc::gen::inRange(0, 100));
         Outage outage { outageBegin,
             outageBegin + std::chrono::milliseconds(*rc::gen::inRange(100, 10'000)) };
-        FollowedStore store(outage, *rc::gen::arbitrary<bool>(), *rc::gen::inRange(1, 10));
+        FollowedStore store(
+            outage, *rc::gen::arbitrary<bool>(), *rc::gen::inRange(1, 10), feedWaitFor(applyTime));
         RC_ASSERT(store.recoveryTime(begin) < contactTime);
     });
     BOOST_TEST(holds);
@@ -148,7 +168,7 @@
 BOOST_AUTO_TEST_CASE(FewRequestsAreInFlightDuringAnOutage)
 {
     TimePoint begin { 1'000s };
-    FollowedStore store({ begin + 1s, begin + 60s }, true, 0);
+    FollowedStore store({ begin + 1s, begin + 60s }, true, 0, maxFeedWait);
     static_cast<void>(store.recoveryTime(begin));
     BOOST_TEST(store.maxInFlight() <= 6U);
 }
@@ -171,26 +191,26 @@
 {
     TimePoint now { 1'000s };
     RequestSchedule schedule;
-    BOOST_TEST(!schedule.plan(feedWait).opensConnection);
-    schedule.onSent(now, schedule.plan(feedWait));
-    BOOST_TEST(schedule.plan(feedWait).opensConnection);
+    BOOST_TEST(!schedule.plan(maxFeedWait).opensConnection);
+    schedule.onSent(now, schedule.plan(maxFeedWait));
+    BOOST_TEST(schedule.plan(maxFeedWait).opensConnection);
     schedule.onAnswer(now + 1s, 10ms);
-    BOOST_TEST(!schedule.plan(feedWait).opensConnection);
+    BOOST_TEST(!schedule.plan(maxFeedWait).opensConnection);
 }
 
 // Guards against a process that is suspended, and on waking up takes an answer from before for a recent one.
 BOOST_AUTO_TEST_CASE(AnAnswerReadAfterASuspensionConfirmsNothingRecent)
 {
     TimePoint sent { 1'000s };
-    BOOST_TEST((confirmedTime(sent, feedWait, sent + 8s) == sent));
+    BOOST_TEST((confirmedTime(sent, maxFeedWait, sent + 8s) == sent));
     BOOST_TEST((confirmedTime(sent, 0ms, sent + 1s) == sent));
 }
 
 BOOST_AUTO_TEST_CASE(AnAnswerInTimeConfirmsTheMomentItArrives)
 {
     TimePoint sent { 1'000s };
-    auto received = sent + feedWait + roundTrip;
-    BOOST_TEST((confirmedTime(sent, feedWait, received) == received));
+    auto received = sent + maxFeedWait + roundTrip;
+    BOOST_TEST((confirmedTime(sent, maxFeedWait, received) == received));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
