BUDGET: the crash of a runner counts although it leaves the list before it is back

Cause: after a silence of some seconds the store drops a runner from its list, and the holder forgets it once its lease has lapsed. With it went the runs under which it may have crashed. The lapse alone counts for nothing, as the runner may be alive behind a partition, and the incarnation that came back later was a new runner to the holder.

`runner-crashed` gives the reason.

New beside it: crash/StartsAreBoundedAcrossChangesOfTheHolder, up to two changes at random moments, away 0.5 to 15 s.

--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -72,7 +72,7 @@
             && runner.hasLeaseLapsed(now)) {
             if (runner.isStored)
                 m_runnerChanges.push_back({ ShardChange::Kind::RunnerRemoval, each->first.value(), {} });
-            m_lapsedRuns.erase(each->first);
+            countCrashOfUnlisted(each->first, now);
             each = m_runners.erase(each);
         } else {
             ++each;
@@ -168,7 +168,7 @@
         crashed.insert(crashed.end(), lapsed.mapped().begin(), lapsed.mapped().end());
     loseRuns(runner, now, why);
     if (!runner.report().isDraining)
-        countCrashes(crashed, runner.report().id, now);
+        countCrashes(crashed, runner.report().id, now, why);
 }
 
 // The runner may be alive behind a partition, so its runs are counted only once another incarnation answers.
@@ -179,15 +179,28 @@
     loseRuns(runner, now, "lease-lapsed");
 }
 
-void Shard::countCrashes(const std::vector<CrashedRun>& crashed, const RunnerId& runner, TimePoint now)
+// It may be back too late to bound the starts of a task that crashed it. It may also be alive behind a
+// partition, so this alone convicts no task early.
+void Shard::countCrashOfUnlisted(const RunnerId& id, TimePoint now)
+{
+    auto lapsed = m_lapsedRuns.extract(id);
+    if (!lapsed)
+        return;
+    for (auto& run : lapsed.mapped())
+        run.isOnlySuspect = false;
+    countCrashes(lapsed.mapped(), id, now, "unlisted");
+}
+
+void Shard::countCrashes(
+    const std::vector<CrashedRun>& crashed, const RunnerId& runner, TimePoint now, std::string_view why)
 {
     if (crashed.empty())
         return;
     auto suspects
         = std::count_if(crashed.begin(), crashed.end(), [](const CrashedRun& run) { return run.isSuspect; });
     logWarning("runner-crashed",
-        { { "runner", runner.value() }, { "runs", std::to_string(crashed.size()) },
-            { "suspects", std::to_string(suspects) } });
+        { { "runner", runner.value() }, { "reason", std::string(why) },
+            { "runs", std::to_string(crashed.size()) }, { "suspects", std::to_string(suspects) } });
     for (const auto& run : crashed) {
         auto* entry = m_jobTable.find(run.task.job);
         if (!entry || entry->isOver())
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -168,7 +168,8 @@
     // The runner's incarnation ended other than by a planned shutdown or an order of this process.
     void onCrash(Runner&, TimePoint now, std::string_view why);
     void onLeaseLapsed(Runner&, TimePoint now);
-    void countCrashes(const std::vector<CrashedRun>&, const RunnerId&, TimePoint now);
+    void countCrashOfUnlisted(const RunnerId&, TimePoint now);
+    void countCrashes(const std::vector<CrashedRun>&, const RunnerId&, TimePoint now, std::string_view why);
     void clearOfCrashes(const TaskName&, Run&, TimePoint seenAt);
     // Usable runners of a pool, by the tasks that they take.
     struct PoolRunners {
--- a/src/jobs/tests/crash_test.cpp
+++ b/src/jobs/tests/crash_test.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// A pool whose runners answer at once, run tasks for a second or until they
-// are stopped, and crash when they start a task of a
-// deadly job. A crashed runner refuses connections for three seconds and comes back as another incarnation.
+// A pool whose runners answer at once, run tasks for a second or until they are stopped, and crash when they
+// start a task of a deadly job. A crashed runner refuses connections for `downtime`, and comes back as
+// another incarnation; the store drops it from its list after some seconds of silence.
 class CrashingPool : public ShardFixture {
 public:
     explicit CrashingPool(int runners)
@@ -41,23 +41,27 @@
                 serve(id, host);
             for (auto& stop : stops)
                 shard.onStop(stop.runner.id, stop.order, { OrderOutcome::Accepted, {}, 0 }, now);
-            if (at < m_handOverAt && now >= m_handOverAt)
+            if (m_handOvers.upper_bound(at) != m_handOvers.upper_bound(now))
                 restoreAtNextHolder();
             store();
         }
     }
 
     // The next holder starts from the stored rows alone.
-    void handOverAt(TimePoint moment) { m_handOverAt = moment; }
+    void handOverAt(TimePoint moment) { m_handOvers.insert(moment); }
 
     std::set<JobId> deadly;
+    Duration downtime { 3s };
     std::map<TaskName, int> deadlyStarts;
     int crashes { 0 };
 
 private:
+    static constexpr Duration silenceUntilUnlisted { 4'500ms };
+
     struct Host {
         std::int64_t incarnation { 1 };
         std::optional<TimePoint> downUntil;
+        TimePoint unlistedAt;
         std::map<TaskName, std::pair<StartOrder, TimePoint>> runs;
         std::uint64_t ends { 0 };
         std::vector<EndedTask> ended;
@@ -74,7 +78,7 @@
             ++deadlyStarts[order.order.task];
             ++crashes;
             answerStart(order);
-            host = { host.incarnation + 1, now + 3s, {}, 0, {} };
+            host = { host.incarnation + 1, now + downtime, now + silenceUntilUnlisted, {}, 0, {} };
             return;
         }
         answerStart(order);
@@ -94,6 +98,8 @@
             list(report(id.value(), 16'000, host.incarnation));
         }
         if (host.downUntil) {
+            if (now >= host.unlistedAt && listed.erase(id) > 0)
+                shard.observeRunners(listed, now);
             answerPoll(id.value(), {}, {}, OrderOutcome::NotSent);
             return;
         }
@@ -141,7 +147,7 @@
 
     std::map<RunnerId, Host> m_hosts;
     std::map<std::pair<ShardChange::Kind, std::string>, std::string> m_rows;
-    TimePoint m_handOverAt;
+    std::set<TimePoint> m_handOvers;
     Epoch m_epoch { 1 };
 };
 
@@ -183,6 +189,25 @@
     BOOST_TEST(bool(stateOf(pool, "innocent") == JobState::Completed));
 }
 
+// Guards against crashes that are forgotten because the runner leaves the store's list before it is back.
+BOOST_AUTO_TEST_CASE(CrashesOfRunnersThatAreAwayForLongCount)
+{
+    for (std::chrono::seconds downtime : { 1s, 6s, 9s, 15s, 40s }) {
+        CrashingPool pool(10);
+        pool.downtime = downtime;
+        pool.deadly.insert(JobId("deadly"));
+        pool.submit(ShardFixture::job("deadly", 3));
+        pool.submit(ShardFixture::job("innocent", 6));
+        pool.play(120s);
+        BOOST_TEST_CONTEXT("downtime of " << downtime.count() << " s")
+        {
+            BOOST_TEST(bool(stateOf(pool, "deadly") == JobState::Failed));
+            BOOST_TEST(pool.crashes <= maxDeadlyStarts);
+            BOOST_TEST(bool(stateOf(pool, "innocent") == JobState::Completed));
+        }
+    }
+}
+
 // Guards against innocent jobs that are given up because they ran beside a task that crashes runners.
 BOOST_AUTO_TEST_CASE(InnocentJobsOutliveATenthOfDeadlyOnes)
 {
@@ -214,6 +239,32 @@
     BOOST_TEST(holds);
 }
 
+// Guards against starts without bound where holders change while crashed runners are away. A change of the
+// holder may lose the count of one crash.
+BOOST_AUTO_TEST_CASE(StartsAreBoundedAcrossChangesOfTheHolder)
+{
+    auto holds = rc::check("starts are bounded across changes of the holder", [] {
+        CrashingPool pool(*rc::gen::inRange(6, 12));
+        pool.downtime = std::chrono::milliseconds(*rc::gen::inRange(500, 15'000));
+        for (auto handOvers = *rc::gen::inRange(0, 3); handOvers > 0; --handOvers)
+            pool.handOverAt(pool.now + std::chrono::milliseconds(*rc::gen::inRange(10, 30'000)));
+        pool.deadly.insert(JobId("deadly"));
+        std::set<JobId> accepted;
+        for (const auto* id : { "first", "deadly", "last" })
+            if (pool.submit(ShardFixture::job(id, 4)) == SubmitVerdict::New)
+                accepted.insert(JobId(id));
+        pool.play(150s);
+        for (const auto& id : accepted) {
+            auto expected = pool.deadly.contains(id) ? JobState::Failed : JobState::Completed;
+            RC_LOG() << id.value() << " is " << toString(stateOf(pool, id.value())) << '\n';
+            RC_ASSERT(stateOf(pool, id.value()) == expected);
+        }
+        for (const auto& [task, count] : pool.deadlyStarts)
+            RC_ASSERT(count <= maxDeadlyStarts);
+    });
+    BOOST_TEST(holds);
+}
+
 // Guards against suspects that wait for ever: every runner has a long-running task, and is never empty.
 BOOST_AUTO_TEST_CASE(SuspectsStartBesideLongRunningTasks)
 {
