BUDGET: a start that may not have begun gives no task up after two crashes

A caller's innocent job could be shown as failed with one crash under it.

Cause: a start that was sent and not answered when its runner crashed counted like one that had begun. It has to count, as a task may crash its runner before the answer; but the runner may as well have crashed before the start reached it, and with one earlier crash that was enough to give the task up.

Fix: the second crash gives a task up only if its run certainly began (the start was answered, or the run was listed). The third one gives it up in any case, so starts stay bounded.

--- a/src/jobs/crash_evidence.cpp
+++ b/src/jobs/crash_evidence.cpp
@@ -50,7 +50,7 @@
             lastSuspect = &run;
         }
     }
-    if (suspects == 1 && lastSuspect->isolation != Isolation::None)
+    if (suspects == 1 && lastSuspect->isolation != Isolation::None && !isUnsettled(*lastSuspect))
         for (auto& run : crashed)
             run.isOnlySuspect = run.isSuspect;
     return crashed;
--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -12,8 +12,7 @@
 //
 // A task that crashes runners mostly does so at its start, so the runs that began just before a crash are its
 // suspects. Suspects start again one at a time on runners set apart, so that the next crash has one suspect.
-// A task under which a second runner crashed starts where nothing else
-// could have caused the next crash.
+// A task under which a second runner crashed starts where nothing else could have caused the next crash.
 
 // A run whose start was answered at most this long before the runner was last heard is a suspect of its
 // crash.
@@ -26,7 +25,7 @@
     TaskName task;
     Attempt attempt { 0 };
     bool isSuspect { false };
-    // It was started apart from others, and no other run is a suspect.
+    // It certainly began, apart from others, and no other run is a suspect.
     bool isOnlySuspect { false };
 };
 
--- a/src/jobs/tests/crash_test.cpp
+++ b/src/jobs/tests/crash_test.cpp
@@ -306,6 +306,23 @@
     BOOST_TEST(shard.find(JobId("j1"))->find(order.task)->crashedAttempts.empty());
 }
 
+// Guards against an innocent job that is given up since its start was sent to a runner that had just crashed.
+BOOST_FIXTURE_TEST_CASE(AStartThatMayNotHaveBegunConvictsNoTaskEarly, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    advance();
+    answerStart(starts.at(0));
+    list(report("r1", 16'000, 2));
+    addRunner("r2");
+    advance(1s);
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    auto runner = starts.at(0).runner.id.value();
+    answerStart(starts.at(0), OrderOutcome::Unknown);
+    list(report(runner, 16'000, 3));
+    BOOST_TEST(bool(shard.find(JobId("j1"))->state != JobState::Failed));
+}
+
 // A run that is older than crashMemory when its runner crashes did not cause it: long-running tasks see many
 // crashes.
 BOOST_FIXTURE_TEST_CASE(ALongRunningTaskIsNotGivenUpForCrashesOfItsRunners, ShardFixture)
