--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -9,6 +9,16 @@
 
 namespace fulmar::node {
 
+// A table that is being read in full: the rows read so far, and where to continue.
+struct TableSnapshot {
+    std::vector<platform::StoredRow> rows;
+    // Both of the first page, the oldest, so that a feed that starts there misses no change.
+    Version version { 0 };
+    TimePoint confirmedAt;
+    std::size_t partIndex { 0 };
+    std::string fromKey;
+};
+
 // Follows one table of the store: reads its parts once, then long-polls its change feed. Reports every
 // change, and the loss and recovery of the store.
 class TableFollower {
@@ -70,16 +80,7 @@
     BootClock m_clock;
     asio::steady_timer m_timer;
     RequestSchedule m_schedule;
-    // A table that is being read in full: the rows read so far, and where to continue.
-    struct Snapshot {
-        std::vector<platform::StoredRow> rows;
-        // Both of the first page, the oldest, so that a feed that starts there misses no change.
-        Version version { 0 };
-        TimePoint confirmedAt;
-        std::size_t partIndex { 0 };
-        std::string fromKey;
-    };
-    std::optional<Snapshot> m_snapshot;
+    std::optional<TableSnapshot> m_snapshot;
     // Number of the current step, which tells the answers to it from those to earlier ones.
     std::uint64_t m_step { 0 };
     TimePoint m_confirmedAt { m_clock.now() };
