BUDGET: runners that crash for other causes give no task up

Cause: every crash counted under each run that was younger than 5 s, and three of any kind gave a task up. The time of a crash was taken to be that of the last answer, which is up to two seconds too early while a poll is held back, so most runs that were restarted after a crash looked as if they had just begun.

Fix (src/jobs/crash_evidence.h): the time of a crash is that at which connections broke. A runner that falls silent accuses no run. Runners that break off within a second of each other have a common cause if one of them had no run that had just begun; else they accuse only such runs. Two suspicions give a task up if it was alone the last time, three in any case, and five crashes that began later: starts stay within the three after the third crash. The stored progress tells the kinds apart.

Ruled out: asking for five crashes of any kind alone; nothing told the crash waves from slow crashes then.

--- a/src/jobs/crash_evidence.cpp
+++ b/src/jobs/crash_evidence.cpp
@@ -6,8 +6,17 @@
 
 namespace {
 
-constexpr std::size_t crashesToConvictOnlySuspect = 2;
-constexpr std::size_t crashesToConvict = 3;
+constexpr std::size_t suspicionsToConvictOnlySuspect = 2;
+constexpr std::size_t suspicionsToConvict = 3;
+// Crashes of other causes may hit a run at any age, so they have to tell less.
+constexpr std::size_t crashesToConvict = 5;
+// After this many, a task starts where nothing else could cause the next one.
+constexpr std::size_t crashesUntilExclusive = 2;
+// A broken connection is noticed within this time. A process that has used up its CPU quota is suspended for
+// up to 100 ms.
+constexpr Millis noticeTime { 200 };
+// Runners that break off within this time of each other have a common cause.
+constexpr Millis commonCauseWindow { 1'000 };
 // A runner that is set apart clears this many suspects within a second.
 constexpr std::size_t suspectsPerRunner = 4;
 // At most this part of a pool is set apart, as every conviction costs a runner for seconds.
@@ -35,35 +44,66 @@
     return !isUnsettled(run) && latestBegin(run) + age < at;
 }
 
-std::vector<CrashedRun> crashedRunsOf(const Runner& runner)
+std::vector<CrashedRun> youngRunsOf(const Runner& runner)
 {
-    std::vector<CrashedRun> crashed;
+    std::vector<CrashedRun> young;
+    auto brokeOffAt = runner.brokeOffAt();
+    if (!brokeOffAt)
+        return young;
+    auto crashedAt = std::max(runner.lastHeardAt(), *brokeOffAt - noticeTime);
     const Run* lastSuspect = nullptr;
     std::size_t suspects = 0;
     for (const auto& [task, run] : runner.runs()) {
-        if (isOlderThan(run, crashMemory, runner.lastHeardAt))
+        if (isOlderThan(run, crashMemory, crashedAt))
             continue;
-        auto isSuspect = !isOlderThan(run, crashWindow, runner.lastHeardAt);
-        crashed.push_back({ task, run.attempt, isSuspect, false });
+        auto isSuspect = !isOlderThan(run, crashWindow, crashedAt);
+        young.push_back({ task, run.attempt, isSuspect, false });
         if (isSuspect) {
             ++suspects;
             lastSuspect = &run;
         }
     }
     if (suspects == 1 && lastSuspect->isolation != Isolation::None && !isUnsettled(*lastSuspect))
-        for (auto& run : crashed)
+        for (auto& run : young)
             run.isOnlySuspect = run.isSuspect;
+    return young;
+}
+
+bool hasSuspects(const std::vector<CrashedRun>& runs)
+{
+    return std::any_of(runs.begin(), runs.end(), [](const CrashedRun& run) { return run.isSuspect; });
+}
+
+std::vector<CrashedRun> crashedRunsOf(const Runner& runner, const std::deque<BreakOff>& breakOffs)
+{
+    auto crashed = youngRunsOf(runner);
+    if (crashed.empty())
+        return crashed;
+    auto isAlone = true;
+    auto isExplained = true;
+    for (const auto& other : breakOffs) {
+        auto isSameTime = other.at + commonCauseWindow >= *runner.brokeOffAt()
+            && other.at <= *runner.brokeOffAt() + commonCauseWindow;
+        if (other.runner == runner.report().id || !isSameTime)
+            continue;
+        isAlone = false;
+        isExplained &= other.hasSuspects;
+    }
+    std::erase_if(crashed, [=](const CrashedRun& run) { return run.isSuspect ? !isExplained : !isAlone; });
     return crashed;
 }
 
-bool isConvicted(std::size_t crashes, bool wasOnlySuspect)
+bool isConvicted(const std::vector<CrashRecord>& crashes, bool wasOnlySuspect)
 {
-    return crashes >= crashesToConvict || (wasOnlySuspect && crashes >= crashesToConvictOnlySuspect);
+    auto suspected = std::size_t(std::count_if(
+        crashes.begin(), crashes.end(), [](const CrashRecord& crash) { return crash.wasSuspect; }));
+    return crashes.size() >= crashesToConvict || suspected >= suspicionsToConvict
+        || (wasOnlySuspect && suspected >= suspicionsToConvictOnlySuspect);
 }
 
-Isolation isolationFor(std::size_t crashes, bool isSuspect)
+Isolation isolationFor(const std::vector<CrashRecord>& crashes, bool isSuspect)
 {
-    if (crashes >= crashesToConvictOnlySuspect)
+    if (crashes.size() >= crashesUntilExclusive)
         return Isolation::Exclusive;
     return isSuspect ? Isolation::Start : Isolation::None;
 }
--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -2,6 +2,7 @@
 
 #include "jobs/runner.h"
 
+#include <deque>
 #include <vector>
 
 namespace fulmar::jobs {
@@ -14,8 +15,11 @@
 // suspects. Suspects start again one at a time on runners set apart, so that the next crash has one suspect.
 // A task under which a second runner crashed starts where nothing else could have caused the next crash.
 
-// A run whose start was answered at most this long before the runner was last heard is a suspect of its
-// crash.
+// Runners crash for other causes too. One that falls silent says nothing about its runs, as a crash breaks
+// connections. Runners that break off together have a common cause if one of them had no suspect; otherwise
+// their suspects may have crashed each of them, but not the runs that began earlier.
+
+// A run whose start was answered at most this long before the crash is a suspect of it.
 inline constexpr Millis crashWindow { 150 };
 // A run that is older when its runner crashes did not cause it, and one that gets older is cleared.
 inline constexpr Millis crashMemory { 5'000 };
@@ -32,15 +36,27 @@
 // Whether the run had certainly begun more than `age` before `at`.
 [[nodiscard]] bool isOlderThan(const Run&, Millis age, TimePoint at);
 
-// The runs of a crashed runner that may have caused the crash.
-[[nodiscard]] std::vector<CrashedRun> crashedRunsOf(const Runner&);
+// The connections to a runner broke.
+struct BreakOff {
+    RunnerId runner;
+    TimePoint at;
+    bool hasSuspects { false };
+};
+
+// The runs that may have caused the crash of a runner which broke off, if no other runner did at that time.
+[[nodiscard]] std::vector<CrashedRun> youngRunsOf(const Runner&);
+[[nodiscard]] bool hasSuspects(const std::vector<CrashedRun>&);
+
+// The runs of a crashed runner that may have caused the crash. `breakOffs`: those of all runners about then.
+[[nodiscard]] std::vector<CrashedRun> crashedRunsOf(const Runner&, const std::deque<BreakOff>& breakOffs);
 
-// Whether a task is to be given up after this many crashes, the last of which had it as its only suspect or
-// not. Two crashes are the fewest after which a task may be given up; three bound its starts in any case.
-[[nodiscard]] bool isConvicted(std::size_t crashes, bool wasOnlySuspect);
+// Whether a task is to be given up after these crashes, the last of which had it as its only suspect or not.
+// Two crashes are the fewest after which a task may be given up. Its starts are bounded in any case: three
+// starts after the third crash are too many.
+[[nodiscard]] bool isConvicted(const std::vector<CrashRecord>&, bool wasOnlySuspect);
 
 // How a task with this record is to be started next.
-[[nodiscard]] Isolation isolationFor(std::size_t crashes, bool isSuspect);
+[[nodiscard]] Isolation isolationFor(const std::vector<CrashRecord>&, bool isSuspect);
 
 // Whether a task can be started with this isolation on a runner that is set apart.
 [[nodiscard]] bool canIsolate(const Runner&, Isolation, TimePoint now);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -74,26 +74,37 @@
     return bits;
 }
 
-// Lists of attempts by task; tasks without any are left out.
-Json encodeAttempts(const std::vector<std::vector<std::uint64_t>>& attempts)
+// Lists by task; tasks without any entry are left out.
+template <typename Entry> Json encodeByTask(const std::vector<std::vector<Entry>>& lists)
 {
     auto json = Json::object();
-    for (std::size_t i = 0; i < attempts.size(); ++i)
-        if (!attempts[i].empty())
-            json[std::to_string(i)] = attempts[i];
+    for (std::size_t i = 0; i < lists.size(); ++i)
+        if (!lists[i].empty())
+            json[std::to_string(i)] = lists[i];
     return json;
 }
 
-std::vector<std::vector<std::uint64_t>> decodeAttempts(const Json& json, std::size_t size)
+template <typename Entry> std::vector<std::vector<Entry>> decodeByTask(const Json& json, std::size_t size)
 {
-    std::vector<std::vector<std::uint64_t>> attempts(size);
+    std::vector<std::vector<Entry>> lists(size);
     for (const auto& [index, list] : json.items())
-        list.get_to(attempts.at(std::stoul(index)));
-    return attempts;
+        list.get_to(lists.at(std::stoul(index)));
+    return lists;
 }
 
 } // namespace
 
+static void to_json(Json& json, const CrashRecord& crash)
+{
+    json = Json::array({ crash.attempt, crash.wasSuspect });
+}
+
+static void from_json(const Json& json, CrashRecord& crash)
+{
+    json.at(0).get_to(crash.attempt);
+    json.at(1).get_to(crash.wasSuspect);
+}
+
 bool Job::isLongRunning() const
 {
     return std::any_of(steps.begin(), steps.end(), [](const Step& step) { return step.isLongRunning; });
@@ -182,9 +193,9 @@
     auto steps = Json::array();
     for (const auto& step : progress.steps) {
         auto row = Json::array({ step.occurrence, step.step, step.done.size(), packBits(step.done),
-            encodeAttempts(step.failures) });
+            encodeByTask(step.failures) });
         // Rows of earlier releases have no crashes.
-        if (auto crashes = encodeAttempts(step.crashes); !crashes.empty())
+        if (auto crashes = encodeByTask(step.crashes); !crashes.empty())
             row.push_back(std::move(crashes));
         steps.push_back(std::move(row));
     }
@@ -208,8 +219,8 @@
             each.at(1).get_to(step.step);
             auto size = each.at(2).get<std::size_t>();
             step.done = unpackBits(each.at(3).get<std::string>(), size);
-            step.failures = decodeAttempts(each.at(4), size);
-            step.crashes = decodeAttempts(each.size() > 5 ? each.at(5) : Json::object(), size);
+            step.failures = decodeByTask<std::uint64_t>(each.at(4), size);
+            step.crashes = decodeByTask<CrashRecord>(each.size() > 5 ? each.at(5) : Json::object(), size);
             progress.steps.push_back(std::move(step));
         }
         return progress;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -141,6 +141,13 @@
 
 [[nodiscard]] std::string_view toString(JobState);
 
+// A crash of a runner under a task.
+struct CrashRecord {
+    std::uint64_t attempt { 0 };
+    // The run had just begun; see crash_evidence.h.
+    bool wasSuspect { false };
+};
+
 // The part of a job's progress that is stored.
 struct JobProgress {
     JobState state { JobState::Queued };
@@ -152,8 +159,8 @@
         // Failed attempts by task, so that a failure reported again to the next holder of the shard is
         // counted once.
         std::vector<std::vector<std::uint64_t>> failures;
-        // Attempts by task under which the runner crashed; they must outlast a change of the holder.
-        std::vector<std::vector<std::uint64_t>> crashes;
+        // Crashes of runners by task; they must outlast a change of the holder.
+        std::vector<std::vector<CrashRecord>> crashes;
     };
     std::vector<StepProgress> steps;
 };
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -100,9 +100,9 @@
         for (const auto& task : stepOccurrence.tasks) {
             step.done.push_back(task.state == TaskState::Done);
             step.failures.push_back(task.failedAttempts);
-            step.crashes.push_back(task.crashedAttempts);
-            isTouched |= task.state == TaskState::Done || !task.failedAttempts.empty()
-                || !task.crashedAttempts.empty();
+            step.crashes.push_back(task.crashes);
+            isTouched
+                |= task.state == TaskState::Done || !task.failedAttempts.empty() || !task.crashes.empty();
         }
         if (isTouched)
             progress.steps.push_back(std::move(step));
@@ -145,9 +145,10 @@
                 continue;
             task->failedAttempts = step.failures[index];
             if (index < step.crashes.size())
-                task->crashedAttempts = step.crashes[index];
-            task->isCrashSuspect = !task->crashedAttempts.empty();
-            entry.hasCrashRecords |= task->isCrashSuspect;
+                task->crashes = step.crashes[index];
+            task->isCrashSuspect = std::any_of(task->crashes.begin(), task->crashes.end(),
+                [](const CrashRecord& crash) { return crash.wasSuspect; });
+            entry.hasCrashRecords |= !task->crashes.empty();
             if (step.done[index]) {
                 task->state = TaskState::Done;
                 ++entry.stepOccurrence(step.occurrence, step.step).doneCount;
@@ -210,14 +211,16 @@
     auto* task = entry.find(run.task);
     if (!task || task->state == TaskState::Done || entry.isOver())
         return;
-    auto& crashes = task->crashedAttempts;
-    if (std::find(crashes.begin(), crashes.end(), run.attempt) != crashes.end())
+    auto& crashes = task->crashes;
+    auto isCounted = std::any_of(crashes.begin(), crashes.end(),
+        [&](const CrashRecord& crash) { return crash.attempt == run.attempt; });
+    if (isCounted)
         return;
-    crashes.push_back(run.attempt);
+    crashes.push_back({ run.attempt, run.isSuspect });
     entry.hasCrashRecords = true;
     task->isCrashSuspect |= run.isSuspect;
     entry.isDirty = true;
-    if (isConvicted(crashes.size(), run.isOnlySuspect))
+    if (isConvicted(crashes, run.isOnlySuspect))
         finish(entry, JobState::Failed, now);
 }
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -19,8 +19,8 @@
     TaskState state { TaskState::Waiting };
     RunnerId runner;
     std::vector<Attempt> failedAttempts;
-    // Attempts under which the runner crashed; empty again once a run has outlived crashMemory.
-    std::vector<Attempt> crashedAttempts;
+    // Crashes of runners under this task; empty again once a run has outlived crashMemory.
+    std::vector<CrashRecord> crashes;
     // The runner crashed just after the start of this task, and no later run has outlived crashWindow.
     bool isCrashSuspect { false };
     // Where the next run resumes.
--- a/src/jobs/runner.cpp
+++ b/src/jobs/runner.cpp
@@ -39,6 +39,23 @@
     return now >= m_earliestLapse && (!clock || *clock > m_leaseUntil);
 }
 
+void Runner::observeAnswer(TimePoint now)
+{
+    m_lastHeardAt = now;
+    m_isSilent = false;
+    m_brokeOffAt.reset();
+}
+
+void Runner::observePollFailure(bool isTimedOut, TimePoint now)
+{
+    if (m_isSilent || m_brokeOffAt)
+        return;
+    if (isTimedOut)
+        m_isSilent = true;
+    else
+        m_brokeOffAt = now;
+}
+
 Run& Runner::addRun(const TaskName& task, Run run)
 {
     m_reserved += run.reserved;
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -135,8 +135,14 @@
     TimePoint statusAsOf;
     // Unanswered polls in a row.
     std::uint32_t failedPolls { 0 };
-    // When this incarnation last answered anything.
-    TimePoint lastHeardAt;
+    // This incarnation answered.
+    void observeAnswer(TimePoint now);
+    // A poll failed. `isTimedOut`: nothing came back, so when the runner fell silent is not known.
+    void observePollFailure(bool isTimedOut, TimePoint now);
+    // When this incarnation last answered.
+    [[nodiscard]] TimePoint lastHeardAt() const { return m_lastHeardAt; }
+    // When its connections broke, if it has not answered since: its process ended about then.
+    [[nodiscard]] std::optional<TimePoint> brokeOffAt() const { return m_brokeOffAt; }
 
     // Numbers of the last ends that were applied, stored, and acknowledged to the runner.
     std::uint64_t lastAppliedEnd { 0 };
@@ -154,6 +160,9 @@
     TimePoint m_clockAt;
     RunnerTime m_leaseUntil { 0 };
     TimePoint m_earliestLapse;
+    TimePoint m_lastHeardAt;
+    bool m_isSilent { false };
+    std::optional<TimePoint> m_brokeOffAt;
     std::map<TaskName, Run> m_runs;
     Resources m_reserved;
 };
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -13,6 +13,8 @@
 // An unlisted runner counts as ended only by a VM list that was requested this long after the runner left the
 // runner list: the lists change at slightly different times, and a new VM may appear in one before the other.
 constexpr Millis unlistedGracePeriod { 300 };
+// Longer than a crashed runner is away.
+constexpr Millis breakOffRetention { 60'000 };
 
 } // namespace
 
@@ -161,6 +163,20 @@
     runner.idleSince = now;
 }
 
+void Shard::observePollFailure(Runner& runner, bool isTimedOut, TimePoint now)
+{
+    runner.observePollFailure(isTimedOut, now);
+    if (runner.brokeOffAt() == now)
+        m_breakOffs.push_back({ runner.report().id, now, hasSuspects(youngRunsOf(runner)) });
+    while (!m_breakOffs.empty() && m_breakOffs.front().at + breakOffRetention < now)
+        m_breakOffs.pop_front();
+}
+
+std::vector<CrashedRun> Shard::crashedRunsOf(const Runner& runner) const
+{
+    return jobs::crashedRunsOf(runner, m_breakOffs);
+}
+
 void Shard::onCrash(Runner& runner, TimePoint now, std::string_view why)
 {
     auto crashed = crashedRunsOf(runner);
@@ -210,7 +226,7 @@
             continue;
         logWarning("job-given-up",
             { { "job", run.task.job.value() }, { "runner", runner.value() }, { "reason", "crashes-runners" },
-                { "crashes", std::to_string(entry->find(run.task)->crashedAttempts.size()) },
+                { "crashes", std::to_string(entry->find(run.task)->crashes.size()) },
                 { "only-suspect", run.isOnlySuspect ? "yes" : "no" } });
         stopRunsOf(run.task.job);
     }
@@ -228,7 +244,7 @@
     if (!isOlderThan(run, crashMemory, seenAt))
         return;
     run.hasCrashRecord = false;
-    task->crashedAttempts.clear();
+    task->crashes.clear();
     entry->isDirty = true;
 }
 
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -168,6 +168,8 @@
     // The runner's incarnation ended other than by a planned shutdown or an order of this process.
     void onCrash(Runner&, TimePoint now, std::string_view why);
     void onLeaseLapsed(Runner&, TimePoint now);
+    void observePollFailure(Runner&, bool isTimedOut, TimePoint now);
+    [[nodiscard]] std::vector<CrashedRun> crashedRunsOf(const Runner&) const;
     void countCrashOfUnlisted(const RunnerId&, TimePoint now);
     void countCrashes(const std::vector<CrashedRun>&, const RunnerId&, TimePoint now, std::string_view why);
     void clearOfCrashes(const TaskName&, Run&, TimePoint seenAt);
@@ -213,6 +215,8 @@
     std::vector<ShardChange> m_runnerChanges;
     // Runs that were given up when their runner's lease lapsed, until it shows whether it has crashed.
     std::map<RunnerId, std::vector<CrashedRun>> m_lapsedRuns;
+    // When connections to runners broke, the latest last.
+    std::deque<BreakOff> m_breakOffs;
     std::vector<JobId> m_newJobs;
     // Incarnations that ended and may still be in the store's list.
     std::set<std::pair<RunnerId, std::int64_t>> m_endedIncarnations;
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -46,7 +46,7 @@
     auto& runner = *foundRunner;
     recordAnswerTime(answer);
     if (isAnswered(answer))
-        runner.lastHeardAt = now;
+        runner.observeAnswer(now);
     run->lastStartSettledAt = now;
     auto requeue = [&] {
         // An earlier start order may still be carried out.
@@ -143,7 +143,7 @@
         return;
     }
     if (answer.outcome == OrderOutcome::Accepted) {
-        runner.lastHeardAt = now;
+        runner.observeAnswer(now);
         run->stopAcknowledgedAt = now;
         runner.nextPoll = std::min(runner.nextPoll, now);
     } else if (answer.outcome == OrderOutcome::Unknown) {
@@ -178,6 +178,7 @@
         return;
     }
     if (answer.outcome != OrderOutcome::Accepted) {
+        observePollFailure(runner, now - sent >= order.wait + order.timeout, now);
         if (++runner.failedPolls == failedPollsUntilUnreachable)
             logWarning("runner-silent",
                 { { "runner", id.value() }, { "outcome", std::string(toString(answer.outcome)) },
@@ -191,7 +192,7 @@
         logInfo("runner-answers",
             { { "runner", id.value() }, { "failures", std::to_string(runner.failedPolls) } });
     runner.failedPolls = 0;
-    runner.lastHeardAt = now;
+    runner.observeAnswer(now);
     m_lapsedRuns.erase(id);
     runner.statusAsOf = std::max(runner.statusAsOf, sent);
     if (answer.clock)
@@ -313,7 +314,7 @@
         const auto& step = entry->job.steps[running.task.step];
         run.reserved = step.reserved();
         run.isLongRunning = step.isLongRunning;
-        run.hasCrashRecord = !task->crashedAttempts.empty();
+        run.hasCrashRecord = !task->crashes.empty();
     }
     auto& added = runner.addRun(running.task, std::move(run));
     if (!isWanted) {
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -29,7 +29,7 @@
     return std::size_t(
         std::count_if(stepOccurrence.tasks.begin(), stepOccurrence.tasks.end(), [](const Task& task) {
             return task.state == TaskState::Waiting
-                && isolationFor(task.crashedAttempts.size(), task.isCrashSuspect) != Isolation::None;
+                && isolationFor(task.crashes, task.isCrashSuspect) != Isolation::None;
         }));
 }
 
@@ -258,7 +258,7 @@
     run.orderedAt = now;
     run.isLongRunning = step.isLongRunning;
     run.isolation = isolation;
-    run.hasCrashRecord = !task.crashedAttempts.empty();
+    run.hasCrashRecord = !task.crashes.empty();
     if (!step.isLongRunning)
         run.expectedEnd = now + step.expectedRunTime();
     run.isResumed = !task.checkpoint.empty();
@@ -344,7 +344,7 @@
         auto& task = stepOccurrence.tasks[name.index];
         if (task.state != TaskState::Waiting || now < task.notBefore)
             continue;
-        auto isolation = isolationFor(task.crashedAttempts.size(), task.isCrashSuspect);
+        auto isolation = isolationFor(task.crashes, task.isCrashSuspect);
         if (isolation == Isolation::None) {
             auto* runner = areSharedRunnersFull ? nullptr : chooseRunner(runners.shared, step, name, rack);
             if (runner) {
