BUDGET: only a poll that was sent and broke off tells when a runner crashed

Callers could lose an innocent job, or a task that crashes runners could go uncounted, after a holder was unsure of its lease. Found by reading.

Cause: each poll without a good answer counted as a broken connection, also one that was withheld or that the runner refused. A holder without its lease so noted all its runners as broken off at once, and a runner that crashed before its next answer was judged by that time.

Fix: a refused connection or an answer that broke off counts, nothing else. A wrapper of crashedRunsOf is gone.

Evidence: crash/AWithheldOrRefusedPollIsNoBreakOff failed before, and passes with the suite.

--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -172,14 +172,9 @@
         m_breakOffs.pop_front();
 }
 
-std::vector<CrashedRun> Shard::crashedRunsOf(const Runner& runner) const
-{
-    return jobs::crashedRunsOf(runner, m_breakOffs);
-}
-
 void Shard::onCrash(Runner& runner, TimePoint now, std::string_view why)
 {
-    auto crashed = crashedRunsOf(runner);
+    auto crashed = crashedRunsOf(runner, m_breakOffs);
     if (auto lapsed = m_lapsedRuns.extract(runner.report().id))
         crashed.insert(crashed.end(), lapsed.mapped().begin(), lapsed.mapped().end());
     loseRuns(runner, now, why);
@@ -190,7 +185,7 @@
 // The runner may be alive behind a partition, so its runs are counted only once another incarnation answers.
 void Shard::onLeaseLapsed(Runner& runner, TimePoint now)
 {
-    if (auto runs = crashedRunsOf(runner); !runs.empty())
+    if (auto runs = crashedRunsOf(runner, m_breakOffs); !runs.empty())
         m_lapsedRuns.insert_or_assign(runner.report().id, std::move(runs));
     loseRuns(runner, now, "lease-lapsed");
 }
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -169,7 +169,6 @@
     void onCrash(Runner&, TimePoint now, std::string_view why);
     void onLeaseLapsed(Runner&, TimePoint now);
     void observePollFailure(Runner&, bool isTimedOut, TimePoint now);
-    [[nodiscard]] std::vector<CrashedRun> crashedRunsOf(const Runner&) const;
     void countCrashOfUnlisted(const RunnerId&, TimePoint now);
     void countCrashes(const std::vector<CrashedRun>&, const RunnerId&, TimePoint now, std::string_view why);
     void clearOfCrashes(const TaskName&, Run&, TimePoint seenAt);
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -178,7 +178,8 @@
         return;
     }
     if (answer.outcome != OrderOutcome::Accepted) {
-        observePollFailure(runner, now - sent >= order.wait + order.timeout, now);
+        if (answer.outcome == OrderOutcome::Unknown || answer.outcome == OrderOutcome::NotSent)
+            observePollFailure(runner, now - sent >= order.wait + order.timeout, now);
         if (++runner.failedPolls == failedPollsUntilUnreachable)
             logWarning("runner-silent",
                 { { "runner", id.value() }, { "outcome", std::string(toString(answer.outcome)) },
--- a/src/jobs/tests/crash_test.cpp
+++ b/src/jobs/tests/crash_test.cpp
@@ -423,6 +423,22 @@
     BOOST_TEST(shard.find(JobId("j1"))->find(task)->crashes.empty());
 }
 
+// Guards against polls that were not sent, or were refused, and count as broken connections.
+BOOST_FIXTURE_TEST_CASE(AWithheldOrRefusedPollIsNoBreakOff, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    advance();
+    answerStart(starts.at(0));
+    auto task = starts.at(0).order.task;
+    for (auto outcome : { OrderOutcome::Withheld, OrderOutcome::Unhealthy }) {
+        advance(1s);
+        answerPoll("r1", now, {}, {}, outcome, 0);
+    }
+    list(report("r1", 16'000, 2));
+    BOOST_TEST(shard.find(JobId("j1"))->find(task)->crashes.empty());
+}
+
 // Guards against runs that are accused by a cause that also ended runners without any young run.
 BOOST_FIXTURE_TEST_CASE(RunnersThatBreakOffTogetherWithoutSuspectsAccuseNoTask, ShardFixture)
 {
