--- a/src/jobs/crash_evidence.cpp
+++ b/src/jobs/crash_evidence.cpp
@@ -6,16 +6,17 @@
 
 namespace {
 
+// Counts of crashes of which the task was a suspect.
 constexpr std::size_t suspicionsToConvictOnlySuspect = 2;
 constexpr std::size_t suspicionsToConvict = 3;
-// Crashes of other causes may hit a run at any age, so they have to tell less.
+// Counts all crashes. Those of other causes may hit a run at any age, so each of these tells less.
 constexpr std::size_t crashesToConvict = 5;
 // After this many, a task starts where nothing else could cause the next one.
 constexpr std::size_t crashesUntilExclusive = 2;
 // A broken connection is noticed within this time. A process that has used up its CPU quota is suspended for
 // up to 100 ms.
 constexpr Millis noticeTime { 200 };
-// Runners that break off within this time of each other have a common cause.
+// Runners that break off within this time of each other may have a common cause.
 constexpr Millis commonCauseWindow { 1'000 };
 // A runner that is set apart clears this many suspects within a second.
 constexpr std::size_t suspectsPerRunner = 4;
--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -14,7 +14,7 @@
 // A task that crashes runners mostly does so at its start, so the runs that began just before a crash are its
 // suspects. Suspects start again one at a time on runners set apart, so that the next crash has one suspect.
 // A task under which a second runner crashed starts where nothing else could have caused the next crash.
-
+//
 // Runners crash for other causes too. One that falls silent says nothing about its runs, as a crash breaks
 // connections. Runners that break off together have a common cause if one of them had no suspect; otherwise
 // their suspects may have crashed each of them, but not the runs that began earlier.
--- a/src/node/request_schedule.h
+++ b/src/node/request_schedule.h
@@ -52,7 +52,7 @@
 // Least bound that a follower can keep.
 inline constexpr std::chrono::milliseconds minNewsAge { 600 };
 
-// The wait with which the news of a follower is at most `maxAge` old, even if its poll is lost and the next
+// The wait with which the rows of a follower are at most `maxAge` old, even if a poll is lost and another
 // request has to be sent. `maxAge` is at least minNewsAge.
 [[nodiscard]] std::chrono::milliseconds feedWaitFor(std::chrono::milliseconds maxAge);
 
