Tests of fleet schedules draw the same schedules on every platform

Cause: two random numbers were drawn as arguments of one call, and the order in which arguments are evaluated is unspecified; so schedules differed from those of x86-64, where the test passes. The numbers are now drawn one by one, the second first.

That no other test draws in this way was checked by a search.

--- a/src/fleet/tests/schedule_test.cpp
+++ b/src/fleet/tests/schedule_test.cpp
@@ -14,8 +14,12 @@
 {
     std::uniform_int_distribution<int> byte(0, 255);
     Schedule schedule;
-    for (std::size_t each = 0; each < length; ++each)
-        schedule.emplace_back(std::uint8_t(byte(random)), std::uint8_t(byte(random)));
+    for (std::size_t each = 0; each < length; ++each) {
+        // Drawn one by one: the order of evaluation of arguments differs between platforms.
+        auto second = std::uint8_t(byte(random));
+        auto first = std::uint8_t(byte(random));
+        schedule.emplace_back(first, second);
+    }
     return schedule;
 }
 
