--- a/src/jobs/tests/crash_test.cpp
+++ b/src/jobs/tests/crash_test.cpp
@@ -310,7 +310,7 @@
     BOOST_TEST(holds);
 }
 
-// Guards against jobs that are given up since their runners crash again and again for other causes: a quarter
+// Guards against jobs that are given up since their runners crash again and again for other causes: a third
 // of them every few seconds.
 BOOST_AUTO_TEST_CASE(InnocentJobsOutliveCrashesOfOtherCauses)
 {
@@ -333,10 +333,10 @@
             submitted.policy.latencyAllowance = 100s;
             if (pool.submit(submitted) == SubmitVerdict::New)
                 accepted.insert(submitted.id);
-            pool.play(std::chrono::milliseconds(pick(2'000, 6'000)));
+            pool.play(std::chrono::milliseconds(pick(1'000, 5'000)));
             auto isSilent = pick(0, 2) == 0;
             for (int i = 0; i < runners; ++i)
-                if (pick(0, 4) == 0)
+                if (pick(0, 3) == 0)
                     pool.crash(RunnerId("r" + std::to_string(i)), isSilent);
         }
         pool.play(60s);
