--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -82,6 +82,7 @@
     m_over.clear();
     m_ended.clear();
     m_ends = 0;
+    m_endTimes.clear();
     m_isUp = true;
     m_state = "up";
     auto born = m_born;
@@ -229,6 +230,7 @@
             run, run.workBefore + std::chrono::duration_cast<Millis>(Clock::now() - *run.workingSince));
     auto& over = m_over[run.task];
     over = std::max(over, run.attempt);
+    m_endTimes[m_ends + 1] = Clock::now();
     m_ended.push_back({ ++m_ends, run.task, run.attempt, how, run.checkpoint });
     m_fleet.m_ended.push_back({ run.task, run.attempt, m_machine, how, m_fleet.m_record.now() });
     m_fleet.m_record.write("run " + run.task + "#" + std::to_string(run.attempt) + " on " + m_machine
@@ -438,6 +440,16 @@
     return m_ended;
 }
 
+std::size_t Fleet::endsNotNoted(Millis age)
+{
+    std::lock_guard lock(m_mutex);
+    std::size_t count = 0;
+    for (const auto& runner : m_runners)
+        for (const auto& end : runner->m_ended)
+            count += Clock::now() - runner->m_endTimes[end[0].get<std::int64_t>()] > age ? 1 : 0;
+    return count;
+}
+
 std::vector<Run> Fleet::running()
 {
     std::lock_guard lock(m_mutex);
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -109,6 +109,8 @@
     std::map<std::string, std::int64_t> m_over;
     std::vector<Json> m_ended;
     std::int64_t m_ends { 0 };
+    // When each end was listed.
+    std::map<std::int64_t, Clock::time_point> m_endTimes;
 };
 
 // All runners, the platform's interface of machines, and what both have seen.
@@ -125,6 +127,8 @@
     // A new id for the next life of a runner.
     std::string newId();
     [[nodiscard]] std::vector<EndedRun> ended();
+    // Ends that have been listed for longer than that, and that no `last-seen` has reached.
+    [[nodiscard]] std::size_t endsNotNoted(Millis age);
     [[nodiscard]] std::vector<Run> running();
     // Tasks that two runners that were up ran at the same time.
     [[nodiscard]] std::vector<std::string> doubleRuns();
