TWICE: a runner restarted under its id keeps the runs that it accepted

Callers saw a task run on two runners at once, for up to a second, after one of them had been restarted under its id.

Cause: orders name their runner by id alone, so the new incarnation accepts starts that were meant for the earlier one. The next poll showed the other incarnation, and the holder gave up all runs that it knew there, also those that this same poll listed. The same at a new row, and at the next holder.

Change: runs that the earlier incarnation certainly had are lost with it. Any other waits for a poll that the new one answered: if it is listed it goes on; if a start order of it is unanswered, it is stopped in the new incarnation first. Recovered jobs wait for such a poll too. Answers that the earlier incarnation sent change nothing any more, and ends are acknowledged once, as a new incarnation numbers them anew and would forget some that it has not reported.

Two tests of crashes took the row alone for the end of a run that no poll had listed; they, and those beside them, now have the new incarnation answer polls and stops, and check the same.

--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -24,15 +24,6 @@
 // A run that is older when its runner crashes did not cause it, and one that gets older is cleared.
 inline constexpr Millis crashMemory { 5'000 };
 
-// A run that was on a runner when it crashed.
-struct CrashedRun {
-    TaskName task;
-    Attempt attempt { 0 };
-    bool isSuspect { false };
-    // It certainly began, apart from others, and no other run is a suspect.
-    bool isOnlySuspect { false };
-};
-
 // Whether the run had certainly begun more than `age` before `at`.
 [[nodiscard]] bool isOlderThan(const Run&, Millis age, TimePoint at);
 
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -42,6 +42,8 @@
 {
     if (!runner.isListed)
         return "unlisted";
+    if (runner.isReportOutdated)
+        return "reborn";
     if (!runner.hasAnsweredThisEpoch)
         return "not-heard";
     if (!runner.isStored)
--- a/src/jobs/runner.cpp
+++ b/src/jobs/runner.cpp
@@ -1,6 +1,7 @@
 #include "jobs/runner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmar::jobs {
 
@@ -11,6 +12,34 @@
 
 } // namespace
 
+void Runner::beginIncarnation(std::int64_t incarnation, TimePoint earliestLapse)
+{
+    m_report.incarnation = incarnation;
+    isReportOutdated = true;
+    m_clock.reset();
+    m_leaseUntil = RunnerTime(0);
+    m_earliestLapse = std::max(m_earliestLapse, earliestLapse);
+    lastAppliedEnd = 0;
+    lastStoredEnd = 0;
+    lastAcknowledgedEnd = 0;
+    hasAnsweredThisEpoch = false;
+    isPollInFlight = false;
+    failedPolls = 0;
+    avoidUntil = {};
+    jobsWithFailures.clear();
+    m_isSilent = false;
+    m_brokeOffAt.reset();
+    for (auto& [task, run] : m_runs) {
+        run.isConfirmed = false;
+        run.isOfUnknownIncarnation = true;
+        // Only the runner's current incarnation can confirm a stop.
+        run.stopAcknowledgedAt.reset();
+        run.isStopInFlight = false;
+        if (std::exchange(run.isResendDue, false) && run.phase == RunPhase::Starting)
+            run.phase = RunPhase::Unconfirmed;
+    }
+}
+
 void Runner::observeClock(RunnerTime reading, TimePoint receivedAt)
 {
     m_clock = reading;
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -27,6 +27,15 @@
     Exclusive,
 };
 
+// A run that was on a runner when it crashed.
+struct CrashedRun {
+    TaskName task;
+    Attempt attempt { 0 };
+    bool isSuspect { false };
+    // It certainly began, apart from others, and no other run is a suspect.
+    bool isOnlySuspect { false };
+};
+
 // One run of a task on a runner, from the start order to its end.
 struct Run {
     Attempt attempt { 0 };
@@ -47,6 +56,12 @@
     std::optional<TimePoint> expectedEnd;
     // Start orders that were sent and not answered.
     std::uint32_t unansweredStarts { 0 };
+    // A poll has listed it in the runner's current incarnation.
+    bool isConfirmed { false };
+    // Ordered while an earlier incarnation was known, and the current one may have it.
+    bool isOfUnknownIncarnation { false };
+    // Counts as a crash under its task if the current incarnation does not have it.
+    std::optional<CrashedRun> unsettledCrash;
     // In phase Starting: the start order is to be sent again.
     bool isResendDue { false };
     std::uint32_t unansweredStops { 0 };
@@ -76,7 +91,14 @@
 
     [[nodiscard]] const RunnerReport& report() const { return m_report; }
     [[nodiscard]] RunnerAddress address() const { return { m_report.id, m_report.address }; }
-    void update(RunnerReport report) { m_report = std::move(report); }
+    void update(RunnerReport report)
+    {
+        m_report = std::move(report);
+        isReportOutdated = false;
+    }
+    // The runner started again under its id: its clock, its lease and the numbers of its ends begin anew. The
+    // runs that it still has here are those that the new incarnation may have.
+    void beginIncarnation(std::int64_t incarnation, TimePoint earliestLapse);
 
     // Records the runner's clock from an answer that arrived at `receivedAt`.
     void observeClock(RunnerTime reading, TimePoint receivedAt);
@@ -89,7 +111,8 @@
     // All leases sent have ended, even if the runner's clock is slow, and the earliest lapse has passed. No
     // run ordered so far can be alive then. No lease is sent before the runner's first answer.
     [[nodiscard]] bool hasLeaseLapsed(TimePoint now) const;
-    // The lease does not count as lapsed before this time: an earlier holder may have extended it.
+    // The lease does not count as lapsed before this time: it may have been extended by an earlier holder, or
+    // by an order that was meant for an earlier incarnation.
     void setEarliestLapse(TimePoint moment) { m_earliestLapse = moment; }
 
     Run& addRun(const TaskName&, Run);
@@ -115,6 +138,8 @@
 
     // It is in the store's list of runners.
     bool isListed { true };
+    // The list still describes an earlier incarnation, which may have had another capacity and other labels.
+    bool isReportOutdated { false };
     TimePoint unlistedSince;
     // This incarnation has answered a poll of this epoch and so refuses orders of earlier epochs.
     bool hasAnsweredThisEpoch { false };
--- a/src/jobs/runner_orders.h
+++ b/src/jobs/runner_orders.h
@@ -29,6 +29,8 @@
     std::string ticket;
     // Time to wait for the answer.
     std::chrono::milliseconds timeout { 0 };
+    // Incarnation of the runner that was known when the order was planned. Not sent.
+    std::int64_t incarnation { 0 };
 };
 
 struct StopOrder {
@@ -37,6 +39,8 @@
     Epoch epoch { 0 };
     // Time to wait for the answer.
     std::chrono::milliseconds timeout { 0 };
+    // As in StartOrder.
+    std::int64_t incarnation { 0 };
 };
 
 // Asks a runner for its running and ended tasks, and extends the lease of all that runs there.
@@ -49,6 +53,8 @@
     Millis wait { 0 };
     // Time to wait for the answer beyond `wait`.
     Millis timeout { 0 };
+    // As in StartOrder.
+    std::int64_t incarnation { 0 };
 };
 
 enum class OrderOutcome : std::uint8_t {
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -59,13 +59,10 @@
             continue;
         }
         auto& runner = found->second;
-        if (report.incarnation > runner.report().incarnation) {
-            onCrash(runner, now, "reborn");
-            runner = Runner(report);
-            runner.idleSince = now;
-        } else if (report.incarnation == runner.report().incarnation) {
+        if (report.incarnation > runner.report().incarnation)
+            onReborn(runner, report.incarnation, now);
+        if (report.incarnation == runner.report().incarnation)
             runner.update(report);
-        }
     }
     // Forgets unlisted runners that can run nothing any more.
     for (auto each = m_runners.begin(); each != m_runners.end();) {
@@ -145,22 +142,74 @@
 
 void Shard::loseRuns(Runner& runner, TimePoint now, std::string_view why)
 {
-    std::set<JobId> affected;
+    std::vector<TaskName> tasks;
     for (const auto& [task, run] : runner.runs())
+        tasks.push_back(task);
+    loseRuns(runner, tasks, why);
+    runner.idleSince = now;
+}
+
+void Shard::loseRuns(Runner& runner, const std::vector<TaskName>& tasks, std::string_view why)
+{
+    std::set<JobId> affected;
+    for (const auto& task : tasks) {
         affected.insert(task.job);
+        loseRun(runner, task);
+    }
     for (const auto& job : affected)
         logWarning("job-runs-lost",
             { { "job", job.value() }, { "runner", runner.report().id.value() },
                 { "reason", std::string(why) } });
-    for (auto& [task, run] : runner.runs())
-        if (auto* entry = m_jobTable.find(task.job))
-            if (auto* found = entry->find(task); found && found->runner == runner.report().id)
-                releaseTask(*entry, task, run.checkpoint);
-    while (!runner.runs().empty()) {
-        auto task = runner.runs().begin()->first;
-        runner.removeRun(task);
+}
+
+void Shard::loseRun(Runner& runner, const TaskName& task)
+{
+    auto checkpoint = runner.find(task)->checkpoint;
+    runner.removeRun(task);
+    auto* entry = m_jobTable.find(task.job);
+    if (auto* found = entry ? entry->find(task) : nullptr; found && found->runner == runner.report().id)
+        releaseTask(*entry, task, checkpoint);
+}
+
+// Orders name their runner by its id alone, so the new incarnation accepts those meant for the earlier one. A
+// run that was listed belonged to the earlier incarnation, unless an unanswered start order of it may still
+// be carried out.
+void Shard::onReborn(Runner& runner, std::int64_t incarnation, TimePoint now)
+{
+    auto crashed = takeCrashedRuns(runner);
+    if (runner.report().isDraining)
+        crashed.clear();
+    std::vector<TaskName> lost;
+    for (const auto& [task, run] : runner.runs())
+        if (run.isConfirmed && run.unansweredStarts == 0)
+            lost.push_back(task);
+    logWarning("runner-reborn",
+        { { "runner", runner.report().id.value() }, { "runs", std::to_string(runner.runs().size()) },
+            { "lost", std::to_string(lost.size()) } });
+    loseRuns(runner, lost, "reborn");
+    std::vector<CrashedRun> settled;
+    for (const auto& crash : crashed) {
+        if (auto* run = runner.find(crash.task); run && run->attempt == crash.attempt)
+            run->unsettledCrash = crash;
+        else
+            settled.push_back(crash);
     }
+    runner.beginIncarnation(incarnation, now + m_settings.maxLease + m_settings.maxLease / 10);
+    runner.nextPoll = now;
     runner.idleSince = now;
+    countCrashes(settled, runner.report().id, now, "reborn");
+}
+
+// The runs that may have caused the crash of the runner's incarnation.
+std::vector<CrashedRun> Shard::takeCrashedRuns(const Runner& runner)
+{
+    auto crashed = crashedRunsOf(runner, m_breakOffs);
+    if (auto lapsed = m_lapsedRuns.extract(runner.report().id))
+        crashed.insert(crashed.end(), lapsed.mapped().begin(), lapsed.mapped().end());
+    for (const auto& [task, run] : runner.runs())
+        if (run.unsettledCrash)
+            crashed.push_back(*run.unsettledCrash);
+    return crashed;
 }
 
 void Shard::observePollFailure(Runner& runner, bool isTimedOut, TimePoint now)
@@ -174,9 +223,7 @@
 
 void Shard::onCrash(Runner& runner, TimePoint now, std::string_view why)
 {
-    auto crashed = crashedRunsOf(runner, m_breakOffs);
-    if (auto lapsed = m_lapsedRuns.extract(runner.report().id))
-        crashed.insert(crashed.end(), lapsed.mapped().begin(), lapsed.mapped().end());
+    auto crashed = takeCrashedRuns(runner);
     loseRuns(runner, now, why);
     if (!runner.report().isDraining)
         countCrashes(crashed, runner.report().id, now, why);
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -165,8 +165,15 @@
     void recordPredictedDemand(const Job&, TimePoint now);
     [[nodiscard]] KnownRun findRun(const RunnerId&, const TaskName&, Attempt);
     void loseRuns(Runner&, TimePoint now, std::string_view why);
+    void loseRuns(Runner&, const std::vector<TaskName>&, std::string_view why);
+    // Gives up a run that its runner certainly does not have.
+    void loseRun(Runner&, const TaskName&);
+    // The runner started again under its id. Gives up the runs that the earlier incarnation had; those that
+    // the new one may have wait for its poll.
+    void onReborn(Runner&, std::int64_t incarnation, TimePoint now);
     // The runner's incarnation ended other than by a planned shutdown or an order of this process.
     void onCrash(Runner&, TimePoint now, std::string_view why);
+    [[nodiscard]] std::vector<CrashedRun> takeCrashedRuns(const Runner&);
     void onLeaseLapsed(Runner&, TimePoint now);
     void observePollFailure(Runner&, bool isTimedOut, TimePoint now);
     void countCrashOfUnlisted(const RunnerId&, TimePoint now);
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -45,7 +45,8 @@
         return;
     auto& runner = *foundRunner;
     recordAnswerTime(answer);
-    if (isAnswered(answer))
+    auto isForEarlierIncarnation = order.incarnation != runner.report().incarnation;
+    if (isAnswered(answer) && !isForEarlierIncarnation)
         runner.observeAnswer(now);
     run->lastStartSettledAt = now;
     auto requeue = [&] {
@@ -75,7 +76,9 @@
         runner.nextPoll = std::min(runner.nextPoll, now);
         if (run->phase != RunPhase::Starting)
             break;
-        if (++run->unansweredStarts < maxUnansweredStarts)
+        // A resend would start the task in the new incarnation, although its start may have crashed the
+        // earlier one.
+        if (++run->unansweredStarts < maxUnansweredStarts && !run->isOfUnknownIncarnation)
             run->isResendDue = true;
         else
             run->phase = RunPhase::Unconfirmed;
@@ -87,6 +90,10 @@
         runner.nextPoll = std::min(runner.nextPoll, now);
         break;
     case OrderOutcome::OtherIncarnation:
+        if (isForEarlierIncarnation) {
+            requeue();
+            break;
+        }
         onCrash(runner, now, "other-life");
         runner.hasAnsweredThisEpoch = false;
         runner.avoidUntil = now + avoidDuration;
@@ -127,7 +134,8 @@
 bool Shard::mayStillStart(const RunnerId& id, const StartOrder& order)
 {
     auto [runner, run] = findRun(id, order.task, order.attempt);
-    return run && run->phase == RunPhase::Starting && !runner->isOvercommitted();
+    return run && run->phase == RunPhase::Starting && !runner->isOvercommitted()
+        && order.incarnation == runner->report().incarnation;
 }
 
 void Shard::onStop(const RunnerId& id, const StopOrder& order, const OrderAnswer& answer, TimePoint now)
@@ -137,6 +145,9 @@
         return;
     auto& runner = *foundRunner;
     recordAnswerTime(answer);
+    // The stop was ordered again when the runner's current incarnation was found.
+    if (order.incarnation != runner.report().incarnation)
+        return;
     run->isStopInFlight = false;
     if (answer.outcome == OrderOutcome::OtherIncarnation) {
         onCrash(runner, now, "other-life");
@@ -166,11 +177,17 @@
     if (found == m_runners.end())
         return;
     auto& runner = found->second;
-    runner.isPollInFlight = false;
     const auto& answer = poll.answer;
-    auto isOtherIncarnation = answer.outcome == OrderOutcome::OtherIncarnation
-        || (answer.incarnation != 0 && answer.incarnation != runner.report().incarnation);
-    if (isOtherIncarnation) {
+    auto isForEarlierIncarnation = order.incarnation != runner.report().incarnation;
+    auto isFromAnotherIncarnation = answer.outcome == OrderOutcome::Accepted && answer.incarnation != 0
+        && answer.incarnation != runner.report().incarnation;
+    // Tells nothing of the current incarnation.
+    if (isForEarlierIncarnation && (isFromAnotherIncarnation || answer.outcome != OrderOutcome::Accepted))
+        return;
+    runner.isPollInFlight = false;
+    if (isFromAnotherIncarnation)
+        onReborn(runner, answer.incarnation, now);
+    if (answer.outcome == OrderOutcome::OtherIncarnation) {
         onCrash(runner, now, "other-life");
         runner.hasAnsweredThisEpoch = false;
         ++runner.failedPolls;
@@ -200,11 +217,11 @@
         runner.observeClock(*answer.clock, now);
     if (!runner.hasAnsweredThisEpoch) {
         runner.hasAnsweredThisEpoch = true;
-        if (!runner.isStored)
-            m_runnerChanges.push_back(
-                { ShardChange::Kind::Runner, id.value(), encodeRunnerRow(runner.report()) });
+        m_runnerChanges.push_back(
+            { ShardChange::Kind::Runner, id.value(), encodeRunnerRow(runner.report()) });
     }
-    runner.lastAcknowledgedEnd = std::max(runner.lastAcknowledgedEnd, order.ackEndsUpTo);
+    if (order.incarnation == runner.report().incarnation)
+        runner.lastAcknowledgedEnd = std::max(runner.lastAcknowledgedEnd, order.ackEndsUpTo);
     applyEnds(runner, poll, now);
     applyRunning(runner, poll, sent, now);
     auto hadEnds = !poll.ended.empty();
@@ -309,6 +326,7 @@
     run.attempt = running.attempt;
     run.phase = RunPhase::Running;
     run.orderedAt = now;
+    run.isConfirmed = true;
     run.checkpoint = running.checkpoint;
     run.percent = running.percent;
     if (task) {
@@ -343,33 +361,41 @@
             continue;
         run->checkpoint = running.checkpoint;
         run->percent = running.percent;
+        run->isConfirmed = true;
+        run->isOfUnknownIncarnation = false;
+        run->unsettledCrash.reset();
         if (run->phase == RunPhase::Starting || run->phase == RunPhase::Unconfirmed)
             run->phase = RunPhase::Running;
         clearOfCrashes(running.task, *run, sent);
     }
     // A run listed neither as running nor as ended is gone if the poll was sent after the runner acknowledged
-    // its stop, as the run can no longer begin.
+    // its stop, as the run can no longer begin. It was in the earlier incarnation if the poll was sent after
+    // its only start order was accepted.
     std::vector<TaskName> gone;
     for (const auto& [task, run] : runner.runs()) {
         if (present.contains({ task, run.attempt }))
             continue;
         auto isStopConfirmed = run.stopAcknowledgedAt && *run.stopAcknowledgedAt < sent;
-        if (isStopConfirmed)
+        auto wasInEarlierIncarnation = run.isOfUnknownIncarnation && run.phase == RunPhase::Running
+            && run.unansweredStarts == 0 && run.lastStartSettledAt < sent;
+        if (isStopConfirmed || wasInEarlierIncarnation)
             gone.push_back(task);
     }
+    std::vector<CrashedRun> crashed;
     for (const auto& task : gone) {
-        auto checkpoint = runner.find(task)->checkpoint;
-        runner.removeRun(task);
-        auto* entry = m_jobTable.find(task.job);
-        if (auto* found = entry ? entry->find(task) : nullptr; found && found->runner == runner.report().id)
-            releaseTask(*entry, task, checkpoint);
+        if (const auto& crash = runner.find(task)->unsettledCrash)
+            crashed.push_back(*crash);
+        loseRun(runner, task);
     }
+    countCrashes(crashed, runner.report().id, now, "reborn");
     // A run that should be listed and is not becomes unconfirmed. A stop then settles whether it can still
     // begin.
     for (auto& [task, run] : runner.runs()) {
         if (present.contains({ task, run.attempt }))
             continue;
-        if (run.phase == RunPhase::Running && run.orderedAt + failedPollDelay < sent)
+        auto isOverdue = run.isOfUnknownIncarnation ? run.lastStartSettledAt < sent
+                                                    : run.orderedAt + failedPollDelay < sent;
+        if (run.phase == RunPhase::Running && isOverdue)
             run.phase = RunPhase::Unconfirmed;
         run.isMissing |= run.phase == RunPhase::Unconfirmed && run.lastStartSettledAt < sent;
     }
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -48,7 +48,7 @@
         }
         orders.starts.push_back({ runner.address(),
             { task, run.attempt, entry->job.spec, runner.leaseUntil(), m_epoch, run.checkpoint, {},
-                m_answerTimeout.timeout(run.unansweredStarts) } });
+                m_answerTimeout.timeout(run.unansweredStarts), runner.report().incarnation } });
     }
 }
 
@@ -81,7 +81,8 @@
             continue;
         run.isStopInFlight = true;
         orders.stops.push_back({ runner.address(),
-            { task, run.attempt, m_epoch, m_answerTimeout.timeout(run.unansweredStops) } });
+            { task, run.attempt, m_epoch, m_answerTimeout.timeout(run.unansweredStops),
+                runner.report().incarnation } });
     }
 }
 
@@ -106,10 +107,13 @@
     // lapse before its tasks are placed elsewhere.
     auto hasFailed = runner.failedPolls > 0;
     poll.leaseUntil = hasFailed ? runner.leaseUntil() : runner.extendLease(now, m_settings.maxLease);
-    poll.ackEndsUpTo = runner.lastStoredEnd;
+    // Sent no more often than necessary: another incarnation, which numbers its ends anew, would forget ends
+    // that it has not reported.
+    poll.ackEndsUpTo = hasUnacknowledged && !hasFailed ? runner.lastStoredEnd : 0;
     auto mayLongPoll = runner.hasAnsweredThisEpoch && runner.failedPolls == 0 && !runner.runs().empty();
     poll.wait = mayLongPoll ? pollWaitFor(runner, now) : Millis(0);
     poll.timeout = m_answerTimeout.timeout(runner.failedPolls);
+    poll.incarnation = runner.report().incarnation;
     runner.isPollInFlight = true;
     orders.polls.push_back({ runner.address(), poll });
 }
@@ -268,7 +272,7 @@
     task.runner = runner.report().id;
     ++entry.stepOccurrence(name.occurrence, name.step).placedCount;
     StartOrder order { name, attempt, entry.job.spec, runner.extendLease(now, m_settings.maxLease), m_epoch,
-        task.checkpoint, {}, m_answerTimeout.timeout(0) };
+        task.checkpoint, {}, m_answerTimeout.timeout(0), runner.report().incarnation };
     orders.starts.push_back({ runner.address(), std::move(order) });
 }
 
--- a/src/jobs/tests/crash_test.cpp
+++ b/src/jobs/tests/crash_test.cpp
@@ -396,15 +396,16 @@
     advance();
     answerStart(starts.at(0));
     breakOff("r1");
-    list(report("r1", 16'000, 2));
     addRunner("r2");
+    restart("r1", 2);
     advance(1s);
     BOOST_REQUIRE_EQUAL(starts.size(), 1U);
     auto order = starts.at(0);
     BOOST_TEST(shard.find(JobId("j1"))->find(order.order.task)->crashes.size() == 1U);
     answerStart(order, OrderOutcome::Unknown);
     breakOff(order.runner.id.value());
-    list(report(order.runner.id.value(), 16'000, 3));
+    answerStart(starts.at(0), OrderOutcome::Unknown);
+    restart(order.runner.id.value(), 3);
     BOOST_TEST(shard.find(JobId("j1"))->find(order.order.task)->crashes.size() == 2U);
     BOOST_TEST(bool(shard.find(JobId("j1"))->state != JobState::Failed));
 }
@@ -419,7 +420,7 @@
     auto task = starts.at(0).order.task;
     advance();
     answerPoll("r1", now - 3s, {}, {}, OrderOutcome::Unknown, 0);
-    list(report("r1", 16'000, 2));
+    restart("r1", 2);
     BOOST_TEST(shard.find(JobId("j1"))->find(task)->crashes.empty());
 }
 
@@ -435,7 +436,7 @@
         advance(1s);
         answerPoll("r1", now, {}, {}, outcome, 0);
     }
-    list(report("r1", 16'000, 2));
+    restart("r1", 2);
     BOOST_TEST(shard.find(JobId("j1"))->find(task)->crashes.empty());
 }
 
@@ -455,8 +456,8 @@
     auto task = starts.at(0).order.task;
     breakOff("r1");
     breakOff("r2");
-    list(report("r1", 1'000, 2));
-    list(report("r2", 1'000, 2));
+    restart("r1", 2, 1'000);
+    restart("r2", 2, 1'000);
     BOOST_TEST(shard.find(JobId("j2"))->find(task)->crashes.empty());
 }
 
--- a/src/jobs/tests/shard_fixture.h
+++ b/src/jobs/tests/shard_fixture.h
@@ -124,6 +124,23 @@
         answerPoll(id, now - 1ms, {}, {}, OrderOutcome::Unknown, 0);
     }
 
+    // The runner starts again under its id and runs nothing: it is listed, confirms the stops and answers
+    // polls.
+    void restart(const std::string& id, std::int64_t incarnation, std::int64_t cpu = 16'000)
+    {
+        list(report(id, cpu, incarnation));
+        std::erase_if(polls, [&](const auto& poll) { return poll.runner.id.value() == id; });
+        for (int round = 0; round < 2; ++round) {
+            advance(10ms, false);
+            for (const auto& stop : stops)
+                if (stop.runner.id.value() == id)
+                    shard.onStop(stop.runner.id, stop.order, { OrderOutcome::Accepted, {}, 0 }, now);
+            advance(10ms, false);
+            answerPoll(id, {}, {}, OrderOutcome::Accepted, incarnation);
+        }
+        store();
+    }
+
     // The poll of the runner that is not answered yet.
     std::vector<OutgoingPoll>::iterator findPoll(const RunnerId& id)
     {
