LIMIT: a shard hands a wave on once its last VM is back

Operators saw a wave take a VM down while another one of it was still down, with one allowed at a time.

Cause: a shard recorded that it was completed when the order for its last VM was accepted, and the shard that waited for this took its first VM down.

Change: completion is recorded once no VM of the shard is down. A VM counts as down until its order is answered, as a slow one may be carried out late. One that is lost afterwards holds nothing up. With the limit now used by one shard at a time, the next VM is emptied while one is down, as the wave was late otherwise, and waiting shards read the records every 0.3 s.

--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/maintenance_plan.cpp
@@ -31,22 +31,43 @@
             wave.down.try_emplace(id, listRequestedAt);
 }
 
+void removeReturnedVms(
+    WaveProgress& wave, const std::map<VmId, VmRecord>& list, TimePoint listRequestedAt, Millis duration)
+{
+    std::erase_if(wave.down, [&](const auto& each) {
+        const auto& [id, since] = each;
+        auto vm = list.find(id);
+        auto isInMaintenance = vm != list.end() && vm->second.state == VmState::Maintenance;
+        return since && listRequestedAt > *since + duration && !isInMaintenance;
+    });
+}
+
+bool areAllVmsBack(const WaveProgress& wave, const std::map<VmId, VmRecord>& list)
+{
+    return wave.down.empty()
+        && std::all_of(wave.order.vms.begin(), wave.order.vms.end(),
+            [&](const VmId& vm) { return wave.done.contains(vm) || !list.contains(vm); });
+}
+
 std::uint32_t allowanceOf(std::uint32_t maxAtOnce, std::uint32_t shard, std::uint32_t shards)
 {
     return maxAtOnce / shards + (shard < maxAtOnce % shards ? 1 : 0);
 }
 
-MaintenanceActions planMaintenance(
-    const WaveProgress& wave, std::vector<MaintenanceCandidate> candidates, Millis cycle, TimePoint now)
+MaintenanceActions planMaintenance(const WaveProgress& wave, std::vector<MaintenanceCandidate> candidates,
+    MaintenanceTimes times, TimePoint now)
 {
     MaintenanceActions actions;
+    auto cycle = times.drain + times.down;
     auto duration = double(wave.order.duration.count());
     auto elapsed = double(std::chrono::duration_cast<Millis>(now - wave.firstSeen).count());
     auto isForced = elapsed > duration * forcedShare;
     auto timeLeft = std::max(duration * plannedShare - elapsed, double(cycle.count()));
     auto neededInProgress
         = std::ceil(double(candidates.size() + wave.down.size()) * double(cycle.count()) / timeLeft);
-    auto maxInProgress = std::min(std::uint32_t(std::max(1.0, neededInProgress)), wave.allowance);
+    auto neededToFillAllowance
+        = std::ceil(double(wave.allowance) * double(cycle.count()) / double(times.down.count()));
+    auto maxInProgress = std::uint32_t(std::min(std::max(1.0, neededInProgress), neededToFillAllowance));
     auto downCount = std::uint32_t(wave.down.size());
     auto evacuations = std::count_if(candidates.begin(), candidates.end(), needsEvacuation);
     auto neededEvacuations
--- a/src/jobs/tests/decisions_test.cpp
+++ b/src/jobs/tests/decisions_test.cpp
@@ -202,6 +202,8 @@
     BOOST_TEST(plan.cordoned.contains(VmId("b1")));
 }
 
+const MaintenanceTimes waveTimes { 2s, 2s };
+
 BOOST_AUTO_TEST_CASE(WaveNeverExceedsItsAllowance)
 {
     WaveProgress wave;
@@ -213,7 +215,7 @@
     for (int i = 0; i < 20; ++i)
         candidates.push_back({ VmId("vm" + std::to_string(i)), true, true, true, true, 0 });
     for (auto elapsed = 0ms; elapsed < 40s; elapsed += 500ms)
-        BOOST_TEST(planMaintenance(wave, candidates, 4s, now + elapsed).takeDown.size() <= 3U);
+        BOOST_TEST(planMaintenance(wave, candidates, waveTimes, now + elapsed).takeDown.size() <= 3U);
 }
 
 // A new holder must count VMs that the previous one took down, or the wave exceeds its limit.
@@ -231,7 +233,7 @@
     list[VmId("vm1")].state = VmState::Maintenance;
     recordVmsInMaintenance(wave, list, now);
     std::vector<MaintenanceCandidate> candidates { { VmId("vm2"), true, true, true, true, 0 } };
-    BOOST_TEST(planMaintenance(wave, candidates, 4s, now).takeDown.empty());
+    BOOST_TEST(planMaintenance(wave, candidates, waveTimes, now).takeDown.empty());
 }
 
 // A wave that runs out of time must not take down a VM with long-running tasks.
@@ -244,9 +246,9 @@
     wave.firstSeen = now;
     wave.cordoned[VmId("vm")] = now;
     std::vector<MaintenanceCandidate> candidates { { VmId("vm"), false, false, true, false, 500 } };
-    BOOST_TEST(planMaintenance(wave, candidates, 4s, now + 60s).takeDown.empty());
+    BOOST_TEST(planMaintenance(wave, candidates, waveTimes, now + 60s).takeDown.empty());
     candidates[0].mayEndRuns = true;
-    BOOST_TEST(planMaintenance(wave, candidates, 4s, now + 60s).takeDown.size() == 1U);
+    BOOST_TEST(planMaintenance(wave, candidates, waveTimes, now + 60s).takeDown.size() == 1U);
 }
 
 // If VMs with long-running tasks came last, their evacuation would outlast the wave.
@@ -262,7 +264,7 @@
         candidates.push_back({ VmId("busy" + std::to_string(i)), false, false, true, true, 1'000 });
     for (int i = 0; i < 12; ++i)
         candidates.push_back({ VmId("lasting" + std::to_string(i)), false, false, true, false, 9'000 });
-    auto steps = planMaintenance(wave, candidates, 4s, now);
+    auto steps = planMaintenance(wave, candidates, waveTimes, now);
     auto longRunning = std::count_if(steps.empty.begin(), steps.empty.end(),
         [](const VmId& vm) { return vm.value().starts_with("lasting"); });
     // Twelve VMs that take 8 s each within 18 s.
@@ -271,6 +273,84 @@
     BOOST_TEST(steps.empty.size() > std::size_t(longRunning));
 }
 
+// Guards against a wave that takes down more VMs than it may: with fewer VMs at once than shards, a shard
+// that waits for its turn went on while the last VM of the shard before was still down.
+BOOST_AUTO_TEST_CASE(AShardIsDoneOnceItsLastVmIsBack)
+{
+    WaveProgress wave;
+    VmId last("vm1");
+    wave.order = { 1, { VmId("vm0"), last }, 26s, 1 };
+    TimePoint now { 1'000s };
+    std::map<VmId, VmRecord> list;
+    for (const auto& id : wave.order.vms)
+        list[id] = { id, PoolId("p"), VmState::Up, {}, {}, {} };
+    wave.done = { VmId("vm0"), last };
+    wave.down[last] = now;
+    BOOST_TEST(!areAllVmsBack(wave, list));
+    list[last].state = VmState::Maintenance;
+    removeReturnedVms(wave, list, now + 2'100ms, 2s);
+    BOOST_TEST(!areAllVmsBack(wave, list));
+    list[last].state = VmState::Up;
+    removeReturnedVms(wave, list, now + 1'900ms, 2s);
+    BOOST_TEST(!areAllVmsBack(wave, list));
+    removeReturnedVms(wave, list, now + 2'200ms, 2s);
+    BOOST_TEST(areAllVmsBack(wave, list));
+}
+
+// Guards against the same where the VM interface is slow: the order may be carried out just before its
+// answer, long after a list that still shows the VM up.
+BOOST_AUTO_TEST_CASE(AVmCountsAsDownUntilItsOrderIsAnswered)
+{
+    WaveProgress wave;
+    VmId vm("vm0");
+    wave.order = { 1, { vm }, 26s, 1 };
+    TimePoint now { 1'000s };
+    std::map<VmId, VmRecord> list { { vm, { vm, PoolId("p"), VmState::Up, {}, {}, {} } } };
+    wave.down[vm] = std::nullopt;
+    removeReturnedVms(wave, list, now + 2'900ms, 2s);
+    BOOST_TEST(wave.down.contains(vm));
+    wave.down[vm] = now + 3s;
+    removeReturnedVms(wave, list, now + 4'900ms, 2s);
+    BOOST_TEST(wave.down.contains(vm));
+    removeReturnedVms(wave, list, now + 5'100ms, 2s);
+    BOOST_TEST(wave.down.empty());
+}
+
+// Guards against a late wave: with the allowance used up, the next VM was cordoned only once one was back,
+// and the allowance lay idle while it emptied.
+BOOST_AUTO_TEST_CASE(TheNextVmIsEmptiedWhileOneIsDown)
+{
+    WaveProgress wave;
+    wave.order = { 1, {}, 26s, 1 };
+    wave.allowance = 1;
+    TimePoint now { 1'000s };
+    wave.firstSeen = now;
+    wave.down[VmId("vm")] = now;
+    std::vector<MaintenanceCandidate> candidates;
+    for (int i = 0; i < 10; ++i)
+        candidates.push_back({ VmId("busy" + std::to_string(i)), false, false, true, true, 1'000 });
+    auto steps = planMaintenance(wave, candidates, waveTimes, now);
+    BOOST_TEST(steps.takeDown.empty());
+    BOOST_TEST(steps.empty.size() == 1U);
+    // With time to spare, no VM is taken from the tasks early.
+    candidates.resize(2);
+    BOOST_TEST(planMaintenance(wave, candidates, waveTimes, now).empty.empty());
+}
+
+// Guards against a wave that waits for ever for a VM that was lost after its maintenance.
+BOOST_AUTO_TEST_CASE(AVmThatIsLostDoesNotHoldUpTheWave)
+{
+    WaveProgress wave;
+    VmId vm("vm0");
+    wave.order = { 1, { vm }, 26s, 1 };
+    wave.done = { vm };
+    TimePoint now { 1'000s };
+    std::map<VmId, VmRecord> list { { vm, { vm, PoolId("p"), VmState::Down, {}, {}, {} } } };
+    wave.down[vm] = now;
+    removeReturnedVms(wave, list, now + 3s, 2s);
+    BOOST_TEST(areAllVmsBack(wave, list));
+}
+
 BOOST_AUTO_TEST_CASE(ShardAllowancesAddUpToTheWaveLimit)
 {
     for (std::uint32_t most = 1; most < 20; ++most) {
--- a/src/node/vm_controller.cpp
+++ b/src/node/vm_controller.cpp
@@ -25,8 +25,9 @@
 constexpr std::chrono::milliseconds reportTimeout { 1'500 };
 // A pool's need changes with every job; logged at most once per second.
 constexpr std::chrono::milliseconds needLogPause { 1'000 };
-// How often the wave records of other shards are read.
-constexpr std::chrono::milliseconds shardCheckInterval { 700 };
+// How often the wave records of other shards are read. A shard that waits for them loses this much of the
+// wave's time.
+constexpr std::chrono::milliseconds shardCheckInterval { 300 };
 constexpr std::chrono::milliseconds shardCheckTimeout { 1'500 };
 // Minimum per pool in each shard: one VM to start tasks on immediately, and one in case that one fails.
 constexpr std::uint32_t minVmsPerPool = 2;
@@ -156,7 +157,8 @@
     }
     for (auto& [number, wave] : m_waves) {
         jobs::recordVmsInMaintenance(wave, m_list, requestedAt);
-        removeReturned(wave, requestedAt);
+        jobs::removeReturnedVms(
+            wave, m_list, requestedAt, std::chrono::duration_cast<jobs::Millis>(m_settings.maintenanceTime));
     }
 }
 
@@ -200,18 +202,6 @@
     return runner != m_shard.runners().end() && runner->second.isKnownEmpty();
 }
 
-// Stops counting a VM as down once its maintenance time is over and a later list shows it up or gone, so that
-// the next VM of the wave can be taken down.
-void VmController::removeReturned(jobs::WaveProgress& wave, TimePoint requestedAt)
-{
-    for (auto each = wave.down.begin(); each != wave.down.end();) {
-        const auto* vm = find(each->first);
-        auto isBack = requestedAt > each->second + m_settings.maintenanceTime
-            && (!vm || vm->state == jobs::VmState::Up);
-        each = isBack ? wave.down.erase(each) : std::next(each);
-    }
-}
-
 void VmController::planWaves(TimePoint now)
 {
     std::set<jobs::RunnerId> due;
@@ -246,8 +236,7 @@
         candidates.push_back(
             { id, isEmpty(*vm), isSpare, vm->state == jobs::VmState::Up, mayEndRuns(*vm), busyCpu(id) });
     }
-    auto cycle = m_settings.maintenanceTime + drainTime;
-    auto steps = jobs::planMaintenance(wave, candidates, cycle, now);
+    auto steps = jobs::planMaintenance(wave, candidates, { drainTime, m_settings.maintenanceTime }, now);
     for (const auto& id : steps.empty) {
         wave.cordoned.emplace(id, now);
         m_shard.setRunnerCordoned(find(id)->runner, true);
@@ -256,7 +245,7 @@
         if (const auto* vm = find(id))
             m_shard.evacuate(vm->runner, now);
     for (const auto& id : steps.takeDown)
-        takeDown(wave, id, now);
+        takeDown(wave, id);
     if (!steps.empty.empty())
         m_hooks.requestPlan();
     completeWaveIfDone(wave);
@@ -277,18 +266,20 @@
         });
 }
 
-void VmController::takeDown(jobs::WaveProgress& wave, const VmId& id, TimePoint now)
+void VmController::takeDown(jobs::WaveProgress& wave, const VmId& id)
 {
     const auto* vm = find(id);
     m_shard.setRunnerCordoned(vm->runner, true);
     wave.cordoned.erase(id);
-    wave.down[id] = now;
+    wave.down[id] = std::nullopt;
     m_vms.maintain({ m_settings.holder, m_settings.epoch }, id, wave.order.wave,
         [this, id, number = wave.order.wave, runner = vm->runner, isAlive = m_isAlive](
             platform::VmOrderOutcome outcome) {
             if (!*isAlive)
                 return;
             auto& progress = m_waves[number];
+            // Also if the outcome is unknown: the order may have been carried out until now.
+            progress.down[id] = m_clock.now();
             logInfo("maintain",
                 { { "vm", id.value() }, { "wave", std::to_string(number) },
                     { "outcome", std::string(toString(outcome)) },
@@ -306,7 +297,7 @@
                 m_shard.setRunnerCordoned(runner, false);
                 break;
             case platform::VmOrderOutcome::Unknown:
-                // The VM may be down: it counts as down for the maintenance time and is then ordered again.
+                // It counts as down for the maintenance time and is then ordered again.
                 break;
             case platform::VmOrderOutcome::Busy:
             case platform::VmOrderOutcome::NotDone:
@@ -320,9 +311,7 @@
 
 void VmController::completeWaveIfDone(jobs::WaveProgress& wave)
 {
-    auto isDone = std::all_of(wave.order.vms.begin(), wave.order.vms.end(),
-        [&](const VmId& vm) { return wave.done.contains(vm) || !find(vm); });
-    if (!isDone || wave.isCompleted)
+    if (wave.isCompleted || !jobs::areAllVmsBack(wave, m_list))
         return;
     wave.isCompleted = true;
     record(wave, {});
--- a/src/node/vm_controller.h
+++ b/src/node/vm_controller.h
@@ -60,8 +60,7 @@
     void onList(const std::vector<jobs::VmRecord>&, TimePoint requestedAt);
     void planWaves(TimePoint now);
     void planWave(jobs::WaveProgress&, TimePoint now);
-    void removeReturned(jobs::WaveProgress&, TimePoint now);
-    // Records the wave as completed if each of this shard's VMs in it is done or gone.
+    // Records the wave as completed if each of this shard's VMs in it is done and back, or gone.
     void completeWaveIfDone(jobs::WaveProgress&);
     void reportWaveOnceCompleted(jobs::WaveProgress&, TimePoint now);
     // Calls back with whether all shards in [next, end) have completed the wave.
@@ -72,7 +71,7 @@
     // If the wave's limit is too low for all shards, a shard that has no share of it waits until the shards
     // with lower numbers are done, and then maintains one VM at a time.
     void waitForAllowance(jobs::WaveProgress&, TimePoint now);
-    void takeDown(jobs::WaveProgress&, const VmId&, TimePoint now);
+    void takeDown(jobs::WaveProgress&, const VmId&);
     void planMoves(TimePoint now);
     void logNeed(const jobs::PoolNeed&, TimePoint now);
     [[nodiscard]] jobs::VmStatus factsOf(const jobs::VmRecord&, bool isMoving, TimePoint now);
