--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -99,7 +99,8 @@
     // `sent` is when the poll was sent.
     void onPoll(const RunnerId&, const PollOrder&, const PollAnswer&, TimePoint sent, TimePoint now);
 
-    // `mayStart` is false while this process is not sure that it holds the shard.
+    // `mayStart` is false while this process is not sure that it holds the shard. Nothing is started then,
+    // and no runner's lease is extended.
     [[nodiscard]] ShardOrders plan(TimePoint now, WallTime wallNow, bool mayStart);
 
     // Rows to write for the state changes since the last call.
@@ -201,7 +202,7 @@
     void planResends(Runner&, ShardOrders&);
     [[nodiscard]] Millis pollWaitFor(const Runner&, TimePoint now) const;
     void planStops(Runner&, TimePoint now, ShardOrders&);
-    void planPoll(Runner&, TimePoint now, ShardOrders&);
+    void planPoll(Runner&, TimePoint now, bool mayExtendLease, ShardOrders&);
     void placeJobs(TimePoint now, WallTime wallNow, ShardOrders&);
     [[nodiscard]] static Runner* chooseRunnerForIsolation(
         const PoolRunners&, Isolation, const Step&, const TaskName&, TimePoint now);
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -86,7 +86,7 @@
     }
 }
 
-void Shard::planPoll(Runner& runner, TimePoint now, ShardOrders& orders)
+void Shard::planPoll(Runner& runner, TimePoint now, bool mayExtendLease, ShardOrders& orders)
 {
     if (runner.isPollInFlight)
         return;
@@ -104,9 +104,11 @@
     PollOrder poll;
     poll.epoch = m_epoch;
     // A runner that does not answer may still receive polls. They must not extend its lease, which has to
-    // lapse before its tasks are placed elsewhere.
+    // lapse before its tasks are placed elsewhere. The same holds for polls of a holder that may have been
+    // replaced: the next one may be cut off from the runner.
     auto hasFailed = runner.failedPolls > 0;
-    poll.leaseUntil = hasFailed ? runner.leaseUntil() : runner.extendLease(now, m_settings.maxLease);
+    poll.leaseUntil
+        = hasFailed || !mayExtendLease ? runner.leaseUntil() : runner.extendLease(now, m_settings.maxLease);
     // Sent no more often than necessary: another incarnation, which numbers its ends anew, would forget ends
     // that it has not reported.
     poll.ackEndsUpTo = hasUnacknowledged && !hasFailed ? runner.lastStoredEnd : 0;
@@ -137,7 +139,7 @@
         if (mayStart)
             planResends(runner, orders);
         planStops(runner, now, orders);
-        planPoll(runner, now, orders);
+        planPoll(runner, now, mayStart, orders);
     }
     return orders;
 }
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -72,6 +72,27 @@
     BOOST_TEST(starts.empty());
 }
 
+// Guards against tasks that run twice while a zone is cut off: the holder there kept their leases alive, and
+// the next one, which could not reach the runners, had waited for these leases to lapse.
+BOOST_FIXTURE_TEST_CASE(NoLeaseIsExtendedWhileTheShardLeaseIsUnsure, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    advance();
+    auto order = starts.at(0).order;
+    answerStart(starts[0]);
+    auto granted = order.leaseUntil;
+    for (auto until = now + 2 * ShardSettings {}.maxLease; now < until;) {
+        advance(100ms, false);
+        for (const auto& poll : polls)
+            BOOST_TEST((poll.order.leaseUntil <= granted));
+        answerPoll("r1", { running(order) }, {});
+    }
+    advance(100ms);
+    BOOST_REQUIRE_EQUAL(polls.size(), 1U);
+    BOOST_TEST((polls[0].order.leaseUntil > granted));
+}
+
 BOOST_FIXTURE_TEST_CASE(RunnerCapacityIsNeverExceeded, ShardFixture)
 {
     addRunner("r1", 4'000);
