TWICE: a runner that answers polls is not ended by lists

A runner that was cut off from the store, so that its row expired, and that the list of VMs did not name, was taken for ended, and its tasks were started elsewhere while it ran them.

Change: the lists end a runner with runs only if a poll of it has failed too.

Evidence: shard/ARunnerThatAnswersIsNotEndedByLists fails without the change at its first check of starts.

--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -317,10 +317,13 @@
     const std::set<RunnerId>& runnersInVmList, TimePoint listRequestedAt, TimePoint now)
 {
     std::vector<RunnerId> ended;
-    for (const auto& [id, runner] : m_runners)
-        if (!runner.isListed && !runnersInVmList.contains(id)
+    for (const auto& [id, runner] : m_runners) {
+        // A runner with runs is polled without a pause.
+        auto isAnswering = runner.hasAnsweredThisEpoch && runner.failedPolls == 0 && !runner.runs().empty();
+        if (!runner.isListed && !runnersInVmList.contains(id) && !isAnswering
             && runner.unlistedSince + unlistedGracePeriod < listRequestedAt)
             ended.push_back(id);
+    }
     for (const auto& id : ended)
         endRunner(id, false, now, "vm-has-another-life");
 }
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -145,7 +145,7 @@
     // this process, so that it says nothing about the runs.
     void endRunner(const RunnerId&, bool isPlanned, TimePoint now, std::string_view why);
     // Ends runners that are in neither the store's runner list nor `runnersInVmList`, which comes from a VM
-    // list requested at `listRequestedAt`.
+    // list requested at `listRequestedAt`, and that do not answer polls.
     void endUnlistedRunners(
         const std::set<RunnerId>& runnersInVmList, TimePoint listRequestedAt, TimePoint now);
     // Stops the runner's long-running tasks whose disruption budget permits it and for which another runner
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -452,6 +452,31 @@
     BOOST_TEST(starts.empty());
 }
 
+// Guards against a second run of tasks whose runner is alive and is in no list: its row expired, as it was
+// cut off from the store, and the list of VMs does not name it.
+BOOST_FIXTURE_TEST_CASE(ARunnerThatAnswersIsNotEndedByLists, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    advance();
+    auto order = starts.at(0).order;
+    answerStart(starts[0]);
+    addRunner("r2");
+    advance();
+    answerPoll("r1", { running(order) }, {});
+    listed.erase(RunnerId("r1"));
+    shard.observeRunners(listed, now);
+    advance(2s);
+    answerPoll("r1", { running(order) }, {});
+    shard.endUnlistedRunners({}, now, now);
+    advance();
+    BOOST_TEST(starts.empty());
+    answerPoll("r1", {}, {}, OrderOutcome::NotSent);
+    shard.endUnlistedRunners({}, now, now);
+    advance();
+    BOOST_TEST(starts.size() == 1U);
+}
+
 // Guards against a run that is given up by an answer which the earlier incarnation sent.
 BOOST_FIXTURE_TEST_CASE(ALateAnswerOfTheEarlierIncarnationChangesNothing, ShardFixture)
 {
