LOST: a stopping process answers every call before it exits

Cause: such a call had its whole time, 2.85 s, and was accepted until 4 s after the signal, while the process exits after 5.7 s at the latest. A call that waited for an overloaded holder outlasted the process.

Test: stop_plan/EachAcceptedCallIsAnsweredBeforeTheExit; the functions are new, so it does not build before.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -491,7 +491,8 @@
     m_stopRequestedAt = m_clock.now();
     // `shards` counts all shards, not only those that this process holds.
     logInfo("stopping",
-        { { "calls", std::to_string(m_callsInFlight) }, { "shards", std::to_string(m_slots.size()) } });
+        { { "calls", std::to_string(m_callsInFlight.size()) },
+            { "shards", std::to_string(m_slots.size()) } });
     for (auto& slot : m_slots)
         if (slot->owner)
             release(*slot);
@@ -559,10 +560,11 @@
 
 void Node::finishStop()
 {
+    answerCallsBeforeExit();
     StopState state;
-    state.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_stopRequestedAt);
+    state.elapsed = timeSinceStop();
     state.grace = m_settings.stopGrace;
-    state.callsInFlight = m_callsInFlight;
+    state.callsInFlight = m_callsInFlight.size();
     state.openConnections = m_callers->openConnections();
     state.sinceLastAnswer
         = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_lastAnswerAt);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,7 @@
 #include "platform/vm_client.h"
 
 #include <asio/signal_set.hpp>
+#include <unordered_map>
 
 namespace fulmar::node {
 
@@ -93,7 +94,18 @@
         std::chrono::milliseconds age { 0 };
     };
     [[nodiscard]] ConfigView configView() const;
-    void answer(CallId, const JobCall&, const JobReply&, TimePoint received, const ConfigView&);
+    // A caller's request that is not answered yet.
+    struct CallInFlight {
+        // Without the encoded job.
+        JobCall call;
+        TimePoint received;
+        ConfigView config;
+    };
+    // Does nothing if the call has been answered.
+    void answer(CallId, const JobReply&);
+    // While stopping: when the time for answers is over, answers all calls in flight.
+    void answerCallsBeforeExit();
+    [[nodiscard]] std::chrono::milliseconds timeSinceStop() const;
     // Answers a call for which no holder is asked.
     void refuse(CallId, const CallerRequest&, HttpAnswer, std::string_view reason);
     void countPending(JobCall, std::chrono::milliseconds timeout, OnJobReply);
@@ -149,7 +161,7 @@
     bool m_isStopping { false };
     TimePoint m_stopRequestedAt;
     TimePoint m_lastAnswerAt;
-    std::size_t m_callsInFlight { 0 };
+    std::unordered_map<CallId, CallInFlight> m_callsInFlight;
 };
 
 } // namespace fulmar::node
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -247,8 +247,7 @@
 void Node::onCaller(CallId id, const CallerRequest& request)
 {
     auto received = m_clock.now();
-    auto sinceStop = std::chrono::duration_cast<std::chrono::milliseconds>(received - m_stopRequestedAt);
-    if (m_isStopping && !acceptsCalls(sinceStop, m_settings.stopGrace)) {
+    if (m_isStopping && !acceptsCalls(timeSinceStop(), m_settings.stopGrace)) {
         refuse(id, request, refusal(503, noHolderRetryAfter, "stopping"), "stopping");
         return;
     }
@@ -297,13 +296,12 @@
         refuse(id, request, makeJsonAnswer(405), "unknown-method");
         return;
     }
-    ++m_callsInFlight;
+    m_callsInFlight.emplace(
+        id, CallInFlight { { call.kind, call.job, call.queue, {} }, received, configView() });
     auto timeout = std::max(deadlineOf(request) - answerMargin, answerMargin);
-    auto summary = JobCall { call.kind, call.job, call.queue, {} };
-    auto done = [this, id, summary, received, config = configView()](const JobReply& reply) {
-        --m_callsInFlight;
-        answer(id, summary, reply, received, config);
-    };
+    if (m_isStopping)
+        timeout = std::min(timeout, timeToAnswer(timeSinceStop(), m_settings.stopGrace));
+    auto done = [this, id](const JobReply& reply) { answer(id, reply); };
     if (call.kind == JobCallKind::Submit)
         forwardWithRetries(std::move(call), newRetryState(received + timeout), std::move(done));
     else if (call.kind == JobCallKind::Count)
@@ -312,9 +310,28 @@
         search(std::move(call), 0, received + timeout, std::move(done));
 }
 
-void Node::answer(
-    CallId id, const JobCall& call, const JobReply& reply, TimePoint received, const ConfigView& config)
+std::chrono::milliseconds Node::timeSinceStop() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_stopRequestedAt);
+}
+
+void Node::answerCallsBeforeExit()
+{
+    if (!mustAnswerNow(timeSinceStop(), m_settings.stopGrace))
+        return;
+    while (!m_callsInFlight.empty()) {
+        JobReply reply;
+        reply.reason = "stopping";
+        answer(m_callsInFlight.begin()->first, reply);
+    }
+}
+
+void Node::answer(CallId id, const JobReply& reply)
 {
+    auto inFlight = m_callsInFlight.extract(id);
+    if (!inFlight)
+        return;
+    const auto& [call, received, config] = inFlight.mapped();
     HttpAnswer answer;
     switch (reply.verdict) {
     case JobVerdict::Done:
--- a/src/node/stop_plan.cpp
+++ b/src/node/stop_plan.cpp
@@ -1,5 +1,7 @@
 #include "node/stop_plan.h"
 
+#include <algorithm>
+
 namespace fulmar::node {
 
 namespace {
@@ -8,6 +10,9 @@
 constexpr std::chrono::milliseconds minStopTime { 2'500 };
 // Calls within this time of the kill are refused; a call normally takes 50 ms.
 constexpr std::chrono::milliseconds refuseMargin { 2'000 };
+// Calls that no holder has answered by then are answered without it: early enough for a process that is late
+// by some hundred milliseconds to write the answers before it exits.
+constexpr std::chrono::milliseconds lastAnswerMargin { 700 };
 // With callers still connected, the process exits as soon as all calls are answered, from `exitMargin` before
 // the kill on. It exits `forcedExitMargin` before the kill in any case.
 constexpr std::chrono::milliseconds exitMargin { 1'200 };
@@ -22,6 +27,16 @@
     return elapsed < grace - refuseMargin;
 }
 
+std::chrono::milliseconds timeToAnswer(std::chrono::milliseconds elapsed, std::chrono::milliseconds grace)
+{
+    return std::max(grace - lastAnswerMargin - elapsed, std::chrono::milliseconds(0));
+}
+
+bool mustAnswerNow(std::chrono::milliseconds elapsed, std::chrono::milliseconds grace)
+{
+    return timeToAnswer(elapsed, grace).count() == 0;
+}
+
 bool mayExit(const StopState& state)
 {
     if (state.elapsed >= state.grace - forcedExitMargin)
--- a/src/node/stop_plan.h
+++ b/src/node/stop_plan.h
@@ -19,6 +19,13 @@
 // calls are accepted as long as they can be answered before the kill.
 [[nodiscard]] bool acceptsCalls(std::chrono::milliseconds elapsed, std::chrono::milliseconds grace);
 
+// Time that a call accepted at `elapsed` may take, so that it is answered before the exit.
+[[nodiscard]] std::chrono::milliseconds timeToAnswer(
+    std::chrono::milliseconds elapsed, std::chrono::milliseconds grace);
+
+// Whether to answer all calls in flight now, with their outcome unknown.
+[[nodiscard]] bool mustAnswerNow(std::chrono::milliseconds elapsed, std::chrono::milliseconds grace);
+
 // Whether to exit now: once no caller is connected, or else shortly before the kill with all calls answered.
 [[nodiscard]] bool mayExit(const StopState&);
 
--- a/src/node/tests/stop_plan_test.cpp
+++ b/src/node/tests/stop_plan_test.cpp
@@ -19,6 +19,24 @@
     BOOST_TEST(mayExit({ 5700ms, 6s, 1, 1, 0ms }));
 }
 
+// Guards against a call that is accepted well after the stop signal, waits its whole time for a holder that
+// is busy, and is cut off by the exit: one accepted after 3.3 s had until 6.15 s, and the process exited
+// after 5.7 s.
+BOOST_AUTO_TEST_CASE(EachAcceptedCallIsAnsweredBeforeTheExit)
+{
+    constexpr auto flush = 200ms;
+    for (auto grace : { 3s, 6s, 20s }) {
+        for (auto elapsed = 0ms; acceptsCalls(elapsed, grace); elapsed += 50ms) {
+            auto answeredBy = elapsed + timeToAnswer(elapsed, grace);
+            BOOST_TEST(timeToAnswer(elapsed, grace) >= 1s);
+            BOOST_TEST(mustAnswerNow(answeredBy, grace));
+            BOOST_TEST(!mayExit({ answeredBy + flush, grace, 1, 1, 0ms }));
+        }
+        BOOST_TEST(mustAnswerNow(grace - 300ms, grace));
+        BOOST_TEST(!mustAnswerNow(0ms, grace));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ServesConnectedCallersUntilShortlyBeforeTheKill)
 {
     BOOST_TEST(!mayExit({ 1s, 6s, 0, 0, 1s }));
