A runner's row is written again only if its incarnation changed

Since runners keep runs over a restart, the first answer to each holder wrote the runner's row, also where it was the same: at a change of holder one more row for each runner.

--- a/src/jobs/runner.cpp
+++ b/src/jobs/runner.cpp
@@ -16,6 +16,7 @@
 {
     m_report.incarnation = incarnation;
     isReportOutdated = true;
+    isRowOutdated = true;
     m_clock.reset();
     m_leaseUntil = RunnerTime(0);
     m_earliestLapse = std::max(m_earliestLapse, earliestLapse);
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -145,6 +145,8 @@
     bool hasAnsweredThisEpoch { false };
     // Its row is stored, so that the next holder of the shard will poll it too.
     bool isStored { false };
+    // The stored row, if there is one, is that of an earlier incarnation.
+    bool isRowOutdated { false };
     // Gets no new work, because it is to be moved, maintained or emptied.
     bool isCordoned { false };
 
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -4,6 +4,7 @@
 #include "jobs/runner_row.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmar::jobs {
 
@@ -217,8 +218,9 @@
         runner.observeClock(*answer.clock, now);
     if (!runner.hasAnsweredThisEpoch) {
         runner.hasAnsweredThisEpoch = true;
-        m_runnerChanges.push_back(
-            { ShardChange::Kind::Runner, id.value(), encodeRunnerRow(runner.report()) });
+        if (std::exchange(runner.isRowOutdated, false) || !runner.isStored)
+            m_runnerChanges.push_back(
+                { ShardChange::Kind::Runner, id.value(), encodeRunnerRow(runner.report()) });
     }
     if (order.incarnation == runner.report().incarnation)
         runner.lastAcknowledgedEnd = std::max(runner.lastAcknowledgedEnd, order.ackEndsUpTo);
