After a time-out, idle connections to that address are not used again

Callers saw jobs fail or end late for up to 8 s after open connections had gone silent for good, although new ones worked.

Cause: after a time-out the next request went out on another idle connection, which had gone silent with the first one, and so on.

Change: a request that times out without an answer shuts the idle connections to its address down. Those in use stay, and nothing is sent again.

TargetClientTest/AfterATimeOutTheNextRequestOpensAConnection fails without the change.

--- a/src/io/target_client.cpp
+++ b/src/io/target_client.cpp
@@ -57,6 +57,8 @@
 // A request in flight, from start() until it is done or cancelled.
 struct Attempt {
     AttemptId id { 0 };
+    // "host:port" of the target.
+    std::string address;
     CURL* easy { nullptr };
     curl_slist* headers { nullptr };
     TargetClient::Done done;
@@ -260,6 +262,7 @@
     {
         auto attempt = std::make_unique<Attempt>();
         attempt->id = id;
+        attempt->address = request.address;
         attempt->done = std::move(done);
         attempt->sink = std::move(sink);
         attempt->onProgress = request.onProgress;
@@ -583,9 +586,26 @@
         m_attempts.erase(position);
         auto end = describeEnd(*attempt, code);
         release(*attempt);
+        auto wasSilent = code == CURLE_OPERATION_TIMEDOUT && attempt->sends > 0 && !end.status;
+        if (wasSilent)
+            abandonIdleConnections(attempt->address);
         attempt->done(end, std::move(attempt->answer));
     }
 
+    // Connections to an address may go silent together, so after a time-out without an answer the idle ones
+    // are suspects: the next requests would time out on them one after another. libcurl finds a connection
+    // that is shut down when it looks for one to reuse, and opens another.
+    void abandonIdleConnections(const std::string& address)
+    {
+        for (auto& [handle, watched] : m_sockets) {
+            // libcurl waits for events of each connection that is in use.
+            if (watched->address != address || watched->pollFlags != 0)
+                continue;
+            asio::error_code ignored;
+            watched->socket.shutdown(asio::socket_base::shutdown_both, ignored);
+        }
+    }
+
     asio::io_context& m_loop;
     asio::steady_timer m_curlTimer;
     asio::steady_timer m_deadlineTimer;
--- a/src/io/target_client.h
+++ b/src/io/target_client.h
@@ -53,7 +53,8 @@
 //
 // A request is NotRun only if no byte of it was handed to a connection, or if the target's 503 says so.
 // libcurl resends a request when a reused connection breaks before the first byte of the answer; the client
-// aborts that resend and reports MayHaveRun.
+// aborts that resend and reports MayHaveRun. After a request that timed out without an answer, idle
+// connections to its target are not used again.
 class TargetClient {
 public:
     using Done = std::function<void(serve::AttemptEnd, HttpAnswer)>;
--- a/src/io/tests/target_client_test.cpp
+++ b/src/io/tests/target_client_test.cpp
@@ -145,6 +145,58 @@
     BOOST_TEST(target.connections() == 2);
 }
 
+// Guards against connections that went silent together, as after a network device lost their state: each of
+// the next requests waited for its time-out on another of them.
+BOOST_AUTO_TEST_CASE(AfterATimeOutTheNextRequestOpensAConnection)
+{
+    constexpr int connections = 4;
+    std::deque<fulmar::testing::Step> script(connections, { completeAnswer });
+    script.push_back({ {}, false, true });
+    script.push_back({ completeAnswer });
+    ScriptedTarget target(loop, script);
+    TargetClient many(loop, { 2s, 1'000 });
+    int ended = 0;
+    std::optional<std::uint32_t> status;
+    auto send = [&](serve::AttemptId id, Duration timeout) {
+        many.start(id, { target.address(), "POST", "/", {}, {}, timeout, connections }, {},
+            [&](const serve::AttemptEnd& end, const HttpAnswer&) {
+                ++ended;
+                status = end.status;
+            });
+    };
+    auto waitFor = [&](int count) {
+        while (ended < count)
+            loop.run_one();
+    };
+    for (int i = 1; i <= connections; ++i)
+        send(serve::AttemptId(i), 2s);
+    waitFor(connections);
+    BOOST_REQUIRE_EQUAL(target.connections(), connections);
+    send(connections + 1, 100ms);
+    waitFor(connections + 1);
+    BOOST_TEST(!status.has_value());
+    BOOST_TEST(target.connections() == connections);
+    send(connections + 2, 2s);
+    waitFor(connections + 2);
+    BOOST_TEST(status.value_or(0) == 200U);
+    BOOST_TEST(target.connections() == connections + 1);
+}
+
+// Guards against a request in flight that is cut off by the time-out of another one to the same target.
+BOOST_AUTO_TEST_CASE(ATimeOutLeavesConnectionsInUseAlone)
+{
+    ScriptedTarget target(loop, { { completeAnswer, false, false, 60ms }, { {}, false, true } });
+    TargetClient many(loop, { 2s, 1'000 });
+    std::vector<std::optional<int>> statuses;
+    for (serve::AttemptId id : { 1, 2 })
+        many.start(id, { target.address(), "POST", "/", {}, {}, id == 1 ? 2s : 100ms, 4 }, {},
+            [&](const serve::AttemptEnd& end, const HttpAnswer&) { statuses.push_back(end.status); });
+    while (statuses.size() < 2)
+        loop.run_one();
+    BOOST_TEST(!statuses[0].has_value());
+    BOOST_TEST(statuses[1].value_or(0) == 200);
+}
+
 // Guards against a large answer over a small link that is given up and requested again, for ever, while its
 // bytes arrive.
 BOOST_AUTO_TEST_CASE(AnAnswerThatIsStillArrivingIsNotGivenUp)
