--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -43,7 +43,7 @@
     if (!runner.isListed)
         return "unlisted";
     if (runner.isReportOutdated)
-        return "reborn";
+        return "restarted";
     if (!runner.hasAnsweredThisEpoch)
         return "not-heard";
     if (!runner.isStored)
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -37,8 +37,13 @@
     runner.isListed = false;
     runner.unlistedSince = now;
     runner.isStored = true;
-    // The earlier holder may have extended the runner's lease just now. The tenth covers a slow runner clock.
-    runner.setEarliestLapse(now + m_settings.maxLease + m_settings.maxLease / 10);
+    runner.setEarliestLapse(lapseIfExtendedAt(now));
+}
+
+// The tenth covers a slow runner clock.
+TimePoint Shard::lapseIfExtendedAt(TimePoint moment) const
+{
+    return moment + m_settings.maxLease + m_settings.maxLease / 10;
 }
 
 void Shard::observeRunners(const std::map<RunnerId, RunnerReport>& list, TimePoint now)
@@ -60,7 +65,7 @@
         }
         auto& runner = found->second;
         if (report.incarnation > runner.report().incarnation)
-            onReborn(runner, report.incarnation, now);
+            onRestarted(runner, report.incarnation, now);
         if (report.incarnation == runner.report().incarnation)
             runner.update(report);
     }
@@ -174,7 +179,7 @@
 // Orders name their runner by its id alone, so the new incarnation accepts those meant for the earlier one. A
 // run that was listed belonged to the earlier incarnation, unless an unanswered start order of it may still
 // be carried out.
-void Shard::onReborn(Runner& runner, std::int64_t incarnation, TimePoint now)
+void Shard::onRestarted(Runner& runner, std::int64_t incarnation, TimePoint now)
 {
     auto crashed = takeCrashedRuns(runner);
     if (runner.report().isDraining)
@@ -183,7 +188,7 @@
     for (const auto& [task, run] : runner.runs())
         if (run.isConfirmed && run.unansweredStarts == 0)
             lost.push_back(task);
-    logWarning("runner-reborn",
+    logWarning("runner-restarted",
         { { "runner", runner.report().id.value() }, { "runs", std::to_string(runner.runs().size()) },
             { "lost", std::to_string(lost.size()) } });
     loseRuns(runner, lost, "reborn");
@@ -194,7 +199,7 @@
         else
             settled.push_back(crash);
     }
-    runner.beginIncarnation(incarnation, now + m_settings.maxLease + m_settings.maxLease / 10);
+    runner.beginIncarnation(incarnation, lapseIfExtendedAt(now));
     runner.nextPoll = now;
     runner.idleSince = now;
     countCrashes(settled, runner.report().id, now, "reborn");
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -164,14 +164,18 @@
     };
     void recordAnswerTime(const OrderAnswer&);
     void recordPredictedDemand(const Job&, TimePoint now);
+    // When a runner's lease has certainly lapsed that another holder, or an order for an earlier incarnation,
+    // may have extended until `moment`.
+    [[nodiscard]] TimePoint lapseIfExtendedAt(TimePoint moment) const;
     [[nodiscard]] KnownRun findRun(const RunnerId&, const TaskName&, Attempt);
+    // Gives up runs that their runner certainly does not have; all of them, those named, or one without a log
+    // line.
     void loseRuns(Runner&, TimePoint now, std::string_view why);
     void loseRuns(Runner&, const std::vector<TaskName>&, std::string_view why);
-    // Gives up a run that its runner certainly does not have.
     void loseRun(Runner&, const TaskName&);
     // The runner started again under its id. Gives up the runs that the earlier incarnation had; those that
     // the new one may have wait for its poll.
-    void onReborn(Runner&, std::int64_t incarnation, TimePoint now);
+    void onRestarted(Runner&, std::int64_t incarnation, TimePoint now);
     // The runner's incarnation ended other than by a planned shutdown or an order of this process.
     void onCrash(Runner&, TimePoint now, std::string_view why);
     [[nodiscard]] std::vector<CrashedRun> takeCrashedRuns(const Runner&);
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -187,7 +187,7 @@
         return;
     runner.isPollInFlight = false;
     if (isFromAnotherIncarnation)
-        onReborn(runner, answer.incarnation, now);
+        onRestarted(runner, answer.incarnation, now);
     if (answer.outcome == OrderOutcome::OtherIncarnation) {
         onCrash(runner, now, "other-life");
         runner.hasAnsweredThisEpoch = false;
