--- /dev/null
+++ b/src/node/tests/fake_platform.cpp
@@ -0,0 +1,146 @@
+#include "node/tests/fake_platform.h"
+
+#include "platform/wire_json.h"
+
+#include <algorithm>
+#include <asio/ip/tcp.hpp>
+#include <fmt/format.h>
+
+namespace fulmar::node::test {
+
+namespace {
+
+using platform::Json;
+using namespace std::chrono_literals;
+
+// Longer than any test.
+constexpr std::chrono::milliseconds silence { 60'000 };
+constexpr std::chrono::milliseconds emptyFeedPause { 20 };
+
+} // namespace
+
+FakePlatform::FakePlatform(std::chrono::milliseconds maintenanceTime)
+    : m_maintenanceTime(maintenanceTime)
+{
+    auto port = m_host.listen(
+        "127.0.0.1:0", [this](const standin::HttpRequest& request) { return answer(request); });
+    m_address = fmt::format("127.0.0.1:{}", port);
+    m_thread = std::thread([this] { m_host.run(); });
+}
+
+FakePlatform::~FakePlatform()
+{
+    m_host.stop();
+    m_thread.join();
+}
+
+std::string FakePlatform::freeAddress()
+{
+    asio::io_context loop;
+    asio::ip::tcp::acceptor acceptor(loop, { asio::ip::address_v4::loopback(), 0 });
+    return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+}
+
+void FakePlatform::put(
+    const std::string& table, const std::string& part, const std::string& key, std::string value)
+{
+    std::lock_guard lock(m_mutex);
+    m_rows[{ table, part, key }] = { std::move(value), ++m_version };
+}
+
+void FakePlatform::addVm(const VmId& vm, const PoolId& pool)
+{
+    std::lock_guard lock(m_mutex);
+    m_vms[vm].pool = pool;
+}
+
+std::size_t FakePlatform::maintainedCount()
+{
+    std::lock_guard lock(m_mutex);
+    return std::size_t(
+        std::count_if(m_vms.begin(), m_vms.end(), [](const auto& each) { return each.second.isMaintained; }));
+}
+
+std::size_t FakePlatform::maxInMaintenance()
+{
+    std::lock_guard lock(m_mutex);
+    return m_maxInMaintenance;
+}
+
+standin::HttpReply FakePlatform::answer(const standin::HttpRequest& request)
+{
+    std::lock_guard lock(m_mutex);
+    if (request.path == "/api/rows-tx")
+        return commit(request.body);
+    if (request.path == "/api/rows-get")
+        return rows(request, false);
+    if (request.path == "/api/rows-feed")
+        return rows(request, true);
+    if (request.path == "/api/machines")
+        return listVms();
+    if (request.path == "/api/machine-upkeep")
+        return maintain(request.body);
+    return { 404, "{}" };
+}
+
+standin::HttpReply FakePlatform::commit(const std::string& body)
+{
+    if (m_areTransactionsSilent)
+        return { 200, "{}", {}, silence };
+    auto json = *platform::parseObject(body);
+    auto nameOf = [](const Json& row) { return RowName { row.at("table"), row.at("part"), row.at("key") }; };
+    ++m_version;
+    for (const auto& row : json.at("set-keys"))
+        m_rows[nameOf(row)]
+            = { platform::decodeBase64(row.at("value").get<std::string>()).value_or(""), m_version };
+    for (const auto& row : json.at("remove"))
+        m_rows.erase(nameOf(row));
+    return { 200, platform::toText({ { "row-version", m_version } }) };
+}
+
+standin::HttpReply FakePlatform::rows(const standin::HttpRequest& request, bool isFeed)
+{
+    auto after = isFeed ? Version(std::stoull(request.query.at("after"))) : 0;
+    auto list = Json::array();
+    for (const auto& [name, row] : m_rows) {
+        const auto& [table, part, key] = name;
+        auto isWanted = table == request.query.at("table") && row.version > after
+            && (isFeed || part == request.query.at("part"));
+        if (isWanted)
+            list.push_back({ { "table", table }, { "part", part }, { "key", key },
+                { "row-version", row.version }, { "value", platform::encodeBase64(row.value) } });
+    }
+    auto isEmptyFeed = isFeed && list.empty();
+    standin::HttpReply reply { 200,
+        platform::toText(
+            { { "rows", std::move(list) }, { "has-more", false }, { "row-version", m_version } }) };
+    if (isEmptyFeed)
+        reply.delay = emptyFeedPause;
+    return reply;
+}
+
+standin::HttpReply FakePlatform::listVms()
+{
+    auto list = Json::array();
+    for (const auto& [id, vm] : m_vms)
+        list.push_back({ { "machine", id.value() }, { "pool", vm.pool.value() }, { "id", "" },
+            { "capacity", { { "cpu", 16'000 }, { "mem-mb", 32'768 }, { "gpu", 0 } } },
+            { "state", vm.downUntil > std::chrono::steady_clock::now() ? "upkeep" : "up" } });
+    return { 200, platform::toText({ { "machines", std::move(list) }, { "next-token", nullptr } }) };
+}
+
+standin::HttpReply FakePlatform::maintain(const std::string& body)
+{
+    auto now = std::chrono::steady_clock::now();
+    auto vm = m_vms.find(VmId(platform::textOf(*platform::parseObject(body), "machine")));
+    if (vm == m_vms.end())
+        return { 400, "{}" };
+    if (!std::exchange(vm->second.isMaintained, true))
+        vm->second.downUntil = now + m_maintenanceTime;
+    auto down = std::size_t(std::count_if(
+        m_vms.begin(), m_vms.end(), [now](const auto& each) { return each.second.downUntil > now; }));
+    m_maxInMaintenance = std::max(m_maxInMaintenance, down);
+    return { 200, "{}" };
+}
+
+} // namespace fulmar::node::test
--- /dev/null
+++ b/src/node/tests/fake_platform.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/types.h"
+#include "http_host.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <tuple>
+
+namespace fulmar::node::test {
+
+// The platform's store and VM interface on a loopback address, served by a thread of its own. Conditions of
+// transactions are not checked.
+class FakePlatform {
+public:
+    explicit FakePlatform(std::chrono::milliseconds maintenanceTime = {});
+    ~FakePlatform();
+    FakePlatform(const FakePlatform&) = delete;
+    FakePlatform& operator=(const FakePlatform&) = delete;
+
+    [[nodiscard]] const std::string& address() const { return m_address; }
+    // A free "host:port".
+    [[nodiscard]] static std::string freeAddress();
+
+    void put(const std::string& table, const std::string& part, const std::string& key, std::string value);
+    // Transactions get no answer any more.
+    void silenceTransactions() { m_areTransactionsSilent = true; }
+
+    void addVm(const VmId&, const PoolId&);
+    [[nodiscard]] std::size_t maintainedCount();
+    // Most VMs that were in maintenance at the same time.
+    [[nodiscard]] std::size_t maxInMaintenance();
+
+private:
+    using RowName = std::tuple<std::string, std::string, std::string>;
+    struct Row {
+        std::string value;
+        Version version { 0 };
+    };
+    struct Vm {
+        PoolId pool;
+        bool isMaintained { false };
+        std::chrono::steady_clock::time_point downUntil;
+    };
+
+    standin::HttpReply answer(const standin::HttpRequest&);
+    standin::HttpReply commit(const std::string& body);
+    standin::HttpReply rows(const standin::HttpRequest&, bool isFeed);
+    standin::HttpReply listVms();
+    standin::HttpReply maintain(const std::string& body);
+
+    const std::chrono::milliseconds m_maintenanceTime;
+    std::mutex m_mutex;
+    std::map<RowName, Row> m_rows;
+    Version m_version { 1 };
+    std::atomic<bool> m_areTransactionsSilent { false };
+    std::map<VmId, Vm> m_vms;
+    std::size_t m_maxInMaintenance { 0 };
+    standin::HttpHost m_host;
+    std::string m_address;
+    std::thread m_thread;
+};
+
+} // namespace fulmar::node::test
