--- a/src/io/target_client.cpp
+++ b/src/io/target_client.cpp
@@ -14,7 +14,6 @@
 
 namespace fulmar {
 
-using serve::AttemptEnd;
 using serve::AttemptId;
 
 namespace {
