Log lines that tell late starts, runs that nobody placed and forgotten ends apart

Callers saw tasks run again in runs of real processes, and no log told why. `start` names the attempt and the incarnation that was meant, `run-not-placed` tells of a run that a poll lists and this holder did not place, and `ends-missing` of ends that were forgotten unread. No decision is changed.

--- a/src/jobs/runner.cpp
+++ b/src/jobs/runner.cpp
@@ -21,6 +21,7 @@
     m_leaseUntil = RunnerTime(0);
     m_earliestLapse = std::max(m_earliestLapse, earliestLapse);
     lastAppliedEnd = 0;
+    areEndsKnownFromFirst = true;
     lastStoredEnd = 0;
     lastAcknowledgedEnd = 0;
     hasAnsweredThisEpoch = false;
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -173,6 +173,8 @@
 
     // Numbers of the last ends that were applied, stored, and acknowledged to the runner.
     std::uint64_t lastAppliedEnd { 0 };
+    // No earlier holder has acknowledged ends of this incarnation.
+    bool areEndsKnownFromFirst { false };
     std::uint64_t lastStoredEnd { 0 };
     std::uint64_t lastAcknowledgedEnd { 0 };
 
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -255,6 +255,12 @@
     for (const auto& ended : poll.ended) {
         if (ended.number <= runner.lastAppliedEnd)
             continue;
+        if (ended.number > runner.lastAppliedEnd + 1 && runner.areEndsKnownFromFirst)
+            logWarning("ends-missing",
+                { { "runner", runner.report().id.value() },
+                    { "incarnation", std::to_string(runner.report().incarnation) },
+                    { "after", std::to_string(runner.lastAppliedEnd) },
+                    { "next", std::to_string(ended.number) } });
         runner.lastAppliedEnd = ended.number;
         recordTaskOutcome(runner, ended, now);
         applyEnd(runner, ended, now);
@@ -339,6 +345,12 @@
     }
     auto& added = runner.addRun(running.task, std::move(run));
     if (!isWanted) {
+        logWarning("run-not-placed",
+            { { "runner", runner.report().id.value() },
+                { "incarnation", std::to_string(runner.report().incarnation) },
+                { "job", running.task.job.value() }, { "step", std::to_string(running.task.step) },
+                { "index", std::to_string(running.task.index) },
+                { "attempt", std::to_string(running.attempt) } });
         stopRun(added);
         return;
     }
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -451,7 +451,9 @@
                 m_metrics.countOrder("start", std::string(toString(answer.outcome)));
                 if (answer.outcome != jobs::OrderOutcome::Accepted)
                     logWarning("start",
-                        { { "task", platform::formatTaskName(order.task) }, { "runner", id.value() },
+                        { { "task", platform::formatTaskName(order.task) },
+                            { "attempt", std::to_string(order.attempt) }, { "runner", id.value() },
+                            { "incarnation", std::to_string(order.incarnation) },
                             { "outcome", std::string(toString(answer.outcome)) } });
                 m_shard.onStart(id, order, answer, m_clock.now());
                 sendNextStart(id);
