TWICE: no run is given up while its end may be in the truncated part of a list

Callers would see a task run again after it had completed: with the store away ends are not acknowledged, and a runner lists 500 of them at a time (PROTOCOL.md). The end of a later run was missing from the list, the run was taken for missing, stopped, and, once the stop was acknowledged, started elsewhere.

Cause: a list that ends at the runner's limit was read as a complete one. No run is given up by such a list now; the list becomes complete once the ends in it are acknowledged.

shard/ARunIsNotGivenUpWhileEndsAreTruncated failed before: the task was started on the second runner.

--- a/src/jobs/runner_orders.h
+++ b/src/jobs/runner_orders.h
@@ -129,6 +129,8 @@
     OrderAnswer answer;
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
+    // The list of ends is as long as the runner makes it; it may have more.
+    bool areEndsTruncated { false };
     // Entries of the answer that could not be read and are in neither list.
     std::uint32_t unreadable { 0 };
 };
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -407,9 +407,10 @@
     }
     // A run listed neither as running nor as ended is gone if it can no longer begin: its start orders had
     // lower fencing tokens than the poll, or the poll was sent after the runner acknowledged the run's stop.
+    // Its end may be missing from a truncated list.
     std::vector<TaskName> gone;
     for (const auto& [task, run] : runner.runs()) {
-        if (present.contains({ task, run.attempt }))
+        if (poll.areEndsTruncated || present.contains({ task, run.attempt }))
             continue;
         auto isStopConfirmed = run.stopAcknowledgedAt && *run.stopAcknowledgedAt < sent;
         auto isFenced = run.fence < order.fence && poll.unreadable == 0;
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -167,6 +167,35 @@
     BOOST_TEST(starts.at(0).order.attempt > first.order.attempt);
 }
 
+// Guards against a second run of a task whose end is not in the list yet: with the store away ends are not
+// acknowledged, and a runner lists only so many.
+BOOST_FIXTURE_TEST_CASE(ARunIsNotGivenUpWhileEndsAreTruncated, ShardFixture)
+{
+    addRunner("r1");
+    submit(job("j1", 1));
+    advance();
+    auto order = starts.at(0).order;
+    answerStart(starts[0]);
+    addRunner("r2");
+    for (int round = 0; round < 10; ++round) {
+        advance(500ms);
+        BOOST_TEST(starts.empty());
+        for (const auto& stop : stops)
+            shard.onStop(stop.runner.id, stop.order, { OrderOutcome::Accepted, {}, 0 }, now);
+        auto poll = findPoll(RunnerId("r1"));
+        BOOST_REQUIRE(poll != polls.end());
+        auto sent = poll->order;
+        polls.erase(poll);
+        PollAnswer answer { { OrderOutcome::Accepted, {}, 1 }, {}, {} };
+        answer.areEndsTruncated = true;
+        shard.onPoll(RunnerId("r1"), sent, answer, now - 1ms, now);
+    }
+    advance(500ms);
+    answerPoll("r1", {}, { ended("r1", order, EndKind::Done) });
+    store();
+    BOOST_TEST(bool(shard.find(JobId("j1"))->storedState == JobState::Completed));
+}
+
 // A job of a dozen tasks often meets a lost answer; without a resend it lost two seconds.
 BOOST_FIXTURE_TEST_CASE(UnansweredStartIsResent, ShardFixture)
 {
