LOST: a completed job is not shown as running for ever after a failed write of its row

Cause: a batch that was not stored returns to the queue. If its row has a newer value by then, the callbacks of the older value went behind those of the newer one, and the last callback says which state is durable. The older ones go first now, as for values that replace each other in the queue.

row_queue/CallbacksOfARequeuedRowKeepTheirOrder failed before (running, wanted completed).

--- a/src/node/row_queue.cpp
+++ b/src/node/row_queue.cpp
@@ -1,6 +1,7 @@
 #include "node/row_queue.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace fulmar::node {
@@ -67,8 +68,8 @@
             m_order.erase(std::remove(m_order.begin(), m_order.end(), name), m_order.end());
         entry.oldestChange = sent.oldestChange;
         m_order.push_front(name);
-        for (auto& durable : sent.durable)
-            entry.durable.push_back(std::move(durable));
+        entry.durable.insert(entry.durable.begin(), std::make_move_iterator(sent.durable.begin()),
+            std::make_move_iterator(sent.durable.end()));
     }
     m_batch.clear();
 }
--- a/src/node/row_queue.h
+++ b/src/node/row_queue.h
@@ -23,7 +23,8 @@
     };
     using Batch = std::map<platform::RowName, Entry>;
 
-    // `durable` is called once this value or a later one is stored. `goesFirst`: the row goes ahead of all
+    // `durable` is called once this value or a later one is stored, after those of the row's earlier values.
+    // `goesFirst`: the row goes ahead of all
     // queued rows, unless it is queued already.
     void put(const platform::RowName&, std::optional<std::string> value, OnDurable durable, bool goesFirst);
     // Calls back once all rows put before are stored, whatever the order of writing; immediately if none are
--- a/src/node/tests/row_queue_test.cpp
+++ b/src/node/tests/row_queue_test.cpp
@@ -42,6 +42,23 @@
     BOOST_TEST(isDurable);
 }
 
+// Guards against a completed job that is shown as running for ever, as the earlier of two states that were
+// stored together was reported last.
+BOOST_AUTO_TEST_CASE(CallbacksOfARequeuedRowKeepTheirOrder)
+{
+    RowQueue queue;
+    std::string reported;
+    queue.put(
+        row(1), "running", [&] { reported = "running"; }, false);
+    BOOST_TEST(queue.take(1, 1000).size() == 1U);
+    queue.put(
+        row(1), "completed", [&] { reported = "completed"; }, false);
+    queue.requeue();
+    BOOST_TEST(*queue.take(1, 1000).begin()->second.value == "completed");
+    call(queue.commit());
+    BOOST_TEST(reported == "completed");
+}
+
 // Whatever fails and is retried, no value is reported durable before it or a later one is stored.
 BOOST_AUTO_TEST_CASE(DurableMeansStored)
 {
