--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -162,6 +162,7 @@
         Runner* runner { nullptr };
         Run* run { nullptr };
     };
+    // Higher than all that this holder and those before it have used for any runner.
     [[nodiscard]] FencingToken nextFence();
     // An order with that fencing token got no answer and may be carried out later, by this incarnation or the
     // next one: orders from now on have a higher token, and whichever sees one refuses it.
