Log and count the jobs of which a task could run and none does

Callers saw accepted jobs that did not run beside free runners, and no log told why: only long-running tasks without a runner were logged. Once a second the job that has waited longest is logged with what its task waits for and with the pool's runners by what keeps them from it, and the number of such jobs and the longest wait are metrics. No decision changes.

Tests: stalled_jobs/*.

--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -4,6 +4,7 @@
 #include "jobs/job.h"
 #include "jobs/runner_orders.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace fulmar::jobs {
@@ -60,6 +61,8 @@
     bool hasCrashRecords { false };
     // The progress has changed since it was last passed to the store.
     bool isDirty { false };
+    // When it was first seen that a task could run and nothing of the job did; see stalled_jobs.h.
+    std::optional<TimePoint> stalledSince;
     // State that the store holds; callers are shown this one.
     JobState storedState { JobState::Queued };
     std::vector<StepOccurrence> stepOccurrences;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -59,16 +59,19 @@
 
 bool isUsable(const Runner& runner, TimePoint now) { return unusableReason(runner, now).empty(); }
 
+bool hasRoomFor(const Runner& runner, const Step& step, const TaskName& taskName)
+{
+    return step.reserved().fitsIn(runner.room()) && hasLabel(runner.report(), step.requiredLabel)
+        && (step.maxPerRunner == 0 || runner.countOfStep(taskName) < step.maxPerRunner);
+}
+
 Runner* chooseRunner(
     std::vector<Runner*>& candidates, const Step& step, const TaskName& taskName, const RackId& preferredRack)
 {
     Runner* best = nullptr;
     double bestCost = 0;
-    auto need = step.reserved();
     for (auto* runner : candidates) {
-        if (!need.fitsIn(runner->room()) || !hasLabel(runner->report(), step.requiredLabel))
-            continue;
-        if (step.maxPerRunner > 0 && runner->countOfStep(taskName) >= step.maxPerRunner)
+        if (!hasRoomFor(*runner, step, taskName))
             continue;
         if (auto cost = placementCost(*runner, step, taskName, preferredRack); !best || cost < bestCost) {
             best = runner;
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -12,6 +12,10 @@
 // Why the runner is not usable; empty if it is.
 [[nodiscard]] std::string_view unusableReason(const Runner&, TimePoint now);
 
+// Whether the runner has the capacity and the label that a task of the step needs, and may take one more task
+// of the step.
+[[nodiscard]] bool hasRoomFor(const Runner&, const Step&, const TaskName& taskName);
+
 // The runner for a task of the step, or null if none has capacity. A queue's burst demands about five times
 // its mean for some seconds, with almost nothing between bursts; so tasks are packed on busy runners, which
 // leaves whole VMs free to move to the pool that has the next burst.
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -7,6 +7,7 @@
 #include "jobs/move_plan.h"
 #include "jobs/run_time_model.h"
 #include "jobs/runner.h"
+#include "jobs/stalled_jobs.h"
 
 #include <deque>
 
@@ -153,6 +154,7 @@
     void evacuate(const RunnerId&, TimePoint now);
     [[nodiscard]] PoolLoad loadOf(
         const PoolId&, std::int32_t priority, TimePoint now, WallTime wallNow) const;
+    [[nodiscard]] const StalledJobs& stalledJobs() const { return m_stalledJobs; }
     // All runners of the earlier holder have answered, or their leases have lapsed.
     [[nodiscard]] bool areEarlierRunsResolved(const PoolId&, TimePoint now) const;
 
@@ -209,6 +211,7 @@
     static void stopRun(Run&);
     [[nodiscard]] bool canInterrupt(JobEntry&, const TaskName&, TimePoint now);
     [[nodiscard]] bool hasAlternativeRunner(const Runner&, JobEntry&, const TaskName&, TimePoint now);
+    void checkForStalledJobs(TimePoint now, WallTime wallNow, bool mayStart);
     void logUnplaced(const JobEntry&, const StepOccurrence&, TimePoint now);
     void planResends(Runner&, ShardOrders&);
     [[nodiscard]] Millis pollWaitFor(const Runner&, TimePoint now) const;
@@ -248,6 +251,8 @@
     // VMs needed for long-running tasks that fit on none of the usable VMs.
     std::map<PoolId, std::uint32_t> m_unplacedLongRunning;
     std::map<PoolId, TimePoint> m_nextUnplacedLog;
+    StalledJobs m_stalledJobs;
+    TimePoint m_nextStallCheck;
 };
 
 } // namespace fulmar::jobs
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -13,6 +13,8 @@
 
 // Per pool.
 constexpr Millis unplacedLogInterval { 1'000 };
+// Each check visits all unfinished tasks, and logs the job that has waited longest.
+constexpr Millis stallCheckInterval { 1'000 };
 // Lower bound of a poll's wait, reached when a task runs beyond its estimate.
 constexpr Millis minPollWait { 200 };
 // Lower bound while work waits for capacity. If the answer to a poll is lost, freed resources stay unused
@@ -131,6 +133,8 @@
     orders.wakeAt = now + m_settings.maxPollWait;
     if (mayStart)
         placeJobs(now, wallNow, orders);
+    if (now >= m_nextStallCheck)
+        checkForStalledJobs(now, wallNow, mayStart);
     for (auto& [id, runner] : m_runners) {
         if (runner.failedPolls > 0 && !runner.runs().empty() && runner.hasLeaseLapsed(now))
             onLeaseLapsed(runner, now);
@@ -237,6 +241,46 @@
     }
 }
 
+void Shard::checkForStalledJobs(TimePoint now, WallTime wallNow, bool mayStart)
+{
+    m_nextStallCheck = now + stallCheckInterval;
+    m_stalledJobs = {};
+    const JobEntry* oldest = nullptr;
+    std::optional<TaskName> oldestTask;
+    for (auto& [id, entry] : m_jobTable.all()) {
+        auto task
+            = entry.isStored && !entry.isOver() ? findStalledTask(entry, m_runners, wallNow) : std::nullopt;
+        if (!task) {
+            entry.stalledSince.reset();
+            continue;
+        }
+        if (!entry.stalledSince)
+            entry.stalledSince = now;
+        if (now - *entry.stalledSince < stallTime)
+            continue;
+        ++m_stalledJobs.count;
+        if (oldest && *oldest->stalledSince <= *entry.stalledSince)
+            continue;
+        oldest = &entry;
+        oldestTask = task;
+    }
+    if (!oldest)
+        return;
+    const auto& pool = oldest->job.policy.pool;
+    auto reason
+        = stallReasonOf(*oldest, *oldestTask, m_runners, mayStart, areEarlierRunsResolved(pool, now), now);
+    auto stalledFor = std::chrono::duration_cast<Millis>(now - *oldest->stalledSince);
+    m_stalledJobs.oldest = { *oldestTask, reason, stalledFor };
+    auto need = oldest->job.steps[oldestTask->step].reserved();
+    logWarning("job-stalled",
+        { { "job", oldestTask->job.value() }, { "step", std::to_string(oldestTask->step) },
+            { "index", std::to_string(oldestTask->index) }, { "reason", std::string(toString(reason)) },
+            { "ms", std::to_string(stalledFor.count()) },
+            { "stalled-jobs", std::to_string(m_stalledJobs.count) }, { "cpu", std::to_string(need.cpu) },
+            { "memory-mb", std::to_string(need.memoryMb) }, { "pool", pool.value() },
+            { "runners", describeRunners(*oldest, *oldestTask, m_runners, now) } });
+}
+
 void Shard::logUnplaced(const JobEntry& entry, const StepOccurrence& stepOccurrence, TimePoint now)
 {
     auto& next = m_nextUnplacedLog[entry.job.policy.pool];
--- /dev/null
+++ b/src/jobs/tests/stalled_jobs_test.cpp
@@ -0,0 +1,92 @@
+#include "jobs/stalled_jobs.h"
+
+#include "shard_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fulmar;
+using namespace fulmar::jobs;
+using namespace fulmar::jobs::test;
+
+namespace {
+
+// Two checks see the job stalled, and the second one is `stallTime` after the first.
+StallReason reasonAfterStall(ShardFixture& f)
+{
+    f.advance(stallTime);
+    f.advance(stallTime);
+    BOOST_REQUIRE(f.shard.stalledJobs().oldest.has_value());
+    BOOST_TEST(f.shard.stalledJobs().count == 1U);
+    return f.shard.stalledJobs().oldest->reason;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(stalled_jobs)
+
+BOOST_AUTO_TEST_CASE(TellsWhatATaskWaitsFor)
+{
+    {
+        ShardFixture f;
+        f.addRunner("a");
+        f.shard.setRunnerCordoned(RunnerId("a"), true);
+        f.submit(ShardFixture::job("j", 1));
+        BOOST_TEST(bool(reasonAfterStall(f) == StallReason::Runner));
+        auto* entry = f.shard.find(JobId("j"));
+        BOOST_TEST(
+            describeRunners(*entry, { JobId("j"), 0, 0, 0 }, f.shard.runners(), f.now) == "reserved:1");
+    }
+    {
+        ShardFixture f;
+        f.addRunner("a");
+        f.submit(ShardFixture::job("j", 1));
+        f.advance(stallTime, false);
+        f.advance(stallTime, false);
+        BOOST_REQUIRE(f.shard.stalledJobs().oldest.has_value());
+        BOOST_TEST(bool(f.shard.stalledJobs().oldest->reason == StallReason::LeaseUnsure));
+    }
+    {
+        ShardFixture f;
+        f.addRunner("a");
+        f.submit(ShardFixture::job("j", 1));
+        f.advance();
+        BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+        BOOST_TEST(bool(reasonAfterStall(f) == StallReason::Starting));
+    }
+    {
+        ShardFixture f;
+        f.shard.restoreJob(ShardFixture::job("j", 1), {}, f.now);
+        f.shard.restoreRunner(ShardFixture::report("gone"), f.now);
+        f.addRunner("a");
+        BOOST_TEST(bool(reasonAfterStall(f) == StallReason::EarlierRuns));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AJobOfWhichATaskRunsIsNotStalled)
+{
+    ShardFixture f;
+    f.addRunner("a", 1'000);
+    f.submit(ShardFixture::job("j", 2));
+    f.advance();
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    f.answerStart(f.starts.front());
+    f.advance(stallTime);
+    f.advance(stallTime);
+    BOOST_TEST(f.shard.stalledJobs().count == 0U);
+}
+
+// Each task of a long-running step is owed by itself.
+BOOST_AUTO_TEST_CASE(EachTaskOfALongRunningStepCounts)
+{
+    ShardFixture f;
+    f.addRunner("a", 1'000);
+    auto job = ShardFixture::job("j", 2);
+    job.steps[0].isLongRunning = true;
+    f.submit(job);
+    f.advance();
+    BOOST_REQUIRE_EQUAL(f.starts.size(), 1U);
+    f.answerStart(f.starts.front());
+    BOOST_TEST(bool(reasonAfterStall(f) == StallReason::Runner));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -211,15 +211,22 @@
     std::size_t held = 0;
     std::size_t runners = 0;
     std::size_t known = 0;
+    std::size_t stalled = 0;
+    std::chrono::milliseconds longestStall { 0 };
     for (const auto& slot : m_slots) {
         if (!slot->owner)
             continue;
         ++held;
         runners += slot->owner->shard().runners().size();
         known += slot->owner->shard().jobTable().all().size();
+        const auto& stalledJobs = slot->owner->shard().stalledJobs();
+        stalled += stalledJobs.count;
+        if (stalledJobs.oldest)
+            longestStall = std::max(longestStall, stalledJobs.oldest->stalledFor);
     }
     m_metrics.setShardsHeld(held);
     m_metrics.setFleet(runners, known);
+    m_metrics.setStalledJobs(stalled, longestStall);
     m_metrics.setConfig(configView().version, configView().age);
     HttpAnswer answer { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.serialize() };
     m_metricsServer->answer(id, std::move(answer), false);
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -93,6 +93,12 @@
     m_families->gauges.Add({ { "what", "jobs" } }).Set(double(jobs));
 }
 
+void NodeMetrics::setStalledJobs(std::size_t jobs, std::chrono::milliseconds longest)
+{
+    m_families->gauges.Add({ { "what", "stalled_jobs" } }).Set(double(jobs));
+    m_families->gauges.Add({ { "what", "stalled_ms" } }).Set(double(longest.count()));
+}
+
 std::string NodeMetrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -29,6 +29,8 @@
     void setConfig(std::int64_t version, std::chrono::milliseconds age);
     // Runners and jobs known to the shards held by this node.
     void setFleet(std::size_t runners, std::size_t jobs);
+    // Jobs of which a task could run and none does, and for how long at most.
+    void setStalledJobs(std::size_t jobs, std::chrono::milliseconds longest);
 
     // In Prometheus' text format.
     [[nodiscard]] std::string serialize() const;
