LOST: no order for a VM that ends without an answer leaves its runner without work

Callers saw accepted tasks that did not run while most of the pool was free. Cause: moves, waves and the emptying of surplus VMs each set a flag of a runner when they began and cleared it when they believed to be done, and some ends cleared nothing: a move whose order had no answer and was not carried out, maintenance that was accepted as done already by an earlier holder, a surplus VM that the list showed without its runner. The runner got no work for as long as the holder lasted, and counted as present, so the pool got no other. Class: a flag with several owners that is kept in step by events.

The cordons of all runners are now derived, at each round and after each answer, from the moves, waves and surpluses under way; an order counts as pending for its usual time and a grace period only, and nothing is emptied while no order could be sent. So an end that is missed leaves nothing behind.

Tests, each failing on the code before: vm_controller/ AMoveThatFailsWithoutAnAnswerFreesItsRunner, MaintenanceThatWasAlreadyDone- FreesItsRunner, ARunnerThatIsBackAfterItsVmWasDownIsUsable.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -48,13 +48,15 @@
         return "not-heard";
     if (!runner.isStored)
         return "not-recorded";
-    if (runner.isCordoned)
+    if (runner.cordon == Cordon::OrderPending)
         return "reserved";
     if (runner.report().isDraining)
         return "draining";
     if (runner.isUnreachable())
         return "silent";
-    return now < runner.avoidUntil ? "avoided" : "";
+    if (now < runner.avoidUntil)
+        return "avoided";
+    return runner.cordon == Cordon::Emptying ? "emptying" : "";
 }
 
 bool isUsable(const Runner& runner, TimePoint now) { return unusableReason(runner, now).empty(); }
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -81,6 +81,15 @@
     std::uint32_t percent { 0 };
 };
 
+// What keeps new work from a runner so that its VM can be moved or maintained.
+enum class Cordon : std::uint8_t {
+    None,
+    // Its VM is to become empty.
+    Emptying,
+    // An order for its VM is under way and ends all that runs there.
+    OrderPending,
+};
+
 // A healthy runner may fail to answer a single poll.
 inline constexpr std::uint32_t failedPollsUntilUnreachable = 2;
 
@@ -157,8 +166,7 @@
     bool isStored { false };
     // The stored row, if there is one, is that of an earlier incarnation.
     bool isRowOutdated { false };
-    // Gets no new work, because it is to be moved, maintained or emptied.
-    bool isCordoned { false };
+    Cordon cordon { Cordon::None };
 
     // Takes only tasks that are to be isolated; see crash_evidence.h.
     bool isSetApart { false };
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -342,10 +342,12 @@
         endRunner(id, false, now, "vm-has-another-life");
 }
 
-void Shard::setRunnerCordoned(const RunnerId& id, bool isCordoned)
+void Shard::setCordons(const std::map<RunnerId, Cordon>& cordons)
 {
-    if (auto found = m_runners.find(id); found != m_runners.end())
-        found->second.isCordoned = isCordoned;
+    for (auto& [id, runner] : m_runners) {
+        auto found = cordons.find(id);
+        runner.cordon = found == cordons.end() ? Cordon::None : found->second;
+    }
 }
 
 void Shard::setMaintenanceDue(const std::set<RunnerId>& due)
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -137,9 +137,8 @@
     // Millicores that can join the pool within the time of a VM move.
     void setArriving(const PoolId& pool, std::int64_t cpu) { m_arriving[pool] = cpu; }
     [[nodiscard]] bool hasLongRunningTasks(const RunnerId&);
-    // True keeps new work away from a runner that is to be moved, maintained or emptied; false allows it
-    // again.
-    void setRunnerCordoned(const RunnerId&, bool);
+    // Sets the complete list of cordoned runners.
+    void setCordons(const std::map<RunnerId, Cordon>&);
     // Sets the complete list of runners whose VMs are still to be maintained.
     void setMaintenanceDue(const std::set<RunnerId>&);
     // Removes a runner whose incarnation is known to be over; its runs are lost. `isPlanned`: by an order of
--- a/src/jobs/tests/late_call_test.cpp
+++ b/src/jobs/tests/late_call_test.cpp
@@ -193,13 +193,12 @@
 BOOST_AUTO_TEST_CASE(AStartStoppedInOneIncarnationBeginsInTheNext)
 {
     LateCallPlay play(2);
-    play.shard.setRunnerCordoned(r1, true);
+    play.shard.setCordons({ { r1, Cordon::OrderPending } });
     play.taskTime = [] { return 5s; };
     holdFirst(play, isStart);
     play.submit(ShardFixture::job("j1", 1, 1'000, 5s));
     play.play(50ms);
-    play.shard.setRunnerCordoned(r0, true);
-    play.shard.setRunnerCordoned(r1, false);
+    play.shard.setCordons({ { r0, Cordon::OrderPending } });
     restartAndAnswer(play, r0);
     BOOST_REQUIRE(play.playUntil([&] { return play.runner(r1).countRuns() == 1; }, 4s));
     restartAndAnswer(play, r0);
@@ -263,7 +262,7 @@
 {
     LateCallPlay play(2);
     play.breaksConnections = false;
-    play.shard.setRunnerCordoned(r1, true);
+    play.shard.setCordons({ { r1, Cordon::OrderPending } });
     play.taskTime = [] { return 550ms; };
     play.endKind = EndKind::Failed;
     int sendings = 0;
@@ -273,12 +272,10 @@
     BOOST_REQUIRE(play.playUntil([&] { return play.runner(r0).ends().size() == 1; }, 5s));
     play.endKind = EndKind::Done;
     play.taskTime = [] { return 4s; };
-    play.shard.setRunnerCordoned(r0, true);
-    play.shard.setRunnerCordoned(r1, false);
+    play.shard.setCordons({ { r0, Cordon::OrderPending } });
     BOOST_REQUIRE(play.playUntil([&] { return play.runner(r1).countRuns() == 1; }, 1s));
     play.restart(r0, 10ms, 3s);
-    play.shard.setRunnerCordoned(r0, false);
-    play.shard.setRunnerCordoned(r1, true);
+    play.shard.setCordons({ { r1, Cordon::OrderPending } });
     play.submit(ShardFixture::job("j2", 1));
     BOOST_REQUIRE(play.playUntil([&] { return play.hasRunner(r0) && play.runner(r0).countRuns() == 1; }, 3s));
     BOOST_REQUIRE(play.deliverHeld());
@@ -290,7 +287,7 @@
 BOOST_AUTO_TEST_CASE(AnAcknowledgementInFlightForgetsAnUnreadEnd)
 {
     LateCallPlay play(2);
-    play.shard.setRunnerCordoned(r1, true);
+    play.shard.setCordons({ { r1, Cordon::OrderPending } });
     auto isHeld = false;
     play.submit(ShardFixture::job("j0", 1, 1'000, 20s));
     play.taskTime = [] { return 20s; };
@@ -310,7 +307,7 @@
     play.submit(ShardFixture::job("j2", 1));
     BOOST_REQUIRE(play.playUntil([&] { return play.runner(r0).ends().size() == 1; }, 3s));
     BOOST_REQUIRE(play.deliverHeld());
-    play.shard.setRunnerCordoned(r1, false);
+    play.shard.setCordons({});
     play.play(8s);
     BOOST_TEST(play.violations() == "");
     BOOST_TEST(isCompleted(play, "j2"));
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -463,7 +463,7 @@
     answerPoll("r1", {}, {});
     BOOST_TEST(shard.runners().at(RunnerId("r1")).isKnownEmpty());
     advance(1s);
-    shard.setRunnerCordoned(RunnerId("r1"), true);
+    shard.setCordons({ { RunnerId("r1"), Cordon::OrderPending } });
     submit(job("j1", 1));
     advance();
     BOOST_TEST(starts.empty());
--- a/src/jobs/tests/stalled_jobs_test.cpp
+++ b/src/jobs/tests/stalled_jobs_test.cpp
@@ -29,8 +29,8 @@
     {
         ShardFixture f;
         f.addRunner("a");
-        f.shard.setRunnerCordoned(RunnerId("a"), true);
         f.submit(ShardFixture::job("j", 1));
+        f.shard.setCordons({ { RunnerId("a"), Cordon::OrderPending } });
         BOOST_TEST(bool(reasonAfterStall(f) == StallReason::Runner));
         auto* entry = f.shard.find(JobId("j"));
         BOOST_TEST(
--- a/src/node/tests/fake_platform.cpp
+++ b/src/node/tests/fake_platform.cpp
@@ -48,10 +48,23 @@
     m_rows[{ table, part, key }] = { std::move(value), ++m_version };
 }
 
-void FakePlatform::addVm(const VmId& vm, const PoolId& pool)
+void FakePlatform::addVm(const VmId& vm, const PoolId& pool, std::string runner)
 {
     std::lock_guard lock(m_mutex);
     m_vms[vm].pool = pool;
+    m_vms[vm].runner = std::move(runner);
+}
+
+void FakePlatform::setVmDown(const VmId& vm, bool isDown)
+{
+    std::lock_guard lock(m_mutex);
+    m_vms.at(vm).isDown = isDown;
+}
+
+void FakePlatform::setMaintained(const VmId& vm)
+{
+    std::lock_guard lock(m_mutex);
+    m_vms.at(vm).isMaintained = true;
 }
 
 std::size_t FakePlatform::maintainedCount()
@@ -78,6 +91,8 @@
         return rows(request, true);
     if (request.path == "/api/machines")
         return listVms();
+    if (request.path == "/api/machine-move")
+        return move(request.body);
     if (request.path == "/api/machine-upkeep")
         return maintain(request.body);
     return { 404, "{}" };
@@ -122,15 +137,35 @@
 standin::HttpReply FakePlatform::listVms()
 {
     auto list = Json::array();
-    for (const auto& [id, vm] : m_vms)
-        list.push_back({ { "machine", id.value() }, { "pool", vm.pool.value() }, { "id", "" },
-            { "capacity", { { "cpu", 16'000 }, { "mem-mb", 32'768 }, { "gpu", 0 } } },
-            { "state", vm.downUntil > std::chrono::steady_clock::now() ? "upkeep" : "up" } });
+    for (const auto& [id, vm] : m_vms) {
+        auto isInMaintenance = vm.downUntil > std::chrono::steady_clock::now();
+        list.push_back(
+            { { "machine", id.value() }, { "pool", vm.pool.value() }, { "id", vm.isDown ? "" : vm.runner },
+                { "capacity", { { "cpu", 16'000 }, { "mem-mb", 32'768 }, { "gpu", 0 } } },
+                { "state",
+                    vm.isDown             ? "down"
+                        : isInMaintenance ? "upkeep"
+                                          : "up" } });
+    }
     return { 200, platform::toText({ { "machines", std::move(list) }, { "next-token", nullptr } }) };
 }
 
+standin::HttpReply FakePlatform::move(const std::string& body)
+{
+    auto json = *platform::parseObject(body);
+    auto vm = m_vms.find(VmId(platform::textOf(json, "machine")));
+    if (vm == m_vms.end())
+        return { 400, "{}" };
+    if (m_areVmOrdersSilent)
+        return { 200, "{}", {}, silence };
+    vm->second.pool = PoolId(platform::textOf(json, "pool"));
+    return { 200, "{}" };
+}
+
 standin::HttpReply FakePlatform::maintain(const std::string& body)
 {
+    if (m_areVmOrdersSilent)
+        return { 200, "{}", {}, silence };
     auto now = std::chrono::steady_clock::now();
     auto vm = m_vms.find(VmId(platform::textOf(*platform::parseObject(body), "machine")));
     if (vm == m_vms.end())
--- a/src/node/tests/fake_platform.h
+++ b/src/node/tests/fake_platform.h
@@ -29,7 +29,14 @@
     // Transactions get no answer any more.
     void silenceTransactions() { m_areTransactionsSilent = true; }
 
-    void addVm(const VmId&, const PoolId&);
+    // `runner`: of the VM, as the list shows it.
+    void addVm(const VmId&, const PoolId&, std::string runner = {});
+    // The VM is down, and the list shows no runner of it.
+    void setVmDown(const VmId&, bool isDown);
+    // The VM's maintenance was carried out earlier; further orders are accepted and do nothing.
+    void setMaintained(const VmId&);
+    // Orders for VMs are neither carried out nor answered any more.
+    void silenceVmOrders() { m_areVmOrdersSilent = true; }
     [[nodiscard]] std::size_t maintainedCount();
     // Most VMs that were in maintenance at the same time.
     [[nodiscard]] std::size_t maxInMaintenance();
@@ -42,6 +49,8 @@
     };
     struct Vm {
         PoolId pool;
+        std::string runner;
+        bool isDown { false };
         bool isMaintained { false };
         std::chrono::steady_clock::time_point downUntil;
     };
@@ -50,6 +59,7 @@
     standin::HttpReply commit(const std::string& body);
     standin::HttpReply rows(const standin::HttpRequest&, bool isFeed);
     standin::HttpReply listVms();
+    standin::HttpReply move(const std::string& body);
     standin::HttpReply maintain(const std::string& body);
 
     const std::chrono::milliseconds m_maintenanceTime;
@@ -57,6 +67,7 @@
     std::map<RowName, Row> m_rows;
     Version m_version { 1 };
     std::atomic<bool> m_areTransactionsSilent { false };
+    std::atomic<bool> m_areVmOrdersSilent { false };
     std::map<VmId, Vm> m_vms;
     std::size_t m_maxInMaintenance { 0 };
     standin::HttpHost m_host;
--- a/src/node/tests/vm_controller_test.cpp
+++ b/src/node/tests/vm_controller_test.cpp
@@ -1,5 +1,6 @@
 #include "node/vm_controller.h"
 
+#include "jobs/placement.h"
 #include "node/tests/fake_platform.h"
 
 #include <asio/steady_timer.hpp>
@@ -14,6 +15,9 @@
 constexpr std::uint32_t shardCount = 2;
 constexpr std::chrono::milliseconds maintenanceTime { 900 };
 const PoolId standbyPool("standby");
+const PoolId workPool("work");
+// A move takes 1.5 s at most in these tests, and counts as failed 3 s after that; lists are a second apart.
+constexpr std::chrono::milliseconds moveFailedWithin { 6'500 };
 
 // The controller of one shard, with all that its holder has.
 struct ShardVms {
@@ -38,6 +42,108 @@
     }
 };
 
+constexpr jobs::Resources capacityOfVm { 16'000, 32'768, 0 };
+
+// A pool whose VMs all belong to one shard; its runners answer and run nothing.
+class PoolOfVms {
+public:
+    explicit PoolOfVms(int size)
+    {
+        for (int i = 0; int(m_runners.size()) < size; ++i) {
+            VmId vm("vm-" + std::to_string(i));
+            if (ShardMap { shardCount }.shardOf(vm) != 0)
+                continue;
+            jobs::RunnerReport report;
+            report.id = jobs::RunnerId("runner-" + std::to_string(i));
+            report.vm = vm;
+            report.pool = workPool;
+            report.incarnation = 1;
+            report.capacity = capacityOfVm;
+            m_fake.addVm(vm, workPool, report.id.value());
+            m_runners.emplace(report.id, report);
+        }
+        m_vms.shard.observeRunners(m_runners, m_clock.now());
+        jobs::FleetConfig config;
+        config.pools = { { standbyPool, true, false }, { workPool, false, false } };
+        m_vms.controller.configure(config);
+        BOOST_REQUIRE(runUntil(2s, [this] { return countUnusable() == 0; }));
+    }
+
+    // Each of the tasks fills a VM, and does not end.
+    void submit(const std::string& id, std::uint32_t tasks, const jobs::Resources& perTask)
+    {
+        jobs::Job job;
+        job.id = JobId(id);
+        job.queue = "queue";
+        job.policy = { workPool, 0, 3, 1.6, 60s };
+        jobs::Step step;
+        step.count = tasks;
+        step.perTask = perTask;
+        step.estimate = 500ms;
+        job.steps.push_back(step);
+        BOOST_REQUIRE(bool(
+            m_vms.shard.submit(job, m_clock.now(), m_clock.wallNow()).verdict == jobs::SubmitVerdict::New));
+    }
+
+    // Runs the controller and the shard until `isDone`, or for `limit`.
+    bool runUntil(std::chrono::milliseconds limit, const std::function<bool()>& isDone)
+    {
+        for (auto until = m_clock.now() + limit; m_clock.now() < until;) {
+            m_vms.controller.tick();
+            plan();
+            m_loop.restart();
+            m_loop.run_for(20ms);
+            if (isDone())
+                return true;
+        }
+        return false;
+    }
+
+    [[nodiscard]] std::size_t started(const std::string& job) const { return m_started.count(JobId(job)); }
+    [[nodiscard]] bool isUnusable(const jobs::RunnerId& id)
+    {
+        return !jobs::isUsable(m_vms.shard.runners().at(id), m_clock.now());
+    }
+    [[nodiscard]] std::size_t countUnusable()
+    {
+        return std::size_t(std::count_if(
+            m_runners.begin(), m_runners.end(), [this](const auto& each) { return isUnusable(each.first); }));
+    }
+    [[nodiscard]] test::FakePlatform& fake() { return m_fake; }
+    void addWave(const jobs::WaveOrder& wave) { m_vms.controller.addWave(wave); }
+    [[nodiscard]] const std::map<jobs::RunnerId, jobs::RunnerReport>& runners() const { return m_runners; }
+    jobs::Shard& shard() { return m_vms.shard; }
+
+private:
+    void plan()
+    {
+        auto now = m_clock.now();
+        for (const auto& change : m_vms.shard.takeChanges(now))
+            m_vms.shard.onStored(change, now);
+        auto orders = m_vms.shard.plan(now, m_clock.wallNow(), true);
+        for (const auto& start : orders.starts) {
+            m_started.insert(start.order.task.job);
+            m_vms.shard.onStart(start.runner.id, start.order, { jobs::OrderOutcome::Accepted, {}, 0 }, now);
+        }
+        for (const auto& poll : orders.polls) {
+            jobs::PollAnswer answer { { jobs::OrderOutcome::Accepted, jobs::RunnerTime(0), 1 }, {}, {} };
+            for (const auto& [task, run] : m_vms.shard.runners().at(poll.runner.id).runs())
+                answer.running.push_back({ task, run.attempt, "", 100 });
+            m_vms.shard.onPoll(poll.runner.id, poll.order, answer, now - 1ms, now);
+        }
+    }
+
+    test::FakePlatform m_fake { maintenanceTime };
+    asio::io_context m_loop;
+    platform::HttpClient m_http { m_loop };
+    platform::StoreClient m_store { m_http, m_fake.address() };
+    platform::VmClient m_vmClient { m_http, m_fake.address() };
+    ShardVms m_vms { m_store, m_vmClient, m_fake, 0 };
+    BootClock m_clock;
+    std::map<jobs::RunnerId, jobs::RunnerReport> m_runners;
+    std::multiset<JobId> m_started;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(vm_controller)
@@ -81,4 +187,46 @@
     BOOST_TEST(fake.maxInMaintenance() == 1U);
 }
 
+// Guards against a task that waits beside an idle VM: an order to move the VM had no answer and was not
+// carried out, and its runner got no work any more.
+BOOST_AUTO_TEST_CASE(AMoveThatFailsWithoutAnAnswerFreesItsRunner)
+{
+    PoolOfVms pool(6);
+    pool.fake().silenceVmOrders();
+    BOOST_REQUIRE(pool.runUntil(8s, [&] { return pool.countUnusable() >= 3; }));
+    pool.submit("late", 6, capacityOfVm);
+    BOOST_TEST(pool.runUntil(moveFailedWithin, [&] { return pool.started("late") == 6; }));
+}
+
+// Guards against a task that waits beside an idle VM: the VM's maintenance was ordered again after an earlier
+// holder, and the order was accepted as done already, which ends no runner.
+BOOST_AUTO_TEST_CASE(MaintenanceThatWasAlreadyDoneFreesItsRunner)
+{
+    PoolOfVms pool(2);
+    auto runner = pool.runners().begin()->first;
+    auto vm = pool.runners().begin()->second.vm;
+    pool.fake().setMaintained(vm);
+    pool.addWave({ 1, { vm }, 10s, 2 });
+    BOOST_REQUIRE(pool.runUntil(5s, [&] { return pool.isUnusable(runner); }));
+    BOOST_TEST(pool.runUntil(3s, [&] { return !pool.isUnusable(runner); }));
+}
+
+// Guards against a task that waits beside an idle VM: the VM was being emptied when it went down, the list
+// showed it without its runner, and the runner that came back under its id got no work any more.
+BOOST_AUTO_TEST_CASE(ARunnerThatIsBackAfterItsVmWasDownIsUsable)
+{
+    PoolOfVms pool(4);
+    // Few processors are in use, so half of the VMs are to be emptied.
+    pool.submit("busy", 4, { 1'000, capacityOfVm.memoryMb, 0 });
+    BOOST_REQUIRE(pool.runUntil(8s, [&] { return pool.countUnusable() > 0; }));
+    auto emptied = std::find_if(pool.runners().begin(), pool.runners().end(),
+        [&](const auto& each) { return pool.isUnusable(each.first); });
+    BOOST_REQUIRE(emptied != pool.runners().end());
+    pool.fake().setVmDown(emptied->second.vm, true);
+    pool.runUntil(1'500ms, [] { return false; });
+    pool.fake().setVmDown(emptied->second.vm, false);
+    pool.submit("late", 4, capacityOfVm);
+    BOOST_TEST(pool.runUntil(3s, [&] { return !pool.isUnusable(emptied->first); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/vm_controller.cpp
+++ b/src/node/vm_controller.cpp
@@ -20,8 +20,8 @@
 constexpr std::chrono::milliseconds spareIdleTime { 800 };
 // Time in which a cordoned VM's tasks end; most tasks run for under 2 s.
 constexpr std::chrono::milliseconds drainTime { 2'000 };
-// A move that the list does not show this long after its expected time is treated as failed.
-constexpr std::chrono::milliseconds moveGrace { 3'000 };
+// An order that the list does not show as carried out this long after its expected time counts as failed.
+constexpr std::chrono::milliseconds orderGrace { 3'000 };
 constexpr std::chrono::milliseconds reportTimeout { 1'500 };
 // A pool's need changes with every job; logged at most once per second.
 constexpr std::chrono::milliseconds needLogPause { 1'000 };
@@ -110,13 +110,19 @@
 {
     auto now = m_clock.now();
     pollList(now);
-    if (m_list.empty() || now < m_settings.ordersFrom || now > m_listRequestedAt + maxListAge
-        || !m_hooks.mayOrder())
-        return;
-    // Only a list requested after `ordersFrom` is sure to show the orders of an earlier holder.
-    if (m_listRequestedAt >= m_settings.ordersFrom)
-        planWaves(now);
-    planMoves(now);
+    if (mayPlan(now)) {
+        // Only a list requested after `ordersFrom` is sure to show the orders of an earlier holder.
+        if (m_listRequestedAt >= m_settings.ordersFrom)
+            planWaves(now);
+        planMoves(now);
+    }
+    updateCordons();
+}
+
+bool VmController::mayPlan(TimePoint now) const
+{
+    return !m_list.empty() && now >= m_settings.ordersFrom && now <= m_listRequestedAt + maxListAge
+        && m_hooks.mayOrder();
 }
 
 void VmController::pollList(TimePoint now)
@@ -152,7 +158,7 @@
         const auto* vm = find(each->first);
         auto hasArrived = vm && vm->pool == each->second.to && vm->state == jobs::VmState::Up
             && requestedAt > each->second.orderedAt;
-        auto isOverdue = requestedAt > each->second.orderedAt + m_settings.moveTime + moveGrace;
+        auto isOverdue = requestedAt > each->second.orderedAt + m_settings.moveTime + orderGrace;
         each = hasArrived || isOverdue ? m_moves.erase(each) : std::next(each);
     }
     for (auto& [number, wave] : m_waves) {
@@ -237,10 +243,8 @@
             { id, isEmpty(*vm), isSpare, vm->state == jobs::VmState::Up, mayEndRuns(*vm), busyCpu(id) });
     }
     auto steps = jobs::planMaintenance(wave, candidates, { drainTime, m_settings.maintenanceTime }, now);
-    for (const auto& id : steps.empty) {
+    for (const auto& id : steps.empty)
         wave.cordoned.emplace(id, now);
-        m_shard.setRunnerCordoned(find(id)->runner, true);
-    }
     for (const auto& [id, since] : wave.cordoned)
         if (const auto* vm = find(id))
             m_shard.evacuate(vm->runner, now);
@@ -268,13 +272,10 @@
 
 void VmController::takeDown(jobs::WaveProgress& wave, const VmId& id)
 {
-    const auto* vm = find(id);
-    m_shard.setRunnerCordoned(vm->runner, true);
     wave.cordoned.erase(id);
     wave.down[id] = std::nullopt;
     m_vms.maintain({ m_settings.holder, m_settings.epoch }, id, wave.order.wave,
-        [this, id, number = wave.order.wave, runner = vm->runner, isAlive = m_isAlive](
-            platform::VmOrderOutcome outcome) {
+        [this, id, number = wave.order.wave, isAlive = m_isAlive](platform::VmOrderOutcome outcome) {
             if (!*isAlive)
                 return;
             auto& progress = m_waves[number];
@@ -294,7 +295,6 @@
                 // The VM is not part of the wave or does not exist, so nothing is left to do for it.
                 progress.done.insert(id);
                 progress.down.erase(id);
-                m_shard.setRunnerCordoned(runner, false);
                 break;
             case platform::VmOrderOutcome::Unknown:
                 // It counts as down for the maintenance time and is then ordered again.
@@ -303,9 +303,9 @@
             case platform::VmOrderOutcome::NotDone:
             case platform::VmOrderOutcome::Fenced:
                 progress.down.erase(id);
-                m_shard.setRunnerCordoned(runner, false);
                 break;
             }
+            updateCordons();
         });
 }
 
@@ -467,7 +467,7 @@
     for (const auto& pool : input.pools)
         m_shard.setArriving(pool.pool, arriving[pool.pool] + spare);
     auto plan = jobs::planMoves(std::move(input));
-    setCordoned(plan.cordoned);
+    m_surplus = std::move(plan.cordoned);
     for (const auto& each : plan.moves)
         move(each, now);
 }
@@ -485,14 +485,31 @@
             { "list-age-ms", std::to_string((now - m_listRequestedAt).count() / 1000) } });
 }
 
-void VmController::setCordoned(const std::set<VmId>& cordoned)
+// Derived anew from all that is under way, so that nothing that ends without an answer leaves a cordon
+// behind. A surplus or a wave's VM is emptied only while it could be taken down.
+void VmController::updateCordons()
 {
-    for (const auto& id : m_cordoned)
-        if (const auto* vm = find(id); vm && !cordoned.contains(id) && !isInWave(id) && !m_moves.contains(id))
-            m_shard.setRunnerCordoned(vm->runner, false);
-    for (const auto& id : cordoned)
-        m_shard.setRunnerCordoned(find(id)->runner, true);
-    m_cordoned = cordoned;
+    auto now = m_clock.now();
+    std::map<jobs::RunnerId, jobs::Cordon> cordons;
+    auto cordon = [&](const VmId& id, jobs::Cordon kind) {
+        if (const auto* vm = find(id))
+            cordons[vm->runner] = std::max(cordons[vm->runner], kind);
+    };
+    if (mayPlan(now)) {
+        for (const auto& id : m_surplus)
+            cordon(id, jobs::Cordon::Emptying);
+        for (const auto& [number, wave] : m_waves)
+            for (const auto& [id, since] : wave.cordoned)
+                cordon(id, jobs::Cordon::Emptying);
+    }
+    for (const auto& [number, wave] : m_waves)
+        for (const auto& [id, since] : wave.down)
+            if (!since || now < *since + m_settings.maintenanceTime + orderGrace)
+                cordon(id, jobs::Cordon::OrderPending);
+    for (const auto& [id, move] : m_moves)
+        if (now < move.orderedAt + m_settings.moveTime + orderGrace)
+            cordon(id, jobs::Cordon::OrderPending);
+    m_shard.setCordons(cordons);
 }
 
 std::int64_t VmController::busyCpu(const VmId& id) const
@@ -507,7 +524,6 @@
     const auto* vm = find(move.vm);
     auto runner = vm->runner;
     m_moves[move.vm] = { move.from, move.to, now };
-    m_shard.setRunnerCordoned(runner, true);
     m_vms.move({ m_settings.holder, m_settings.epoch }, move.vm, move.to,
         [this, move, runner, isAlive = m_isAlive](platform::VmOrderOutcome outcome) {
             if (!*isAlive)
@@ -522,7 +538,7 @@
             if (mayBeDone)
                 return;
             m_moves.erase(move.vm);
-            m_shard.setRunnerCordoned(runner, false);
+            updateCordons();
         });
 }
 
--- a/src/node/vm_controller.h
+++ b/src/node/vm_controller.h
@@ -56,6 +56,8 @@
         TimePoint orderedAt;
     };
 
+    // The VM list is recent, and orders may be sent.
+    [[nodiscard]] bool mayPlan(TimePoint now) const;
     void pollList(TimePoint now);
     void onList(const std::vector<jobs::VmRecord>&, TimePoint requestedAt);
     void planWaves(TimePoint now);
@@ -75,7 +77,7 @@
     void planMoves(TimePoint now);
     void logNeed(const jobs::PoolNeed&, TimePoint now);
     [[nodiscard]] jobs::VmStatus factsOf(const jobs::VmRecord&, bool isMoving, TimePoint now);
-    void setCordoned(const std::set<VmId>&);
+    void updateCordons();
     void move(const jobs::VmMove&, TimePoint now);
     [[nodiscard]] const jobs::VmRecord* find(const VmId&) const;
     [[nodiscard]] std::int64_t busyCpu(const VmId&) const;
@@ -99,7 +101,8 @@
     std::map<std::int64_t, jobs::WaveProgress> m_waves;
     std::map<std::int64_t, std::set<VmId>> m_restoredWaves;
     std::map<VmId, PendingMove> m_moves;
-    std::set<VmId> m_cordoned;
+    // VMs of pools that have too many, and that are to be emptied.
+    std::set<VmId> m_surplus;
     std::map<PoolId, jobs::MinPoolSize> m_floors;
     std::map<VmId, TimePoint> m_withoutRunnerSince;
     struct LoggedNeed {
