LOST: a job that has been stalled for 3 s may run on VMs that are to be emptied

A task waited for the end of a wave, or of a surplus, while the only runners with room for it were to be emptied; a wave cordons all its VMs with long-running tasks from the start, and these leave only when there is room elsewhere, so both could wait for each other. Such runners are now the last resort of a job of which a task could run and nothing has for 3 s.

Test: stalled_jobs/AStalledJobUsesARunnerThatIsBeingEmptied, failing before.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::string_view emptyingReason = "emptying";
+
 bool hasLabel(const RunnerReport& report, const std::string& label)
 {
     return label.empty()
@@ -56,7 +58,12 @@
         return "silent";
     if (now < runner.avoidUntil)
         return "avoided";
-    return runner.cordon == Cordon::Emptying ? "emptying" : "";
+    return runner.cordon == Cordon::Emptying ? emptyingReason : "";
+}
+
+bool isUsableLastResort(const Runner& runner, TimePoint now)
+{
+    return unusableReason(runner, now) == emptyingReason;
 }
 
 bool isUsable(const Runner& runner, TimePoint now) { return unusableReason(runner, now).empty(); }
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -9,6 +9,8 @@
 // A usable runner is listed and stored, has answered a poll of this epoch, and is not cordoned, draining,
 // unreachable, or avoided after failures or refusals.
 [[nodiscard]] bool isUsable(const Runner&, TimePoint now);
+// Whether the runner would be usable if its VM were not being emptied.
+[[nodiscard]] bool isUsableLastResort(const Runner&, TimePoint now);
 // Why the runner is not usable; empty if it is.
 [[nodiscard]] std::string_view unusableReason(const Runner&, TimePoint now);
 
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -84,7 +84,7 @@
 // What keeps new work from a runner so that its VM can be moved or maintained.
 enum class Cordon : std::uint8_t {
     None,
-    // Its VM is to become empty.
+    // Its VM is to become empty; it still takes tasks that find no other place for long.
     Emptying,
     // An order for its VM is under way and ends all that runs there.
     OrderPending,
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -192,10 +192,12 @@
     void countCrashOfUnlisted(const RunnerId&, TimePoint now);
     void countCrashes(const std::vector<CrashedRun>&, const RunnerId&, TimePoint now, std::string_view why);
     void clearOfCrashes(const TaskName&, Run&, TimePoint seenAt);
-    // Usable runners of a pool, by the tasks that they take.
+    // Runners of a pool, by the tasks that they take.
     struct PoolRunners {
         std::vector<Runner*> shared;
         std::vector<Runner*> setApart;
+        // Of cordoned VMs; only for jobs that have been stalled for long.
+        std::vector<Runner*> emptying;
     };
     [[nodiscard]] PoolRunners divideRunners(
         const std::vector<Runner*>& usable, std::size_t waitingForIsolation, TimePoint now);
@@ -224,6 +226,7 @@
     void orderStart(
         JobEntry&, const TaskName&, Task&, Runner&, Attempt, Isolation, TimePoint now, ShardOrders&);
     [[nodiscard]] std::vector<Runner*> usableRunners(const PoolId&, TimePoint now);
+    [[nodiscard]] std::vector<Runner*> emptyingRunners(const PoolId&, TimePoint now);
     [[nodiscard]] Attempt nextAttempt() { return m_attemptBase + ++m_attempts; }
 
     const ShardSettings m_settings;
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -15,6 +15,9 @@
 constexpr Millis unplacedLogInterval { 1'000 };
 // Each check visits all unfinished tasks, and logs the job that has waited longest.
 constexpr Millis stallCheckInterval { 1'000 };
+// A job that has been stalled for this long may use runners that are being emptied: shorter waits are common
+// in a burst, and each such task delays the move or the maintenance of a VM.
+constexpr Millis stallUntilEmptyingRunners { 3'000 };
 // Lower bound of a poll's wait, reached when a task runs beyond its estimate.
 constexpr Millis minPollWait { 200 };
 // Lower bound while work waits for capacity. If the answer to a poll is lost, freed resources stay unused
@@ -162,6 +165,15 @@
     return usable;
 }
 
+std::vector<Runner*> Shard::emptyingRunners(const PoolId& pool, TimePoint now)
+{
+    std::vector<Runner*> emptying;
+    for (auto& [id, runner] : m_runners)
+        if (runner.report().pool == pool && isUsableLastResort(runner, now))
+            emptying.push_back(&runner);
+    return emptying;
+}
+
 // Runners that are set apart stay so while tasks wait to be isolated; those with the fewest runs come next.
 Shard::PoolRunners Shard::divideRunners(
     const std::vector<Runner*>& usable, std::size_t waitingForIsolation, TimePoint now)
@@ -214,6 +226,7 @@
             if (entry->hasCrashRecords)
                 waitingForIsolation += countWaitingForIsolation(*stepOccurrence);
         auto runners = divideRunners(usableRunners(pool, now), waitingForIsolation, now);
+        runners.emptying = emptyingRunners(pool, now);
         std::sort(candidates.begin(), candidates.end(), [=](const Candidate& a, const Candidate& b) {
             auto rank = [=](const Candidate& each) {
                 const auto& entry = *each.entry;
@@ -228,6 +241,13 @@
         });
         for (auto& [entry, stepOccurrence] : candidates) {
             placeStep(*entry, *stepOccurrence, runners, now, orders);
+            auto mayUseEmptying
+                = entry->stalledSince && now >= *entry->stalledSince + stallUntilEmptyingRunners;
+            if (stepOccurrence->waitingCount() > 0 && mayUseEmptying && !runners.emptying.empty()) {
+                auto all = runners;
+                all.shared.insert(all.shared.end(), runners.emptying.begin(), runners.emptying.end());
+                placeStep(*entry, *stepOccurrence, all, now, orders);
+            }
             if (stepOccurrence->waitingCount() == 0)
                 continue;
             if (const auto& step = entry->job.steps[stepOccurrence->step]; step.isLongRunning) {
--- a/src/jobs/tests/stalled_jobs_test.cpp
+++ b/src/jobs/tests/stalled_jobs_test.cpp
@@ -89,4 +89,24 @@
     BOOST_TEST(bool(reasonAfterStall(f) == StallReason::Runner));
 }
 
+// Guards against a task that waits for the end of a wave or a move while the only runners with room for it
+// are to be emptied.
+BOOST_AUTO_TEST_CASE(AStalledJobUsesARunnerThatIsBeingEmptied)
+{
+    for (auto cordon : { Cordon::Emptying, Cordon::OrderPending }) {
+        ShardFixture f;
+        f.addRunner("a");
+        f.submit(ShardFixture::job("j", 1));
+        f.shard.setCordons({ { RunnerId("a"), cordon } });
+        f.advance();
+        BOOST_TEST(f.starts.empty());
+        std::size_t starts = 0;
+        for (auto until = f.now + 5s; f.now < until && starts == 0;) {
+            f.advance(100ms);
+            starts += f.starts.size();
+        }
+        BOOST_TEST(starts == (cordon == Cordon::Emptying ? 1U : 0U));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
