--- a/src/node/tests/fake_platform.cpp
+++ b/src/node/tests/fake_platform.cpp
@@ -136,6 +136,7 @@
 
 standin::HttpReply FakePlatform::listVms()
 {
+    ++m_lists;
     auto list = Json::array();
     for (const auto& [id, vm] : m_vms) {
         auto isInMaintenance = vm.downUntil > std::chrono::steady_clock::now();
--- a/src/node/tests/fake_platform.h
+++ b/src/node/tests/fake_platform.h
@@ -37,6 +37,8 @@
     void setMaintained(const VmId&);
     // Orders for VMs are neither carried out nor answered any more.
     void silenceVmOrders() { m_areVmOrdersSilent = true; }
+    // Answers with the list of VMs.
+    [[nodiscard]] std::size_t listCount() const { return m_lists; }
     [[nodiscard]] std::size_t maintainedCount();
     // Most VMs that were in maintenance at the same time.
     [[nodiscard]] std::size_t maxInMaintenance();
@@ -68,6 +70,7 @@
     Version m_version { 1 };
     std::atomic<bool> m_areTransactionsSilent { false };
     std::atomic<bool> m_areVmOrdersSilent { false };
+    std::atomic<std::size_t> m_lists { 0 };
     std::map<VmId, Vm> m_vms;
     std::size_t m_maxInMaintenance { 0 };
     standin::HttpHost m_host;
--- a/src/node/tests/vm_controller_test.cpp
+++ b/src/node/tests/vm_controller_test.cpp
@@ -109,6 +109,7 @@
         return std::size_t(std::count_if(
             m_runners.begin(), m_runners.end(), [this](const auto& each) { return isUnusable(each.first); }));
     }
+    [[nodiscard]] bool hasReadVmList() { return m_fake.listCount() > 0; }
     [[nodiscard]] test::FakePlatform& fake() { return m_fake; }
     void addWave(const jobs::WaveOrder& wave) { m_vms.controller.addWave(wave); }
     [[nodiscard]] const std::map<jobs::RunnerId, jobs::RunnerReport>& runners() const { return m_runners; }
@@ -187,6 +188,21 @@
     BOOST_TEST(fake.maxInMaintenance() == 1U);
 }
 
+// Guards against a wave that is reported as completed, with a VM of it that has had no maintenance: the VM
+// was newer than the list of VMs, and was taken for one that has left.
+BOOST_AUTO_TEST_CASE(AWaveOfAVmThatIsNewerThanTheListIsCarriedOut)
+{
+    PoolOfVms pool(2);
+    BOOST_REQUIRE(pool.runUntil(2s, [&] { return pool.hasReadVmList(); }));
+    pool.runUntil(100ms, [] { return false; });
+    VmId newVm("vm-new-0");
+    for (int i = 1; ShardMap { shardCount }.shardOf(newVm) != 0; ++i)
+        newVm = VmId("vm-new-" + std::to_string(i));
+    pool.fake().addVm(newVm, standbyPool);
+    pool.addWave({ 1, { newVm }, 10s, 2 });
+    BOOST_TEST(pool.runUntil(4s, [&] { return pool.fake().maintainedCount() == 1; }));
+}
+
 // Guards against a task that waits beside an idle VM: an order to move the VM had no answer and was not
 // carried out, and its runner got no work any more.
 BOOST_AUTO_TEST_CASE(AMoveThatFailsWithoutAnAnswerFreesItsRunner)
--- a/src/node/vm_controller.cpp
+++ b/src/node/vm_controller.cpp
@@ -311,7 +311,8 @@
 
 void VmController::completeWaveIfDone(jobs::WaveProgress& wave)
 {
-    if (wave.isCompleted || !jobs::areAllVmsBack(wave, m_list))
+    // A VM that is missing from an older list may be newer than that.
+    if (wave.isCompleted || m_listRequestedAt <= wave.firstSeen || !jobs::areAllVmsBack(wave, m_list))
         return;
     wave.isCompleted = true;
     record(wave, {});
