GANG: all members of a gang resume from one checkpoint

Callers saw a gang that was restarted for ever after the crash of a member's runner. Cause: each member was started from the checkpoint of its own last run: for the lost one what the last poll had told, for the others what their ends told, which is newer if a checkpoint was made in between; members with different checkpoints cannot work together. The newest checkpoint of any member is now that of all; one from an end goes before one from a poll of the same attempt.

Test: shard/AGangResumesFromOneCheckpoint, which failed before (old != new).

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -41,6 +41,24 @@
     task.runner = {};
 }
 
+// The members of a gang resume from one checkpoint: with different ones they cannot work together.
+void setCheckpoint(
+    JobEntry& entry, const TaskName& name, CheckpointSource source, const std::string& checkpoint)
+{
+    if (checkpoint.empty())
+        return;
+    auto& stepOccurrence = entry.stepOccurrence(name.occurrence, name.step);
+    if (!entry.job.steps[name.step].isGang) {
+        stepOccurrence.tasks[name.index].checkpoint = checkpoint;
+        return;
+    }
+    if (source < stepOccurrence.gangCheckpoint)
+        return;
+    stepOccurrence.gangCheckpoint = source;
+    for (auto& member : stepOccurrence.tasks)
+        member.checkpoint = checkpoint;
+}
+
 } // namespace
 
 Task* JobEntry::find(const TaskName& name)
@@ -184,8 +202,7 @@
     }
     returnToWaiting(stepOccurrence, *task);
     task->isCrashSuspect = false;
-    if (!checkpoint.empty())
-        task->checkpoint = checkpoint;
+    setCheckpoint(entry, name, { attempt, true }, checkpoint);
     if (kind == EndKind::Failed)
         countFailure(entry, name, attempt, now);
 }
@@ -224,14 +241,13 @@
         finish(entry, JobState::Failed, now);
 }
 
-void releaseTask(JobEntry& entry, const TaskName& name, const std::string& checkpoint)
+void releaseTask(JobEntry& entry, const TaskName& name, Attempt attempt, const std::string& checkpoint)
 {
     auto* task = entry.find(name);
     if (!task)
         return;
     returnToWaiting(entry.stepOccurrence(name.occurrence, name.step), *task);
-    if (!checkpoint.empty())
-        task->checkpoint = checkpoint;
+    setCheckpoint(entry, name, { attempt, false }, checkpoint);
 }
 
 } // namespace fulmar::jobs
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -30,6 +30,15 @@
     TimePoint notBefore;
 };
 
+// Where a checkpoint comes from; the greater of two is the newer one.
+struct CheckpointSource {
+    Attempt attempt { 0 };
+    // The run's end carried it; else a poll before the run was lost.
+    bool isFromEnd { false };
+
+    auto operator<=>(const CheckpointSource&) const = default;
+};
+
 // The tasks of a step in one occurrence of the job.
 struct StepOccurrence {
     std::uint32_t occurrence { 0 };
@@ -37,6 +46,8 @@
     std::vector<Task> tasks;
     std::uint32_t doneCount { 0 };
     std::uint32_t placedCount { 0 };
+    // Of the checkpoint that all tasks have, if the step is a gang.
+    CheckpointSource gangCheckpoint;
 
     [[nodiscard]] bool isDone() const { return doneCount == tasks.size(); }
     [[nodiscard]] std::uint32_t waitingCount() const
@@ -108,6 +119,6 @@
 void countCrash(JobEntry&, const CrashedRun&, TimePoint now);
 
 // The run was lost without an end; the task waits again.
-void releaseTask(JobEntry&, const TaskName&, const std::string& checkpoint);
+void releaseTask(JobEntry&, const TaskName&, Attempt, const std::string& checkpoint);
 
 } // namespace fulmar::jobs
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -178,11 +178,12 @@
 
 void Shard::loseRun(Runner& runner, const TaskName& task)
 {
+    auto attempt = runner.find(task)->attempt;
     auto checkpoint = runner.find(task)->checkpoint;
     removeRun(runner, task);
     auto* entry = m_jobTable.find(task.job);
     if (auto* found = entry ? entry->find(task) : nullptr; found && found->runner == runner.report().id)
-        releaseTask(*entry, task, checkpoint);
+        releaseTask(*entry, task, attempt, checkpoint);
 }
 
 // Orders name their runner by its id alone, so the new incarnation carries out those meant for the earlier
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -63,7 +63,7 @@
             return;
         }
         if (auto* entry = m_jobTable.find(order.task.job)) {
-            releaseTask(*entry, order.task, {});
+            releaseTask(*entry, order.task, order.attempt, {});
             if (auto* task = entry->find(order.task))
                 task->notBefore = now + pauseAfterRefusal;
         }
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -377,7 +377,7 @@
             return;
         for (name.index = 0; name.index < places.size(); ++name.index) {
             places[name.index]->removeRun(name);
-            releaseTask(entry, name, {});
+            releaseTask(entry, name, attempt, {});
             orders.starts.pop_back();
         }
         // No start with this attempt was sent.
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -688,4 +688,47 @@
     BOOST_TEST(bool(stops[0].order.task == first.order.task));
 }
 
+// Guards against a gang that is restarted for ever: its members were started from different checkpoints, with
+// which they cannot work together.
+BOOST_AUTO_TEST_CASE(AGangResumesFromOneCheckpoint)
+{
+    for (auto isLostFirst : { false, true }) {
+        ShardFixture f;
+        f.addRunner("r1", 1'000);
+        f.addRunner("r2", 1'000);
+        auto gang = ShardFixture::job("gang", 2);
+        gang.steps[0].isGang = true;
+        gang.steps[0].hasCheckpoints = true;
+        f.submit(gang);
+        f.advance();
+        BOOST_REQUIRE_EQUAL(f.starts.size(), 2U);
+        auto first = f.starts;
+        for (const auto& start : first)
+            f.answerStart(start);
+        f.advance();
+        for (const auto& start : first) {
+            auto listed = ShardFixture::running(start.order);
+            listed.checkpoint = "old";
+            f.answerPoll(start.runner.id.value(), { listed }, {});
+        }
+        f.advance();
+        auto loseFirst = [&] {
+            f.shard.endRunner(first[0].runner.id, true, f.now, "test");
+            f.listed.erase(first[0].runner.id);
+        };
+        if (isLostFirst)
+            loseFirst();
+        auto end = f.ended(first[1].runner.id.value(), first[1].order, EndKind::GangBroken);
+        end.checkpoint = "new";
+        f.answerPoll(first[1].runner.id.value(), {}, { end });
+        if (!isLostFirst)
+            loseFirst();
+        f.addRunner("r3", 1'000);
+        f.advance(1s);
+        BOOST_REQUIRE_EQUAL(f.starts.size(), 2U);
+        for (const auto& start : f.starts)
+            BOOST_TEST(start.order.checkpoint == "new");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
