A stalled job keeps away from isolated runs on VMs that are being emptied

Runners that are being emptied are not divided into those set apart and others, so a stalled job was placed beside a task that ran isolated there, also in the same round: the next crash of that runner had two suspects.

Test: stalled_jobs/AStalledJobKeepsAwayFromAnIsolatedRun, failing before (two starts instead of one).

--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -245,7 +245,8 @@
                 = entry->stalledSince && now >= *entry->stalledSince + stallUntilEmptyingRunners;
             if (stepOccurrence->waitingCount() > 0 && mayUseEmptying && !runners.emptying.empty()) {
                 auto all = runners;
-                all.shared.insert(all.shared.end(), runners.emptying.begin(), runners.emptying.end());
+                std::copy_if(runners.emptying.begin(), runners.emptying.end(), std::back_inserter(all.shared),
+                    [now](const Runner* runner) { return !isObserving(*runner, now); });
                 placeStep(*entry, *stepOccurrence, all, now, orders);
             }
             if (stepOccurrence->waitingCount() == 0)
--- a/src/jobs/tests/stalled_jobs_test.cpp
+++ b/src/jobs/tests/stalled_jobs_test.cpp
@@ -109,4 +109,25 @@
     }
 }
 
+// Guards against a run that is to tell which task crashes runners, and that another task joins: the next
+// crash then has two suspects.
+BOOST_AUTO_TEST_CASE(AStalledJobKeepsAwayFromAnIsolatedRun)
+{
+    ShardFixture f;
+    f.addRunner("a");
+    JobProgress progress;
+    progress.steps.push_back({ 0, 0, { false }, { {} }, { { { 1, true }, { 2, true } } } });
+    f.shard.restoreJob(ShardFixture::job("crashed", 1), progress, f.now);
+    f.submit(ShardFixture::job("other", 1));
+    f.shard.setCordons({ { RunnerId("a"), Cordon::Emptying } });
+    std::vector<OutgoingStart> started;
+    for (auto until = f.now + 6s; f.now < until;) {
+        f.advance(100ms);
+        started.insert(started.end(), f.starts.begin(), f.starts.end());
+    }
+    BOOST_REQUIRE(!started.empty());
+    BOOST_TEST(started.front().order.task.job == JobId("crashed"));
+    BOOST_TEST(started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
