The record of an earlier incarnation does not count for a later one

A runner's record was in flight when the runner ended and came back under its id. Once stored it counted as the record of the new incarnation, whose own was then never written, while the removal that followed deleted the stored one. The next holder would not have known the runner before the list showed it, and could have started recovered tasks that ran there.

Test: restart/ALateRecordDoesNotCountForALaterIncarnation, failing before.

--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -1,6 +1,7 @@
 #include "jobs/shard.h"
 
 #include "core/log.h"
+#include "jobs/runner_row.h"
 
 #include <algorithm>
 
@@ -391,8 +392,11 @@
                 entry->storedState = progress->state;
         break;
     case ShardChange::Kind::Runner:
-        if (auto found = m_runners.find(RunnerId(change.key)); found != m_runners.end())
-            found->second.isStored = true;
+        // The runner may have ended and be back as another incarnation, whose record is yet to be written.
+        if (auto found = m_runners.find(RunnerId(change.key)); found != m_runners.end()) {
+            auto row = decodeRunnerRow(change.key, change.value);
+            found->second.isStored |= row && row->incarnation == found->second.report().incarnation;
+        }
         break;
     case ShardChange::Kind::JobRemoval:
     case ShardChange::Kind::RunnerRemoval:
--- a/src/jobs/tests/restart_test.cpp
+++ b/src/jobs/tests/restart_test.cpp
@@ -219,4 +219,30 @@
     BOOST_TEST(changes[0].value == encodeRunnerRow(report("r1", 16'000, 2)));
 }
 
+// Guards against a runner that the next holder does not know: the record of an earlier incarnation was stored
+// after that one had ended, and counted as the record of the next one, which was then never written.
+BOOST_FIXTURE_TEST_CASE(ALateRecordDoesNotCountForALaterIncarnation, ShardFixture)
+{
+    addRunner("r1");
+    list(report("r1", 16'000, 2));
+    polls.clear();
+    advance();
+    answerPoll("r1", {}, {}, OrderOutcome::Accepted, 2);
+    auto inFlight = shard.takeChanges(now);
+    BOOST_REQUIRE_EQUAL(inFlight.size(), 1U);
+    shard.endRunner(RunnerId("r1"), true, now, "moved");
+    auto removal = shard.takeChanges(now);
+    BOOST_REQUIRE_EQUAL(removal.size(), 1U);
+    BOOST_REQUIRE(bool(removal[0].kind == ShardChange::Kind::RunnerRemoval));
+    list(report("r1", 16'000, 3));
+    shard.onStored(inFlight[0], now);
+    shard.onStored(removal[0], now);
+    polls.clear();
+    advance();
+    answerPoll("r1", {}, {}, OrderOutcome::Accepted, 3);
+    auto changes = shard.takeChanges(now);
+    BOOST_REQUIRE_EQUAL(changes.size(), 1U);
+    BOOST_TEST(changes[0].value == encodeRunnerRow(report("r1", 16'000, 3)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
