A wave does not count VMs as being emptied that are gone

VMs that were cordoned and then left the list counted as in progress for as long as the holder lasted. With as many of them as a wave empties at once, no busy VM was emptied any more. The count is now derived from the VMs that are still to be maintained.

Test: decisions/VmsLostWhileTheyAreEmptiedDoNotHoldUpTheWave, failing before.

--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/maintenance_plan.cpp
@@ -73,15 +73,19 @@
     auto neededEvacuations
         = std::ceil(double(evacuations) * cyclesToEvacuate * double(cycle.count()) / timeLeft);
     auto maxEvacuations = std::min(std::uint32_t(neededEvacuations), wave.allowance);
-    auto evacuationsInProgress = std::uint32_t(
-        std::count_if(candidates.begin(), candidates.end(), [&](const MaintenanceCandidate& each) {
-            return needsEvacuation(each) && wave.cordoned.contains(each.vm);
-        }));
+    auto countCordoned = [&](bool isEvacuation) {
+        return std::uint32_t(
+            std::count_if(candidates.begin(), candidates.end(), [&](const MaintenanceCandidate& each) {
+                return needsEvacuation(each) == isEvacuation && wave.cordoned.contains(each.vm);
+            }));
+    };
+    auto evacuationsInProgress = countCordoned(true);
     std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
         return std::tuple(!a.isUnused, !a.isEmpty, a.busyCpu, a.vm)
             < std::tuple(!b.isUnused, !b.isEmpty, b.busyCpu, b.vm);
     });
-    auto inProgress = downCount + std::uint32_t(wave.cordoned.size()) - evacuationsInProgress;
+    // VMs that were cordoned and are no longer candidates may be gone.
+    auto inProgress = downCount + countCordoned(false);
     for (const auto& candidate : candidates) {
         if (!candidate.isUp)
             continue;
--- a/src/jobs/tests/decisions_test.cpp
+++ b/src/jobs/tests/decisions_test.cpp
@@ -361,4 +361,22 @@
     }
 }
 
+// Guards against a wave that empties no further VM because some that were being emptied are no longer
+// listed: they count as in progress for as long as the holder lasts.
+BOOST_AUTO_TEST_CASE(VmsLostWhileTheyAreEmptiedDoNotHoldUpTheWave)
+{
+    WaveProgress wave;
+    wave.order = { 1, {}, 60s, 1 };
+    wave.allowance = 1;
+    TimePoint now { 1'000s };
+    wave.firstSeen = now;
+    wave.cordoned[VmId("gone1")] = now;
+    wave.cordoned[VmId("gone2")] = now;
+    std::vector<MaintenanceCandidate> candidates { { VmId("busy"), false, false, true, true, 1'000 } };
+    auto isEmptied = false;
+    for (auto elapsed = 0ms; elapsed < 60s; elapsed += 500ms)
+        isEmptied |= !planMaintenance(wave, candidates, waveTimes, now + elapsed).empty.empty();
+    BOOST_TEST(isEmptied);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
