A completed wave cordons no VM

A wave was completed while a VM that it emptied was missing from the list. Once the VM was back, it stayed cordoned for as long as the holder lasted, as nothing is planned for a completed wave.

Test: vm_controller/ARunnerThatIsBackAfterItsWaveIsUsable, failing before.

--- a/src/node/tests/fake_platform.cpp
+++ b/src/node/tests/fake_platform.cpp
@@ -61,6 +61,12 @@
     m_vms.at(vm).isDown = isDown;
 }
 
+void FakePlatform::setVmListed(const VmId& vm, bool isListed)
+{
+    std::lock_guard lock(m_mutex);
+    m_vms.at(vm).isListed = isListed;
+}
+
 void FakePlatform::setMaintained(const VmId& vm)
 {
     std::lock_guard lock(m_mutex);
@@ -138,6 +144,8 @@
 {
     auto list = Json::array();
     for (const auto& [id, vm] : m_vms) {
+        if (!vm.isListed)
+            continue;
         auto isInMaintenance = vm.downUntil > std::chrono::steady_clock::now();
         list.push_back(
             { { "machine", id.value() }, { "pool", vm.pool.value() }, { "id", vm.isDown ? "" : vm.runner },
--- a/src/node/tests/fake_platform.h
+++ b/src/node/tests/fake_platform.h
@@ -33,6 +33,7 @@
     void addVm(const VmId&, const PoolId&, std::string runner = {});
     // The VM is down, and the list shows no runner of it.
     void setVmDown(const VmId&, bool isDown);
+    void setVmListed(const VmId&, bool isListed);
     // The VM's maintenance was carried out earlier; further orders are accepted and do nothing.
     void setMaintained(const VmId&);
     // Orders for VMs are neither carried out nor answered any more.
@@ -51,6 +52,7 @@
         PoolId pool;
         std::string runner;
         bool isDown { false };
+        bool isListed { true };
         bool isMaintained { false };
         std::chrono::steady_clock::time_point downUntil;
     };
--- a/src/node/tests/vm_controller_test.cpp
+++ b/src/node/tests/vm_controller_test.cpp
@@ -229,4 +229,22 @@
     BOOST_TEST(pool.runUntil(3s, [&] { return !pool.isUnusable(emptied->first); }));
 }
 
+// Guards against a task that waits beside an idle VM: the VM was being emptied when the list did not show it,
+// so the wave was completed without it, and it was back later.
+BOOST_AUTO_TEST_CASE(ARunnerThatIsBackAfterItsWaveIsUsable)
+{
+    PoolOfVms pool(2);
+    pool.submit("busy", 2, capacityOfVm);
+    BOOST_REQUIRE(pool.runUntil(2s, [&] { return pool.started("busy") == 2; }));
+    auto runner = pool.runners().begin()->first;
+    auto vm = pool.runners().begin()->second.vm;
+    pool.addWave({ 1, { vm }, 2s, 2 });
+    BOOST_REQUIRE(pool.runUntil(5s, [&] { return pool.isUnusable(runner); }));
+    pool.fake().setVmListed(vm, false);
+    pool.runUntil(1'500ms, [] { return false; });
+    pool.fake().setVmListed(vm, true);
+    pool.runUntil(1'500ms, [] { return false; });
+    BOOST_TEST(!pool.isUnusable(runner));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/vm_controller.cpp
+++ b/src/node/vm_controller.cpp
@@ -314,6 +314,7 @@
     if (wave.isCompleted || !jobs::areAllVmsBack(wave, m_list))
         return;
     wave.isCompleted = true;
+    wave.cordoned.clear();
     record(wave, {});
 }
 
