Tests that fail: tasks that are to be isolated wait beside free runners

No change of the code. A task with two records of crashes starts where no run is younger than 5 s. On a pool of one usable runner that is an eighth in use it does not start within 60 s; nor does it in a pool of eight, if only one runner has its label and the ones set apart lack it. Twelve long-running tasks take 10.1 s to start on four idle runners, which start four each 5 s.

Fail: crash/AnIsolatedTaskDoesNotWaitForAPauseInTheLoad, crash/ARunnerIsSetApart- OnWhichTheIsolatedTaskFits, crash/IsolatedTasksDoNotWaitInAnIdlePool.

--- a/src/jobs/tests/crash_test.cpp
+++ b/src/jobs/tests/crash_test.cpp
@@ -487,4 +487,76 @@
     }
 }
 
+// Guards against tasks that wait beside room for many times their size: each that is to be isolated takes a
+// runner for as long as it may cause a crash.
+BOOST_AUTO_TEST_CASE(IsolatedTasksDoNotWaitInAnIdlePool)
+{
+    constexpr int runners = 4;
+    constexpr int jobs = 12;
+    CrashingPool pool(runners);
+    JobProgress progress;
+    progress.steps.push_back({ 0, 0, { false }, { {} }, { { { 1, false }, { 2, false } } } });
+    for (int i = 0; i < jobs; ++i) {
+        auto job = ShardFixture::job("lasting" + std::to_string(i), 1);
+        job.steps[0].isLongRunning = true;
+        pool.shard.restoreJob(job, progress, pool.now);
+    }
+    auto running = [&] {
+        std::size_t count = 0;
+        for (const auto& [id, runner] : pool.shard.runners())
+            count += runner.runs().size();
+        return count;
+    };
+    auto begin = pool.now;
+    while (running() < std::size_t(jobs) && pool.now < begin + 60s)
+        pool.play(100ms);
+    // Six seconds after its last run, a task that lasts is to run within three.
+    BOOST_TEST(std::chrono::duration_cast<std::chrono::milliseconds>(pool.now - begin).count() <= 9'000);
+}
+
+// As above: the only usable runner has room for eight times its load, and always a young run.
+BOOST_AUTO_TEST_CASE(AnIsolatedTaskDoesNotWaitForAPauseInTheLoad)
+{
+    CrashingPool pool(1);
+    pool.taskTime = 500ms;
+    JobProgress progress;
+    progress.steps.push_back({ 0, 0, { false }, { {} }, { { { 1, false }, { 2, false } } } });
+    pool.submit(ShardFixture::job("load", 1));
+    pool.play(100ms);
+    pool.shard.restoreJob(ShardFixture::job("crashed", 1), progress, pool.now);
+    auto begin = pool.now;
+    for (int i = 0; stateOf(pool, "crashed") != JobState::Completed && pool.now < begin + 60s; ++i) {
+        BOOST_REQUIRE(
+            bool(pool.submit(ShardFixture::job("load" + std::to_string(i), 1)) == SubmitVerdict::New));
+        pool.play(250ms);
+    }
+    BOOST_TEST(std::chrono::duration_cast<std::chrono::milliseconds>(pool.now - begin).count() <= 10'000);
+}
+
+// As above, in a larger pool: the only runner with the task's label is in use, and others are set apart.
+BOOST_AUTO_TEST_CASE(ARunnerIsSetApartOnWhichTheIsolatedTaskFits)
+{
+    CrashingPool pool(8);
+    pool.taskTime = 500ms;
+    auto report = ShardFixture::report("r7");
+    report.labels.emplace_back("fast");
+    pool.list(report);
+    auto labelled = [](const std::string& id) {
+        auto job = ShardFixture::job(id, 1);
+        job.steps[0].requiredLabel = "fast";
+        return job;
+    };
+    JobProgress progress;
+    progress.steps.push_back({ 0, 0, { false }, { {} }, { { { 1, false }, { 2, false } } } });
+    pool.submit(labelled("load"));
+    pool.play(100ms);
+    pool.shard.restoreJob(labelled("crashed"), progress, pool.now);
+    auto begin = pool.now;
+    for (int i = 0; stateOf(pool, "crashed") != JobState::Completed && pool.now < begin + 60s; ++i) {
+        pool.submit(labelled("load" + std::to_string(i)));
+        pool.play(250ms);
+    }
+    BOOST_TEST(std::chrono::duration_cast<std::chrono::milliseconds>(pool.now - begin).count() <= 10'000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
