Tests that fail: stalled jobs on VMs that are being emptied

No change of the code. A stalled job starts up to 4 s after it could have, as jobs are checked once a second, while the platform allows 3 s. And it places all 16 of its tasks on the VM, of which one would end the stall.

Fail: stalled_jobs/AStalledJobStartsOnAnEmptyingVmWithinThreeSeconds, stalled_jobs/ AStalledJobUsesNoMoreOfAnEmptyingVmThanItNeeds.

--- a/src/jobs/tests/stalled_jobs_test.cpp
+++ b/src/jobs/tests/stalled_jobs_test.cpp
@@ -130,4 +130,40 @@
     BOOST_TEST(started.size() == 1U);
 }
 
+// One task at work ends the stall; more of them keep the VM from its move or maintenance, and under overload,
+// when all jobs are stalled, a wave would end no sooner than the overload.
+BOOST_AUTO_TEST_CASE(AStalledJobUsesNoMoreOfAnEmptyingVmThanItNeeds)
+{
+    ShardFixture f;
+    f.addRunner("a");
+    f.submit(ShardFixture::job("j", 16));
+    f.shard.setCordons({ { RunnerId("a"), Cordon::Emptying } });
+    std::size_t starts = 0;
+    for (auto until = f.now + 5s; f.now < until;) {
+        f.advance(100ms);
+        starts += f.starts.size();
+        for (const auto& start : f.starts)
+            f.answerStart(start);
+    }
+    BOOST_TEST(starts == 1U);
+}
+
+// The platform allows a wait of 3 s beside room.
+BOOST_AUTO_TEST_CASE(AStalledJobStartsOnAnEmptyingVmWithinThreeSeconds)
+{
+    Duration longest {};
+    for (auto submittedAt = 0ms; submittedAt < 1s; submittedAt += 100ms) {
+        ShardFixture f;
+        f.addRunner("a");
+        f.advance(submittedAt);
+        BOOST_REQUIRE(bool(f.submit(ShardFixture::job("j", 1)) == SubmitVerdict::New));
+        f.shard.setCordons({ { RunnerId("a"), Cordon::Emptying } });
+        auto since = f.now;
+        for (f.starts.clear(); f.starts.empty() && f.now < since + 10s;)
+            f.advance(50ms);
+        longest = std::max(longest, f.now - since);
+    }
+    BOOST_TEST(std::chrono::duration_cast<Millis>(longest).count() <= 3'000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
