Test that fails: a runner that keeps restarting holds up recovered jobs

No change of the code. One recorded runner that starts again each 5 s and answers no poll keeps every recovered job of its pool from starting, beside a free runner.

Fails: restart/ARunnerThatKeepsRestartingDoesNotHoldUpRecoveredJobs.

--- a/src/jobs/tests/restart_test.cpp
+++ b/src/jobs/tests/restart_test.cpp
@@ -245,4 +245,25 @@
     BOOST_TEST(changes[0].value == encodeRunnerRow(report("r1", 16'000, 3)));
 }
 
+// Guards against recovered jobs that wait for as long as one runner of their pool keeps starting again.
+BOOST_FIXTURE_TEST_CASE(ARunnerThatKeepsRestartingDoesNotHoldUpRecoveredJobs, ShardFixture)
+{
+    shard.restoreJob(job("j1", 1), {}, now);
+    shard.restoreRunner(report("mute"), now);
+    list(report("mute"));
+    addRunner("good");
+    auto begin = now;
+    auto hasStarted = false;
+    for (std::int64_t incarnation = 2; !hasStarted && now < begin + 60s; ++incarnation) {
+        list(report("mute", 16'000, incarnation));
+        std::erase_if(polls, [](const auto& poll) { return poll.runner.id == RunnerId("mute"); });
+        for (auto until = now + 5s; !hasStarted && now < until;) {
+            advance(100ms);
+            hasStarted = !starts.empty();
+            answerPoll("mute", {}, {}, OrderOutcome::Unknown, 0);
+        }
+    }
+    BOOST_TEST(hasStarted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
