Test that fails: a waiting gang demands too few VMs

No change of the code. A gang of 64 tasks with a processor each waits in a pool of 32 processors. After 20 s the pool's demand is 1.12 VMs of 16 processors, as the gang's work is spread over the time to work off a backlog, so no VM is added.

Fails: shard/AWaitingGangDemandsRoomForAllItsMembers.

--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -688,4 +688,24 @@
     BOOST_TEST(bool(stops[0].order.task == first.order.task));
 }
 
+// Guards against a gang that waits for ever in a pool that is too small for it: its members need their
+// processors at the same time, and not one after another within the time to work off a backlog.
+BOOST_FIXTURE_TEST_CASE(AWaitingGangDemandsRoomForAllItsMembers, ShardFixture)
+{
+    addRunner("a");
+    addRunner("b");
+    auto gang = job("gang", 64);
+    gang.steps[0].isGang = true;
+    gang.policy.latencyAllowance = 60s;
+    BOOST_REQUIRE(bool(submit(gang) == SubmitVerdict::New));
+    for (auto until = now + 20s; now < until;) {
+        advance(100ms);
+        BOOST_REQUIRE(starts.empty());
+        answerPoll("a", {}, {});
+        answerPoll("b", {}, {});
+    }
+    auto demand = shard.demandOf(pool, now, wall());
+    BOOST_TEST(std::max(double(demand.minVms), demand.cpu / 16'000) >= 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
