--- a/src/jobs/tests/restart_test.cpp
+++ b/src/jobs/tests/restart_test.cpp
@@ -219,4 +219,51 @@
     BOOST_TEST(changes[0].value == encodeRunnerRow(report("r1", 16'000, 2)));
 }
 
+// Guards against a runner that the next holder does not know: the record of an earlier incarnation was stored
+// after that one had ended, and counted as the record of the next one, which was then never written.
+BOOST_FIXTURE_TEST_CASE(ALateRecordDoesNotCountForALaterIncarnation, ShardFixture)
+{
+    addRunner("r1");
+    list(report("r1", 16'000, 2));
+    polls.clear();
+    advance();
+    answerPoll("r1", {}, {}, OrderOutcome::Accepted, 2);
+    auto inFlight = shard.takeChanges(now);
+    BOOST_REQUIRE_EQUAL(inFlight.size(), 1U);
+    shard.endRunner(RunnerId("r1"), true, now, "moved");
+    auto removal = shard.takeChanges(now);
+    BOOST_REQUIRE_EQUAL(removal.size(), 1U);
+    BOOST_REQUIRE(bool(removal[0].kind == ShardChange::Kind::RunnerRemoval));
+    list(report("r1", 16'000, 3));
+    shard.onStored(inFlight[0], now);
+    shard.onStored(removal[0], now);
+    polls.clear();
+    advance();
+    answerPoll("r1", {}, {}, OrderOutcome::Accepted, 3);
+    auto changes = shard.takeChanges(now);
+    BOOST_REQUIRE_EQUAL(changes.size(), 1U);
+    BOOST_TEST(changes[0].value == encodeRunnerRow(report("r1", 16'000, 3)));
+}
+
+// Guards against recovered jobs that wait for as long as one runner of their pool keeps starting again.
+BOOST_FIXTURE_TEST_CASE(ARunnerThatKeepsRestartingDoesNotHoldUpRecoveredJobs, ShardFixture)
+{
+    shard.restoreJob(job("j1", 1), {}, now);
+    shard.restoreRunner(report("mute"), now);
+    list(report("mute"));
+    addRunner("good");
+    auto begin = now;
+    auto hasStarted = false;
+    for (std::int64_t incarnation = 2; !hasStarted && now < begin + 60s; ++incarnation) {
+        list(report("mute", 16'000, incarnation));
+        std::erase_if(polls, [](const auto& poll) { return poll.runner.id == RunnerId("mute"); });
+        for (auto until = now + 5s; !hasStarted && now < until;) {
+            advance(100ms);
+            hasStarted = !starts.empty();
+            answerPoll("mute", {}, {}, OrderOutcome::Unknown, 0);
+        }
+    }
+    BOOST_TEST(hasStarted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/tests/stalled_jobs_test.cpp
+++ b/src/jobs/tests/stalled_jobs_test.cpp
@@ -109,4 +109,61 @@
     }
 }
 
+// Guards against a run that is to tell which task crashes runners, and that another task joins: the next
+// crash then has two suspects.
+BOOST_AUTO_TEST_CASE(AStalledJobKeepsAwayFromAnIsolatedRun)
+{
+    ShardFixture f;
+    f.addRunner("a");
+    JobProgress progress;
+    progress.steps.push_back({ 0, 0, { false }, { {} }, { { { 1, true }, { 2, true } } } });
+    f.shard.restoreJob(ShardFixture::job("crashed", 1), progress, f.now);
+    f.submit(ShardFixture::job("other", 1));
+    f.shard.setCordons({ { RunnerId("a"), Cordon::Emptying } });
+    std::vector<OutgoingStart> started;
+    for (auto until = f.now + 6s; f.now < until;) {
+        f.advance(100ms);
+        started.insert(started.end(), f.starts.begin(), f.starts.end());
+    }
+    BOOST_REQUIRE(!started.empty());
+    BOOST_TEST(started.front().order.task.job == JobId("crashed"));
+    BOOST_TEST(started.size() == 1U);
+}
+
+// One task at work ends the stall; more of them keep the VM from its move or maintenance, and under overload,
+// when all jobs are stalled, a wave would end no sooner than the overload.
+BOOST_AUTO_TEST_CASE(AStalledJobUsesNoMoreOfAnEmptyingVmThanItNeeds)
+{
+    ShardFixture f;
+    f.addRunner("a");
+    f.submit(ShardFixture::job("j", 16));
+    f.shard.setCordons({ { RunnerId("a"), Cordon::Emptying } });
+    std::size_t starts = 0;
+    for (auto until = f.now + 5s; f.now < until;) {
+        f.advance(100ms);
+        starts += f.starts.size();
+        for (const auto& start : f.starts)
+            f.answerStart(start);
+    }
+    BOOST_TEST(starts == 1U);
+}
+
+// The platform allows a wait of 3 s beside room.
+BOOST_AUTO_TEST_CASE(AStalledJobStartsOnAnEmptyingVmWithinThreeSeconds)
+{
+    Duration longest {};
+    for (auto submittedAt = 0ms; submittedAt < 1s; submittedAt += 100ms) {
+        ShardFixture f;
+        f.addRunner("a");
+        f.advance(submittedAt);
+        BOOST_REQUIRE(bool(f.submit(ShardFixture::job("j", 1)) == SubmitVerdict::New));
+        f.shard.setCordons({ { RunnerId("a"), Cordon::Emptying } });
+        auto since = f.now;
+        for (f.starts.clear(); f.starts.empty() && f.now < since + 10s;)
+            f.advance(50ms);
+        longest = std::max(longest, f.now - since);
+    }
+    BOOST_TEST(std::chrono::duration_cast<Millis>(longest).count() <= 3'000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/vm_controller.cpp
+++ b/src/node/vm_controller.cpp
@@ -315,6 +315,7 @@
     if (wave.isCompleted || m_listRequestedAt <= wave.firstSeen || !jobs::areAllVmsBack(wave, m_list))
         return;
     wave.isCompleted = true;
+    wave.cordoned.clear();
     record(wave, {});
 }
 
