Bound the progress row of a job

Callers saw that a shard accepted nothing any more and that its jobs were shown as running for good: the row of one timed job had outgrown the store's limit, and the store refused every write of the shard.

Cause: every occurrence and step that had begun stayed in the row, with 16 bytes at least, and the attempts of all failures and crashes.

Change: the row has the number of occurrences that have ended and only the progress of those after it. If it exceeds the limit with the attempts of failures and crashes, it has one number for each task instead (6 bits at three failures), and one attempt up to which all may have been counted. An occurrence is due only while few enough before it are in progress for the row to fit. Rows of the present format are still read; a job whose row is in the old format's range is written as before.

A job that does not fit is not refused yet.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -151,6 +151,11 @@
 // The part of a job's progress that is stored.
 struct JobProgress {
     JobState state { JobState::Queued };
+    // The occurrences before this one have ended; `steps` has none of them.
+    std::uint32_t endedOccurrences { 0 };
+    // A row without room for attempts has only their number by task: each is then 0 in `failures` and
+    // `crashes`, and was at most this one.
+    std::uint64_t countedUpTo { 0 };
     // Done tasks and failed runs of one step of one occurrence.
     struct StepProgress {
         std::uint32_t occurrence { 0 };
@@ -170,7 +175,19 @@
 // Empty if the text is not a complete job.
 [[nodiscard]] std::optional<Job> decodeJob(std::string_view);
 
+// Row size of the store where the settings name none.
+inline constexpr std::size_t defaultMaxRowBytes { 65'536 };
+
+// Whether every row of the job fits in the store, whatever becomes of its tasks.
+[[nodiscard]] bool fitsInRows(const Job&, std::size_t maxRowBytes);
+// Occurrences of the job, from the first that has not ended, that may be in progress without exceeding the
+// size of the progress row; at least 1.
+[[nodiscard]] std::uint32_t maxOpenOccurrences(const Job&, std::size_t maxRowBytes);
+
 [[nodiscard]] std::string encodeProgress(const JobProgress&);
+// Leaves out the attempts if the row exceeds the limit otherwise, and the crashes of a job whose tasks are
+// too many for them.
+[[nodiscard]] std::string encodeProgress(const JobProgress&, const Job&, std::size_t maxRowBytes);
 [[nodiscard]] std::optional<JobProgress> decodeProgress(std::string_view);
 
 } // namespace fulmar::jobs
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -17,6 +17,29 @@
     entry.isDirty = true;
 }
 
+void skipEnded(JobEntry& entry)
+{
+    auto isEnded = [&](std::uint32_t occurrence) {
+        for (std::uint32_t step = 0; step < entry.job.steps.size(); ++step)
+            if (!entry.stepOccurrence(occurrence, step).isDone())
+                return false;
+        return true;
+    };
+    while (entry.endedOccurrences * entry.job.steps.size() < entry.stepOccurrences.size()
+        && isEnded(entry.endedOccurrences))
+        ++entry.endedOccurrences;
+}
+
+// Whether the attempt, or one of those that are known by their number alone, was counted before.
+template <typename Entries, typename AttemptOf>
+bool isCounted(const JobEntry& entry, const Entries& entries, Attempt attempt, AttemptOf attemptOf)
+{
+    return std::any_of(entries.begin(), entries.end(), [&](const auto& each) {
+        auto known = attemptOf(each);
+        return known == attempt || (known == 0 && attempt <= entry.countedUpTo);
+    });
+}
+
 void markDone(JobEntry& entry, StepOccurrence& stepOccurrence, Task& task, TimePoint now)
 {
     if (task.state == TaskState::Done)
@@ -26,8 +49,8 @@
     task.state = TaskState::Done;
     ++stepOccurrence.doneCount;
     entry.isDirty = true;
-    auto isComplete = std::all_of(entry.stepOccurrences.begin(), entry.stepOccurrences.end(),
-        [](const StepOccurrence& each) { return each.isDone(); });
+    skipEnded(entry);
+    auto isComplete = entry.endedOccurrences * entry.job.steps.size() == entry.stepOccurrences.size();
     if (isComplete && !entry.isOver())
         finish(entry, JobState::Completed, now);
 }
@@ -54,6 +77,8 @@
 
 bool JobEntry::isDue(const StepOccurrence& stepOccurrence, WallTime now) const
 {
+    if (stepOccurrence.occurrence >= std::uint64_t(endedOccurrences) + maxOpen)
+        return false;
     return !job.isScheduled()
         || now.time_since_epoch() >= job.firstStart + job.interval * stepOccurrence.occurrence;
 }
@@ -93,8 +118,14 @@
 
 JobProgress JobEntry::progress() const
 {
-    JobProgress progress { state, {} };
-    for (const auto& stepOccurrence : stepOccurrences) {
+    JobProgress progress { state, 0, 0, {} };
+    // A job that is over needs nothing else.
+    if (isOver())
+        return progress;
+    progress.endedOccurrences = endedOccurrences;
+    progress.countedUpTo = countedUpTo;
+    for (auto at = endedOccurrences * job.steps.size(); at < stepOccurrences.size(); ++at) {
+        const auto& stepOccurrence = stepOccurrences[at];
         JobProgress::StepProgress step { stepOccurrence.occurrence, stepOccurrence.step, {}, {}, {} };
         auto isTouched = false;
         for (const auto& task : stepOccurrence.tasks) {
@@ -115,6 +146,7 @@
     JobEntry entry;
     entry.arrived = now;
     entry.deadline = now + job.objective();
+    entry.maxOpen = maxOpenOccurrences(job, m_maxRowBytes);
     for (std::uint32_t occurrence = 0; occurrence < std::max(1U, job.occurrences); ++occurrence) {
         for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
             StepOccurrence stepOccurrence;
@@ -138,6 +170,14 @@
     entry.storedState = progress.state;
     if (entry.isOver())
         entry.ended = now;
+    entry.countedUpTo = progress.countedUpTo;
+    auto ended = std::min(progress.endedOccurrences * entry.job.steps.size(), entry.stepOccurrences.size());
+    for (std::size_t at = 0; at < ended; ++at) {
+        auto& stepOccurrence = entry.stepOccurrences[at];
+        for (auto& task : stepOccurrence.tasks)
+            task.state = TaskState::Done;
+        stepOccurrence.doneCount = std::uint32_t(stepOccurrence.tasks.size());
+    }
     for (const auto& step : progress.steps) {
         for (std::uint32_t index = 0; index < step.done.size(); ++index) {
             auto* task = entry.find({ entry.job.id, step.occurrence, step.step, index });
@@ -149,12 +189,13 @@
             task->isCrashSuspect = std::any_of(task->crashes.begin(), task->crashes.end(),
                 [](const CrashRecord& crash) { return crash.wasSuspect; });
             entry.hasCrashRecords |= !task->crashes.empty();
-            if (step.done[index]) {
+            if (step.done[index] && task->state != TaskState::Done) {
                 task->state = TaskState::Done;
                 ++entry.stepOccurrence(step.occurrence, step.step).doneCount;
             }
         }
     }
+    skipEnded(entry);
     return entry;
 }
 
@@ -196,8 +237,7 @@
     if (!task)
         return;
     task->notBefore = now + pauseAfterFailure;
-    auto isKnown = std::find(task->failedAttempts.begin(), task->failedAttempts.end(), attempt)
-        != task->failedAttempts.end();
+    auto isKnown = isCounted(entry, task->failedAttempts, attempt, [](Attempt known) { return known; });
     if (entry.job.steps[name.step].isLongRunning || isKnown)
         return;
     task->failedAttempts.push_back(attempt);
@@ -212,9 +252,7 @@
     if (!task || task->state == TaskState::Done || entry.isOver())
         return;
     auto& crashes = task->crashes;
-    auto isCounted = std::any_of(crashes.begin(), crashes.end(),
-        [&](const CrashRecord& crash) { return crash.attempt == run.attempt; });
-    if (isCounted)
+    if (isCounted(entry, crashes, run.attempt, [](const CrashRecord& crash) { return crash.attempt; }))
         return;
     crashes.push_back({ run.attempt, run.isSuspect });
     entry.hasCrashRecords = true;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -66,6 +66,12 @@
     // State that the store holds; callers are shown this one.
     JobState storedState { JobState::Queued };
     std::vector<StepOccurrence> stepOccurrences;
+    // The occurrences before this one have ended.
+    std::uint32_t endedOccurrences { 0 };
+    // Occurrences from that one on that may be in progress; bounds the progress row.
+    std::uint32_t maxOpen { 1 };
+    // See JobProgress.
+    Attempt countedUpTo { 0 };
 
     [[nodiscard]] bool isOver() const { return state >= JobState::Completed; }
     [[nodiscard]] StepOccurrence& stepOccurrence(std::uint32_t occurrence, std::uint32_t step)
@@ -73,6 +79,7 @@
         return stepOccurrences[occurrence * job.steps.size() + step];
     }
     [[nodiscard]] Task* find(const TaskName&);
+    // Its time has come, and few enough occurrences before it are in progress.
     [[nodiscard]] bool isDue(const StepOccurrence&, WallTime) const;
     // All steps that this one depends on are done, and the occurrence is due.
     [[nodiscard]] bool isStartable(const StepOccurrence&, WallTime) const;
@@ -86,6 +93,11 @@
 // All jobs of a shard with their progress.
 class JobTable {
 public:
+    explicit JobTable(std::size_t maxRowBytes = defaultMaxRowBytes)
+        : m_maxRowBytes(maxRowBytes)
+    {
+    }
+
     JobEntry& add(Job, TimePoint now);
     JobEntry& restore(Job, const JobProgress&, TimePoint now);
     [[nodiscard]] JobEntry* find(const JobId&);
@@ -94,6 +106,7 @@
     [[nodiscard]] const std::unordered_map<JobId, JobEntry>& all() const { return m_jobs; }
 
 private:
+    const std::size_t m_maxRowBytes;
     std::unordered_map<JobId, JobEntry> m_jobs;
 };
 
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -25,6 +25,7 @@
     , m_lastFenceOfEpoch((epoch + 1) * fencesPerEpoch - 1)
     , m_lastFence(epoch * fencesPerEpoch)
     , m_attemptBase((epoch - 1) * attemptsPerEpoch)
+    , m_jobTable(settings.maxRowBytes)
 {
 }
 
@@ -366,7 +367,8 @@
         auto& [id, entry] = *each;
         if (entry.isDirty && entry.isStored) {
             entry.isDirty = false;
-            changes.push_back({ ShardChange::Kind::Progress, id.value(), encodeProgress(entry.progress()) });
+            changes.push_back({ ShardChange::Kind::Progress, id.value(),
+                encodeProgress(entry.progress(), entry.job, m_settings.maxRowBytes) });
         }
         if (entry.isOver() && now > entry.ended + m_settings.keepFinished) {
             changes.push_back({ ShardChange::Kind::JobRemoval, id.value(), {} });
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -13,7 +13,7 @@
 
 namespace fulmar::jobs {
 
-// Times taken from the platform's settings.
+// Times and limits taken from the platform's settings.
 struct ShardSettings {
     // Longest lease that a runner grants.
     Millis maxLease { 6'000 };
@@ -21,6 +21,7 @@
     Millis maxPollWait { 1'000 };
     // How long finished jobs can be queried.
     Millis keepFinished { 150'000 };
+    std::size_t maxRowBytes { defaultMaxRowBytes };
 };
 
 enum class SubmitVerdict : std::uint8_t {
