Refuse a job that may outgrow its rows

Callers saw that a job was accepted whose row the store could not take once its tasks had run.

Cause: nothing compared a job with the size of the store's rows.

Test: node/AJobThatMayOutgrowItsRowsIsRefusedAtOnce, 64 steps of 10,000 tasks; 200 before, 400 now.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -430,6 +430,7 @@
     jobs::ShardSettings settings;
     settings.maxLease = m_settings.maxRunnerLease;
     settings.keepFinished = m_settings.keepFinished + finishedMargin;
+    settings.maxRowBytes = m_settings.maxRowBytes;
     ShardOwner::Hooks hooks;
     hooks.mayOrder = [this, &slot] { return slot.lease.isValid(m_clock.now()) && !slot.isReleasing; };
     hooks.mayOrderVms = [mayOrder = hooks.mayOrder, &slot] { return mayOrder() && !slot.handOverAt; };
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -288,6 +288,10 @@
         job->id = call.job;
         job->queue = queue->name;
         job->policy = queue->policy;
+        if (!jobs::fitsInRows(*job, m_settings.maxRowBytes)) {
+            refuse(id, request, makeJsonAnswer(400, R"({"reason":"job-too-large"})"), "job-too-large");
+            return;
+        }
         call.encodedJob = jobs::encodeJob(*job);
         auto shard = shardFor(*job);
         if (!shard) {
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -27,6 +27,8 @@
     settings.metricsAddress = reader.takeAddress("listen", "metrics");
     settings.storeAddress = reader.takeAddress("platform", "store");
     settings.vmsAddress = reader.takeAddress("platform", "vms", "");
+    settings.maxRowBytes = std::size_t(reader.takeInteger(
+        "platform", "max_row_bytes", 1'024, 1 << 24, std::int64_t(jobs::defaultMaxRowBytes)));
     settings.configApplyTime = std::chrono::ceil<std::chrono::milliseconds>(
         reader.takeDuration("platform", "config_apply_time", minNewsAge, 1h, 2s));
     settings.maxRunnerLease = takeMillis(reader, "runners", "max_lease", 6s);
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/settings.h"
 #include "core/types.h"
+#include "jobs/job.h"
 
 namespace fulmar::node {
 
@@ -26,6 +27,8 @@
     // How long a move and a maintenance make a VM unavailable.
     std::chrono::milliseconds moveTime { 0 };
     std::chrono::milliseconds maintenanceTime { 0 };
+    // Most bytes of a row's value in the store.
+    std::size_t maxRowBytes { jobs::defaultMaxRowBytes };
     // How long finished jobs can be queried.
     std::chrono::milliseconds keepFinished { 0 };
     // Limit of open files and sockets.
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -44,11 +44,11 @@
         settings.maxDescriptors = 1'024;
     }
 
-    platform::HttpCall submit(const std::string& id) const
+    platform::HttpCall submit(const std::string& id, std::string body = submission) const
     {
         return { settings.callerAddress, "POST", "/plans/" + id,
             { { "Host", "office.example" }, { std::string(platform::callTimeoutHeader), "10000" } },
-            submission, 10s };
+            std::move(body), 10s };
     }
 
     platform::HttpResult call(platform::HttpCall request)
@@ -91,4 +91,26 @@
     BOOST_TEST(hasRun);
 }
 
+// Guards against a job whose progress outgrows its row once it runs.
+BOOST_FIXTURE_TEST_CASE(AJobThatMayOutgrowItsRowsIsRefusedAtOnce, NodeFixture)
+{
+    Node node(settings, 1, [] { return std::nullopt; });
+    std::thread process([&] { BOOST_TEST(node.run().has_value()); });
+    auto isAccepted = false;
+    for (int tries = 0; tries < 100 && !isAccepted; ++tries) {
+        isAccepted = call(submit(fmt::format("{:016x}", tries))).status == 200;
+        std::this_thread::sleep_for(isAccepted ? 0ms : 100ms);
+    }
+    BOOST_TEST(isAccepted);
+    std::string body = R"({"spec":"s","steps":[)";
+    for (int step = 0; step < 64; ++step)
+        body += std::string(step > 0 ? "," : "") + R"({"count":10000,"cpu":1,"mem-mb":1,"estimate-ms":9})";
+    auto answer = call(submit(
+        "000000000000ffff", body + R"(],"max-runs":1,"first-run-ms":4102444800000,"interval-ms":1000})"));
+    BOOST_TEST(answer.status == 400);
+    BOOST_TEST(answer.body.find("job-too-large") != std::string::npos);
+    ::kill(::getpid(), SIGTERM);
+    process.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
