A row that the store refuses holds up no other

Callers saw that nothing of a shard was stored any more: the store refused one row, and with it every transaction, the renewal of the lease among them.

Cause: an answer of 400 counted as not done, and the same rows were sent again for ever.

Change: after a refusal (400 or 413) the rows are sent alone. One that is refused alone is set aside, and given up once the store has taken another row: row-refused in the log, fulmar_store_refused_rows_total, and callers that wait for it are answered. While the store refuses everything, nothing is given up. A later value of the row is sent only if it is smaller.

--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -138,6 +138,12 @@
     stopRunsOf(id);
 }
 
+void Shard::forgetUnstored(const JobId& id)
+{
+    if (auto* entry = m_jobTable.find(id); entry && !entry->isStored)
+        m_jobTable.remove(id);
+}
+
 std::uint64_t Shard::pending(const std::string& queue) const
 {
     return std::uint64_t(
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -89,6 +89,8 @@
     // rejected without submit().
     void recordDemand(Job, TimePoint now);
     void cancel(const JobId&, TimePoint now);
+    // The job's row cannot be stored.
+    void forgetUnstored(const JobId&);
     [[nodiscard]] JobEntry* find(const JobId& id) { return m_jobTable.find(id); }
     // Stored jobs of the queue of which no task has started.
     [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -42,6 +42,10 @@
                                                            .Help(
                                                                "Transactions of the shards' logs by outcome")
                                                            .Register(registry) };
+    prometheus::Family<prometheus::Counter>& refusedRows { prometheus::BuildCounter()
+                                                               .Name("fulmar_store_refused_rows_total")
+                                                               .Help("Rows that the store refuses, by table")
+                                                               .Register(registry) };
     prometheus::Family<prometheus::Gauge>& gauges {
         prometheus::BuildGauge().Name("fulmar_node").Help("State of this node").Register(registry)
     };
@@ -76,6 +80,11 @@
     m_families->commits.Add({ { "outcome", outcome } }).Increment();
 }
 
+void NodeMetrics::countRefusedRow(const std::string& table)
+{
+    m_families->refusedRows.Add({ { "table", table } }).Increment();
+}
+
 void NodeMetrics::setShardsHeld(std::size_t shards)
 {
     m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -24,6 +24,8 @@
     void countOrder(const std::string& order, const std::string& outcome);
     // Counts a transaction of a shard's row log by outcome.
     void countCommit(const std::string& outcome);
+    // Counts a row that the store refuses while it stores others, by table.
+    void countRefusedRow(const std::string& table);
     void setShardsHeld(std::size_t);
     // `age`: time since the store last confirmed that it has no newer version.
     void setConfig(std::int64_t version, std::chrono::milliseconds age);
--- a/src/node/row_log.cpp
+++ b/src/node/row_log.cpp
@@ -33,6 +33,14 @@
 
 void RowLog::put(const platform::RowName& name, std::optional<std::string> value, OnDurable durable)
 {
+    if (auto refused = m_refusedSizes.find(name); refused != m_refusedSizes.end()) {
+        if (value && value->size() >= refused->second) {
+            if (m_hooks.onRefused)
+                m_hooks.onRefused(name);
+            return;
+        }
+        m_refusedSizes.erase(refused);
+    }
     m_queue.put(name, std::move(value), std::move(durable), false);
     send();
 }
@@ -56,7 +64,10 @@
         return;
     platform::RowTransaction transaction;
     transaction.conditions.push_back(m_lease);
-    for (const auto& [name, entry] : m_queue.take(maxRowsPerTransaction, maxBytesPerTransaction)) {
+    auto maxRows = m_rowsToSendAlone > 0 ? 1 : maxRowsPerTransaction;
+    if (m_rowsToSendAlone > 0)
+        --m_rowsToSendAlone;
+    for (const auto& [name, entry] : m_queue.take(maxRows, maxBytesPerTransaction)) {
         auto version = m_versions.find(name);
         auto exists = version != m_versions.end() && version->second > 0;
         if ((entry.value || exists) && name != m_lease.name)
@@ -98,6 +109,7 @@
                 m_versions[name] = result.version;
             else
                 m_versions.erase(name);
+        giveUpRefused();
         auto isAlive = m_isAlive;
         for (auto& durable : m_queue.commit())
             if (*isAlive)
@@ -119,10 +131,46 @@
         send();
         return;
     }
+    if (result.outcome == platform::CommitOutcome::Refused) {
+        onRefused();
+        return;
+    }
     m_queue.requeue();
     retryLater();
 }
 
+void RowLog::onRefused()
+{
+    auto rows = m_queue.batch().size();
+    if (rows > 1) {
+        m_rowsToSendAlone = rows;
+        m_queue.requeue();
+        send();
+        return;
+    }
+    // Without these the shard is lost anyway.
+    if (m_queue.batch().begin()->first.table == m_lease.name.table) {
+        m_queue.requeue();
+        retryLater();
+        return;
+    }
+    m_queue.setAside();
+    send();
+}
+
+void RowLog::giveUpRefused()
+{
+    for (const auto& [name, entry] : m_queue.dropAside()) {
+        auto size = entry.value ? entry.value->size() : 0;
+        m_refusedSizes[name] = size;
+        logWarning("row-refused",
+            { { "table", name.table }, { "part", name.part }, { "key", name.key },
+                { "bytes", std::to_string(size) } });
+        if (m_hooks.onRefused)
+            m_hooks.onRefused(name);
+    }
+}
+
 void RowLog::whenDurable(OnDurable durable) { m_queue.whenDurable(std::move(durable)); }
 
 void RowLog::release(std::string leaseRow, OnDurable released)
--- a/src/node/row_log.h
+++ b/src/node/row_log.h
@@ -19,6 +19,9 @@
         // The lease row has changed: another process holds the shard, and no more writes can succeed.
         std::function<void()> onLost;
         std::function<void(platform::CommitOutcome)> onCommit;
+        // The store refuses this row while it stores others. Its value is given up, and its callbacks are
+        // dropped. May be empty.
+        std::function<void(const platform::RowName&)> onRefused;
     };
 
     RowLog(asio::io_context&, platform::StoreClient&, platform::RowCondition lease, Hooks);
@@ -50,6 +53,9 @@
     void send();
     void onCommit(const platform::CommitResult&);
     void adoptVersions(const platform::CommitResult&);
+    void onRefused();
+    // Another row was stored, so the refusals were due to the rows themselves.
+    void giveUpRefused();
     void retryLater();
 
     platform::StoreClient& m_store;
@@ -58,6 +64,10 @@
     asio::steady_timer m_timer;
     std::map<platform::RowName, Version> m_versions;
     RowQueue m_queue;
+    // Sizes of values that the store refused; one that is as large is not sent again.
+    std::map<platform::RowName, std::size_t> m_refusedSizes;
+    // After the refusal of a transaction of several rows, to find the one that is refused.
+    std::size_t m_rowsToSendAlone { 0 };
     // A transaction is in flight, or waits for its retry.
     bool m_isBusy { false };
     bool m_isStopped { false };
--- a/src/node/row_queue.cpp
+++ b/src/node/row_queue.cpp
@@ -10,6 +10,10 @@
     const platform::RowName& name, std::optional<std::string> value, OnDurable durable, bool goesFirst)
 {
     ++m_changes;
+    if (auto aside = m_aside.extract(name)) {
+        m_pending.insert(std::move(aside));
+        m_order.push_back(name);
+    }
     auto [found, isNew] = m_pending.try_emplace(name);
     if (isNew) {
         found->second.oldestChange = m_changes;
@@ -25,7 +29,7 @@
 
 void RowQueue::whenDurable(OnDurable durable)
 {
-    if (m_pending.empty() && m_batch.empty())
+    if (size() == 0)
         durable();
     else
         m_barriers.push_back({ m_changes, std::move(durable) });
@@ -74,13 +78,32 @@
     m_batch.clear();
 }
 
+void RowQueue::setAside()
+{
+    // A newer value is queued already, and is sent next.
+    auto batch = std::exchange(m_batch, {});
+    for (auto& [name, refused] : batch) {
+        if (auto newer = m_pending.find(name); newer != m_pending.end()) {
+            auto& entry = newer->second;
+            entry.oldestChange = refused.oldestChange;
+            entry.durable.insert(entry.durable.begin(), std::make_move_iterator(refused.durable.begin()),
+                std::make_move_iterator(refused.durable.end()));
+        } else {
+            m_aside.insert_or_assign(name, std::move(refused));
+        }
+    }
+}
+
+RowQueue::Batch RowQueue::dropAside() { return std::exchange(m_aside, {}); }
+
 std::uint64_t RowQueue::oldestUnstored() const
 {
     auto oldest = std::numeric_limits<std::uint64_t>::max();
     for (const auto& [name, entry] : m_pending)
         oldest = std::min(oldest, entry.oldestChange);
-    for (const auto& [name, entry] : m_batch)
-        oldest = std::min(oldest, entry.oldestChange);
+    for (const auto* rows : { &m_batch, &m_aside })
+        for (const auto& [name, entry] : *rows)
+            oldest = std::min(oldest, entry.oldestChange);
     return oldest;
 }
 
--- a/src/node/row_queue.h
+++ b/src/node/row_queue.h
@@ -38,11 +38,15 @@
     [[nodiscard]] std::vector<OnDurable> commit();
     // The batch was not stored; returns it to the front of the queue, with newer values where present.
     void requeue();
+    // The batch was refused: keeps its rows out of the next ones, until a new value is put.
+    void setAside();
+    // Gives up the rows set aside, with their callbacks; those of whenDurable() no longer wait for them.
+    [[nodiscard]] Batch dropAside();
 
     // Rows taken and neither stored nor requeued yet.
     [[nodiscard]] const Batch& batch() const { return m_batch; }
     [[nodiscard]] bool hasNothingQueued() const { return m_order.empty(); }
-    [[nodiscard]] std::size_t size() const { return m_pending.size() + m_batch.size(); }
+    [[nodiscard]] std::size_t size() const { return m_pending.size() + m_batch.size() + m_aside.size(); }
 
 private:
     [[nodiscard]] std::uint64_t oldestUnstored() const;
@@ -57,6 +61,7 @@
     std::map<platform::RowName, Entry> m_pending;
     std::deque<platform::RowName> m_order;
     Batch m_batch;
+    Batch m_aside;
     std::deque<Barrier> m_barriers;
 };
 
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -64,9 +64,9 @@
     , m_hooks(std::move(hooks))
     , m_log(loop, clients.store, lease,
           { [this] { m_hooks.onLost(); },
-              [this](platform::CommitOutcome outcome) {
-                  m_metrics.countCommit(std::string(toString(outcome)));
-              } })
+              [this](
+                  platform::CommitOutcome outcome) { m_metrics.countCommit(std::string(toString(outcome))); },
+              [this](const platform::RowName& name) { onRowRefused(name); } })
     , m_shard(settings, vmSettings.epoch)
     , m_vmController(clients.store, clients.vms, m_shard, vmSettings,
           { m_hooks.mayOrderVms, m_hooks.ownsVm,
@@ -348,6 +348,23 @@
         });
 }
 
+// The job of the row goes on in memory, but a job that is not stored was not accepted.
+void ShardOwner::onRowRefused(const platform::RowName& name)
+{
+    m_metrics.countRefusedRow(name.table);
+    JobId id(name.key);
+    if (name.table == jobTable) {
+        m_shard.forgetUnstored(id);
+        if (auto waiting = m_waitingForStore.extract(id))
+            for (auto& reply : waiting.mapped())
+                reply(refusal(JobVerdict::Rejected, defaultRetryAfter, "row-refused"));
+    } else if (name.table == progressTable) {
+        if (auto waiting = m_waitingForCancel.extract(id))
+            for (auto& reply : waiting.mapped())
+                reply(uncertain("row-refused"));
+    }
+}
+
 void ShardOwner::replyToWaitingCalls(const JobId& id)
 {
     auto* entry = m_shard.find(id);
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -75,6 +75,7 @@
     void cancel(const JobCall&, OnJobReply);
     // Replies to the submits of a stored job, and to its cancels once its final state is stored.
     void replyToWaitingCalls(const JobId&);
+    void onRowRefused(const platform::RowName&);
     void plan();
     void write();
     void sendStart(const jobs::OutgoingStart&);
--- a/src/node/tests/fake_platform.cpp
+++ b/src/node/tests/fake_platform.cpp
@@ -67,6 +67,13 @@
     m_vms.at(vm).isMaintained = true;
 }
 
+std::string FakePlatform::value(const std::string& table, const std::string& part, const std::string& key)
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_rows.find({ table, part, key });
+    return found == m_rows.end() ? std::string() : found->second.value;
+}
+
 std::size_t FakePlatform::maintainedCount()
 {
     std::lock_guard lock(m_mutex);
@@ -104,6 +111,9 @@
         return { 200, "{}", {}, silence };
     auto json = *platform::parseObject(body);
     auto nameOf = [](const Json& row) { return RowName { row.at("table"), row.at("part"), row.at("key") }; };
+    for (const auto& row : json.at("set-keys"))
+        if (platform::decodeBase64(row.at("value").get<std::string>()).value_or("").size() > m_maxRowBytes)
+            return { 400, "{}" };
     ++m_version;
     for (const auto& row : json.at("set-keys"))
         m_rows[nameOf(row)]
--- a/src/node/tests/fake_platform.h
+++ b/src/node/tests/fake_platform.h
@@ -28,6 +28,10 @@
     void put(const std::string& table, const std::string& part, const std::string& key, std::string value);
     // Transactions get no answer any more.
     void silenceTransactions() { m_areTransactionsSilent = true; }
+    // Transactions with a larger value are refused.
+    void limitRows(std::size_t maxBytes) { m_maxRowBytes = maxBytes; }
+    [[nodiscard]] std::string value(
+        const std::string& table, const std::string& part, const std::string& key);
 
     // `runner`: of the VM, as the list shows it.
     void addVm(const VmId&, const PoolId&, std::string runner = {});
@@ -67,6 +71,7 @@
     std::map<RowName, Row> m_rows;
     Version m_version { 1 };
     std::atomic<bool> m_areTransactionsSilent { false };
+    std::atomic<std::size_t> m_maxRowBytes { 65'536 };
     std::atomic<bool> m_areVmOrdersSilent { false };
     std::map<VmId, Vm> m_vms;
     std::size_t m_maxInMaintenance { 0 };
