LOST: a job that has been stalled for 3 s does not wait for isolation, nor for runners that isolate others

Callers saw accepted tasks that did not run while their pool was idle. Cause: a task under which two runners had crashed needs a runner without a run younger than 5 s, and occupies it for 5 s, so such tasks go one after the other; and while all runners observe such runs, or are set apart for a task that fits on none of them, tasks without records find no runner. Neither wait had a bound but the number of such tasks, or any at all.

Once a task of a job could run and nothing of it has for 3 s, its tasks are kept apart from others at their start only (crashWindow instead of crashMemory), and they may use runners that are set apart and observe no run. A crash just after such a start still has one suspect.

Tests, failing before: stall/IsolationDoesNotHoldTasksBackOnAnIdlePool (30 tasks of 6 s with two crash records each, on three runners: a task without records waited 50,050 ms, "set-apart:3") and stall/ARunnerThatIsSetApartInVainTakes- OtherTasks (waited for ever).

--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -198,6 +198,8 @@
         std::vector<Runner*> setApart;
         // Of cordoned VMs; only for jobs that have been stalled for long.
         std::vector<Runner*> emptying;
+        // The job that is to be placed has been stalled for long.
+        bool mayShortenIsolation { false };
     };
     [[nodiscard]] PoolRunners divideRunners(
         const std::vector<Runner*>& usable, std::size_t waitingForIsolation, TimePoint now);
@@ -222,6 +224,7 @@
     [[nodiscard]] static Runner* chooseRunnerForIsolation(
         const PoolRunners&, Isolation, const Step&, const TaskName&, TimePoint now);
     void placeStep(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
+    void placeStepAsLastResort(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void placeTasks(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void orderStart(
         JobEntry&, const TaskName&, Task&, Runner&, Attempt, Isolation, TimePoint now, ShardOrders&);
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -15,9 +15,10 @@
 constexpr Millis unplacedLogInterval { 1'000 };
 // Each check visits all unfinished tasks, and logs the job that has waited longest.
 constexpr Millis stallCheckInterval { 1'000 };
-// A job that has been stalled for this long may use runners that are being emptied: shorter waits are common
-// in a burst, and each such task delays the move or the maintenance of a VM.
-constexpr Millis stallUntilEmptyingRunners { 3'000 };
+// A job that has been stalled for this long may use runners that are being emptied or set apart, and its
+// tasks are kept apart from others at their start only: shorter waits are common in a burst, and each such
+// task delays the move or the maintenance of a VM, or may take part in a crash.
+constexpr Millis stallUntilLastResort { 3'000 };
 // Lower bound of a poll's wait, reached when a task runs beyond its estimate.
 constexpr Millis minPollWait { 200 };
 // Lower bound while work waits for capacity. If the answer to a poll is lost, freed resources stay unused
@@ -29,6 +30,11 @@
 // Tasks end around their estimate; waiting this much longer usually includes the end in the answer.
 constexpr Millis pollWaitMargin { 100 };
 
+bool isLastResortDue(const JobEntry& entry, TimePoint now)
+{
+    return entry.stalledSince && now >= *entry.stalledSince + stallUntilLastResort;
+}
+
 std::size_t countWaitingForIsolation(const StepOccurrence& stepOccurrence)
 {
     return std::size_t(
@@ -240,14 +246,10 @@
             return rank(a) < rank(b);
         });
         for (auto& [entry, stepOccurrence] : candidates) {
+            runners.mayShortenIsolation = isLastResortDue(*entry, now);
             placeStep(*entry, *stepOccurrence, runners, now, orders);
-            auto mayUseEmptying
-                = entry->stalledSince && now >= *entry->stalledSince + stallUntilEmptyingRunners;
-            if (stepOccurrence->waitingCount() > 0 && mayUseEmptying && !runners.emptying.empty()) {
-                auto all = runners;
-                all.shared.insert(all.shared.end(), runners.emptying.begin(), runners.emptying.end());
-                placeStep(*entry, *stepOccurrence, all, now, orders);
-            }
+            if (stepOccurrence->waitingCount() > 0 && isLastResortDue(*entry, now))
+                placeStepAsLastResort(*entry, *stepOccurrence, runners, now, orders);
             if (stepOccurrence->waitingCount() == 0)
                 continue;
             if (const auto& step = entry->job.steps[stepOccurrence->step]; step.isLongRunning) {
@@ -261,6 +263,18 @@
     }
 }
 
+void Shard::placeStepAsLastResort(
+    JobEntry& entry, StepOccurrence& stepOccurrence, PoolRunners& runners, TimePoint now, ShardOrders& orders)
+{
+    PoolRunners all;
+    all.mayShortenIsolation = true;
+    for (const auto* group : { &runners.shared, &runners.setApart, &runners.emptying })
+        std::copy_if(group->begin(), group->end(), std::back_inserter(all.shared),
+            [now](const Runner* runner) { return !isObserving(*runner, now); });
+    placeStep(entry, stepOccurrence, all, now, orders);
+    std::erase_if(runners.shared, [now](const Runner* runner) { return isObserving(*runner, now); });
+}
+
 void Shard::checkForStalledJobs(TimePoint now, WallTime wallNow, bool mayStart)
 {
     m_nextStallCheck = now + stallCheckInterval;
@@ -407,7 +421,9 @@
         return chooseRunner(candidates, step, name, RackId(step.dataRack));
     };
     auto* runner = chooseFrom(runners.setApart, isolation);
-    return runner ? runner : chooseFrom(runners.shared, Isolation::Exclusive);
+    if (!runner)
+        runner = chooseFrom(runners.shared, Isolation::Exclusive);
+    return runner || !runners.mayShortenIsolation ? runner : chooseFrom(runners.shared, isolation);
 }
 
 void Shard::placeTasks(
@@ -422,6 +438,8 @@
         if (task.state != TaskState::Waiting || now < task.notBefore)
             continue;
         auto isolation = isolationFor(task.crashes, task.isCrashSuspect);
+        if (runners.mayShortenIsolation && isolation == Isolation::Exclusive)
+            isolation = Isolation::Start;
         if (isolation == Isolation::None) {
             auto* runner = areSharedRunnersFull ? nullptr : chooseRunner(runners.shared, step, name, rack);
             if (runner) {
--- /dev/null
+++ b/src/jobs/tests/stall_test.cpp
@@ -0,0 +1,140 @@
+#include "crashing_pool.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+using namespace fulmar;
+using namespace fulmar::jobs;
+using namespace fulmar::jobs::test;
+
+namespace {
+
+// The longest wait of a job of which a task could run and none does; see stalled_jobs.h.
+class WaitObserver {
+public:
+    void observe(ShardFixture& play)
+    {
+        for (const auto& [id, entry] : play.shard.jobTable().all()) {
+            auto task
+                = entry.isOver() ? std::nullopt : findStalledTask(entry, play.shard.runners(), play.wall());
+            if (!task) {
+                m_waits.erase(id);
+                continue;
+            }
+            auto& [waiting, since] = m_waits.try_emplace(id, *task, play.now).first->second;
+            if (waiting != *task) {
+                waiting = *task;
+                since = play.now;
+            }
+            if (play.now - since <= longest)
+                continue;
+            longest = play.now - since;
+            auto areResolved = play.shard.areEarlierRunsResolved(pool, play.now);
+            auto why = stallReasonOf(entry, *task, play.shard.runners(), true, areResolved, play.now);
+            what = fmt::format("{}.{} waits {} ms for {} beside {}", id.value(), task->index,
+                longest.count() / 1'000, toString(why),
+                describeRunners(entry, *task, play.shard.runners(), play.now));
+        }
+    }
+
+    Duration longest { 0 };
+    std::string what;
+
+private:
+    std::map<JobId, std::pair<TaskName, TimePoint>> m_waits;
+};
+
+template <typename Play> WaitObserver observeWaits(Play& play, Duration length)
+{
+    constexpr Duration interval { 50ms };
+    WaitObserver waits;
+    for (auto end = play.now + length; play.now < end;) {
+        play.play(interval);
+        waits.observe(play);
+    }
+    return waits;
+}
+
+// The waits that the design has follow each other at worst: an earlier incarnation's or holder's lease
+// lapses; the job counts as stalled (a check each second) for long enough to use the last resort; then the
+// runners observe the runs that were isolated before for crashMemory, and after that start one task in each
+// crashWindow, where one second in two is left for other work.
+constexpr Duration lapse = ShardSettings {}.maxLease * 11 / 10;
+constexpr Duration untilLastResort = 3s + 2 * 1s;
+Duration longestWait(std::size_t waiting, std::size_t runners)
+{
+    return lapse + untilLastResort + crashMemory
+        + 2 * crashWindow * std::int64_t((waiting + runners - 1) / runners);
+}
+
+// A job of which each task was running in two crashes.
+void restoreWithCrashes(CrashingPool& play, const Job& job, std::size_t crashes, bool wasSuspect = false)
+{
+    JobProgress progress;
+    auto& step = progress.steps.emplace_back();
+    step.done.resize(job.steps[0].count);
+    step.failures.resize(job.steps[0].count);
+    std::vector<CrashRecord> records;
+    for (std::size_t i = 0; i < crashes; ++i)
+        records.push_back({ i + 1, wasSuspect });
+    step.crashes.assign(job.steps[0].count, records);
+    play.shard.restoreJob(job, progress, play.now);
+}
+
+Job patient(Job job)
+{
+    job.policy.latencyAllowance = 100s;
+    return job;
+}
+
+Job longRunning(const std::string& id, std::uint32_t tasks, std::int64_t memoryMb)
+{
+    auto job = ShardFixture::job(id, tasks, 100);
+    job.steps[0].isLongRunning = true;
+    job.steps[0].maxPerRunner = 1;
+    job.steps[0].perTask.memoryMb = memoryMb;
+    return job;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(stall)
+
+// Guards against tasks that wait for isolation one after the other, 5 s each, while their pool is idle, and
+// against others that wait since all runners observe them.
+BOOST_AUTO_TEST_CASE(IsolationDoesNotHoldTasksBackOnAnIdlePool)
+{
+    constexpr std::size_t runners = 3;
+    constexpr std::size_t jobs = 30;
+    CrashingPool play(runners);
+    play.taskTime = 6s;
+    for (std::size_t i = 0; i < jobs; ++i)
+        restoreWithCrashes(play, patient(ShardFixture::job("crashed" + std::to_string(i), 1)), 2);
+    auto plain = patient(ShardFixture::job("plain", 1));
+    plain.policy.latencyAllowance = 200s;
+    BOOST_REQUIRE(bool(play.submit(plain) == SubmitVerdict::New));
+    auto waits = observeWaits(play, 90s);
+    BOOST_TEST_CONTEXT(waits.what)
+    BOOST_TEST(waits.longest / 1ms <= longestWait(jobs, runners) / 1ms);
+}
+
+// Guards against a task that waits for ever since the only runner with room for it is set apart, for one that
+// does not fit there.
+BOOST_AUTO_TEST_CASE(ARunnerThatIsSetApartInVainTakesOtherTasks)
+{
+    CrashingPool play(2);
+    BOOST_REQUIRE(bool(play.submit(longRunning("lasting", 1, 32'000)) == SubmitVerdict::New));
+    play.play(2s);
+    restoreWithCrashes(play, longRunning("large", 1, 40'000), 2);
+    BOOST_REQUIRE(bool(play.submit(longRunning("second", 1, 2'000)) == SubmitVerdict::New));
+    play.play(20s);
+    auto crashed = patient(ShardFixture::job("elsewhere", 1));
+    crashed.steps[0].requiredLabel = "none";
+    restoreWithCrashes(play, crashed, 2);
+    BOOST_REQUIRE(bool(play.submit(patient(ShardFixture::job("plain", 4))) == SubmitVerdict::New));
+    play.play(longestWait(2, 2));
+    BOOST_TEST(toString(play.shard.find(JobId("second"))->state) == "running");
+    BOOST_TEST(toString(play.shard.find(JobId("plain"))->state) == "completed");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
