--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -74,6 +74,17 @@
         && (step.maxPerRunner == 0 || runner.countOfStep(taskName) < step.maxPerRunner);
 }
 
+bool hasRoomBesideLongRunning(const Runner& runner, const Step& step, const TaskName& taskName)
+{
+    auto room = runner.report().capacity;
+    for (const auto& [task, run] : runner.runs())
+        if (run.isLongRunning)
+            room -= run.reserved;
+    return step.reserved().fitsIn(room) && hasLabel(runner.report(), step.requiredLabel)
+        && (!step.isLongRunning || step.maxPerRunner == 0
+            || runner.countOfStep(taskName) < step.maxPerRunner);
+}
+
 Runner* chooseRunner(
     std::vector<Runner*>& candidates, const Step& step, const TaskName& taskName, const RackId& preferredRack)
 {
--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -18,6 +18,9 @@
 // of the step.
 [[nodiscard]] bool hasRoomFor(const Runner&, const Step&, const TaskName& taskName);
 
+// Whether it has, or will have once its runs that end by themselves have ended.
+[[nodiscard]] bool hasRoomBesideLongRunning(const Runner&, const Step&, const TaskName&);
+
 // The runner for a task of the step, or null if none has capacity. A queue's burst demands about five times
 // its mean for some seconds, with almost nothing between bursts; so tasks are packed on busy runners, which
 // leaves whole VMs free to move to the pool that has the next burst.
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -35,8 +35,18 @@
     return entry.stalledSince && now >= *entry.stalledSince + stallUntilLastResort;
 }
 
-std::size_t countWaitingForIsolation(const StepOccurrence& stepOccurrence)
+// Tasks of the step that wait to be isolated, if one of the runners can ever take them.
+std::size_t countWaitingForIsolation(
+    const JobEntry& entry, const StepOccurrence& stepOccurrence, const std::vector<Runner*>& usable)
 {
+    const auto& step = entry.job.steps[stepOccurrence.step];
+    // The members of a gang start together.
+    if (!entry.hasCrashRecords || step.isGang)
+        return 0;
+    TaskName name { entry.job.id, stepOccurrence.occurrence, stepOccurrence.step, 0 };
+    if (std::none_of(usable.begin(), usable.end(),
+            [&](const Runner* runner) { return hasRoomBesideLongRunning(*runner, step, name); }))
+        return 0;
     return std::size_t(
         std::count_if(stepOccurrence.tasks.begin(), stepOccurrence.tasks.end(), [](const Task& task) {
             return task.state == TaskState::Waiting
@@ -227,11 +237,11 @@
                 byPool[entry.job.policy.pool].push_back({ &entry, &stepOccurrence });
     }
     for (auto& [pool, candidates] : byPool) {
+        auto usable = usableRunners(pool, now);
         std::size_t waitingForIsolation = 0;
         for (const auto& [entry, stepOccurrence] : candidates)
-            if (entry->hasCrashRecords)
-                waitingForIsolation += countWaitingForIsolation(*stepOccurrence);
-        auto runners = divideRunners(usableRunners(pool, now), waitingForIsolation, now);
+            waitingForIsolation += countWaitingForIsolation(*entry, *stepOccurrence, usable);
+        auto runners = divideRunners(usable, waitingForIsolation, now);
         runners.emptying = emptyingRunners(pool, now);
         std::sort(candidates.begin(), candidates.end(), [=](const Candidate& a, const Candidate& b) {
             auto rank = [=](const Candidate& each) {
--- a/src/jobs/tests/stall_test.cpp
+++ b/src/jobs/tests/stall_test.cpp
@@ -137,4 +137,34 @@
     BOOST_TEST(toString(play.shard.find(JobId("plain"))->state) == "completed");
 }
 
+// Guards against a runner that is set apart for a task that fits on none, while others wait for room.
+BOOST_AUTO_TEST_CASE(NoRunnerIsSetApartForATaskThatFitsOnNone)
+{
+    for (int runners : { 1, 2 }) {
+        CrashingPool play(runners);
+        play.taskTime = 10s;
+        restoreWithCrashes(play, longRunning("too-large", 1, 40'000), 2);
+        auto labelled = patient(ShardFixture::job("labelled", 1));
+        labelled.steps[0].requiredLabel = "none";
+        restoreWithCrashes(play, labelled, 2);
+        play.play(untilLastResort);
+        auto filling = patient(ShardFixture::job("filling", std::uint32_t(runners), 16'000));
+        BOOST_REQUIRE(bool(play.submit(filling) == SubmitVerdict::New));
+        play.play(100ms);
+        BOOST_TEST(
+            play.shard.find(JobId("filling"))->stepOccurrence(0, 0).placedCount == std::uint32_t(runners));
+    }
+}
+
+// Guards against a runner that is set apart for a gang: it starts on the others only, and may need all.
+BOOST_AUTO_TEST_CASE(NoRunnerIsSetApartForAGang)
+{
+    CrashingPool play(2);
+    auto gang = patient(ShardFixture::job("gang", 2, 16'000));
+    gang.steps[0].isGang = true;
+    restoreWithCrashes(play, gang, 1, true);
+    play.play(100ms);
+    BOOST_TEST(play.shard.find(JobId("gang"))->stepOccurrence(0, 0).placedCount == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
