LOST: a suspect does not wait for as long as its pool's only runner has other work

Callers saw an accepted task wait beside a runner with room for it. Cause: a pool's only usable runner is never set apart, and a task that is to be isolated starts beside others only where all runs are older than crashMemory; with other tasks coming in, the runner always has a younger one.

Other tasks wait until the suspect has started there.

--- a/src/jobs/crash_evidence.cpp
+++ b/src/jobs/crash_evidence.cpp
@@ -125,9 +125,9 @@
         [=](const auto& each) { return isOlderThan(each.second, isolationTime(isolation), now); });
 }
 
-std::size_t runnersToSetApart(std::size_t waiting, std::size_t usable)
+std::size_t runnersToSetApart(std::size_t waiting, std::size_t usable, bool haveWaitedLong)
 {
-    if (waiting == 0 || usable < 2)
+    if (waiting == 0 || usable == 0 || (usable == 1 && !haveWaitedLong))
         return 0;
     auto wanted = (waiting + suspectsPerRunner - 1) / suspectsPerRunner;
     return std::min(wanted, std::max<std::size_t>(1, usable / poolPerRunnerSetApart));
--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -55,7 +55,8 @@
 // Whether another start on the runner would spoil the isolation of a run there.
 [[nodiscard]] bool isObserving(const Runner&, TimePoint now);
 
-// Number of runners to set apart of `usable` ones in a pool in which `waiting` tasks wait to be isolated.
-[[nodiscard]] std::size_t runnersToSetApart(std::size_t waiting, std::size_t usable);
+// Number of runners to set apart of `usable` ones in a pool in which `waiting` tasks wait to be isolated. A
+// pool's only runner is set apart for tasks that have waited for long.
+[[nodiscard]] std::size_t runnersToSetApart(std::size_t waiting, std::size_t usable, bool haveWaitedLong);
 
 } // namespace fulmar::jobs
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -201,8 +201,9 @@
         // The job that is to be placed has been stalled for long.
         bool mayShortenIsolation { false };
     };
+    // `wanted`: number of runners to set apart.
     [[nodiscard]] PoolRunners divideRunners(
-        const std::vector<Runner*>& usable, std::size_t waitingForIsolation, TimePoint now);
+        const std::vector<Runner*>& usable, std::size_t wanted, TimePoint now);
     void applyEnds(Runner&, const PollAnswer&, TimePoint now);
     void applyEnd(Runner&, const EndedTask&, TimePoint now);
     void onJobStateChange(const JobEntry&, const Runner&, const EndedTask&, TimePoint now);
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -191,11 +191,9 @@
 }
 
 // Runners that are set apart stay so while tasks wait to be isolated; those with the fewest runs come next.
-Shard::PoolRunners Shard::divideRunners(
-    const std::vector<Runner*>& usable, std::size_t waitingForIsolation, TimePoint now)
+Shard::PoolRunners Shard::divideRunners(const std::vector<Runner*>& usable, std::size_t wanted, TimePoint now)
 {
     auto ranked = usable;
-    auto wanted = runnersToSetApart(waitingForIsolation, usable.size());
     std::partial_sort(ranked.begin(), ranked.begin() + std::ptrdiff_t(wanted), ranked.end(),
         [](const Runner* a, const Runner* b) {
             return std::tuple(!a->isSetApart, a->runs().size(), a->report().id)
@@ -239,9 +237,14 @@
     for (auto& [pool, candidates] : byPool) {
         auto usable = usableRunners(pool, now);
         std::size_t waitingForIsolation = 0;
-        for (const auto& [entry, stepOccurrence] : candidates)
-            waitingForIsolation += countWaitingForIsolation(*entry, *stepOccurrence, usable);
-        auto runners = divideRunners(usable, waitingForIsolation, now);
+        auto haveWaitedLong = false;
+        for (const auto& [entry, stepOccurrence] : candidates) {
+            auto waiting = countWaitingForIsolation(*entry, *stepOccurrence, usable);
+            waitingForIsolation += waiting;
+            haveWaitedLong |= waiting > 0 && isLastResortDue(*entry, now);
+        }
+        auto runners = divideRunners(
+            usable, runnersToSetApart(waitingForIsolation, usable.size(), haveWaitedLong), now);
         runners.emptying = emptyingRunners(pool, now);
         std::sort(candidates.begin(), candidates.end(), [=](const Candidate& a, const Candidate& b) {
             auto rank = [=](const Candidate& each) {
--- a/src/jobs/tests/stall_test.cpp
+++ b/src/jobs/tests/stall_test.cpp
@@ -167,4 +167,21 @@
     BOOST_TEST(play.shard.find(JobId("gang"))->stepOccurrence(0, 0).placedCount == 2U);
 }
 
+// Guards against a suspect that waits for as long as its pool of one runner has other work.
+BOOST_AUTO_TEST_CASE(SuspectsStartBesideOtherWorkOnOneRunner)
+{
+    for (std::size_t crashes : { 1, 2 }) {
+        CrashingPool play(1);
+        restoreWithCrashes(play, patient(ShardFixture::job("suspect", 1)), crashes, true);
+        WaitObserver waits;
+        for (int i = 0; i < 400; ++i) {
+            play.submit(patient(ShardFixture::job("job" + std::to_string(i), 1)));
+            play.play(100ms);
+            waits.observe(play);
+        }
+        BOOST_TEST_CONTEXT(waits.what)
+        BOOST_TEST(waits.longest / 1ms <= longestWait(1, 1) / 1ms);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
