--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -201,9 +201,12 @@
         std::vector<Runner*> setApart;
         // Of cordoned VMs; only for jobs that have been stalled for long.
         std::vector<Runner*> emptying;
+        // The job that is to be placed has been stalled for long.
+        bool mayShortenIsolation { false };
     };
+    // `wanted`: number of runners to set apart.
     [[nodiscard]] PoolRunners divideRunners(
-        const std::vector<Runner*>& usable, std::size_t waitingForIsolation, TimePoint now);
+        const std::vector<Runner*>& usable, std::size_t wanted, TimePoint now);
     void applyEnds(Runner&, const PollAnswer&, TimePoint now);
     void applyEnd(Runner&, const EndedTask&, TimePoint now);
     void onJobStateChange(const JobEntry&, const Runner&, const EndedTask&, TimePoint now);
@@ -225,6 +228,7 @@
     [[nodiscard]] static Runner* chooseRunnerForIsolation(
         const PoolRunners&, Isolation, const Step&, const TaskName&, TimePoint now);
     void placeStep(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
+    void placeStepAsLastResort(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void placeTasks(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void orderStart(
         JobEntry&, const TaskName&, Task&, Runner&, Attempt, Isolation, TimePoint now, ShardOrders&);
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -15,9 +15,10 @@
 constexpr Millis unplacedLogInterval { 1'000 };
 // Each check visits all unfinished tasks, and logs the job that has waited longest.
 constexpr Millis stallCheckInterval { 1'000 };
-// A job that has been stalled for this long may use runners that are being emptied: shorter waits are common
-// in a burst, and each such task delays the move or the maintenance of a VM.
-constexpr Millis stallUntilEmptyingRunners { 3'000 };
+// A job that has been stalled for this long may use runners that are being emptied or set apart, and its
+// tasks are kept apart from others at their start only: shorter waits are common in a burst, and each such
+// task delays the move or the maintenance of a VM, or may take part in a crash.
+constexpr Millis stallUntilLastResort { 3'000 };
 // Lower bound of a poll's wait, reached when a task runs beyond its estimate.
 constexpr Millis minPollWait { 200 };
 // Lower bound while work waits for capacity. If the answer to a poll is lost, freed resources stay unused
@@ -29,8 +30,23 @@
 // Tasks end around their estimate; waiting this much longer usually includes the end in the answer.
 constexpr Millis pollWaitMargin { 100 };
 
-std::size_t countWaitingForIsolation(const StepOccurrence& stepOccurrence)
+bool isLastResortDue(const JobEntry& entry, TimePoint now)
 {
+    return entry.stalledSince && now >= *entry.stalledSince + stallUntilLastResort;
+}
+
+// Tasks of the step that wait to be isolated, if one of the runners can ever take them.
+std::size_t countWaitingForIsolation(
+    const JobEntry& entry, const StepOccurrence& stepOccurrence, const std::vector<Runner*>& usable)
+{
+    const auto& step = entry.job.steps[stepOccurrence.step];
+    // The members of a gang start together.
+    if (!entry.hasCrashRecords || step.isGang)
+        return 0;
+    TaskName name { entry.job.id, stepOccurrence.occurrence, stepOccurrence.step, 0 };
+    if (std::none_of(usable.begin(), usable.end(),
+            [&](const Runner* runner) { return hasRoomBesideLongRunning(*runner, step, name); }))
+        return 0;
     return std::size_t(
         std::count_if(stepOccurrence.tasks.begin(), stepOccurrence.tasks.end(), [](const Task& task) {
             return task.state == TaskState::Waiting
@@ -175,11 +191,9 @@
 }
 
 // Runners that are set apart stay so while tasks wait to be isolated; those with the fewest runs come next.
-Shard::PoolRunners Shard::divideRunners(
-    const std::vector<Runner*>& usable, std::size_t waitingForIsolation, TimePoint now)
+Shard::PoolRunners Shard::divideRunners(const std::vector<Runner*>& usable, std::size_t wanted, TimePoint now)
 {
     auto ranked = usable;
-    auto wanted = runnersToSetApart(waitingForIsolation, usable.size());
     std::partial_sort(ranked.begin(), ranked.begin() + std::ptrdiff_t(wanted), ranked.end(),
         [](const Runner* a, const Runner* b) {
             return std::tuple(!a->isSetApart, a->runs().size(), a->report().id)
@@ -221,11 +235,16 @@
                 byPool[entry.job.policy.pool].push_back({ &entry, &stepOccurrence });
     }
     for (auto& [pool, candidates] : byPool) {
+        auto usable = usableRunners(pool, now);
         std::size_t waitingForIsolation = 0;
-        for (const auto& [entry, stepOccurrence] : candidates)
-            if (entry->hasCrashRecords)
-                waitingForIsolation += countWaitingForIsolation(*stepOccurrence);
-        auto runners = divideRunners(usableRunners(pool, now), waitingForIsolation, now);
+        auto haveWaitedLong = false;
+        for (const auto& [entry, stepOccurrence] : candidates) {
+            auto waiting = countWaitingForIsolation(*entry, *stepOccurrence, usable);
+            waitingForIsolation += waiting;
+            haveWaitedLong |= waiting > 0 && isLastResortDue(*entry, now);
+        }
+        auto runners = divideRunners(
+            usable, runnersToSetApart(waitingForIsolation, usable.size(), haveWaitedLong), now);
         runners.emptying = emptyingRunners(pool, now);
         std::sort(candidates.begin(), candidates.end(), [=](const Candidate& a, const Candidate& b) {
             auto rank = [=](const Candidate& each) {
@@ -240,15 +259,10 @@
             return rank(a) < rank(b);
         });
         for (auto& [entry, stepOccurrence] : candidates) {
+            runners.mayShortenIsolation = isLastResortDue(*entry, now);
             placeStep(*entry, *stepOccurrence, runners, now, orders);
-            auto mayUseEmptying
-                = entry->stalledSince && now >= *entry->stalledSince + stallUntilEmptyingRunners;
-            if (stepOccurrence->waitingCount() > 0 && mayUseEmptying && !runners.emptying.empty()) {
-                auto all = runners;
-                std::copy_if(runners.emptying.begin(), runners.emptying.end(), std::back_inserter(all.shared),
-                    [now](const Runner* runner) { return !isObserving(*runner, now); });
-                placeStep(*entry, *stepOccurrence, all, now, orders);
-            }
+            if (stepOccurrence->waitingCount() > 0 && isLastResortDue(*entry, now))
+                placeStepAsLastResort(*entry, *stepOccurrence, runners, now, orders);
             if (stepOccurrence->waitingCount() == 0)
                 continue;
             if (const auto& step = entry->job.steps[stepOccurrence->step]; step.isLongRunning) {
@@ -262,6 +276,18 @@
     }
 }
 
+void Shard::placeStepAsLastResort(
+    JobEntry& entry, StepOccurrence& stepOccurrence, PoolRunners& runners, TimePoint now, ShardOrders& orders)
+{
+    PoolRunners all;
+    all.mayShortenIsolation = true;
+    for (const auto* group : { &runners.shared, &runners.setApart, &runners.emptying })
+        std::copy_if(group->begin(), group->end(), std::back_inserter(all.shared),
+            [now](const Runner* runner) { return !isObserving(*runner, now); });
+    placeStep(entry, stepOccurrence, all, now, orders);
+    std::erase_if(runners.shared, [now](const Runner* runner) { return isObserving(*runner, now); });
+}
+
 void Shard::checkForStalledJobs(TimePoint now, WallTime wallNow, bool mayStart)
 {
     m_nextStallCheck = now + stallCheckInterval;
@@ -408,7 +434,9 @@
         return chooseRunner(candidates, step, name, RackId(step.dataRack));
     };
     auto* runner = chooseFrom(runners.setApart, isolation);
-    return runner ? runner : chooseFrom(runners.shared, Isolation::Exclusive);
+    if (!runner)
+        runner = chooseFrom(runners.shared, Isolation::Exclusive);
+    return runner || !runners.mayShortenIsolation ? runner : chooseFrom(runners.shared, isolation);
 }
 
 void Shard::placeTasks(
@@ -423,6 +451,8 @@
         if (task.state != TaskState::Waiting || now < task.notBefore)
             continue;
         auto isolation = isolationFor(task.crashes, task.isCrashSuspect);
+        if (runners.mayShortenIsolation && isolation == Isolation::Exclusive)
+            isolation = Isolation::Start;
         if (isolation == Isolation::None) {
             auto* runner = areSharedRunnersFull ? nullptr : chooseRunner(runners.shared, step, name, rack);
             if (runner) {
