LOST: the last resort of stalled jobs comes within 3 s, and takes no more than it needs

The review showed that a job that had been stalled could start 4 s after it was possible, where the platform allows 3 s, and that all its tasks went to a VM that was to be emptied (16 starts where one ends the stall), so that a wave could wait for the end of an overload.

A job may use runners that are being emptied or set apart after 1 s now, if less than half of the pool's processors are in use or the task is long-running; in a busy pool suspects are isolated for their start only after 3 s as before. One task of a job without long-running tasks is placed so at a time. Stalls are checked for before tasks are placed, so a start is not seen as one at once.

A waiting gang demands room for all its members: a gang of 64 processors in a pool of 32 demanded 1.12 VMs after 20 s.

Tests, failing before: stalled_jobs/AStalledJobUsesNoMoreOfAnEmptyingVmThan- ItNeeds, stalled_jobs/AStalledJobStartsOnAnEmptyingVmWithinThreeSeconds, shard/AWaitingGangDemandsRoomForAllItsMembers.

--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -199,10 +199,14 @@
     struct PoolRunners {
         std::vector<Runner*> shared;
         std::vector<Runner*> setApart;
-        // Of cordoned VMs; only for jobs that have been stalled for long.
+        // Of cordoned VMs; only for jobs that have been stalled for long, while the pool is not busy.
         std::vector<Runner*> emptying;
+        // Less than half of the pool's processors are in use.
+        bool isIdle { false };
         // The job that is to be placed has been stalled for long.
         bool mayShortenIsolation { false };
+        // Of the step that is to be placed; does not count for a gang.
+        std::optional<std::uint32_t> maxTasks;
     };
     // `wanted`: number of runners to set apart.
     [[nodiscard]] PoolRunners divideRunners(
--- a/src/jobs/shard_load.cpp
+++ b/src/jobs/shard_load.cpp
@@ -38,6 +38,12 @@
     return perVm > 0 ? double(step.count) / double(perVm) : 0;
 }
 
+// All members of a gang need their room at the same time.
+std::uint32_t vmsForGang(const Step& step, const Resources& capacity)
+{
+    return step.isGang ? std::uint32_t(std::ceil(vmsFilledBy(step, capacity))) : 0;
+}
+
 } // namespace
 
 PoolLoad Shard::loadOf(const PoolId& pool, std::int32_t priority, TimePoint now, WallTime wallNow) const
@@ -97,7 +103,8 @@
         for (const auto& stepOccurrence : entry.stepOccurrences) {
             const auto& step = entry.job.steps[stepOccurrence.step];
             if (!stepOccurrence.isDone() && entry.isStartable(stepOccurrence, wallNow))
-                demand.minVms = std::max(demand.minVms, vmsForMaxPerRunner(step));
+                demand.minVms
+                    = std::max({ demand.minVms, vmsForMaxPerRunner(step), vmsForGang(step, capacity) });
             if (step.isLongRunning)
                 vmsFilledByLongRunning += vmsFilledBy(step, capacity);
             if (step.isLongRunning)
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -15,10 +15,8 @@
 constexpr Millis unplacedLogInterval { 1'000 };
 // Each check visits all unfinished tasks, and logs the job that has waited longest.
 constexpr Millis stallCheckInterval { 1'000 };
-// A job that has been stalled for this long may use runners that are being emptied or set apart, and its
-// tasks are kept apart from others at their start only: shorter waits are common in a burst, and each such
-// task delays the move or the maintenance of a VM, or may take part in a crash.
-constexpr Millis stallUntilLastResort { 3'000 };
+// In a pool that is busy, the waits of other jobs than long-running ones are mostly due to its load.
+constexpr Millis stallTimeInBusyPool { 3'000 };
 // Lower bound of a poll's wait, reached when a task runs beyond its estimate.
 constexpr Millis minPollWait { 200 };
 // Lower bound while work waits for capacity. If the answer to a poll is lost, freed resources stay unused
@@ -30,9 +28,17 @@
 // Tasks end around their estimate; waiting this much longer usually includes the end in the answer.
 constexpr Millis pollWaitMargin { 100 };
 
-bool isLastResortDue(const JobEntry& entry, TimePoint now)
+// Whether less than half of the processors of these runners is reserved.
+bool isUnderHalfInUse(const std::vector<Runner*>& usable, const std::vector<Runner*>& emptying)
 {
-    return entry.stalledSince && now >= *entry.stalledSince + stallUntilLastResort;
+    Resources reserved;
+    Resources capacity;
+    for (const auto* group : { &usable, &emptying })
+        for (const auto* runner : *group) {
+            reserved += runner->reserved();
+            capacity += runner->report().capacity;
+        }
+    return reserved.cpu * 2 < capacity.cpu;
 }
 
 // Tasks of the step that wait to be isolated, if one of the runners can ever take them.
@@ -150,10 +156,10 @@
 {
     ShardOrders orders;
     orders.wakeAt = now + m_settings.maxPollWait;
-    if (mayStart)
-        placeJobs(now, wallNow, orders);
     if (now >= m_nextStallCheck)
         checkForStalledJobs(now, wallNow, mayStart);
+    if (mayStart)
+        placeJobs(now, wallNow, orders);
     for (auto& [id, runner] : m_runners) {
         if (runner.failedPolls > 0 && !runner.runs().empty() && runner.hasLeaseLapsed(now))
             onLeaseLapsed(runner, now);
@@ -236,16 +242,25 @@
     }
     for (auto& [pool, candidates] : byPool) {
         auto usable = usableRunners(pool, now);
+        auto emptying = emptyingRunners(pool, now);
+        auto isIdle = isUnderHalfInUse(usable, emptying);
+        auto mayUseLastResort = [=](const Candidate& each) {
+            const auto& [entry, stepOccurrence] = each;
+            auto isLongRunning = entry->job.steps[stepOccurrence->step].isLongRunning;
+            auto patience = isIdle || isLongRunning ? stallTime : stallTimeInBusyPool;
+            return entry->stalledSince && now >= *entry->stalledSince + patience;
+        };
         std::size_t waitingForIsolation = 0;
         auto haveWaitedLong = false;
-        for (const auto& [entry, stepOccurrence] : candidates) {
-            auto waiting = countWaitingForIsolation(*entry, *stepOccurrence, usable);
+        for (const auto& each : candidates) {
+            auto waiting = countWaitingForIsolation(*each.entry, *each.stepOccurrence, usable);
             waitingForIsolation += waiting;
-            haveWaitedLong |= waiting > 0 && isLastResortDue(*entry, now);
+            haveWaitedLong |= waiting > 0 && mayUseLastResort(each);
         }
         auto runners = divideRunners(
             usable, runnersToSetApart(waitingForIsolation, usable.size(), haveWaitedLong), now);
-        runners.emptying = emptyingRunners(pool, now);
+        runners.isIdle = isIdle;
+        runners.emptying = std::move(emptying);
         std::sort(candidates.begin(), candidates.end(), [=](const Candidate& a, const Candidate& b) {
             auto rank = [=](const Candidate& each) {
                 const auto& entry = *each.entry;
@@ -259,9 +274,9 @@
             return rank(a) < rank(b);
         });
         for (auto& [entry, stepOccurrence] : candidates) {
-            runners.mayShortenIsolation = isLastResortDue(*entry, now);
+            runners.mayShortenIsolation = mayUseLastResort({ entry, stepOccurrence });
             placeStep(*entry, *stepOccurrence, runners, now, orders);
-            if (stepOccurrence->waitingCount() > 0 && isLastResortDue(*entry, now))
+            if (stepOccurrence->waitingCount() > 0 && runners.mayShortenIsolation)
                 placeStepAsLastResort(*entry, *stepOccurrence, runners, now, orders);
             if (stepOccurrence->waitingCount() == 0)
                 continue;
@@ -279,12 +294,23 @@
 void Shard::placeStepAsLastResort(
     JobEntry& entry, StepOccurrence& stepOccurrence, PoolRunners& runners, TimePoint now, ShardOrders& orders)
 {
+    const auto& step = entry.job.steps[stepOccurrence.step];
     PoolRunners all;
     all.mayShortenIsolation = true;
-    for (const auto* group : { &runners.shared, &runners.setApart, &runners.emptying })
+    // One task at work ends the stall of a job without long-running tasks.
+    if (!step.isLongRunning)
+        all.maxTasks = 1;
+    auto before = stepOccurrence.placedCount;
+    for (const auto* group : { &runners.shared, &runners.setApart, &runners.emptying }) {
+        if (group == &runners.emptying && !runners.isIdle && !step.isLongRunning)
+            continue;
         std::copy_if(group->begin(), group->end(), std::back_inserter(all.shared),
             [now](const Runner* runner) { return !isObserving(*runner, now); });
+    }
     placeStep(entry, stepOccurrence, all, now, orders);
+    // Until it is known whether these starts succeed.
+    if (stepOccurrence.placedCount > before)
+        entry.stalledSince.reset();
     std::erase_if(runners.shared, [now](const Runner* runner) { return isObserving(*runner, now); });
 }
 
@@ -446,7 +472,11 @@
     TaskName name { entry.job.id, stepOccurrence.occurrence, stepOccurrence.step, 0 };
     RackId rack(step.dataRack);
     auto areSharedRunnersFull = false;
+    auto mostPlaced = runners.maxTasks ? stepOccurrence.placedCount + *runners.maxTasks
+                                       : std::uint32_t(stepOccurrence.tasks.size());
     for (name.index = 0; name.index < stepOccurrence.tasks.size(); ++name.index) {
+        if (stepOccurrence.placedCount >= mostPlaced)
+            return;
         auto& task = stepOccurrence.tasks[name.index];
         if (task.state != TaskState::Waiting || now < task.notBefore)
             continue;
