--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -214,6 +214,10 @@
     void recordRunTime(const Runner&, const TaskName&, const Run&, TimePoint now);
     static void stopRun(Run&);
     [[nodiscard]] bool canInterrupt(JobEntry&, const TaskName&, TimePoint now);
+    // Usable VMs of this capacity without long-running tasks that the step needs, if its job is stalled and
+    // its tasks fit beside the long-running tasks of no usable VM.
+    [[nodiscard]] static std::uint32_t freeVmsForStalled(const JobEntry&, const StepOccurrence&,
+        const Resources& capacity, const std::vector<Runner*>& usable, TimePoint now);
     [[nodiscard]] bool hasAlternativeRunner(const Runner&, JobEntry&, const TaskName&, TimePoint now);
     void checkForStalledJobs(TimePoint now, WallTime wallNow, bool mayStart);
     void logUnplaced(const JobEntry&, const StepOccurrence&, TimePoint now);
--- a/src/jobs/shard_load.cpp
+++ b/src/jobs/shard_load.cpp
@@ -72,6 +72,24 @@
     return load;
 }
 
+std::uint32_t Shard::freeVmsForStalled(const JobEntry& entry, const StepOccurrence& stepOccurrence,
+    const Resources& capacity, const std::vector<Runner*>& usable, TimePoint now)
+{
+    const auto& step = entry.job.steps[stepOccurrence.step];
+    auto isStalled = entry.stalledSince && now >= *entry.stalledSince + stallTime;
+    // Which VMs have a label is not known before they come.
+    if (!isStalled || stepOccurrence.waitingCount() == 0 || !step.requiredLabel.empty())
+        return 0;
+    auto vms = vmsFilledBy(step, capacity);
+    // All members of a gang need room at once.
+    if (step.isGang)
+        return std::uint32_t(std::ceil(vms));
+    TaskName name { entry.job.id, stepOccurrence.occurrence, stepOccurrence.step, 0 };
+    auto hasRoom = std::any_of(usable.begin(), usable.end(),
+        [&](const Runner* runner) { return hasRoomBesideLongRunning(*runner, step, name); });
+    return vms == 0 || hasRoom ? 0 : 1;
+}
+
 Shard::Demand Shard::demandOf(const PoolId& pool, TimePoint now, WallTime wallNow)
 {
     Demand demand;
@@ -90,6 +108,8 @@
             (isLongRunning ? longRunningCpu : runningCpu) += run.reserved.cpu;
         }
     }
+    auto usable = usableRunners(pool, now);
+    std::uint32_t freeVms = 0;
     double waitingMillicoreMs = 0;
     for (const auto& [id, entry] : m_jobTable.all()) {
         if (entry.isOver() || entry.job.policy.pool != pool)
@@ -102,9 +122,11 @@
                 vmsFilledByLongRunning += vmsFilledBy(step, capacity);
             if (step.isLongRunning)
                 longRunningCpu += step.reserved().cpu * stepOccurrence.waitingCount();
-            else if (entry.isStartable(stepOccurrence, wallNow))
+            else if (entry.isStartable(stepOccurrence, wallNow)) {
                 waitingMillicoreMs += double(step.perTask.cpu) * double(step.expectedRunTime().count())
                     * stepOccurrence.waitingCount();
+                freeVms = std::max(freeVms, freeVmsForStalled(entry, stepOccurrence, capacity, usable, now));
+            }
         }
     }
     auto& meter = m_demand[pool];
@@ -117,8 +139,11 @@
     demand.minVms += demand.minVms > 0 ? 1 : 0;
     // Tasks that fit on no usable VM need further ones, even if the sums above suffice.
     if (auto unplaced = m_unplacedLongRunning.find(pool); unplaced != m_unplacedLongRunning.end())
-        demand.minVms
-            = std::max(demand.minVms, std::uint32_t(usableRunners(pool, now).size()) + unplaced->second);
+        demand.minVms = std::max(demand.minVms, std::uint32_t(usable.size()) + unplaced->second);
+    auto withLongRunning = std::uint32_t(std::count_if(
+        usable.begin(), usable.end(), [](const Runner* runner) { return runner->hasLongRunningRuns(); }));
+    if (freeVms > 0)
+        demand.minVms = std::max(demand.minVms, withLongRunning + freeVms);
     demand.meanObjective = meter.meanObjective();
     demand.cpu = std::max(backlogCpu, submittedCpu) * demandHeadroom + double(longRunningCpu);
     return demand;
--- a/src/jobs/tests/stall_test.cpp
+++ b/src/jobs/tests/stall_test.cpp
@@ -184,4 +184,49 @@
     }
 }
 
+// Guards against a short task that waits for ever in a pool whose memory is full of long-running tasks, while
+// further VMs are there to be had.
+BOOST_AUTO_TEST_CASE(AShortTaskThatFitsBesideNoLongRunningOneRaisesDemand)
+{
+    // Each of three VMs, as many as the long-running tasks require, holds two of them.
+    auto minVmsAfterStall = [](const Job& waiting) {
+        ShardFixture f;
+        for (const auto* id : { "r0", "r1", "r2" })
+            f.addRunner(id);
+        auto lasting = longRunning("lasting", 6, 10'300);
+        lasting.steps[0].maxPerRunner = 0;
+        f.submit(lasting);
+        f.advance();
+        BOOST_REQUIRE_EQUAL(f.starts.size(), 6U);
+        for (const auto& each : std::vector(f.starts))
+            f.answerStart(each);
+        BOOST_REQUIRE_EQUAL(f.shard.demandOf(pool, f.now, f.wall()).minVms, 3U);
+        f.submit(waiting);
+        for (int i = 0; i < 4; ++i)
+            f.advance(stallTime);
+        BOOST_REQUIRE_EQUAL(f.shard.stalledJobs().count, 1U);
+        auto minVms = f.shard.demandOf(pool, f.now, f.wall()).minVms;
+        // The VM comes.
+        f.addRunner("r3");
+        f.advance();
+        for (int i = 0; i < 4; ++i)
+            f.advance(stallTime);
+        BOOST_TEST(f.shard.demandOf(pool, f.now, f.wall()).minVms <= minVms);
+        return minVms;
+    };
+    auto large = ShardFixture::job("large", 3);
+    large.steps[0].perTask.memoryMb = 16'000;
+    BOOST_TEST(minVmsAfterStall(large) == 4U);
+    // Two of its members fill a VM.
+    auto gang = large;
+    gang.steps[0].isGang = true;
+    BOOST_TEST(minVmsAfterStall(gang) == 5U);
+    auto tooLarge = large;
+    tooLarge.steps[0].perTask.memoryMb = 40'000;
+    BOOST_TEST(minVmsAfterStall(tooLarge) == 3U);
+    auto labelled = large;
+    labelled.steps[0].requiredLabel = "none";
+    BOOST_TEST(minVmsAfterStall(labelled) == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
