Property: with faults over, every startable task of an accepted job starts within a bound

stall/EveryStartableTaskStartsOnceCrashesAreOver: pools of 2 to 12 runners, a quarter of whose room is asked for, with crashes together, in turn and of one flapping runner, deadly tasks, runners that leave, vanish or are cordoned, changes of the holder, short, long and long-running tasks and some that fill memory. stall/EveryStartableTaskStartsOnceCallsAreAnswered: the same with calls that are lost, answered in vain or late. The bound is made of the times that the design states.

--- a/src/jobs/tests/crashing_pool.h
+++ b/src/jobs/tests/crashing_pool.h
@@ -57,6 +57,13 @@
         store();
     }
 
+    // The runner crashes and is not seen again.
+    void vanish(const RunnerId& id, bool isSilent)
+    {
+        crash(id, isSilent);
+        m_hosts.at(id).downUntil = TimePoint::max();
+    }
+
     // Crashes a runner for a cause outside its tasks. `isSilent`: its connections stay open, and new ones get
     // no answer.
     void crash(const RunnerId& id, bool isSilent)
--- a/src/jobs/tests/stall_test.cpp
+++ b/src/jobs/tests/stall_test.cpp
@@ -1,7 +1,8 @@
 #include "crashing_pool.h"
+#include "late_call_fixture.h"
 
 #include <boost/test/unit_test.hpp>
-#include <fmt/format.h>
+#include <rapidcheck.h>
 
 using namespace fulmar;
 using namespace fulmar::jobs;
@@ -56,9 +57,9 @@
 }
 
 // The waits that the design has follow each other at worst: an earlier incarnation's or holder's lease
-// lapses; the job counts as stalled (a check each second) for long enough to use the last resort; then the
-// runners observe the runs that were isolated before for crashMemory, and after that start one task in each
-// crashWindow, where one second in two is left for other work.
+// lapses; the job is stalled (checked each second, when it begins and when it is used) until it may use the
+// last resort; the runners observe for crashMemory what was isolated before; then each starts one of the
+// waiting tasks in twice crashWindow, as a run is observed from its answer on.
 constexpr Duration lapse = ShardSettings {}.maxLease * 11 / 10;
 constexpr Duration untilLastResort = 3s + 2 * 1s;
 Duration longestWait(std::size_t waiting, std::size_t runners)
@@ -67,7 +68,7 @@
         + 2 * crashWindow * std::int64_t((waiting + runners - 1) / runners);
 }
 
-// A job of which each task was running in two crashes.
+// A job during whose tasks, each of them, runners have crashed.
 void restoreWithCrashes(CrashingPool& play, const Job& job, std::size_t crashes, bool wasSuspect = false)
 {
     JobProgress progress;
@@ -229,4 +230,144 @@
     BOOST_TEST(minVmsAfterStall(labelled) == 3U);
 }
 
+// Guards against accepted tasks that wait for ever, whatever came before, with most of the pool's room free.
+BOOST_AUTO_TEST_CASE(EveryStartableTaskStartsOnceCrashesAreOver)
+{
+    auto holds = rc::check("every startable task starts once crashes are over", [] {
+        auto pick = [](int low, int high) {
+            return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(low, high));
+        };
+        auto pickTime = [&](int low, int high) { return std::chrono::milliseconds(pick(low, high)); };
+        auto runners = pick(2, 13);
+        auto staying = runners - pick(0, runners / 4 + 1);
+        std::vector<RunnerId> ids;
+        for (int i = 0; i < runners; ++i)
+            ids.emplace_back("r" + std::to_string(i));
+        auto pickRunner = [&] { return ids[std::size_t(pick(0, int(ids.size())))]; };
+        CrashingPool play(runners);
+        play.downtime = pickTime(500, 5'000);
+        play.taskTime = pick(0, 2) == 0 ? pickTime(100, 1'000) : pickTime(2'000, 6'000);
+        // A quarter of the room, and no task needs more than a quarter of a VM: there is always a VM for it.
+        Resources budget { staying * 4'000, staying * 8'192, 0 };
+        std::size_t tasks = 0;
+        int jobs = 0;
+        auto submit = [&] {
+            auto kind = pick(0, 5);
+            auto id = "job" + std::to_string(jobs++);
+            auto job = patient(ShardFixture::job(id, std::uint32_t(pick(1, 9)), 250));
+            if (kind == 1)
+                job = longRunning(id, std::uint32_t(pick(1, std::max(1, staying / 4) + 1)), pick(100, 4'000));
+            if (kind == 2)
+                job.steps[0].perTask = { 100, 8'192, 0 };
+            if (kind == 3)
+                play.deadly.insert(job.id);
+            job.steps[0].estimate = std::chrono::duration_cast<Millis>(play.taskTime);
+            auto need = job.steps[0].reserved();
+            Resources all { need.cpu * job.steps[0].count, need.memoryMb * job.steps[0].count, 0 };
+            if (!all.fitsIn(budget) || play.submit(job) != SubmitVerdict::New)
+                return;
+            budget -= all;
+            tasks += job.steps[0].count;
+        };
+        for (auto waves = pick(3, 9); waves > 0; --waves) {
+            for (auto count = pick(1, 5); count > 0; --count)
+                submit();
+            play.play(pickTime(10, 2'000));
+            auto isSilent = pick(0, 4) == 0;
+            switch (pick(0, 6)) {
+            case 0:
+                for (const auto& id : ids)
+                    if (pick(0, 3) == 0)
+                        play.crash(id, isSilent);
+                break;
+            case 1:
+                for (auto count = pick(1, 6); count > 0; --count) {
+                    play.crash(pickRunner(), isSilent);
+                    play.play(pickTime(100, 2'500));
+                }
+                break;
+            case 2:
+                for (auto [id, count] = std::pair(pickRunner(), pick(2, 5)); count > 0; --count) {
+                    play.crash(id, isSilent);
+                    play.play(play.downtime + pickTime(50, 1'500));
+                }
+                break;
+            case 3:
+                if (std::size_t(staying) == ids.size())
+                    break;
+                if (pick(0, 2) == 0) {
+                    play.leave(ids.back());
+                } else {
+                    play.vanish(ids.back(), isSilent);
+                    play.handOverAt(play.now + pickTime(10, 4'000));
+                }
+                ids.pop_back();
+                break;
+            case 4: {
+                std::map<RunnerId, Cordon> cordons;
+                for (const auto& id : ids)
+                    if (pick(0, 2) == 0)
+                        cordons[id] = pick(0, 2) == 0 ? Cordon::Emptying : Cordon::OrderPending;
+                play.shard.setCordons(cordons);
+                break;
+            }
+            default:
+                play.handOverAt(play.now + pickTime(10, 500));
+                play.play(500ms);
+            }
+        }
+        play.deadly.clear();
+        play.shard.setCordons({});
+        play.play(play.downtime);
+        auto longest = longestWait(tasks, ids.size());
+        auto waits = observeWaits(play, longest + 10s);
+        RC_CLASSIFY(waits.longest >= stallTime);
+        RC_LOG() << waits.what << '\n';
+        RC_ASSERT(waits.longest <= longest);
+    });
+    BOOST_TEST(holds);
+}
+
+// The same with calls that are lost, answered in vain or carried out late.
+BOOST_AUTO_TEST_CASE(EveryStartableTaskStartsOnceCallsAreAnswered)
+{
+    auto holds = rc::check("every startable task starts once calls are answered", [](std::uint64_t seed) {
+        constexpr std::size_t runners = 4;
+        LateCallPlay play(runners, seed);
+        play.breaksConnections = play.chance(0.5);
+        auto longestTask = play.chance(0.5) ? Duration(1s) : Duration(6s);
+        play.taskTime = [&] { return play.pick(100ms, longestTask); };
+        play.chooseFate = [&](const RunnerId&, const Call&) {
+            if (play.chance(0.7))
+                return Fate::Answered;
+            return play.chance(0.3) ? Fate::Lost : play.chance(0.5) ? Fate::AnswerLost : Fate::Late;
+        };
+        std::uint32_t tasks = 0;
+        for (int wave = 0; wave < 8; ++wave) {
+            auto job = patient(ShardFixture::job(
+                "job" + std::to_string(wave), std::uint32_t(play.pick(1us, 6us) / 1us), 500));
+            if (play.chance(0.2)) {
+                job.steps[0].count = 1;
+                job.steps[0].perTask.memoryMb = 8'192;
+            }
+            tasks += play.submit(job) == SubmitVerdict::New ? job.steps[0].count : 0;
+            play.play(play.pick(100ms, 3s));
+            for (std::size_t i = 0; i < runners; ++i)
+                if (play.chance(0.2))
+                    play.restart(RunnerId("r" + std::to_string(i)), play.pick(50ms, 3s), play.pick(0ms, 1s));
+            if (play.chance(0.2))
+                play.replaceHolder();
+        }
+        play.chooseFate = [](const RunnerId&, const Call&) { return Fate::Answered; };
+        play.play(3s + 1s);
+        // A call that was sent before comes up to that much later.
+        auto longest = maxLateness + longestWait(tasks, runners);
+        auto waits = observeWaits(play, longest + 10s);
+        RC_CLASSIFY(waits.longest >= stallTime);
+        RC_LOG() << waits.what << '\n';
+        RC_ASSERT(waits.longest <= longest);
+    });
+    BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
