LOST: a stopping process ends at once, whatever other processes call

Callers with an open connection to a stopping process could wait for an answer until the kill, from up to 1.2 s before it.

Cause: after its last answers the process destroys its parts. The gRPC server waits there for each call of another process, but the loop that replies to them has ended, so a call that arrived meanwhile holds the process until SIGKILL (stack: ~GrpcShardServer, grpc::Server::UnrefAndWaitLocked), with callers still connected and nobody to read.

Change: the process exits without destroying its parts.

--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -1,17 +1,28 @@
 #include "node/node.h"
 
 #include "node/tests/fake_platform.h"
+#include "platform/decode.h"
 #include "platform/http_client.h"
 #include "platform/names.h"
 
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <filesystem>
 #include <fmt/format.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace fulmar;
 using namespace fulmar::node;
 using namespace std::chrono_literals;
+using namespace std::string_literals;
 
 namespace {
 
@@ -61,6 +72,68 @@
     }
 };
 
+// A node that is stopped while callers are connected. Times are since the stop signal; with 3 s of grace,
+// calls are refused from 1 s on, all are answered after 2.3 s, and the process exits after 2.5 to 2.7 s.
+struct StoppedNodeFixture : NodeFixture {
+    using Clock = std::chrono::steady_clock;
+
+    std::chrono::milliseconds reloadTime { 0 };
+    std::thread process { [this] {
+        Node node(settings, 1, [this] {
+            std::this_thread::sleep_for(reloadTime);
+            return std::nullopt;
+        });
+        std::ignore = node.run();
+    } };
+    Clock::time_point stoppedAt;
+
+    StoppedNodeFixture()
+    {
+        auto isAccepted = false;
+        for (int tries = 0; tries < 100 && !isAccepted; ++tries) {
+            isAccepted = call(submit(fmt::format("{:016x}", tries))).status == 200;
+            std::this_thread::sleep_for(isAccepted ? 0ms : 100ms);
+        }
+        BOOST_REQUIRE(isAccepted);
+    }
+    ~StoppedNodeFixture() { process.join(); }
+
+    void stop()
+    {
+        ::kill(::getpid(), SIGTERM);
+        stoppedAt = Clock::now();
+    }
+    void sleepUntil(std::chrono::milliseconds time) const { std::this_thread::sleep_until(stoppedAt + time); }
+    [[nodiscard]] std::chrono::milliseconds elapsed() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - stoppedAt);
+    }
+
+    asio::ip::tcp::socket connect(const std::string& address)
+    {
+        asio::ip::tcp::socket socket(loop);
+        auto port = std::uint16_t(std::stoul(address.substr(address.find(':') + 1)));
+        asio::error_code error;
+        socket.connect({ asio::ip::address_v4::loopback(), port }, error);
+        return socket;
+    }
+    static void send(asio::ip::tcp::socket& socket)
+    {
+        asio::error_code ignored;
+        asio::write(socket, asio::buffer("GET /plans/0 HTTP/1.1\r\nHost: office.example\r\n\r\n"s), ignored);
+    }
+    // Until the connection ends.
+    static std::string read(asio::ip::tcp::socket& socket)
+    {
+        std::string reply;
+        asio::error_code ignored;
+        asio::read(socket, asio::dynamic_buffer(reply), ignored);
+        return reply;
+    }
+};
+
+constexpr auto refused = "HTTP/1.1 503";
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(node)
@@ -91,4 +164,107 @@
     BOOST_TEST(hasRun);
 }
 
+// Guards against connections that stay open, with nobody to read them, while the process waits for calls of
+// other processes to end.
+BOOST_FIXTURE_TEST_CASE(TheProcessEndsAtOnceWhateverOtherProcessesCall, NodeFixture)
+{
+    auto folder = std::filesystem::temp_directory_path() / fmt::format("fulmar-node-{}", ::getpid());
+    std::filesystem::create_directory(folder);
+    auto file = (folder / "node.ini").string();
+    std::ofstream(file) << fmt::format(
+        "[process]\nname = node\nzone = z\nstop_grace = 3s\n[listen]\ncallers = {}\n"
+        "readiness = {}\npeers = {}\nmetrics = {}\n[platform]\nstore = {}\nvms = {}\n",
+        settings.callerAddress, settings.readinessAddress, settings.peerAddress, settings.metricsAddress,
+        settings.storeAddress, settings.vmsAddress);
+    std::string program = FULMARRAMP_PROGRAM;
+    std::string option = "--settings";
+    std::array<char*, 4> arguments { program.data(), option.data(), file.data(), nullptr };
+    pid_t process = 0;
+    BOOST_REQUIRE(::posix_spawn(&process, program.c_str(), nullptr, nullptr, arguments.data(), environ) == 0);
+    for (int tries = 0; tries < 100 && call(submit("0")).status == 0; ++tries)
+        std::this_thread::sleep_for(100ms);
+    ShardRpcClient peer(loop);
+    asio::ip::tcp::socket socket(loop);
+    socket.connect({ asio::ip::address_v4::loopback(),
+        std::uint16_t(std::stoul(settings.callerAddress.substr(settings.callerAddress.find(':') + 1))) });
+    std::array<char, 1> byte {};
+    auto isOpen = true;
+    socket.async_read_some(asio::buffer(byte), [&](const asio::error_code&, std::size_t) { isOpen = false; });
+    ::kill(process, SIGTERM);
+    auto stoppedAt = std::chrono::steady_clock::now();
+    while (isOpen && std::chrono::steady_clock::now() < stoppedAt + 5s) {
+        peer.call(settings.peerAddress, { JobCallKind::Count, {}, {}, {}, 0 }, 1s, [](const JobReply&) {});
+        loop.restart();
+        loop.run_for(1ms);
+    }
+    auto elapsed
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - stoppedAt);
+    BOOST_TEST(elapsed.count() < 3000);
+    if (isOpen)
+        ::kill(process, SIGKILL);
+    int status = 0;
+    BOOST_TEST(::waitpid(process, &status, 0) == process);
+    BOOST_TEST(status == 0);
+    // The client's calls end.
+    loop.restart();
+    loop.run_for(1200ms);
+    std::filesystem::remove_all(folder);
+}
+
+// Callers that send one call after the other until the process is gone: each gets an answer, or sees at once
+// that there is none.
+BOOST_FIXTURE_TEST_CASE(NoCallIsGivenUpLateUntilTheExit, StoppedNodeFixture)
+{
+    std::vector<asio::ip::tcp::socket> idle;
+    for (int i = 0; i < 5; ++i)
+        idle.push_back(connect(settings.callerAddress));
+    stop();
+    sleepUntil(2000ms);
+    // A second signal changes nothing.
+    ::kill(::getpid(), SIGTERM);
+    std::size_t answered = 0;
+    for (std::size_t i = 0; elapsed() < 2900ms; ++i) {
+        auto isIdle = i % 8 == 7 && !idle.empty();
+        auto socket = isIdle ? std::move(idle.back()) : connect(settings.callerAddress);
+        if (isIdle)
+            idle.pop_back();
+        auto sentAt = elapsed();
+        send(socket);
+        auto isAnswered = read(socket).starts_with(refused);
+        answered += isAnswered ? 1 : 0;
+        BOOST_TEST((isAnswered || elapsed() - sentAt < 200ms));
+        BOOST_TEST((isAnswered || sentAt > 2400ms));
+        std::this_thread::sleep_for(15ms);
+    }
+    BOOST_TEST(answered > 10U);
+}
+
+// The system sends what the process has written, also after its exit.
+BOOST_FIXTURE_TEST_CASE(ACallerThatReadsSlowlyGetsItsAnswerAfterTheExit, StoppedNodeFixture)
+{
+    auto single = connect(settings.callerAddress);
+    auto pipelined = connect(settings.callerAddress);
+    stop();
+    sleepUntil(2450ms);
+    send(single);
+    send(pipelined);
+    send(pipelined);
+    sleepUntil(3200ms);
+    BOOST_TEST(read(single).starts_with(refused));
+    BOOST_TEST(read(pipelined).starts_with(refused));
+}
+
+BOOST_FIXTURE_TEST_CASE(ConnectionsOfHealthChecksAndMetricsDoNotDelayTheExit, StoppedNodeFixture)
+{
+    auto metrics = connect(settings.metricsAddress);
+    auto readiness = connect(settings.readinessAddress);
+    stop();
+    sleepUntil(2300ms);
+    send(metrics);
+    send(readiness);
+    BOOST_TEST(read(readiness).starts_with(refused));
+    BOOST_TEST(read(metrics).starts_with("HTTP/1.1 200"));
+    BOOST_TEST(elapsed().count() < 3000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/programs/fulmarramp.cpp
+++ b/src/programs/fulmarramp.cpp
@@ -2,6 +2,8 @@
 #include "io/program.h"
 #include "node/node.h"
 
+#include <cstdlib>
+
 int main(int argc, char** argv)
 {
     return fulmar::runDaemon("fulmarramp", argc, argv, [](fulmar::SettingsReader& reader, bool checksOnly) {
@@ -14,8 +16,12 @@
                 auto changed = fulmar::node::readNodeSettings(again);
                 return again.finish().empty() ? std::optional(std::move(changed)) : std::nullopt;
             };
-            auto result = fulmar::node::Node(std::move(settings), fulmar::newIncarnation(), reload).run();
+            fulmar::node::Node node(std::move(settings), fulmar::newIncarnation(), reload);
+            auto result = node.run();
             fulmar::flushLog();
+            // The destructor waits for calls of other processes, with callers still connected.
+            if (result)
+                std::_Exit(fulmar::exitOk);
             return result;
         });
     });
