LOST: a process that is late reads what came in before it exits

A caller that connected and sent a call while a stopping process was late, over its last half second, saw its connection reset without an answer.

Cause: the tick that decides on the exit is one of the first things that a late process does; it stopped the loop before new connections were read.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -568,6 +568,7 @@
     state.openConnections = m_callers->openConnections();
     state.sinceLastAnswer
         = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_lastAnswerAt);
+    state.tickLag = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_tickDue);
     if (!mayExit(state))
         return;
     for (auto& slot : m_slots)
--- a/src/node/stop_plan.cpp
+++ b/src/node/stop_plan.cpp
@@ -17,6 +17,10 @@
 // the kill on. It exits `forcedExitMargin` before the kill in any case.
 constexpr std::chrono::milliseconds exitMargin { 1'200 };
 constexpr std::chrono::milliseconds forcedExitMargin { 300 };
+// After a tick that was this late, the process has not read yet what came in meanwhile. It reads it before it
+// exits, unless the kill is only `lastExitMargin` away.
+constexpr std::chrono::milliseconds maxTickLag { 80 };
+constexpr std::chrono::milliseconds lastExitMargin { 100 };
 // Time for a submitted answer to reach the network.
 constexpr std::chrono::milliseconds flushTime { 120 };
 
@@ -39,6 +43,10 @@
 
 bool mayExit(const StopState& state)
 {
+    if (state.elapsed >= state.grace - lastExitMargin)
+        return true;
+    if (state.tickLag >= maxTickLag)
+        return false;
     if (state.elapsed >= state.grace - forcedExitMargin)
         return true;
     auto isAnswered = state.callsInFlight == 0 && state.sinceLastAnswer >= flushTime;
--- a/src/node/stop_plan.h
+++ b/src/node/stop_plan.h
@@ -13,6 +13,8 @@
     std::size_t callsInFlight { 0 };
     std::size_t openConnections { 0 };
     std::chrono::milliseconds sinceLastAnswer { 0 };
+    // By how much the tick that asks came late.
+    std::chrono::milliseconds tickLag { 0 };
 };
 
 // Whether to accept a call while stopping. Callers keep using open connections until the process exits, so
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -164,6 +164,24 @@
     BOOST_TEST(hasRun);
 }
 
+// Guards against a process that was late over its last half second, and exits before it reads what came in
+// that time.
+BOOST_FIXTURE_TEST_CASE(ACallIsReadBeforeTheExitOfALateProcess, StoppedNodeFixture)
+{
+    auto socket = connect(settings.callerAddress);
+    reloadTime = 600ms;
+    stop();
+    sleepUntil(2200ms);
+    ::kill(::getpid(), SIGHUP);
+    sleepUntil(2400ms);
+    auto late = connect(settings.callerAddress);
+    send(socket);
+    send(late);
+    BOOST_TEST(read(socket).starts_with(refused));
+    BOOST_TEST(read(late).starts_with(refused));
+    BOOST_TEST(elapsed().count() < 3000);
+}
+
 // Guards against connections that stay open, with nobody to read them, while the process waits for calls of
 // other processes to end.
 BOOST_FIXTURE_TEST_CASE(TheProcessEndsAtOnceWhateverOtherProcessesCall, NodeFixture)
--- a/src/node/tests/stop_plan_test.cpp
+++ b/src/node/tests/stop_plan_test.cpp
@@ -37,6 +37,16 @@
     }
 }
 
+// What came in while a process was late is read before the exit, unless the kill is near.
+BOOST_AUTO_TEST_CASE(ALateTickDoesNotExit)
+{
+    for (auto elapsed : { 3000ms, 5000ms, 5700ms }) {
+        BOOST_TEST(mayExit({ elapsed, 6s, 0, 0, 1s, 50ms }));
+        BOOST_TEST(!mayExit({ elapsed, 6s, 0, 0, 1s, 300ms }));
+    }
+    BOOST_TEST(mayExit({ 5900ms, 6s, 1, 1, 0ms, 300ms }));
+}
+
 BOOST_AUTO_TEST_CASE(ServesConnectedCallersUntilShortlyBeforeTheKill)
 {
     BOOST_TEST(!mayExit({ 1s, 6s, 0, 0, 1s }));
