--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -16,6 +16,8 @@
 // An unlisted runner counts as ended only by a VM list that was requested this long after the runner left the
 // runner list: the lists change at slightly different times, and a new VM may appear in one before the other.
 constexpr Millis unlistedGracePeriod { 300 };
+// A call without an answer is carried out at most this much later.
+constexpr Millis maxCallDelay { 15'000 };
 // Longer than a crashed runner is away.
 constexpr Millis breakOffRetention { 60'000 };
 
@@ -49,6 +51,7 @@
     runner.unlistedSince = now;
     runner.isStored = true;
     runner.setEarliestLapse(lapseIfExtendedAt(now));
+    m_earlierRunsEndBy = lapseIfExtendedAt(now + maxCallDelay);
 }
 
 // The tenth covers a slow runner clock.
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -247,6 +247,8 @@
     const ShardSettings m_settings;
     const FencingToken m_lastFenceOfEpoch;
     FencingToken m_lastFence;
+    // By then no run of an earlier holder is alive, even one that an order began late.
+    TimePoint m_earlierRunsEndBy;
     const Attempt m_attemptBase;
     Attempt m_attempts { 0 };
     JobTable m_jobTable;
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -215,6 +215,9 @@
 
 bool Shard::areEarlierRunsResolved(const PoolId& pool, TimePoint now) const
 {
+    // However often a runner that does not answer starts again.
+    if (now >= m_earlierRunsEndBy)
+        return true;
     return std::all_of(m_runners.begin(), m_runners.end(), [&](const auto& each) {
         const auto& runner = each.second;
         return runner.report().pool != pool || runner.hasAnsweredThisEpoch || !runner.isStored
