--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -4,6 +4,7 @@
 #include "jobs/job.h"
 #include "jobs/runner_orders.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace fulmar::jobs {
@@ -29,6 +30,15 @@
     TimePoint notBefore;
 };
 
+// Where a checkpoint comes from; the greater of two is the newer one.
+struct CheckpointSource {
+    Attempt attempt { 0 };
+    // The run's end carried it; else a poll before the run was lost.
+    bool isFromEnd { false };
+
+    auto operator<=>(const CheckpointSource&) const = default;
+};
+
 // The tasks of a step in one occurrence of the job.
 struct StepOccurrence {
     std::uint32_t occurrence { 0 };
@@ -36,6 +46,8 @@
     std::vector<Task> tasks;
     std::uint32_t doneCount { 0 };
     std::uint32_t placedCount { 0 };
+    // Of the checkpoint that all tasks have, if the step is a gang.
+    CheckpointSource gangCheckpoint;
 
     [[nodiscard]] bool isDone() const { return doneCount == tasks.size(); }
     [[nodiscard]] std::uint32_t waitingCount() const
@@ -60,9 +72,17 @@
     bool hasCrashRecords { false };
     // The progress has changed since it was last passed to the store.
     bool isDirty { false };
+    // When it was first seen that a task could run and nothing of the job did; see stalled_jobs.h.
+    std::optional<TimePoint> stalledSince;
     // State that the store holds; callers are shown this one.
     JobState storedState { JobState::Queued };
     std::vector<StepOccurrence> stepOccurrences;
+    // The occurrences before this one have ended.
+    std::uint32_t endedOccurrences { 0 };
+    // Occurrences from that one on that may be in progress; bounds the progress row.
+    std::uint32_t maxOpen { 1 };
+    // See JobProgress.
+    Attempt countedUpTo { 0 };
 
     [[nodiscard]] bool isOver() const { return state >= JobState::Completed; }
     [[nodiscard]] StepOccurrence& stepOccurrence(std::uint32_t occurrence, std::uint32_t step)
@@ -70,6 +90,7 @@
         return stepOccurrences[occurrence * job.steps.size() + step];
     }
     [[nodiscard]] Task* find(const TaskName&);
+    // Its time has come, and few enough occurrences before it are in progress.
     [[nodiscard]] bool isDue(const StepOccurrence&, WallTime) const;
     // All steps that this one depends on are done, and the occurrence is due.
     [[nodiscard]] bool isStartable(const StepOccurrence&, WallTime) const;
@@ -83,6 +104,11 @@
 // All jobs of a shard with their progress.
 class JobTable {
 public:
+    explicit JobTable(std::size_t maxRowBytes = defaultMaxRowBytes)
+        : m_maxRowBytes(maxRowBytes)
+    {
+    }
+
     JobEntry& add(Job, TimePoint now);
     JobEntry& restore(Job, const JobProgress&, TimePoint now);
     [[nodiscard]] JobEntry* find(const JobId&);
@@ -91,6 +117,7 @@
     [[nodiscard]] const std::unordered_map<JobId, JobEntry>& all() const { return m_jobs; }
 
 private:
+    const std::size_t m_maxRowBytes;
     std::unordered_map<JobId, JobEntry> m_jobs;
 };
 
@@ -105,6 +132,6 @@
 void countCrash(JobEntry&, const CrashedRun&, TimePoint now);
 
 // The run was lost without an end; the task waits again.
-void releaseTask(JobEntry&, const TaskName&, const std::string& checkpoint);
+void releaseTask(JobEntry&, const TaskName&, Attempt, const std::string& checkpoint);
 
 } // namespace fulmar::jobs
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::string_view emptyingReason = "emptying";
+
 bool hasLabel(const RunnerReport& report, const std::string& label)
 {
     return label.empty()
@@ -48,27 +50,48 @@
         return "not-heard";
     if (!runner.isStored)
         return "not-recorded";
-    if (runner.isCordoned)
+    if (runner.cordon == Cordon::OrderPending)
         return "reserved";
     if (runner.report().isDraining)
         return "draining";
     if (runner.isUnreachable())
         return "silent";
-    return now < runner.avoidUntil ? "avoided" : "";
+    if (now < runner.avoidUntil)
+        return "avoided";
+    return runner.cordon == Cordon::Emptying ? emptyingReason : "";
+}
+
+bool isUsableLastResort(const Runner& runner, TimePoint now)
+{
+    return unusableReason(runner, now) == emptyingReason;
 }
 
 bool isUsable(const Runner& runner, TimePoint now) { return unusableReason(runner, now).empty(); }
 
+bool hasRoomFor(const Runner& runner, const Step& step, const TaskName& taskName)
+{
+    return step.reserved().fitsIn(runner.room()) && hasLabel(runner.report(), step.requiredLabel)
+        && (step.maxPerRunner == 0 || runner.countOfStep(taskName) < step.maxPerRunner);
+}
+
+bool hasRoomBesideLongRunning(const Runner& runner, const Step& step, const TaskName& taskName)
+{
+    auto room = runner.report().capacity;
+    for (const auto& [task, run] : runner.runs())
+        if (run.isLongRunning)
+            room -= run.reserved;
+    return step.reserved().fitsIn(room) && hasLabel(runner.report(), step.requiredLabel)
+        && (!step.isLongRunning || step.maxPerRunner == 0
+            || runner.countOfStep(taskName) < step.maxPerRunner);
+}
+
 Runner* chooseRunner(
     std::vector<Runner*>& candidates, const Step& step, const TaskName& taskName, const RackId& preferredRack)
 {
     Runner* best = nullptr;
     double bestCost = 0;
-    auto need = step.reserved();
     for (auto* runner : candidates) {
-        if (!need.fitsIn(runner->room()) || !hasLabel(runner->report(), step.requiredLabel))
-            continue;
-        if (step.maxPerRunner > 0 && runner->countOfStep(taskName) >= step.maxPerRunner)
+        if (!hasRoomFor(*runner, step, taskName))
             continue;
         if (auto cost = placementCost(*runner, step, taskName, preferredRack); !best || cost < bestCost) {
             best = runner;
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -1,6 +1,7 @@
 #include "jobs/shard.h"
 
 #include "core/log.h"
+#include "jobs/runner_row.h"
 
 #include <algorithm>
 
@@ -15,6 +16,8 @@
 // An unlisted runner counts as ended only by a VM list that was requested this long after the runner left the
 // runner list: the lists change at slightly different times, and a new VM may appear in one before the other.
 constexpr Millis unlistedGracePeriod { 300 };
+// A call without an answer is carried out at most this much later.
+constexpr Millis maxCallDelay { 15'000 };
 // Longer than a crashed runner is away.
 constexpr Millis breakOffRetention { 60'000 };
 
@@ -25,6 +28,7 @@
     , m_lastFenceOfEpoch((epoch + 1) * fencesPerEpoch - 1)
     , m_lastFence(epoch * fencesPerEpoch)
     , m_attemptBase((epoch - 1) * attemptsPerEpoch)
+    , m_jobTable(settings.maxRowBytes)
 {
 }
 
@@ -47,6 +51,7 @@
     runner.unlistedSince = now;
     runner.isStored = true;
     runner.setEarliestLapse(lapseIfExtendedAt(now));
+    m_earlierRunsEndBy = lapseIfExtendedAt(now + maxCallDelay);
 }
 
 // The tenth covers a slow runner clock.
@@ -137,6 +142,12 @@
     stopRunsOf(id);
 }
 
+void Shard::forgetUnstored(const JobId& id)
+{
+    if (auto* entry = m_jobTable.find(id); entry && !entry->isStored)
+        m_jobTable.remove(id);
+}
+
 std::uint64_t Shard::pending(const std::string& queue) const
 {
     return std::uint64_t(
@@ -178,11 +189,12 @@
 
 void Shard::loseRun(Runner& runner, const TaskName& task)
 {
+    auto attempt = runner.find(task)->attempt;
     auto checkpoint = runner.find(task)->checkpoint;
     removeRun(runner, task);
     auto* entry = m_jobTable.find(task.job);
     if (auto* found = entry ? entry->find(task) : nullptr; found && found->runner == runner.report().id)
-        releaseTask(*entry, task, checkpoint);
+        releaseTask(*entry, task, attempt, checkpoint);
 }
 
 // Orders name their runner by its id alone, so the new incarnation carries out those meant for the earlier
@@ -342,10 +354,12 @@
         endRunner(id, false, now, "vm-has-another-life");
 }
 
-void Shard::setRunnerCordoned(const RunnerId& id, bool isCordoned)
+void Shard::setCordons(const std::map<RunnerId, Cordon>& cordons)
 {
-    if (auto found = m_runners.find(id); found != m_runners.end())
-        found->second.isCordoned = isCordoned;
+    for (auto& [id, runner] : m_runners) {
+        auto found = cordons.find(id);
+        runner.cordon = found == cordons.end() ? Cordon::None : found->second;
+    }
 }
 
 void Shard::setMaintenanceDue(const std::set<RunnerId>& due)
@@ -364,7 +378,8 @@
         auto& [id, entry] = *each;
         if (entry.isDirty && entry.isStored) {
             entry.isDirty = false;
-            changes.push_back({ ShardChange::Kind::Progress, id.value(), encodeProgress(entry.progress()) });
+            changes.push_back({ ShardChange::Kind::Progress, id.value(),
+                encodeProgress(entry.progress(), entry.job, m_settings.maxRowBytes) });
         }
         if (entry.isOver() && now > entry.ended + m_settings.keepFinished) {
             changes.push_back({ ShardChange::Kind::JobRemoval, id.value(), {} });
@@ -389,8 +404,11 @@
                 entry->storedState = progress->state;
         break;
     case ShardChange::Kind::Runner:
-        if (auto found = m_runners.find(RunnerId(change.key)); found != m_runners.end())
-            found->second.isStored = true;
+        // The runner may have ended and be back as another incarnation, whose record is yet to be written.
+        if (auto found = m_runners.find(RunnerId(change.key)); found != m_runners.end()) {
+            auto row = decodeRunnerRow(change.key, change.value);
+            found->second.isStored |= row && row->incarnation == found->second.report().incarnation;
+        }
         break;
     case ShardChange::Kind::JobRemoval:
     case ShardChange::Kind::RunnerRemoval:
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -7,12 +7,13 @@
 #include "jobs/move_plan.h"
 #include "jobs/run_time_model.h"
 #include "jobs/runner.h"
+#include "jobs/stalled_jobs.h"
 
 #include <deque>
 
 namespace fulmar::jobs {
 
-// Times taken from the platform's settings.
+// Times and limits taken from the platform's settings.
 struct ShardSettings {
     // Longest lease that a runner grants.
     Millis maxLease { 6'000 };
@@ -20,6 +21,7 @@
     Millis maxPollWait { 1'000 };
     // How long finished jobs can be queried.
     Millis keepFinished { 150'000 };
+    std::size_t maxRowBytes { defaultMaxRowBytes };
 };
 
 enum class SubmitVerdict : std::uint8_t {
@@ -87,6 +89,8 @@
     // rejected without submit().
     void recordDemand(Job, TimePoint now);
     void cancel(const JobId&, TimePoint now);
+    // The job's row cannot be stored.
+    void forgetUnstored(const JobId&);
     [[nodiscard]] JobEntry* find(const JobId& id) { return m_jobTable.find(id); }
     // Stored jobs of the queue of which no task has started.
     [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
@@ -136,9 +140,8 @@
     // Millicores that can join the pool within the time of a VM move.
     void setArriving(const PoolId& pool, std::int64_t cpu) { m_arriving[pool] = cpu; }
     [[nodiscard]] bool hasLongRunningTasks(const RunnerId&);
-    // True keeps new work away from a runner that is to be moved, maintained or emptied; false allows it
-    // again.
-    void setRunnerCordoned(const RunnerId&, bool);
+    // Sets the complete list of cordoned runners.
+    void setCordons(const std::map<RunnerId, Cordon>&);
     // Sets the complete list of runners whose VMs are still to be maintained.
     void setMaintenanceDue(const std::set<RunnerId>&);
     // Removes a runner whose incarnation is known to be over; its runs are lost. `isPlanned`: by an order of
@@ -153,6 +156,7 @@
     void evacuate(const RunnerId&, TimePoint now);
     [[nodiscard]] PoolLoad loadOf(
         const PoolId&, std::int32_t priority, TimePoint now, WallTime wallNow) const;
+    [[nodiscard]] const StalledJobs& stalledJobs() const { return m_stalledJobs; }
     // All runners of the earlier holder have answered, or their leases have lapsed.
     [[nodiscard]] bool areEarlierRunsResolved(const PoolId&, TimePoint now) const;
 
@@ -191,13 +195,22 @@
     void countCrashOfUnlisted(const RunnerId&, TimePoint now);
     void countCrashes(const std::vector<CrashedRun>&, const RunnerId&, TimePoint now, std::string_view why);
     void clearOfCrashes(const TaskName&, Run&, TimePoint seenAt);
-    // Usable runners of a pool, by the tasks that they take.
+    // Runners of a pool, by the tasks that they take.
     struct PoolRunners {
         std::vector<Runner*> shared;
         std::vector<Runner*> setApart;
+        // Of cordoned VMs; only for jobs that have been stalled for long, while the pool is not busy.
+        std::vector<Runner*> emptying;
+        // Less than half of the pool's processors are in use.
+        bool isIdle { false };
+        // The job that is to be placed has been stalled for long.
+        bool mayShortenIsolation { false };
+        // Of the step that is to be placed; does not count for a gang.
+        std::optional<std::uint32_t> maxTasks;
     };
+    // `wanted`: number of runners to set apart.
     [[nodiscard]] PoolRunners divideRunners(
-        const std::vector<Runner*>& usable, std::size_t waitingForIsolation, TimePoint now);
+        const std::vector<Runner*>& usable, std::size_t wanted, TimePoint now);
     void applyEnds(Runner&, const PollAnswer&, TimePoint now);
     void applyEnd(Runner&, const EndedTask&, TimePoint now);
     void onJobStateChange(const JobEntry&, const Runner&, const EndedTask&, TimePoint now);
@@ -208,7 +221,12 @@
     void recordRunTime(const Runner&, const TaskName&, const Run&, TimePoint now);
     static void stopRun(Run&);
     [[nodiscard]] bool canInterrupt(JobEntry&, const TaskName&, TimePoint now);
+    // Usable VMs of this capacity without long-running tasks that the step needs, if its job is stalled and
+    // its tasks fit beside the long-running tasks of no usable VM.
+    [[nodiscard]] static std::uint32_t freeVmsForStalled(const JobEntry&, const StepOccurrence&,
+        const Resources& capacity, const std::vector<Runner*>& usable, TimePoint now);
     [[nodiscard]] bool hasAlternativeRunner(const Runner&, JobEntry&, const TaskName&, TimePoint now);
+    void checkForStalledJobs(TimePoint now, WallTime wallNow, bool mayStart);
     void logUnplaced(const JobEntry&, const StepOccurrence&, TimePoint now);
     void planResends(Runner&, ShardOrders&);
     [[nodiscard]] Millis pollWaitFor(const Runner&, TimePoint now) const;
@@ -218,15 +236,19 @@
     [[nodiscard]] static Runner* chooseRunnerForIsolation(
         const PoolRunners&, Isolation, const Step&, const TaskName&, TimePoint now);
     void placeStep(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
+    void placeStepAsLastResort(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void placeTasks(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void orderStart(
         JobEntry&, const TaskName&, Task&, Runner&, Attempt, Isolation, TimePoint now, ShardOrders&);
     [[nodiscard]] std::vector<Runner*> usableRunners(const PoolId&, TimePoint now);
+    [[nodiscard]] std::vector<Runner*> emptyingRunners(const PoolId&, TimePoint now);
     [[nodiscard]] Attempt nextAttempt() { return m_attemptBase + ++m_attempts; }
 
     const ShardSettings m_settings;
     const FencingToken m_lastFenceOfEpoch;
     FencingToken m_lastFence;
+    // By then no run of an earlier holder is alive, even one that an order began late.
+    TimePoint m_earlierRunsEndBy;
     const Attempt m_attemptBase;
     Attempt m_attempts { 0 };
     JobTable m_jobTable;
@@ -248,6 +270,8 @@
     // VMs needed for long-running tasks that fit on none of the usable VMs.
     std::map<PoolId, std::uint32_t> m_unplacedLongRunning;
     std::map<PoolId, TimePoint> m_nextUnplacedLog;
+    StalledJobs m_stalledJobs;
+    TimePoint m_nextStallCheck;
 };
 
 } // namespace fulmar::jobs
--- a/src/jobs/shard_load.cpp
+++ b/src/jobs/shard_load.cpp
@@ -38,6 +38,12 @@
     return perVm > 0 ? double(step.count) / double(perVm) : 0;
 }
 
+// All members of a gang need their room at the same time.
+std::uint32_t vmsForGang(const Step& step, const Resources& capacity)
+{
+    return step.isGang ? std::uint32_t(std::ceil(vmsFilledBy(step, capacity))) : 0;
+}
+
 } // namespace
 
 PoolLoad Shard::loadOf(const PoolId& pool, std::int32_t priority, TimePoint now, WallTime wallNow) const
@@ -72,6 +78,24 @@
     return load;
 }
 
+std::uint32_t Shard::freeVmsForStalled(const JobEntry& entry, const StepOccurrence& stepOccurrence,
+    const Resources& capacity, const std::vector<Runner*>& usable, TimePoint now)
+{
+    const auto& step = entry.job.steps[stepOccurrence.step];
+    auto isStalled = entry.stalledSince && now >= *entry.stalledSince + stallTime;
+    // Which VMs have a label is not known before they come.
+    if (!isStalled || stepOccurrence.waitingCount() == 0 || !step.requiredLabel.empty())
+        return 0;
+    auto vms = vmsFilledBy(step, capacity);
+    // All members of a gang need room at once.
+    if (step.isGang)
+        return std::uint32_t(std::ceil(vms));
+    TaskName name { entry.job.id, stepOccurrence.occurrence, stepOccurrence.step, 0 };
+    auto hasRoom = std::any_of(usable.begin(), usable.end(),
+        [&](const Runner* runner) { return hasRoomBesideLongRunning(*runner, step, name); });
+    return vms == 0 || hasRoom ? 0 : 1;
+}
+
 Shard::Demand Shard::demandOf(const PoolId& pool, TimePoint now, WallTime wallNow)
 {
     Demand demand;
@@ -90,6 +114,8 @@
             (isLongRunning ? longRunningCpu : runningCpu) += run.reserved.cpu;
         }
     }
+    auto usable = usableRunners(pool, now);
+    std::uint32_t freeVms = 0;
     double waitingMillicoreMs = 0;
     for (const auto& [id, entry] : m_jobTable.all()) {
         if (entry.isOver() || entry.job.policy.pool != pool)
@@ -97,14 +123,17 @@
         for (const auto& stepOccurrence : entry.stepOccurrences) {
             const auto& step = entry.job.steps[stepOccurrence.step];
             if (!stepOccurrence.isDone() && entry.isStartable(stepOccurrence, wallNow))
-                demand.minVms = std::max(demand.minVms, vmsForMaxPerRunner(step));
+                demand.minVms
+                    = std::max({ demand.minVms, vmsForMaxPerRunner(step), vmsForGang(step, capacity) });
             if (step.isLongRunning)
                 vmsFilledByLongRunning += vmsFilledBy(step, capacity);
             if (step.isLongRunning)
                 longRunningCpu += step.reserved().cpu * stepOccurrence.waitingCount();
-            else if (entry.isStartable(stepOccurrence, wallNow))
+            else if (entry.isStartable(stepOccurrence, wallNow)) {
                 waitingMillicoreMs += double(step.perTask.cpu) * double(step.expectedRunTime().count())
                     * stepOccurrence.waitingCount();
+                freeVms = std::max(freeVms, freeVmsForStalled(entry, stepOccurrence, capacity, usable, now));
+            }
         }
     }
     auto& meter = m_demand[pool];
@@ -117,8 +146,11 @@
     demand.minVms += demand.minVms > 0 ? 1 : 0;
     // Tasks that fit on no usable VM need further ones, even if the sums above suffice.
     if (auto unplaced = m_unplacedLongRunning.find(pool); unplaced != m_unplacedLongRunning.end())
-        demand.minVms
-            = std::max(demand.minVms, std::uint32_t(usableRunners(pool, now).size()) + unplaced->second);
+        demand.minVms = std::max(demand.minVms, std::uint32_t(usable.size()) + unplaced->second);
+    auto withLongRunning = std::uint32_t(std::count_if(
+        usable.begin(), usable.end(), [](const Runner* runner) { return runner->hasLongRunningRuns(); }));
+    if (freeVms > 0)
+        demand.minVms = std::max(demand.minVms, withLongRunning + freeVms);
     demand.meanObjective = meter.meanObjective();
     demand.cpu = std::max(backlogCpu, submittedCpu) * demandHeadroom + double(longRunningCpu);
     return demand;
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -13,6 +13,10 @@
 
 // Per pool.
 constexpr Millis unplacedLogInterval { 1'000 };
+// Each check visits all unfinished tasks, and logs the job that has waited longest.
+constexpr Millis stallCheckInterval { 1'000 };
+// In a pool that is busy, the waits of other jobs than long-running ones are mostly due to its load.
+constexpr Millis stallTimeInBusyPool { 3'000 };
 // Lower bound of a poll's wait, reached when a task runs beyond its estimate.
 constexpr Millis minPollWait { 200 };
 // Lower bound while work waits for capacity. If the answer to a poll is lost, freed resources stay unused
@@ -24,8 +28,31 @@
 // Tasks end around their estimate; waiting this much longer usually includes the end in the answer.
 constexpr Millis pollWaitMargin { 100 };
 
-std::size_t countWaitingForIsolation(const StepOccurrence& stepOccurrence)
+// Whether less than half of the processors of these runners is reserved.
+bool isUnderHalfInUse(const std::vector<Runner*>& usable, const std::vector<Runner*>& emptying)
 {
+    Resources reserved;
+    Resources capacity;
+    for (const auto* group : { &usable, &emptying })
+        for (const auto* runner : *group) {
+            reserved += runner->reserved();
+            capacity += runner->report().capacity;
+        }
+    return reserved.cpu * 2 < capacity.cpu;
+}
+
+// Tasks of the step that wait to be isolated, if one of the runners can ever take them.
+std::size_t countWaitingForIsolation(
+    const JobEntry& entry, const StepOccurrence& stepOccurrence, const std::vector<Runner*>& usable)
+{
+    const auto& step = entry.job.steps[stepOccurrence.step];
+    // The members of a gang start together.
+    if (!entry.hasCrashRecords || step.isGang)
+        return 0;
+    TaskName name { entry.job.id, stepOccurrence.occurrence, stepOccurrence.step, 0 };
+    if (std::none_of(usable.begin(), usable.end(),
+            [&](const Runner* runner) { return hasRoomBesideLongRunning(*runner, step, name); }))
+        return 0;
     return std::size_t(
         std::count_if(stepOccurrence.tasks.begin(), stepOccurrence.tasks.end(), [](const Task& task) {
             return task.state == TaskState::Waiting
@@ -129,6 +156,8 @@
 {
     ShardOrders orders;
     orders.wakeAt = now + m_settings.maxPollWait;
+    if (now >= m_nextStallCheck)
+        checkForStalledJobs(now, wallNow, mayStart);
     if (mayStart)
         placeJobs(now, wallNow, orders);
     for (auto& [id, runner] : m_runners) {
@@ -158,12 +187,19 @@
     return usable;
 }
 
+std::vector<Runner*> Shard::emptyingRunners(const PoolId& pool, TimePoint now)
+{
+    std::vector<Runner*> emptying;
+    for (auto& [id, runner] : m_runners)
+        if (runner.report().pool == pool && isUsableLastResort(runner, now))
+            emptying.push_back(&runner);
+    return emptying;
+}
+
 // Runners that are set apart stay so while tasks wait to be isolated; those with the fewest runs come next.
-Shard::PoolRunners Shard::divideRunners(
-    const std::vector<Runner*>& usable, std::size_t waitingForIsolation, TimePoint now)
+Shard::PoolRunners Shard::divideRunners(const std::vector<Runner*>& usable, std::size_t wanted, TimePoint now)
 {
     auto ranked = usable;
-    auto wanted = runnersToSetApart(waitingForIsolation, usable.size());
     std::partial_sort(ranked.begin(), ranked.begin() + std::ptrdiff_t(wanted), ranked.end(),
         [](const Runner* a, const Runner* b) {
             return std::tuple(!a->isSetApart, a->runs().size(), a->report().id)
@@ -179,6 +215,9 @@
 
 bool Shard::areEarlierRunsResolved(const PoolId& pool, TimePoint now) const
 {
+    // However often a runner that does not answer starts again.
+    if (now >= m_earlierRunsEndBy)
+        return true;
     return std::all_of(m_runners.begin(), m_runners.end(), [&](const auto& each) {
         const auto& runner = each.second;
         return runner.report().pool != pool || runner.hasAnsweredThisEpoch || !runner.isStored
@@ -205,11 +244,26 @@
                 byPool[entry.job.policy.pool].push_back({ &entry, &stepOccurrence });
     }
     for (auto& [pool, candidates] : byPool) {
+        auto usable = usableRunners(pool, now);
+        auto emptying = emptyingRunners(pool, now);
+        auto isIdle = isUnderHalfInUse(usable, emptying);
+        auto mayUseLastResort = [=](const Candidate& each) {
+            const auto& [entry, stepOccurrence] = each;
+            auto isLongRunning = entry->job.steps[stepOccurrence->step].isLongRunning;
+            auto patience = isIdle || isLongRunning ? stallTime : stallTimeInBusyPool;
+            return entry->stalledSince && now >= *entry->stalledSince + patience;
+        };
         std::size_t waitingForIsolation = 0;
-        for (const auto& [entry, stepOccurrence] : candidates)
-            if (entry->hasCrashRecords)
-                waitingForIsolation += countWaitingForIsolation(*stepOccurrence);
-        auto runners = divideRunners(usableRunners(pool, now), waitingForIsolation, now);
+        auto haveWaitedLong = false;
+        for (const auto& each : candidates) {
+            auto waiting = countWaitingForIsolation(*each.entry, *each.stepOccurrence, usable);
+            waitingForIsolation += waiting;
+            haveWaitedLong |= waiting > 0 && mayUseLastResort(each);
+        }
+        auto runners = divideRunners(
+            usable, runnersToSetApart(waitingForIsolation, usable.size(), haveWaitedLong), now);
+        runners.isIdle = isIdle;
+        runners.emptying = std::move(emptying);
         std::sort(candidates.begin(), candidates.end(), [=](const Candidate& a, const Candidate& b) {
             auto rank = [=](const Candidate& each) {
                 const auto& entry = *each.entry;
@@ -223,7 +277,10 @@
             return rank(a) < rank(b);
         });
         for (auto& [entry, stepOccurrence] : candidates) {
+            runners.mayShortenIsolation = mayUseLastResort({ entry, stepOccurrence });
             placeStep(*entry, *stepOccurrence, runners, now, orders);
+            if (stepOccurrence->waitingCount() > 0 && runners.mayShortenIsolation)
+                placeStepAsLastResort(*entry, *stepOccurrence, runners, now, orders);
             if (stepOccurrence->waitingCount() == 0)
                 continue;
             if (const auto& step = entry->job.steps[stepOccurrence->step]; step.isLongRunning) {
@@ -237,6 +294,69 @@
     }
 }
 
+void Shard::placeStepAsLastResort(
+    JobEntry& entry, StepOccurrence& stepOccurrence, PoolRunners& runners, TimePoint now, ShardOrders& orders)
+{
+    const auto& step = entry.job.steps[stepOccurrence.step];
+    PoolRunners all;
+    all.mayShortenIsolation = true;
+    // One task at work ends the stall of a job without long-running tasks.
+    if (!step.isLongRunning)
+        all.maxTasks = 1;
+    auto before = stepOccurrence.placedCount;
+    for (const auto* group : { &runners.shared, &runners.setApart, &runners.emptying }) {
+        if (group == &runners.emptying && !runners.isIdle && !step.isLongRunning)
+            continue;
+        std::copy_if(group->begin(), group->end(), std::back_inserter(all.shared),
+            [now](const Runner* runner) { return !isObserving(*runner, now); });
+    }
+    placeStep(entry, stepOccurrence, all, now, orders);
+    // Until it is known whether these starts succeed.
+    if (stepOccurrence.placedCount > before)
+        entry.stalledSince.reset();
+    std::erase_if(runners.shared, [now](const Runner* runner) { return isObserving(*runner, now); });
+}
+
+void Shard::checkForStalledJobs(TimePoint now, WallTime wallNow, bool mayStart)
+{
+    m_nextStallCheck = now + stallCheckInterval;
+    m_stalledJobs = {};
+    const JobEntry* oldest = nullptr;
+    std::optional<TaskName> oldestTask;
+    for (auto& [id, entry] : m_jobTable.all()) {
+        auto task
+            = entry.isStored && !entry.isOver() ? findStalledTask(entry, m_runners, wallNow) : std::nullopt;
+        if (!task) {
+            entry.stalledSince.reset();
+            continue;
+        }
+        if (!entry.stalledSince)
+            entry.stalledSince = now;
+        if (now - *entry.stalledSince < stallTime)
+            continue;
+        ++m_stalledJobs.count;
+        if (oldest && *oldest->stalledSince <= *entry.stalledSince)
+            continue;
+        oldest = &entry;
+        oldestTask = task;
+    }
+    if (!oldest)
+        return;
+    const auto& pool = oldest->job.policy.pool;
+    auto reason
+        = stallReasonOf(*oldest, *oldestTask, m_runners, mayStart, areEarlierRunsResolved(pool, now), now);
+    auto stalledFor = std::chrono::duration_cast<Millis>(now - *oldest->stalledSince);
+    m_stalledJobs.oldest = { *oldestTask, reason, stalledFor };
+    auto need = oldest->job.steps[oldestTask->step].reserved();
+    logWarning("job-stalled",
+        { { "job", oldestTask->job.value() }, { "step", std::to_string(oldestTask->step) },
+            { "index", std::to_string(oldestTask->index) }, { "reason", std::string(toString(reason)) },
+            { "ms", std::to_string(stalledFor.count()) },
+            { "stalled-jobs", std::to_string(m_stalledJobs.count) }, { "cpu", std::to_string(need.cpu) },
+            { "memory-mb", std::to_string(need.memoryMb) }, { "pool", pool.value() },
+            { "runners", describeRunners(*oldest, *oldestTask, m_runners, now) } });
+}
+
 void Shard::logUnplaced(const JobEntry& entry, const StepOccurrence& stepOccurrence, TimePoint now)
 {
     auto& next = m_nextUnplacedLog[entry.job.policy.pool];
@@ -313,7 +433,7 @@
             return;
         for (name.index = 0; name.index < places.size(); ++name.index) {
             places[name.index]->removeRun(name);
-            releaseTask(entry, name, {});
+            releaseTask(entry, name, attempt, {});
             orders.starts.pop_back();
         }
         // No start with this attempt was sent.
@@ -343,7 +463,9 @@
         return chooseRunner(candidates, step, name, RackId(step.dataRack));
     };
     auto* runner = chooseFrom(runners.setApart, isolation);
-    return runner ? runner : chooseFrom(runners.shared, Isolation::Exclusive);
+    if (!runner)
+        runner = chooseFrom(runners.shared, Isolation::Exclusive);
+    return runner || !runners.mayShortenIsolation ? runner : chooseFrom(runners.shared, isolation);
 }
 
 void Shard::placeTasks(
@@ -353,11 +475,17 @@
     TaskName name { entry.job.id, stepOccurrence.occurrence, stepOccurrence.step, 0 };
     RackId rack(step.dataRack);
     auto areSharedRunnersFull = false;
+    auto mostPlaced = runners.maxTasks ? stepOccurrence.placedCount + *runners.maxTasks
+                                       : std::uint32_t(stepOccurrence.tasks.size());
     for (name.index = 0; name.index < stepOccurrence.tasks.size(); ++name.index) {
+        if (stepOccurrence.placedCount >= mostPlaced)
+            return;
         auto& task = stepOccurrence.tasks[name.index];
         if (task.state != TaskState::Waiting || now < task.notBefore)
             continue;
         auto isolation = isolationFor(task.crashes, task.isCrashSuspect);
+        if (runners.mayShortenIsolation && isolation == Isolation::Exclusive)
+            isolation = Isolation::Start;
         if (isolation == Isolation::None) {
             auto* runner = areSharedRunnersFull ? nullptr : chooseRunner(runners.shared, step, name, rack);
             if (runner) {
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -42,6 +42,10 @@
                                                            .Help(
                                                                "Transactions of the shards' logs by outcome")
                                                            .Register(registry) };
+    prometheus::Family<prometheus::Counter>& refusedRows { prometheus::BuildCounter()
+                                                               .Name("fulmar_store_refused_rows_total")
+                                                               .Help("Rows that the store refuses, by table")
+                                                               .Register(registry) };
     prometheus::Family<prometheus::Gauge>& gauges {
         prometheus::BuildGauge().Name("fulmar_node").Help("State of this node").Register(registry)
     };
@@ -76,6 +80,11 @@
     m_families->commits.Add({ { "outcome", outcome } }).Increment();
 }
 
+void NodeMetrics::countRefusedRow(const std::string& table)
+{
+    m_families->refusedRows.Add({ { "table", table } }).Increment();
+}
+
 void NodeMetrics::setShardsHeld(std::size_t shards)
 {
     m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
@@ -93,6 +102,12 @@
     m_families->gauges.Add({ { "what", "jobs" } }).Set(double(jobs));
 }
 
+void NodeMetrics::setStalledJobs(std::size_t jobs, std::chrono::milliseconds longest)
+{
+    m_families->gauges.Add({ { "what", "stalled_jobs" } }).Set(double(jobs));
+    m_families->gauges.Add({ { "what", "stalled_ms" } }).Set(double(longest.count()));
+}
+
 std::string NodeMetrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
--- a/src/node/tests/fake_platform.cpp
+++ b/src/node/tests/fake_platform.cpp
@@ -48,10 +48,36 @@
     m_rows[{ table, part, key }] = { std::move(value), ++m_version };
 }
 
-void FakePlatform::addVm(const VmId& vm, const PoolId& pool)
+void FakePlatform::addVm(const VmId& vm, const PoolId& pool, std::string runner)
 {
     std::lock_guard lock(m_mutex);
     m_vms[vm].pool = pool;
+    m_vms[vm].runner = std::move(runner);
+}
+
+void FakePlatform::setVmDown(const VmId& vm, bool isDown)
+{
+    std::lock_guard lock(m_mutex);
+    m_vms.at(vm).isDown = isDown;
+}
+
+void FakePlatform::setVmListed(const VmId& vm, bool isListed)
+{
+    std::lock_guard lock(m_mutex);
+    m_vms.at(vm).isListed = isListed;
+}
+
+void FakePlatform::setMaintained(const VmId& vm)
+{
+    std::lock_guard lock(m_mutex);
+    m_vms.at(vm).isMaintained = true;
+}
+
+std::string FakePlatform::value(const std::string& table, const std::string& part, const std::string& key)
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_rows.find({ table, part, key });
+    return found == m_rows.end() ? std::string() : found->second.value;
 }
 
 std::size_t FakePlatform::maintainedCount()
@@ -78,6 +104,8 @@
         return rows(request, true);
     if (request.path == "/api/machines")
         return listVms();
+    if (request.path == "/api/machine-move")
+        return move(request.body);
     if (request.path == "/api/machine-upkeep")
         return maintain(request.body);
     return { 404, "{}" };
@@ -89,6 +117,9 @@
         return { 200, "{}", {}, silence };
     auto json = *platform::parseObject(body);
     auto nameOf = [](const Json& row) { return RowName { row.at("table"), row.at("part"), row.at("key") }; };
+    for (const auto& row : json.at("set-keys"))
+        if (platform::decodeBase64(row.at("value").get<std::string>()).value_or("").size() > m_maxRowBytes)
+            return { 400, "{}" };
     ++m_version;
     for (const auto& row : json.at("set-keys"))
         m_rows[nameOf(row)]
@@ -121,16 +152,39 @@
 
 standin::HttpReply FakePlatform::listVms()
 {
+    ++m_lists;
     auto list = Json::array();
-    for (const auto& [id, vm] : m_vms)
-        list.push_back({ { "machine", id.value() }, { "pool", vm.pool.value() }, { "id", "" },
-            { "capacity", { { "cpu", 16'000 }, { "mem-mb", 32'768 }, { "gpu", 0 } } },
-            { "state", vm.downUntil > std::chrono::steady_clock::now() ? "upkeep" : "up" } });
+    for (const auto& [id, vm] : m_vms) {
+        if (!vm.isListed)
+            continue;
+        auto isInMaintenance = vm.downUntil > std::chrono::steady_clock::now();
+        list.push_back(
+            { { "machine", id.value() }, { "pool", vm.pool.value() }, { "id", vm.isDown ? "" : vm.runner },
+                { "capacity", { { "cpu", 16'000 }, { "mem-mb", 32'768 }, { "gpu", 0 } } },
+                { "state",
+                    vm.isDown             ? "down"
+                        : isInMaintenance ? "upkeep"
+                                          : "up" } });
+    }
     return { 200, platform::toText({ { "machines", std::move(list) }, { "next-token", nullptr } }) };
 }
 
+standin::HttpReply FakePlatform::move(const std::string& body)
+{
+    auto json = *platform::parseObject(body);
+    auto vm = m_vms.find(VmId(platform::textOf(json, "machine")));
+    if (vm == m_vms.end())
+        return { 400, "{}" };
+    if (m_areVmOrdersSilent)
+        return { 200, "{}", {}, silence };
+    vm->second.pool = PoolId(platform::textOf(json, "pool"));
+    return { 200, "{}" };
+}
+
 standin::HttpReply FakePlatform::maintain(const std::string& body)
 {
+    if (m_areVmOrdersSilent)
+        return { 200, "{}", {}, silence };
     auto now = std::chrono::steady_clock::now();
     auto vm = m_vms.find(VmId(platform::textOf(*platform::parseObject(body), "machine")));
     if (vm == m_vms.end())
--- a/src/node/tests/fake_platform.h
+++ b/src/node/tests/fake_platform.h
@@ -28,8 +28,22 @@
     void put(const std::string& table, const std::string& part, const std::string& key, std::string value);
     // Transactions get no answer any more.
     void silenceTransactions() { m_areTransactionsSilent = true; }
+    // Transactions with a larger value are refused.
+    void limitRows(std::size_t maxBytes) { m_maxRowBytes = maxBytes; }
+    [[nodiscard]] std::string value(
+        const std::string& table, const std::string& part, const std::string& key);
 
-    void addVm(const VmId&, const PoolId&);
+    // `runner`: of the VM, as the list shows it.
+    void addVm(const VmId&, const PoolId&, std::string runner = {});
+    // The VM is down, and the list shows no runner of it.
+    void setVmDown(const VmId&, bool isDown);
+    void setVmListed(const VmId&, bool isListed);
+    // The VM's maintenance was carried out earlier; further orders are accepted and do nothing.
+    void setMaintained(const VmId&);
+    // Orders for VMs are neither carried out nor answered any more.
+    void silenceVmOrders() { m_areVmOrdersSilent = true; }
+    // Answers with the list of VMs.
+    [[nodiscard]] std::size_t listCount() const { return m_lists; }
     [[nodiscard]] std::size_t maintainedCount();
     // Most VMs that were in maintenance at the same time.
     [[nodiscard]] std::size_t maxInMaintenance();
@@ -42,6 +56,9 @@
     };
     struct Vm {
         PoolId pool;
+        std::string runner;
+        bool isDown { false };
+        bool isListed { true };
         bool isMaintained { false };
         std::chrono::steady_clock::time_point downUntil;
     };
@@ -50,6 +67,7 @@
     standin::HttpReply commit(const std::string& body);
     standin::HttpReply rows(const standin::HttpRequest&, bool isFeed);
     standin::HttpReply listVms();
+    standin::HttpReply move(const std::string& body);
     standin::HttpReply maintain(const std::string& body);
 
     const std::chrono::milliseconds m_maintenanceTime;
@@ -57,6 +75,9 @@
     std::map<RowName, Row> m_rows;
     Version m_version { 1 };
     std::atomic<bool> m_areTransactionsSilent { false };
+    std::atomic<std::size_t> m_maxRowBytes { 65'536 };
+    std::atomic<bool> m_areVmOrdersSilent { false };
+    std::atomic<std::size_t> m_lists { 0 };
     std::map<VmId, Vm> m_vms;
     std::size_t m_maxInMaintenance { 0 };
     standin::HttpHost m_host;
