The deploy build needs no tests

What callers saw: the system could not be built, so it did not start, from a tree without tests.

Cause: CMakeLists.txt configured tests, stand-ins and the soak in every build: add_dependencies(test_node ...) of and add_subdirectory(platform/tests/soak) of end the configuration where these folders are missing.

--- a/cmake/slice.cmake
+++ b/cmake/slice.cmake
@@ -16,7 +16,7 @@
 endfunction()
 
 # fulmar_slice(name LINK libs... TEST_LINK libs...)
-# Declares the library fulmar_<name> and, where tests exist, the CTest case <name>.
+# Declares the library fulmar_<name> and, in a development build where tests exist, the CTest case <name>.
 function(fulmar_slice name)
     cmake_parse_arguments(SLICE "" "" "LINK;TEST_LINK" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cpp)
@@ -33,7 +33,7 @@
     endif()
 
     file(GLOB tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/tests/*.cpp)
-    if(tests)
+    if(FULMAR_DEVELOPMENT AND tests)
         fulmar_test(${name} fulmar_${name} ${tests} LINK ${SLICE_TEST_LINK})
     endif()
 endfunction()
