Warnings are errors in a development build only

What callers would see: the build of the users ends with a later compiler, at the first warning that g++ 12 does not have.

Cause: -Werror was among the options of every build.

--- a/cmake/slice.cmake
+++ b/cmake/slice.cmake
@@ -1,6 +1,9 @@
 add_library(fulmar_options INTERFACE)
 target_include_directories(fulmar_options INTERFACE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/standins)
-target_compile_options(fulmar_options INTERFACE -Wall -Wextra -Wshadow -Wno-missing-field-initializers -Werror)
+target_compile_options(fulmar_options INTERFACE -Wall -Wextra -Wshadow -Wno-missing-field-initializers)
+if(FULMAR_DEVELOPMENT)
+    target_compile_options(fulmar_options INTERFACE -Werror)
+endif()
 target_compile_definitions(fulmar_options INTERFACE ASIO_STANDALONE)
 target_link_libraries(fulmar_options INTERFACE Threads::Threads)
 
