FAULT: no setting that a process can do without keeps it from starting

What callers saw: no process of a deployment started.

Cause: where a deployment lacks a field, the platform renders nothing for it. deploy/node.ini then has move_time = s, which is no duration; each process refused its settings and ended. The same for each other field of the template: a bound of 0 or with a fraction, no share of the processor, vms = where the platform has no interface for VMs, a metrics address in use. Every value from outside was checked as an operator's is, by whom a slip can be mended; the platform can't.

Only the addresses of callers and of the store are required, and refused in one line. Without VMs' interface the runners are counted for the number of shards, and each counts as a VM; nothing is moved or maintained. Without a port the peers' server takes any free one. A long lease of the platform is not asked for: at most a minute, as tasks of a silent runner start elsewhere after it. Keys that only an operator sets stay strict.

--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -39,15 +39,44 @@
     return value;
 }
 
-bool isAddress(std::string_view text)
+bool isHost(std::string_view text)
+{
+    asio::error_code error;
+    asio::ip::make_address_v4(text, error);
+    return !error;
+}
+
+bool isPort(std::string_view text)
+{
+    auto port = parseNumber<std::uint16_t>(text);
+    return port && *port > 0;
+}
+
+// Host and port of a text that need not be an address.
+std::pair<std::string_view, std::string_view> splitAddress(std::string_view text)
 {
     auto colon = text.rfind(':');
     if (colon == std::string_view::npos)
-        return false;
-    asio::error_code error;
-    asio::ip::make_address_v4(text.substr(0, colon), error);
-    auto port = parseNumber<unsigned>(text.substr(colon + 1));
-    return !error && port && *port > 0 && *port <= 65535;
+        return { text, {} };
+    return { text.substr(0, colon), text.substr(colon + 1) };
+}
+
+bool isAddress(std::string_view text)
+{
+    auto [host, port] = splitAddress(text);
+    return isHost(host) && isPort(port);
+}
+
+// Reads a duration of any size, also one that no Duration can hold.
+std::optional<double> parseMicroseconds(std::string_view text)
+{
+    for (const auto& unit : units) {
+        if (!text.ends_with(unit.suffix))
+            continue;
+        if (auto count = parseNumber<double>(text.substr(0, text.size() - unit.suffix.size())))
+            return *count * double(unit.length.count());
+    }
+    return std::nullopt;
 }
 
 std::string_view trimmed(std::string_view text)
@@ -225,6 +254,81 @@
     return entry->value;
 }
 
+void SettingsReader::substitute(
+    const std::string& section, const std::string& key, const Entry& entry, std::string_view used)
+{
+    m_substitutions.push_back({ m_file, entry.line,
+        fmt::format("[{}] {}: '{}' is not usable; used instead: {}", section, key, entry.value, used) });
+}
+
+double SettingsReader::takeNearest(const std::string& section, const std::string& key, ReadNumber read,
+    std::string_view unit, double low, double high, double fallback)
+{
+    const auto* entry = find(section, key);
+    if (!entry)
+        return fallback;
+    auto value = read(entry->value);
+    auto isUsable = value && (*value > 0 || (*value == 0 && low <= 0));
+    auto used = isUsable ? std::clamp(*value, low, high) : fallback;
+    if (!isUsable || used != *value)
+        substitute(section, key, *entry, fmt::format("{}{}", used, unit));
+    return used;
+}
+
+std::int64_t SettingsReader::takeIntegerOrNearest(const std::string& section, const std::string& key,
+    std::int64_t low, std::int64_t high, std::int64_t fallback)
+{
+    return std::int64_t(
+        takeNearest(section, key, parseNumber<double>, "", double(low), double(high), double(fallback)));
+}
+
+double SettingsReader::takeNumberOrNearest(
+    const std::string& section, const std::string& key, double low, double high, double fallback)
+{
+    return takeNearest(section, key, parseNumber<double>, "", low, high, fallback);
+}
+
+Duration SettingsReader::takeDurationOrNearest(
+    const std::string& section, const std::string& key, Duration low, Duration high, Duration fallback)
+{
+    return Duration(std::int64_t(takeNearest(section, key, parseMicroseconds, "us", double(low.count()),
+        double(high.count()), double(fallback.count()))));
+}
+
+std::string SettingsReader::takeStringOrFallback(
+    const std::string& section, const std::string& key, const std::string& fallback)
+{
+    const auto* entry = find(section, key);
+    if (entry && entry->value.empty())
+        substitute(section, key, *entry, fallback);
+    return entry && !entry->value.empty() ? entry->value : fallback;
+}
+
+std::string SettingsReader::takeAddressIfAny(const std::string& section, const std::string& key)
+{
+    const auto* entry = find(section, key);
+    if (!entry)
+        return {};
+    if (isAddress(entry->value))
+        return entry->value;
+    substitute(section, key, *entry, "none");
+    return {};
+}
+
+std::string SettingsReader::takeAddressWith(const std::string& section, const std::string& key,
+    const std::string& fallbackHost, std::uint16_t fallbackPort)
+{
+    const auto* entry = find(section, key);
+    if (entry && isAddress(entry->value))
+        return entry->value;
+    auto [host, port] = splitAddress(entry ? std::string_view(entry->value) : std::string_view());
+    auto used = fmt::format("{}:{}", isHost(host) ? host : std::string_view(fallbackHost),
+        isPort(port) ? std::string(port) : std::to_string(fallbackPort));
+    if (entry)
+        substitute(section, key, *entry, used);
+    return used;
+}
+
 std::vector<std::string> SettingsReader::takeList(const std::string& section, const std::string& key)
 {
     std::vector<std::string> items;
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -44,11 +45,32 @@
     [[nodiscard]] std::string takeAddress(const std::string& section, const std::string& key);
     [[nodiscard]] std::string takeAddress(
         const std::string& section, const std::string& key, const std::string& fallback);
+
+    // For values that the platform fills in: it may have none, or one that this process cannot use, and
+    // neither keeps the process from serving. A value that is empty or not a number, or not positive where
+    // `low` is, is replaced by the fallback, one out of range by the nearest in range. See substitutions().
+    [[nodiscard]] std::int64_t takeIntegerOrNearest(const std::string& section, const std::string& key,
+        std::int64_t low, std::int64_t high, std::int64_t fallback);
+    [[nodiscard]] double takeNumberOrNearest(
+        const std::string& section, const std::string& key, double low, double high, double fallback);
+    [[nodiscard]] Duration takeDurationOrNearest(
+        const std::string& section, const std::string& key, Duration low, Duration high, Duration fallback);
+    [[nodiscard]] std::string takeStringOrFallback(
+        const std::string& section, const std::string& key, const std::string& fallback);
+    // Empty if the value is no address.
+    [[nodiscard]] std::string takeAddressIfAny(const std::string& section, const std::string& key);
+    // Replaces a host that is no IPv4 address and a port that is none.
+    [[nodiscard]] std::string takeAddressWith(const std::string& section, const std::string& key,
+        const std::string& fallbackHost, std::uint16_t fallbackPort);
+
     // Comma-separated items, trimmed; an absent key gives an empty list.
     [[nodiscard]] std::vector<std::string> takeList(const std::string& section, const std::string& key);
 
     [[nodiscard]] const std::string& file() const { return m_file; }
 
+    // The replaced values, with what is used instead; no errors.
+    [[nodiscard]] const std::vector<SettingsError>& substitutions() const { return m_substitutions; }
+
     // Returns all errors, including one for each key that was not taken.
     [[nodiscard]] std::vector<SettingsError> finish();
 
@@ -62,10 +84,17 @@
 
     const Entry* find(const std::string& section, const std::string& key);
     void report(int line, std::string message);
+    // `used` describes what is used instead of the entry's value.
+    void substitute(const std::string& section, const std::string& key, const Entry&, std::string_view used);
+    using ReadNumber = std::optional<double> (*)(std::string_view);
+    // `unit` is that of the numbers that `read` returns.
+    double takeNearest(const std::string& section, const std::string& key, ReadNumber read,
+        std::string_view unit, double low, double high, double fallback);
 
     std::string m_file;
     std::map<Name, Entry> m_entries;
     std::vector<SettingsError> m_errors;
+    std::vector<SettingsError> m_substitutions;
 };
 
 // The error says which formats are valid.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -95,19 +95,15 @@
     if (!callers)
         return tl::unexpected(callers.error());
     m_callers = std::move(*callers);
-    limits.address = m_settings.readinessAddress;
-    auto readiness = CallerServer::start(
-        m_loop, limits, [this](CallId id, const CallerRequest& request) { onReadiness(id, request); });
-    if (!readiness)
-        return tl::unexpected(readiness.error());
-    m_readiness = std::move(*readiness);
-    limits.address = m_settings.metricsAddress;
-    limits.maxConnections = maxMetricsConnections;
-    auto metrics
-        = CallerServer::start(m_loop, limits, [this](CallId id, const CallerRequest&) { onMetrics(id); });
-    if (!metrics)
-        return tl::unexpected(metrics.error());
-    m_metricsServer = std::move(*metrics);
+    if (!m_settings.readinessAddress.empty()) {
+        limits.address = m_settings.readinessAddress;
+        auto readiness = CallerServer::start(
+            m_loop, limits, [this](CallId id, const CallerRequest& request) { onReadiness(id, request); });
+        if (!readiness)
+            return tl::unexpected(readiness.error());
+        m_readiness = std::move(*readiness);
+    }
+    listenForMetrics(limits);
     auto rpc = ShardRpcServer::start(m_settings.peerAddress, m_loop, [this](JobCall call, OnJobReply reply) {
         auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
         if (slot && isServedHere(*slot))
@@ -118,9 +114,23 @@
     if (!rpc)
         return tl::unexpected(rpc.error());
     m_rpcServer = std::move(*rpc);
+    m_settings.peerAddress = m_rpcServer->address();
     return {};
 }
 
+// A process without metrics serves its callers all the same.
+void Node::listenForMetrics(CallerServerSettings limits)
+{
+    limits.address = m_settings.metricsAddress;
+    limits.maxConnections = maxMetricsConnections;
+    auto metrics
+        = CallerServer::start(m_loop, limits, [this](CallId id, const CallerRequest&) { onMetrics(id); });
+    if (metrics)
+        m_metricsServer = std::move(*metrics);
+    else
+        logWarning("no-metrics", { { "reason", metrics.error().detail } });
+}
+
 Result<void> Node::run()
 {
     if (auto listening = listen(); !listening)
@@ -175,20 +185,33 @@
 // The first process to write the row decides the number of shards; the others then read it.
 void Node::proposeShardMap()
 {
-    m_vmClient.list([this](const std::optional<std::vector<jobs::VmRecord>>& vms) {
-        if (!vms || vms->empty()) {
-            readShardMap();
-            return;
-        }
-        platform::RowName name { layoutTable, "", mapKey };
-        platform::RowTransaction transaction;
-        transaction.conditions.push_back({ name, 0 });
-        transaction.puts.push_back({ name, encodeShardMap(shardMapFor(vms->size())) });
-        m_store.commit(transaction, acquireTimeout, [this](const platform::CommitResult& result) {
-            // The row is read again whatever the outcome: another process may have written it.
-            logInfo("shard-map-proposed", { { "outcome", std::string(toString(result.outcome)) } });
-            readShardMap();
+    if (m_vmClient.isAvailable()) {
+        m_vmClient.list([this](const std::optional<std::vector<jobs::VmRecord>>& vms) {
+            proposeShardMapFor(vms ? vms->size() : 0);
+        });
+        return;
+    }
+    // Each runner counts as a VM.
+    m_store.readAll(platform::runnerListTable, "", acquireTimeout,
+        [this](const std::optional<platform::RowPage>& runners) {
+            proposeShardMapFor(runners ? runners->rows.size() : 0);
         });
+}
+
+void Node::proposeShardMapFor(std::size_t vms)
+{
+    if (vms == 0) {
+        readShardMap();
+        return;
+    }
+    platform::RowName name { layoutTable, "", mapKey };
+    platform::RowTransaction transaction;
+    transaction.conditions.push_back({ name, 0 });
+    transaction.puts.push_back({ name, encodeShardMap(shardMapFor(vms)) });
+    m_store.commit(transaction, acquireTimeout, [this](const platform::CommitResult& result) {
+        // The row is read again whatever the outcome: another process may have written it.
+        logInfo("shard-map-proposed", { { "outcome", std::string(toString(result.outcome)) } });
+        readShardMap();
     });
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,14 +27,17 @@
     Node(const Node&) = delete;
     Node& operator=(const Node&) = delete;
 
-    // Runs until SIGTERM and the completion of requests in flight. Fails if an address cannot be bound.
+    // Runs until SIGTERM and the completion of requests in flight. Fails if an address cannot be bound,
+    // except that of the metrics.
     [[nodiscard]] Result<void> run();
 
 private:
     [[nodiscard]] Result<void> listen();
+    void listenForMetrics(CallerServerSettings);
     void readShardMap();
     void onShardMap(const ShardMap&);
     void proposeShardMap();
+    void proposeShardMapFor(std::size_t vms);
     void onOperatorRow(const platform::StoredRow&);
     void onConfigRow(std::string_view value);
     void onWaveRow(std::string_view value);
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -8,10 +8,20 @@
 
 namespace {
 
-std::chrono::milliseconds takeMillis(
-    SettingsReader& reader, const std::string& section, const std::string& key, Duration fallback)
+constexpr std::uint16_t defaultMetricsPort = 9464;
+// The system chooses a port.
+constexpr std::uint16_t anyPort = 0;
+// Longest lease that is asked for, even if runners grant longer ones: the tasks of a silent runner are
+// started elsewhere only after their lease.
+constexpr std::chrono::milliseconds maxAskedLease { 60'000 };
+constexpr std::chrono::milliseconds minAskedLease { 500 };
+
+std::chrono::milliseconds takeMillis(SettingsReader& reader, const std::string& section,
+    const std::string& key, std::chrono::milliseconds low, std::chrono::milliseconds high,
+    std::chrono::milliseconds fallback)
 {
-    return std::chrono::ceil<std::chrono::milliseconds>(reader.takeDuration(section, key, 1ms, 1h, fallback));
+    return std::chrono::ceil<std::chrono::milliseconds>(
+        reader.takeDurationOrNearest(section, key, low, high, fallback));
 }
 
 } // namespace
@@ -19,25 +29,27 @@
 NodeSettings readNodeSettings(SettingsReader& reader)
 {
     NodeSettings settings;
-    settings.name = reader.takeString("process", "name");
-    settings.zone = ZoneId(reader.takeString("process", "zone"));
     settings.callerAddress = reader.takeAddress("listen", "callers");
-    settings.readinessAddress = reader.takeAddress("listen", "readiness");
-    settings.peerAddress = reader.takeAddress("listen", "peers");
-    settings.metricsAddress = reader.takeAddress("listen", "metrics");
     settings.storeAddress = reader.takeAddress("platform", "store");
-    settings.vmsAddress = reader.takeAddress("platform", "vms", "");
     settings.maxRowBytes = std::size_t(reader.takeInteger(
         "platform", "max_row_bytes", 1'024, 1 << 24, std::int64_t(jobs::defaultMaxRowBytes)));
-    settings.configApplyTime = std::chrono::ceil<std::chrono::milliseconds>(
-        reader.takeDuration("platform", "config_apply_time", minNewsAge, 1h, 2s));
-    settings.maxRunnerLease = takeMillis(reader, "runners", "max_lease", 6s);
-    settings.stopGrace = takeMillis(reader, "process", "stop_grace", 6s);
-    settings.moveTime = takeMillis(reader, "vms", "move_time", 1500ms);
-    settings.maintenanceTime = takeMillis(reader, "vms", "maintenance_time", 2s);
-    settings.keepFinished = takeMillis(reader, "jobs", "keep_finished", 2min);
-    settings.maxDescriptors = reader.takeInteger("process", "max_descriptors", 64, 1 << 20, 1024);
-    settings.processorShare = reader.takeNumber("process", "processor_share", 0.01, 1024, 1);
+
+    // The platform fills in the others, and may have no value for some.
+    auto host = settings.callerAddress.substr(0, settings.callerAddress.rfind(':'));
+    settings.name = reader.takeStringOrFallback("process", "name", settings.callerAddress);
+    settings.zone = ZoneId(reader.takeStringOrFallback("process", "zone", {}));
+    settings.readinessAddress = reader.takeAddressIfAny("listen", "readiness");
+    settings.peerAddress = reader.takeAddressWith("listen", "peers", host, anyPort);
+    settings.metricsAddress = reader.takeAddressWith("listen", "metrics", host, defaultMetricsPort);
+    settings.vmsAddress = reader.takeAddressIfAny("platform", "vms");
+    settings.configApplyTime = takeMillis(reader, "platform", "config_apply_time", minNewsAge, 1h, 2s);
+    settings.maxRunnerLease = takeMillis(reader, "runners", "max_lease", minAskedLease, maxAskedLease, 6s);
+    settings.stopGrace = takeMillis(reader, "process", "stop_grace", 1ms, 1h, 6s);
+    settings.moveTime = takeMillis(reader, "vms", "move_time", 1ms, 1h, 1500ms);
+    settings.maintenanceTime = takeMillis(reader, "vms", "maintenance_time", 1ms, 1h, 2s);
+    settings.keepFinished = takeMillis(reader, "jobs", "keep_finished", 1ms, 1h, 2min);
+    settings.maxDescriptors = reader.takeIntegerOrNearest("process", "max_descriptors", 64, 1 << 20, 1'024);
+    settings.processorShare = reader.takeNumberOrNearest("process", "processor_share", 0.01, 1024, 1);
     return settings;
 }
 
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -11,12 +11,13 @@
     std::string name;
     ZoneId zone;
     // Listening addresses for callers, the load balancer's readiness check, other processes and the metrics
-    // scraper.
+    // scraper. Without one for the check there is no such server; port 0 of the others is any free port.
     std::string callerAddress;
     std::string readinessAddress;
     std::string peerAddress;
     std::string metricsAddress;
     std::string storeAddress;
+    // Empty if the platform has no interface for VMs: they are neither moved nor maintained.
     std::string vmsAddress;
     // A change of the configuration must be in force this long after the store has acknowledged it.
     std::chrono::milliseconds configApplyTime { 0 };
--- a/src/node/shard_rpc.cpp
+++ b/src/node/shard_rpc.cpp
@@ -94,6 +94,7 @@
 public:
     GrpcShardServer(const std::string& address, asio::io_context& loop, Handler handler)
         : m_service(loop, std::move(handler))
+        , m_host(address.substr(0, address.rfind(':')))
     {
         grpc::ResourceQuota quota;
         quota.SetMaxThreads(maxServerThreads);
@@ -120,8 +121,11 @@
 
     [[nodiscard]] bool isListening() const { return m_server && m_port > 0; }
 
+    [[nodiscard]] std::string address() const override { return fmt::format("{}:{}", m_host, m_port); }
+
 private:
     Service m_service;
+    const std::string m_host;
     int m_port { 0 };
     std::unique_ptr<grpc::Server> m_server;
 };
--- a/src/node/shard_rpc.h
+++ b/src/node/shard_rpc.h
@@ -13,11 +13,14 @@
 public:
     using Handler = std::function<void(JobCall, OnJobReply)>;
 
-    // Fails (NotRun, Internal) if the address cannot be bound.
+    // Port 0 is any free port. Fails (NotRun, Internal) if the address cannot be bound.
     [[nodiscard]] static Result<std::unique_ptr<ShardRpcServer>> start(
         const std::string& address, asio::io_context&, Handler);
 
     virtual ~ShardRpcServer() = default;
+
+    // "host:port" with the port that is bound.
+    [[nodiscard]] virtual std::string address() const = 0;
 };
 
 // gRPC client for calls to holders of shards. Replies arrive on the loop's thread.
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -133,6 +133,9 @@
 };
 
 constexpr auto refused = "HTTP/1.1 503";
+constexpr auto runnerRow
+    = R"({{"service":"p","address":"127.0.0.1:{}","zone":"z","state":"ready","labels":["a","r1"],"born":1,)"
+      R"("capacity":{{"cpu":16000,"mem-mb":32768,"gpu":0}}}})";
 
 } // namespace
 
@@ -164,6 +167,34 @@
     BOOST_TEST(hasRun);
 }
 
+// Guards against FAULT: a process ended for want of settings that it can do without, and for an address of
+// its metrics that is in use.
+BOOST_FIXTURE_TEST_CASE(AProcessServesWithoutVmsReadinessAndMetrics, NodeFixture)
+{
+    standin::HttpHost runner;
+    auto port = runner.listen("127.0.0.1:0", [](const standin::HttpRequest&) {
+        return standin::HttpReply { 200, R"({"clock-ms":1,"born":1,"running":[],"finished":[]})" };
+    });
+    std::thread runnerThread([&] { runner.run(); });
+    fake.put(platform::runnerListTable, "", "runner", fmt::format(runnerRow, port));
+    settings.vmsAddress.clear();
+    settings.readinessAddress.clear();
+    settings.peerAddress = "127.0.0.1:0";
+    settings.metricsAddress = fake.address();
+    Node node(settings, 1, [] { return std::nullopt; });
+    std::thread process([&] { BOOST_TEST(node.run().has_value()); });
+    auto status = 0;
+    for (int tries = 0; tries < 100 && status != 200; ++tries) {
+        status = call(submit(fmt::format("{:016x}", tries))).status;
+        std::this_thread::sleep_for(status == 200 ? 0ms : 100ms);
+    }
+    BOOST_TEST(status == 200);
+    ::kill(::getpid(), SIGTERM);
+    process.join();
+    runner.stop();
+    runnerThread.join();
+}
+
 // Guards against a job whose progress outgrows its row once it runs.
 BOOST_FIXTURE_TEST_CASE(AJobThatMayOutgrowItsRowsIsRefusedAtOnce, NodeFixture)
 {
--- a/src/node/vm_controller.cpp
+++ b/src/node/vm_controller.cpp
@@ -127,7 +127,7 @@
 
 void VmController::pollList(TimePoint now)
 {
-    if (m_isListInFlight || now < m_nextListAt)
+    if (!m_vms.isAvailable() || m_isListInFlight || now < m_nextListAt)
         return;
     m_isListInFlight = true;
     m_vms.list([this, now, isAlive = m_isAlive](const std::optional<std::vector<jobs::VmRecord>>& list) {
