FAULT: a system starts without a list of VMs

Cause: the number of shards is chosen by the number of VMs that the platform lists. Where the list cannot be read or is empty, as on a deployment without maintenance of VMs, the first process asked for it for ever, without a line in its log.

Change: after 2 s without a list the number of runners decides; vm-list-missing is logged once.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,6 +25,9 @@
 constexpr std::chrono::milliseconds leaseFeedPause { 150 };
 // Small processes delay their claims by up to 1.5 s and are usually many, so they read the feed less often.
 constexpr std::chrono::milliseconds leaseFeedPauseOfSmall { 400 };
+// The number of shards cannot be changed later, so a list of VMs that may be away only for a moment is
+// awaited.
+constexpr std::chrono::milliseconds vmListPatience { 2'000 };
 constexpr std::chrono::milliseconds tickPause { 50 };
 // Four renewals per lease length, so that one lost answer does not lose the lease.
 constexpr int renewalsPerLease = 4;
@@ -185,13 +188,29 @@
 // The first process to write the row decides the number of shards; the others then read it.
 void Node::proposeShardMap()
 {
-    if (m_vmClient.isAvailable()) {
-        m_vmClient.list([this](const std::optional<std::vector<jobs::VmRecord>>& vms) {
-            proposeShardMapFor(vms ? vms->size() : 0);
-        });
+    if (!m_vmClient.isAvailable()) {
+        proposeShardMapForRunners();
         return;
     }
-    // Each runner counts as a VM.
+    m_vmClient.list([this, asked = m_clock.now()](const std::optional<std::vector<jobs::VmRecord>>& vms) {
+        if (vms && !vms->empty()) {
+            proposeShardMapFor(vms->size());
+            return;
+        }
+        if (!m_vmListMissingSince) {
+            m_vmListMissingSince = asked;
+            logWarning("vm-list-missing", { { "answered", vms ? "empty" : "no" } });
+        }
+        if (m_clock.now() < *m_vmListMissingSince + vmListPatience)
+            readShardMap();
+        else
+            proposeShardMapForRunners();
+    });
+}
+
+// Each runner counts as a VM.
+void Node::proposeShardMapForRunners()
+{
     m_store.readAll(platform::runnerListTable, "", acquireTimeout,
         [this](const std::optional<platform::RowPage>& runners) {
             proposeShardMapFor(runners ? runners->rows.size() : 0);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -37,6 +37,7 @@
     void readShardMap();
     void onShardMap(const ShardMap&);
     void proposeShardMap();
+    void proposeShardMapForRunners();
     void proposeShardMapFor(std::size_t vms);
     void onOperatorRow(const platform::StoredRow&);
     void onConfigRow(std::string_view value);
@@ -141,6 +142,8 @@
     ShardRpcClient m_rpcClient;
     TableFollower m_configFollower;
     std::optional<ShardMap> m_map;
+    // Since when the list of VMs, which decides the number of shards, is empty or cannot be read.
+    std::optional<TimePoint> m_vmListMissingSince;
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::unique_ptr<TableFollower> m_leaseFollower;
     asio::steady_timer m_mapTimer;
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -195,6 +195,24 @@
     runnerThread.join();
 }
 
+// Guards against FAULT: no shards, and no job accepted, where the platform's VM interface lists none.
+BOOST_FIXTURE_TEST_CASE(ASystemStartsWithoutAListOfVms, NodeFixture)
+{
+    settings.vmsAddress = test::FakePlatform::freeAddress();
+    Node node(settings, 1, [] { return std::nullopt; });
+    std::thread process([&] { BOOST_TEST(node.run().has_value()); });
+    fake.put(platform::runnerListTable, "", "runner", fmt::format(runnerRow, 9));
+    platform::HttpResult answer;
+    auto hasShard = [&] { return answer.body.find("no-runner") != std::string::npos; };
+    for (int tries = 0; tries < 80 && !hasShard(); ++tries) {
+        answer = call(submit(fmt::format("{:016x}", tries)));
+        std::this_thread::sleep_for(hasShard() ? 0ms : 100ms);
+    }
+    BOOST_TEST_CONTEXT(answer.body) BOOST_TEST(hasShard());
+    ::kill(::getpid(), SIGTERM);
+    process.join();
+}
+
 // Guards against a job whose progress outgrows its row once it runs.
 BOOST_FIXTURE_TEST_CASE(AJobThatMayOutgrowItsRowsIsRefusedAtOnce, NodeFixture)
 {
