FAULT: a server that has once failed to accept goes on accepting

What callers saw: a process that listens, and whose health check may even pass, but that takes no new connection for the rest of its life; their calls end by time-out.

Causes, both in how RESTinio accepts connections: - Once accept() fails, as without a free descriptor, RESTinio starts no other one. The listening socket stays open. - Its limit of connections counts one that is reset before it is accepted for ever: 16 of them end the metrics server, 2,050 that of callers. A connection over the limit waited unanswered for another one to close.

Change: the server notices that connections wait while none is accepted, and listens anew, with a log line; and it counts connections itself. One over the limit is closed at once, so that its caller tries another process.

Evidence: CallerServerTest has a test of each, which fail on the code before: no answer in 3 s with descriptors free again; none after 12 resets with a limit of 4; a connection over the limit not closed.

--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -1,7 +1,12 @@
 #include "io/caller_server.h"
 
+#include "core/log.h"
+
+#include <asio/steady_timer.hpp>
 #include <fmt/format.h>
+#include <poll.h>
 #include <restinio/all.hpp>
+#include <stdexcept>
 #include <unordered_map>
 
 namespace fulmar {
@@ -10,25 +15,46 @@
 
 constexpr std::string_view callerHeader = "Fulmar-Caller";
 
-class ConnectionCounter {
+// How often a server checks whether it still accepts connections, and how soon it checks a suspicion again.
+constexpr std::chrono::milliseconds acceptCheckInterval { 500 };
+constexpr std::chrono::milliseconds acceptRecheckInterval { 50 };
+
+// Counts connections, and refuses those over the limit by closing them. RESTinio's own limit would leave them
+// unanswered, and counts a connection that is reset before it is accepted for ever.
+class ConnectionLimit {
 public:
-    void state_changed(const restinio::connection_state::notice_t& notice) noexcept
+    explicit ConnectionLimit(std::size_t max)
+        : m_max(max)
+    {
+    }
+
+    // RESTinio closes an accepted connection if this throws, and reports no end of it.
+    void state_changed(const restinio::connection_state::notice_t& notice)
     {
-        if (std::holds_alternative<restinio::connection_state::accepted_t>(notice.cause()))
+        if (std::holds_alternative<restinio::connection_state::accepted_t>(notice.cause())) {
+            ++m_accepted;
+            if (m_open >= m_max) {
+                logInfo("connection-refused", { { "open", std::to_string(m_open) } });
+                throw std::runtime_error("too many connections");
+            }
             ++m_open;
-        else if (std::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
+        } else if (std::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
             --m_open;
+        }
     }
 
     [[nodiscard]] std::size_t open() const { return m_open; }
+    // Connections accepted since the start.
+    [[nodiscard]] std::uint64_t accepted() const { return m_accepted; }
 
 private:
+    const std::size_t m_max;
     std::size_t m_open { 0 };
+    std::uint64_t m_accepted { 0 };
 };
 
 struct ServerTraits : restinio::default_single_thread_traits_t {
-    using connection_state_listener_t = ConnectionCounter;
-    static constexpr bool use_connection_count_limiter = true;
+    using connection_state_listener_t = ConnectionLimit;
 };
 
 using Server = restinio::http_server_t<ServerTraits>;
@@ -57,10 +83,13 @@
 public:
     RestinioCallerServer(asio::io_context& loop, const CallerServerSettings& limits, OnCall onCall)
         : m_onCall(std::move(onCall))
-        , m_connections(std::make_shared<ConnectionCounter>())
+        , m_address(limits.address)
+        , m_connections(std::make_shared<ConnectionLimit>(limits.maxConnections))
+        , m_acceptCheckTimer(loop)
         , m_server(restinio::external_io_context(loop), settings(limits))
     {
         m_server.open_sync();
+        checkAccepting(acceptCheckInterval);
     }
 
     RestinioCallerServer(const RestinioCallerServer&) = delete;
@@ -133,8 +162,10 @@
 
     void stopAccepting() override
     {
-        if (!std::exchange(m_isClosed, true))
-            m_server.close_sync();
+        if (std::exchange(m_isClosed, true))
+            return;
+        m_acceptCheckTimer.cancel();
+        m_server.close_sync();
     }
 
 private:
@@ -144,7 +175,7 @@
         restinio::server_settings_t<ServerTraits> settings;
         settings.address(host)
             .port(port)
-            .max_parallel_connections(limits.maxConnections)
+            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) { m_acceptor = &acceptor; })
             .read_next_http_message_timelimit(limits.readTimeout)
             .write_http_response_timelimit(limits.writeTimeout)
             .handle_request_timeout(limits.callTimeout)
@@ -170,13 +201,57 @@
         return restinio::request_accepted();
     }
 
+    // RESTinio accepts nothing any more once accepting a connection has failed, as it does without a free
+    // descriptor. Then connections wait while none is accepted, and the server has to listen anew.
+    void checkAccepting(std::chrono::milliseconds interval)
+    {
+        m_acceptCheckTimer.expires_after(interval);
+        m_acceptCheckTimer.async_wait([this](const asio::error_code& error) {
+            if (error || m_isClosed)
+                return;
+            auto isStuck = std::exchange(m_acceptedAtCheck, m_connections->accepted()) == m_acceptedAtCheck
+                && isConnectionWaiting();
+            auto mayBeStuck = std::exchange(m_mayBeStuck, isStuck);
+            if (isStuck && mayBeStuck)
+                listenAnew();
+            checkAccepting(isStuck ? acceptRecheckInterval : acceptCheckInterval);
+        });
+    }
+
+    [[nodiscard]] bool isConnectionWaiting() const
+    {
+        if (!m_acceptor->is_open())
+            return true;
+        pollfd listening { m_acceptor->native_handle(), POLLIN, 0 };
+        return ::poll(&listening, 1, 0) > 0;
+    }
+
+    // Connections that wait are reset, so that their callers need not wait for a time-out.
+    void listenAnew()
+    {
+        try {
+            m_server.close_sync();
+            m_server.open_sync();
+            logWarning("listening-anew", { { "address", m_address } });
+        } catch (const std::exception& error) {
+            logWarning("cannot-listen", { { "address", m_address }, { "reason", error.what() } });
+        }
+    }
+
     struct Stream {
         restinio::response_builder_t<restinio::user_controlled_output_t> response;
         bool isChunked { false };
     };
 
     const OnCall m_onCall;
-    std::shared_ptr<ConnectionCounter> m_connections;
+    const std::string m_address;
+    std::shared_ptr<ConnectionLimit> m_connections;
+    asio::steady_timer m_acceptCheckTimer;
+    // Connections accepted before the last check.
+    std::uint64_t m_acceptedAtCheck { 0 };
+    bool m_mayBeStuck { false };
+    // Belongs to m_server.
+    asio::ip::tcp::acceptor* m_acceptor { nullptr };
     std::unordered_map<CallId, restinio::request_handle_t> m_calls;
     std::unordered_map<CallId, Stream> m_streams;
     CallId m_lastCall { 0 };
--- a/src/io/caller_server.h
+++ b/src/io/caller_server.h
@@ -29,6 +29,7 @@
 struct CallerServerSettings {
     // "host:port" to listen on.
     std::string address;
+    // Further connections are closed at once.
     std::size_t maxConnections { 4'096 };
     std::size_t maxUrlBytes { 8 * 1024 };
     // Limit of each header's name and of each header's value.
@@ -41,7 +42,8 @@
     std::chrono::milliseconds callTimeout { std::chrono::hours(1) };
 };
 
-// HTTP/1.1 server for callers and for the load balancer's health checks. Used by the loop's thread only.
+// HTTP/1.1 server for callers and for the load balancer's health checks. Listens anew if connections are no
+// longer accepted, as after a shortage of descriptors. Used by the loop's thread only.
 class CallerServer {
 public:
     using OnCall = std::function<void(CallId, CallerRequest)>;
--- a/src/io/tests/caller_server_test.cpp
+++ b/src/io/tests/caller_server_test.cpp
@@ -2,6 +2,7 @@
 
 #include "io/http_answers.h"
 
+#include <array>
 #include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
@@ -9,12 +10,15 @@
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 #include <functional>
+#include <sys/resource.h>
 
 using namespace fulmar;
 using namespace std::chrono_literals;
 
 namespace {
 
+constexpr std::size_t maxConnections = 4;
+
 std::string freeAddress()
 {
     asio::io_context loop;
@@ -22,6 +26,26 @@
     return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
 }
 
+const std::string get = "GET /plans/route?x=1 HTTP/1.1\r\nHost: a\r\nFulmar-Caller: crew\r\n\r\n";
+
+// While it lives, the process can open no descriptor.
+class ExhaustedDescriptors {
+public:
+    ExhaustedDescriptors()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_before);
+        auto none = m_before;
+        none.rlim_cur = 0;
+        ::setrlimit(RLIMIT_NOFILE, &none);
+    }
+    ExhaustedDescriptors(const ExhaustedDescriptors&) = delete;
+    ExhaustedDescriptors& operator=(const ExhaustedDescriptors&) = delete;
+    ~ExhaustedDescriptors() { ::setrlimit(RLIMIT_NOFILE, &m_before); }
+
+private:
+    rlimit m_before {};
+};
+
 // A caller server whose calls are answered by a function, and a raw TCP connection to it.
 struct Fixture {
     using Answer = std::function<void(CallerServer&, CallId, const CallerRequest&)>;
@@ -42,6 +66,33 @@
         return reply;
     }
 
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(loop);
+        socket.connect({ asio::ip::address_v4::loopback(), port });
+        return socket;
+    }
+
+    // Empty if there is no answer in time.
+    std::string talkFor(std::chrono::milliseconds time, asio::ip::tcp::socket socket)
+    {
+        answer = [](CallerServer& callers, CallId id, const CallerRequest&) {
+            callers.answer(id, HttpAnswer { 200, {}, "ok" }, true);
+        };
+        std::string reply;
+        auto isClosed = false;
+        asio::write(socket, asio::buffer(get));
+        asio::async_read(socket, asio::dynamic_buffer(reply),
+            [&](const asio::error_code&, std::size_t) { isClosed = true; });
+        auto end = std::chrono::steady_clock::now() + time;
+        while (!isClosed && std::chrono::steady_clock::now() < end)
+            loop.run_one_for(10ms);
+        asio::error_code ignored;
+        socket.close(ignored);
+        loop.run_for(1ms);
+        return reply;
+    }
+
     Fixture()
     {
         CallerServerSettings limits;
@@ -50,6 +101,7 @@
         limits.maxHeaderFieldBytes = 200;
         limits.maxHeaders = 5;
         limits.maxBodyBytes = 100;
+        limits.maxConnections = maxConnections;
         limits.readTimeout = 1s;
         port = static_cast<std::uint16_t>(std::stoul(limits.address.substr(limits.address.find(':') + 1)));
         server = CallerServer::start(loop, limits, [this](CallId id, const CallerRequest& request) {
@@ -65,12 +117,58 @@
     std::unique_ptr<CallerServer> server;
 };
 
-const std::string get = "GET /plans/route?x=1 HTTP/1.1\r\nHost: a\r\nFulmar-Caller: crew\r\n\r\n";
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(CallerServerTest, Fixture)
 
+// Guards against a server that accepts no connection any more, once accepting one has failed.
+BOOST_AUTO_TEST_CASE(ConnectionsAreAcceptedAgainOnceDescriptorsAreFree)
+{
+    auto early = connect();
+    {
+        auto late = connect();
+        ExhaustedDescriptors none;
+        loop.run_for(100ms);
+    }
+    // Callers that wait when the server listens anew are reset, and come again.
+    auto isServed = false;
+    for (int tries = 0; tries < 3 && !isServed; ++tries)
+        isServed = talkFor(1s, connect()).starts_with("HTTP/1.1 200");
+    BOOST_TEST(isServed);
+}
+
+// Guards against a server that counts connections reset before it accepted them as open for ever.
+BOOST_AUTO_TEST_CASE(ConnectionsResetEarlyDoNotUseUpTheLimit)
+{
+    for (std::size_t i = 0; i < 3 * maxConnections; ++i) {
+        auto socket = connect();
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+        loop.run_for(5ms);
+    }
+    BOOST_TEST(talkFor(2s, connect()).starts_with("HTTP/1.1 200"));
+    BOOST_TEST(server->openConnections() <= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AConnectionOverTheLimitIsClosedAtOnce)
+{
+    std::vector<asio::ip::tcp::socket> open;
+    for (std::size_t i = 0; i < maxConnections; ++i)
+        open.push_back(connect());
+    loop.run_for(20ms);
+    auto refused = connect();
+    auto isClosed = false;
+    std::array<char, 1> byte {};
+    refused.async_read_some(
+        asio::buffer(byte), [&](const asio::error_code& error, std::size_t) { isClosed = bool(error); });
+    loop.run_for(50ms);
+    BOOST_TEST(isClosed);
+    BOOST_TEST(server->openConnections() == maxConnections);
+    open.clear();
+    loop.run_for(20ms);
+    BOOST_TEST(talkFor(1s, connect()).starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(RequestIsParsedAndAnswered)
 {
     auto reply = talk(get, [](CallerServer& callers, CallId id, const CallerRequest& request) {
