FAULT: whatever ends a process is logged first, and an error of a handler ends none

What callers saw: a process that ended by itself would have left no line in its log; none was seen to do so.

Cause: main caught errors of the command line only. Any other exception on the loop's thread ended the process, without a line in the log's form; so did a failed assertion and a signal.

Change: an uncaught exception and a fatal signal write a line process-ends with the reason, and frames of the stack, to standard error. An exception that reaches the node's loop, or comes out of a caller's request, is logged as handler-failed; the shards held here are given up, as their state may be inconsistent, and restored from the store by their next holder; the process serves on. A signal's handler waits for the next signal before it acts, so that none is missed after an error.

Evidence: node/AProcessOutlivesAnErrorOfAHandler ends the test program without the change; node/AProcessThatASignalEndsLogsItFirst finds an empty log without it.

--- a/src/io/program.cpp
+++ b/src/io/program.cpp
@@ -1,5 +1,7 @@
 #include "io/program.h"
 
+#include "core/crash_log.h"
+
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -34,6 +36,7 @@
             return exitBadSettings;
         }
         auto file = parsed.count("settings") ? parsed["settings"].as<std::string>() : fromEnvironment;
+        installCrashLog(name);
         // Writing to a connection that the peer closed must fail with an error, not kill the process.
         std::signal(SIGPIPE, SIG_IGN);
         curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -42,6 +45,9 @@
     } catch (const cxxopts::exceptions::exception& error) {
         std::cerr << name << ": " << error.what() << '\n';
         return exitBadSettings;
+    } catch (const std::exception& error) {
+        std::cerr << name << ": ends by an error: " << error.what() << '\n';
+        return exitFailed;
     }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -93,8 +93,15 @@
     limits.maxConnections = std::size_t(m_settings.maxDescriptors) / 2;
     limits.maxBodyBytes = maxBodyBytes;
     limits.readTimeout = idleTimeout;
-    auto callers = CallerServer::start(
-        m_loop, limits, [this](CallId id, const CallerRequest& request) { onCaller(id, request); });
+    auto callers = CallerServer::start(m_loop, limits, [this](CallId id, const CallerRequest& request) {
+        try {
+            onCaller(id, request);
+        } catch (const std::exception& error) {
+            onHandlerFailed(error);
+            m_callsInFlight.erase(id);
+            m_callers->answer(id, { 500, {}, {} }, true);
+        }
+    });
     if (!callers)
         return tl::unexpected(callers.error());
     m_callers = std::move(*callers);
@@ -145,22 +152,44 @@
         m_signals.async_wait([this, &waitForSignal](const asio::error_code& error, int signal) {
             if (error)
                 return;
+            waitForSignal();
             if (signal == SIGHUP)
                 this->reload();
             else
                 stop();
-            waitForSignal();
         });
     };
     waitForSignal();
     m_configFollower.start();
     readShardMap();
     tick();
-    m_loop.run();
+    runLoop();
     logInfo("stop", { { "result", "done" } });
     return {};
 }
 
+void Node::runLoop()
+{
+    while (true) {
+        try {
+            m_loop.run();
+            return;
+        } catch (const std::exception& error) {
+            onHandlerFailed(error);
+        }
+    }
+}
+
+// An error that no handler expects. What it left of the shards held here may be inconsistent, while the store
+// has their state: they are given up, and their next holder, perhaps this process, restores them.
+void Node::onHandlerFailed(const std::exception& error)
+{
+    logWarning("handler-failed", { { "error", error.what() }, { "shards", std::to_string(shardsHeld()) } });
+    for (auto& slot : m_slots)
+        dropShard(*slot, "handler-failed");
+    scheduleTick();
+}
+
 void Node::readShardMap()
 {
     m_store.read(
@@ -358,6 +387,11 @@
         finishStop();
     else
         planHandOver(now);
+    scheduleTick();
+}
+
+void Node::scheduleTick()
+{
     m_tickDue = m_clock.now() + tickPause;
     m_tickTimer.expires_after(tickPause);
     m_tickTimer.async_wait([this](const asio::error_code& error) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -43,7 +43,10 @@
     void onConfigRow(std::string_view value);
     void onWaveRow(std::string_view value);
     void onLeaseRow(const platform::StoredRow&);
+    void runLoop();
+    void onHandlerFailed(const std::exception&);
     void tick();
+    void scheduleTick();
     // This process's view of one shard: its lease, and its state while this process holds it.
     struct Slot {
         std::uint32_t index { 0 };
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -11,6 +11,7 @@
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
@@ -195,6 +196,27 @@
     runnerThread.join();
 }
 
+// Guards against FAULT: an error that no handler expects ended the process.
+BOOST_FIXTURE_TEST_CASE(AProcessOutlivesAnErrorOfAHandler, NodeFixture)
+{
+    Node node(settings, 1, []() -> std::optional<NodeSettings> { throw std::runtime_error("reload"); });
+    std::thread process([&] { BOOST_TEST(node.run().has_value()); });
+    auto awaitAccepted = [&] {
+        auto status = 0;
+        for (int tries = 0; tries < 100 && status != 200; ++tries) {
+            status = call(submit(fmt::format("{:016x}", tries))).status;
+            std::this_thread::sleep_for(status == 200 ? 0ms : 100ms);
+        }
+        return status;
+    };
+    BOOST_TEST(awaitAccepted() == 200);
+    ::kill(::getpid(), SIGHUP);
+    std::this_thread::sleep_for(200ms);
+    BOOST_TEST(awaitAccepted() == 200);
+    ::kill(::getpid(), SIGTERM);
+    process.join();
+}
+
 // Guards against FAULT: no shards, and no job accepted, where the platform's VM interface lists none.
 BOOST_FIXTURE_TEST_CASE(ASystemStartsWithoutAListOfVms, NodeFixture)
 {
@@ -300,6 +322,35 @@
     std::filesystem::remove_all(folder);
 }
 
+// Guards against FAULT: nothing told why a process had ended.
+BOOST_AUTO_TEST_CASE(AProcessThatASignalEndsLogsItFirst)
+{
+    auto folder = std::filesystem::temp_directory_path() / fmt::format("fulmar-node-{}", ::getpid());
+    std::filesystem::create_directory(folder);
+    auto file = (folder / "node.ini").string();
+    auto log = (folder / "log").string();
+    std::ofstream(file) << fmt::format(
+        "[listen]\ncallers = {}\npeers = {}\nmetrics = {}\n[platform]\nstore = {}\n",
+        test::FakePlatform::freeAddress(), test::FakePlatform::freeAddress(),
+        test::FakePlatform::freeAddress(), test::FakePlatform::freeAddress());
+    auto process = ::fork();
+    if (process == 0) {
+        ::dup2(::open(log.c_str(), O_WRONLY | O_CREAT, 0600), STDERR_FILENO);
+        ::execl(FULMARRAMP_PROGRAM, FULMARRAMP_PROGRAM, "--settings", file.c_str(), nullptr);
+        ::_exit(1);
+    }
+    std::this_thread::sleep_for(500ms);
+    ::kill(process, SIGSEGV);
+    int status = 0;
+    BOOST_TEST(::waitpid(process, &status, 0) == process);
+    BOOST_TEST((WIFSIGNALED(status) && WTERMSIG(status) == SIGSEGV));
+    std::ifstream written(log);
+    std::string line;
+    std::getline(written, line);
+    BOOST_TEST(line == "level=FATAL process=fulmarramp event=process-ends reason=signal signal=11");
+    std::filesystem::remove_all(folder);
+}
+
 // Callers that send one call after the other until the process is gone: each gets an answer, or sees at once
 // that there is none.
 BOOST_FIXTURE_TEST_CASE(NoCallIsGivenUpLateUntilTheExit, StoppedNodeFixture)
