FAULT: a process never runs out of descriptors

Cause: the servers of callers and of health checks could each take half of all descriptors, and calls to the store, runners and VMs any number. Once accept() fails for want of a descriptor, gRPC closes its listening socket for good ("Failed accept4: Too many open files"), so that the holder of a shard is cut off from all other processes for the rest of its life.

Change: each part has a budget, which leaves descriptors for listening sockets and for other processes' connections. A request that would need a further connection fails at once, as not run; before that, idle connections to other targets are closed.

--- a/src/io/target_client.cpp
+++ b/src/io/target_client.cpp
@@ -1,5 +1,6 @@
 #include "io/target_client.h"
 
+#include "core/log.h"
 #include "io/http_attempt.h"
 
 #include <algorithm>
@@ -18,7 +19,7 @@
 
 namespace {
 
-constexpr long maxIdleConnections = 1'024;
+constexpr std::size_t maxIdleConnections = 1'024;
 constexpr long receiveBufferBytes = 64 * 1024;
 constexpr std::size_t maxIdleHandles = 256;
 
@@ -44,7 +45,11 @@
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
         curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, onCurlTimerRequest);
         curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
+        // Above this number libcurl closes the connection that has been idle for longest, so that a request
+        // to another target finds room.
+        auto threeQuarters = limits.maxConnections / 4 * 3 + limits.maxConnections % 4 * 3 / 4;
+        auto kept = std::clamp<std::size_t>(threeQuarters, 1, maxIdleConnections);
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, long(kept));
         curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
     }
 
@@ -179,6 +184,11 @@
         auto& self = *static_cast<Impl*>(user);
         if (address->family != AF_INET)
             return CURL_SOCKET_BAD;
+        if (self.m_sockets.size() >= self.m_limits.maxConnections) {
+            logInfo("no-connection-left",
+                { { "target", toText(*address) }, { "open", std::to_string(self.m_sockets.size()) } });
+            return CURL_SOCKET_BAD;
+        }
         auto watch = std::make_shared<WatchedSocket>(self.m_loop);
         asio::error_code error;
         watch->socket.open(asio::ip::tcp::v4(), error);
--- a/src/io/target_client.h
+++ b/src/io/target_client.h
@@ -7,6 +7,7 @@
 #include <asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +39,8 @@
     std::chrono::milliseconds connectTimeout { 1'000 };
     // A larger answer is streamed to the sink.
     std::size_t maxBufferedBytes { 256 * 1024 };
+    // A request that needs a further connection fails at once, as NotRun.
+    std::size_t maxConnections { std::numeric_limits<std::size_t>::max() };
 };
 
 // Receives an answer that is too large to be buffered.
--- a/src/io/tests/target_client_test.cpp
+++ b/src/io/tests/target_client_test.cpp
@@ -131,6 +131,37 @@
     BOOST_TEST(ran == calls);
 }
 
+// Guards against a process that opens connections until it has no descriptor left for those of others.
+BOOST_AUTO_TEST_CASE(ARequestOverTheLimitOfConnectionsIsNotRun)
+{
+    constexpr int limit = 3;
+    ScriptedTarget target(loop, std::deque<fulmar::testing::Step>(limit, { {}, false, true }));
+    TargetClient limited(loop, { 2s, 1'000, limit });
+    std::vector<Outcome> outcomes;
+    for (int i = 1; i <= limit + 1; ++i)
+        limited.start(serve::AttemptId(i), { target.address(), "POST", "/", {}, {}, 200ms, limit }, {},
+            [&](const serve::AttemptEnd& end, const HttpAnswer&) { outcomes.push_back(end.outcome); });
+    while (outcomes.size() <= limit)
+        loop.run_one();
+    BOOST_TEST((outcomes.front() == Outcome::NotRun));
+    BOOST_TEST(std::count(outcomes.begin(), outcomes.end(), Outcome::NotRun) == 1);
+    BOOST_TEST(target.connections() == limit);
+}
+
+BOOST_AUTO_TEST_CASE(IdleConnectionsGiveWayToRequestsToOtherTargets)
+{
+    TargetClient limited(loop, { 2s, 1'000, 3 });
+    for (int i = 1; i <= 9; ++i) {
+        ScriptedTarget target(loop, { { completeAnswer } });
+        std::optional<Outcome> outcome;
+        limited.start(serve::AttemptId(i), { target.address(), "POST", "/", {}, {}, 1s, 8 }, {},
+            [&](const serve::AttemptEnd& end, const HttpAnswer&) { outcome = end.outcome; });
+        while (!outcome)
+            loop.run_one();
+        BOOST_TEST((*outcome == Outcome::Ran));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(SilentTargetTimesOutAndItsConnectionIsClosed)
 {
     ScriptedTarget target(loop, { { {}, false, true } });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "node/call_retry.h"
+#include "node/descriptor_budget.h"
 #include "node/stop_plan.h"
 #include "platform/decode.h"
 #include "platform/names.h"
@@ -55,7 +56,6 @@
 constexpr std::size_t maxBodyBytes = 1024 * 1024;
 // Callers keep connections open between calls.
 constexpr std::chrono::milliseconds idleTimeout { 60'000 };
-constexpr std::size_t maxMetricsConnections = 16;
 
 } // namespace
 
@@ -63,7 +63,7 @@
     : m_settings(std::move(settings))
     , m_reload(std::move(reload))
     , m_incarnation(incarnation)
-    , m_http(m_loop)
+    , m_http(m_loop, descriptorBudget(m_settings.maxDescriptors).outgoing)
     , m_store(m_http, m_settings.storeAddress)
     , m_runnerClient(m_http)
     , m_vmClient(m_http, m_settings.vmsAddress)
@@ -90,7 +90,8 @@
 Result<void> Node::listen()
 {
     CallerServerSettings limits { m_settings.callerAddress };
-    limits.maxConnections = std::size_t(m_settings.maxDescriptors) / 2;
+    auto budget = descriptorBudget(m_settings.maxDescriptors);
+    limits.maxConnections = budget.callers;
     limits.maxBodyBytes = maxBodyBytes;
     limits.readTimeout = idleTimeout;
     auto callers = CallerServer::start(m_loop, limits, [this](CallId id, const CallerRequest& request) {
@@ -107,12 +108,14 @@
     m_callers = std::move(*callers);
     if (!m_settings.readinessAddress.empty()) {
         limits.address = m_settings.readinessAddress;
+        limits.maxConnections = budget.readiness;
         auto readiness = CallerServer::start(
             m_loop, limits, [this](CallId id, const CallerRequest& request) { onReadiness(id, request); });
         if (!readiness)
             return tl::unexpected(readiness.error());
         m_readiness = std::move(*readiness);
     }
+    limits.maxConnections = budget.metrics;
     listenForMetrics(limits);
     auto rpc = ShardRpcServer::start(m_settings.peerAddress, m_loop, [this](JobCall call, OnJobReply reply) {
         auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
@@ -132,7 +135,6 @@
 void Node::listenForMetrics(CallerServerSettings limits)
 {
     limits.address = m_settings.metricsAddress;
-    limits.maxConnections = maxMetricsConnections;
     auto metrics
         = CallerServer::start(m_loop, limits, [this](CallId id, const CallerRequest&) { onMetrics(id); });
     if (metrics)
