FAULT: a schedule takes memory only for the runs that are due

What callers saw: ten jobs due every minute for 30 days made the holder of their shard exceed its 260 MB. It was killed, claimed the shard at once, restored the same jobs, and was killed again; then the next holder. A job of four billion runs would have done it alone.

Cause: the job table held all tasks of all runs of a job from its acceptance on: 1.5 million tasks for the ten jobs.

Change: an entry holds the runs that are due or that a runner has told of, of those that may be in progress at a time, and drops those that have ended. A run listed by a runner for a dropped occurrence is stopped as before, and reserves its room until then.

Evidence: progress_row/ALongScheduleTakesMemoryOnlyForRunsThatAreDue cannot hold on the code before, which had 86,400 step entries for that job at once.

--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -354,6 +354,8 @@
             job.firstStart = Millis(json.at("first").get<std::int64_t>());
             job.interval = Millis(json.at("every").get<std::int64_t>());
         }
+        if (job.steps.empty())
+            return std::nullopt;
         return job;
     } catch (const Json::exception&) {
         return std::nullopt;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -25,8 +25,7 @@
                 return false;
         return true;
     };
-    while (entry.endedOccurrences * entry.job.steps.size() < entry.stepOccurrences.size()
-        && isEnded(entry.endedOccurrences))
+    while (entry.endedOccurrences < entry.endHeld() && isEnded(entry.endedOccurrences))
         ++entry.endedOccurrences;
 }
 
@@ -50,8 +49,7 @@
     ++stepOccurrence.doneCount;
     entry.isDirty = true;
     skipEnded(entry);
-    auto isComplete = entry.endedOccurrences * entry.job.steps.size() == entry.stepOccurrences.size();
-    if (isComplete && !entry.isOver())
+    if (entry.endedOccurrences == entry.occurrenceCount() && !entry.isOver())
         finish(entry, JobState::Completed, now);
 }
 
@@ -86,19 +84,49 @@
 
 Task* JobEntry::find(const TaskName& name)
 {
-    auto at = std::size_t(name.occurrence) * job.steps.size() + name.step;
-    if (name.step >= job.steps.size() || at >= stepOccurrences.size()
-        || name.index >= stepOccurrences[at].tasks.size())
+    if (name.step >= job.steps.size() || name.index >= job.steps[name.step].count
+        || name.occurrence < firstHeld || name.occurrence >= occurrenceCount())
         return nullptr;
-    return &stepOccurrences[at].tasks[name.index];
+    if (name.occurrence >= endHeld()) {
+        if (name.occurrence >= std::uint64_t(endedOccurrences) + maxOpen)
+            return nullptr;
+        hold(name.occurrence);
+    }
+    return &stepOccurrence(name.occurrence, name.step).tasks[name.index];
 }
 
-bool JobEntry::isDue(const StepOccurrence& stepOccurrence, WallTime now) const
+void JobEntry::hold(std::uint32_t occurrence)
+{
+    while (endHeld() <= occurrence) {
+        auto next = endHeld();
+        for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+            auto& added = stepOccurrences.emplace_back();
+            added.occurrence = next;
+            added.step = step;
+            added.tasks.resize(job.steps[step].count);
+        }
+    }
+}
+
+void JobEntry::updateHeld(WallTime now)
 {
-    if (stepOccurrence.occurrence >= std::uint64_t(endedOccurrences) + maxOpen)
+    for (; firstHeld < endedOccurrences && !stepOccurrences.empty(); ++firstHeld)
+        stepOccurrences.erase(
+            stepOccurrences.begin(), stepOccurrences.begin() + std::ptrdiff_t(job.steps.size()));
+    while (endHeld() < occurrenceCount() && isDue(endHeld(), now))
+        hold(endHeld());
+}
+
+bool JobEntry::isDue(std::uint32_t occurrence, WallTime now) const
+{
+    if (occurrence >= std::uint64_t(endedOccurrences) + maxOpen)
         return false;
-    return !job.isScheduled()
-        || now.time_since_epoch() >= job.firstStart + job.interval * stepOccurrence.occurrence;
+    return !job.isScheduled() || now.time_since_epoch() >= job.firstStart + job.interval * occurrence;
+}
+
+bool JobEntry::isDue(const StepOccurrence& stepOccurrence, WallTime now) const
+{
+    return isDue(stepOccurrence.occurrence, now);
 }
 
 bool JobEntry::isStartable(const StepOccurrence& stepOccurrence, WallTime now) const
@@ -107,7 +135,7 @@
         return false;
     const auto& after = job.steps[stepOccurrence.step].after;
     return std::all_of(after.begin(), after.end(), [&](std::uint32_t before) {
-        return stepOccurrences[stepOccurrence.occurrence * job.steps.size() + before].isDone();
+        return this->stepOccurrence(stepOccurrence.occurrence, before).isDone();
     });
 }
 
@@ -121,13 +149,12 @@
 
 Millis JobEntry::remainingCriticalPath(const StepOccurrence& part) const
 {
-    auto first = part.occurrence * job.steps.size();
     std::vector<Millis> end(job.steps.size());
     Millis longest { 0 };
-    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         for (auto before : job.steps[step].after)
             end[step] = std::max(end[step], end[before]);
-        if (!stepOccurrences[first + step].isDone())
+        if (!stepOccurrence(part.occurrence, step).isDone())
             end[step] += job.steps[step].expectedRunTime();
         longest = std::max(longest, end[step]);
     }
@@ -142,8 +169,9 @@
         return progress;
     progress.endedOccurrences = endedOccurrences;
     progress.countedUpTo = countedUpTo;
-    for (auto at = endedOccurrences * job.steps.size(); at < stepOccurrences.size(); ++at) {
-        const auto& stepOccurrence = stepOccurrences[at];
+    for (const auto& stepOccurrence : stepOccurrences) {
+        if (stepOccurrence.occurrence < endedOccurrences)
+            continue;
         JobProgress::StepProgress step { stepOccurrence.occurrence, stepOccurrence.step, {}, {}, {} };
         auto isTouched = false;
         for (const auto& task : stepOccurrence.tasks) {
@@ -165,17 +193,10 @@
     entry.arrived = now;
     entry.deadline = now + job.objective();
     entry.maxOpen = maxOpenOccurrences(job, m_maxRowBytes);
-    for (std::uint32_t occurrence = 0; occurrence < std::max(1U, job.occurrences); ++occurrence) {
-        for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-            StepOccurrence stepOccurrence;
-            stepOccurrence.occurrence = occurrence;
-            stepOccurrence.step = step;
-            stepOccurrence.tasks.resize(job.steps[step].count);
-            entry.stepOccurrences.push_back(std::move(stepOccurrence));
-        }
-    }
     auto id = job.id;
     entry.job = std::move(job);
+    if (!entry.job.isScheduled())
+        entry.updateHeld({});
     return m_jobs.insert_or_assign(id, std::move(entry)).first->second;
 }
 
@@ -189,13 +210,8 @@
     if (entry.isOver())
         entry.ended = now;
     entry.countedUpTo = progress.countedUpTo;
-    auto ended = std::min(progress.endedOccurrences * entry.job.steps.size(), entry.stepOccurrences.size());
-    for (std::size_t at = 0; at < ended; ++at) {
-        auto& stepOccurrence = entry.stepOccurrences[at];
-        for (auto& task : stepOccurrence.tasks)
-            task.state = TaskState::Done;
-        stepOccurrence.doneCount = std::uint32_t(stepOccurrence.tasks.size());
-    }
+    entry.stepOccurrences.clear();
+    entry.firstHeld = entry.endedOccurrences = std::min(progress.endedOccurrences, entry.occurrenceCount());
     for (const auto& step : progress.steps) {
         for (std::uint32_t index = 0; index < step.done.size(); ++index) {
             auto* task = entry.find({ entry.job.id, step.occurrence, step.step, index });
@@ -214,6 +230,8 @@
         }
     }
     skipEnded(entry);
+    if (!entry.job.isScheduled())
+        entry.updateHeld({});
     return entry;
 }
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -4,6 +4,9 @@
 #include "jobs/job.h"
 #include "jobs/runner_orders.h"
 
+#include <algorithm>
+#include <cassert>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 
@@ -76,7 +79,10 @@
     std::optional<TimePoint> stalledSince;
     // State that the store holds; callers are shown this one.
     JobState storedState { JobState::Queued };
-    std::vector<StepOccurrence> stepOccurrences;
+    // Of the occurrences from `firstHeld` on that are due, or that a runner has told of; all steps of one
+    // after those of the one before it. Occurrences that are not due yet or have ended take no memory.
+    std::deque<StepOccurrence> stepOccurrences;
+    std::uint32_t firstHeld { 0 };
     // The occurrences before this one have ended.
     std::uint32_t endedOccurrences { 0 };
     // Occurrences from that one on that may be in progress; bounds the progress row.
@@ -85,10 +91,28 @@
     Attempt countedUpTo { 0 };
 
     [[nodiscard]] bool isOver() const { return state >= JobState::Completed; }
+    [[nodiscard]] std::uint32_t occurrenceCount() const { return std::max(1U, job.occurrences); }
+    // The first occurrence after those held.
+    [[nodiscard]] std::uint32_t endHeld() const
+    {
+        return firstHeld + std::uint32_t(stepOccurrences.size() / job.steps.size());
+    }
+    // Of an occurrence that is held.
     [[nodiscard]] StepOccurrence& stepOccurrence(std::uint32_t occurrence, std::uint32_t step)
     {
-        return stepOccurrences[occurrence * job.steps.size() + step];
+        return stepOccurrences[indexOf(occurrence, step)];
+    }
+    [[nodiscard]] const StepOccurrence& stepOccurrence(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return stepOccurrences[indexOf(occurrence, step)];
     }
+    // Drops the occurrences that have ended and adds those that have become due. Invalidates references to
+    // tasks.
+    void updateHeld(WallTime);
+    // Adds the occurrences up to that one.
+    void hold(std::uint32_t occurrence);
+    // Null for a task that the job does not have, and for one whose occurrence has ended and was dropped or
+    // may not be in progress yet.
     [[nodiscard]] Task* find(const TaskName&);
     // Its time has come, and few enough occurrences before it are in progress.
     [[nodiscard]] bool isDue(const StepOccurrence&, WallTime) const;
@@ -99,6 +123,14 @@
     // Longest chain of dependent unfinished steps of the occurrence, by expected run time.
     [[nodiscard]] Millis remainingCriticalPath(const StepOccurrence&) const;
     [[nodiscard]] JobProgress progress() const;
+
+private:
+    [[nodiscard]] std::size_t indexOf(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        assert(occurrence >= firstHeld && occurrence < endHeld());
+        return std::size_t(occurrence - firstHeld) * job.steps.size() + step;
+    }
+    [[nodiscard]] bool isDue(std::uint32_t occurrence, WallTime) const;
 };
 
 // All jobs of a shard with their progress.
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -369,11 +369,11 @@
     run.isConfirmed = true;
     run.checkpoint = running.checkpoint;
     run.percent = running.percent;
-    if (task) {
+    if (entry && running.task.step < entry->job.steps.size()) {
         const auto& step = entry->job.steps[running.task.step];
         run.reserved = step.reserved();
         run.isLongRunning = step.isLongRunning;
-        run.hasCrashRecord = !task->crashes.empty();
+        run.hasCrashRecord = task && !task->crashes.empty();
     }
     auto& added = runner.addRun(running.task, std::move(run));
     if (!isWanted) {
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -237,6 +237,7 @@
     for (auto& [id, entry] : m_jobTable.all()) {
         if (!entry.isStored || entry.isOver())
             continue;
+        entry.updateHeld(wallNow);
         if (entry.isRecovered && !areEarlierRunsResolved(entry.job.policy.pool, now))
             continue;
         for (auto& stepOccurrence : entry.stepOccurrences)
--- a/src/jobs/stalled_jobs.cpp
+++ b/src/jobs/stalled_jobs.cpp
@@ -63,7 +63,7 @@
 StallReason stallReasonOf(const JobEntry& entry, const TaskName& name,
     const std::map<RunnerId, Runner>& runners, bool mayStart, bool areEarlierRunsResolved, TimePoint now)
 {
-    const auto& stepOccurrence = entry.stepOccurrences[name.occurrence * entry.job.steps.size() + name.step];
+    const auto& stepOccurrence = entry.stepOccurrence(name.occurrence, name.step);
     const auto& task = stepOccurrence.tasks[name.index];
     if (task.state == TaskState::Placed) {
         const auto* run = runOf(task, name, runners);
