--- a/src/io/program.cpp
+++ b/src/io/program.cpp
@@ -58,8 +58,11 @@
         std::cerr << formatSettingsError(error) << '\n';
     if (!errors.empty())
         return exitBadSettings;
-    if (checksOnly)
+    if (checksOnly) {
+        for (const auto& substitution : reader.substitutions())
+            std::cerr << formatSettingsError(substitution) << '\n';
         return exitOk;
+    }
     if (auto result = run(); !result) {
         std::cerr << result.error().detail << '\n';
         return exitFailed;
--- a/src/io/program.h
+++ b/src/io/program.h
@@ -20,8 +20,8 @@
 [[nodiscard]] int runDaemon(
     const std::string& name, int argc, char** argv, const std::function<int(SettingsReader&, bool)>& body);
 
-// Prints all settings errors and fails if there are any; otherwise runs the daemon, unless `checksOnly`.
-// Returns the exit code.
+// Prints all settings errors and fails if there are any; otherwise runs the daemon, or with `checksOnly`
+// prints the values that it would replace. Returns the exit code.
 [[nodiscard]] int runIfSettingsValid(
     SettingsReader&, bool checksOnly, const std::function<Result<void>()>& run);
 
