A check of accepting does not outlive its server

The timer's handler may be in the loop already when the server is destroyed while the loop runs on; no program does so today. The order in which the two sides of a comparison were read is fixed by a variable.

--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -94,7 +94,11 @@
 
     RestinioCallerServer(const RestinioCallerServer&) = delete;
     RestinioCallerServer& operator=(const RestinioCallerServer&) = delete;
-    ~RestinioCallerServer() override { stopAccepting(); }
+    ~RestinioCallerServer() override
+    {
+        *m_isAlive = false;
+        stopAccepting();
+    }
 
     void answer(CallId id, HttpAnswer answer, bool closesConnection) override
     {
@@ -206,11 +210,11 @@
     void checkAccepting(std::chrono::milliseconds interval)
     {
         m_acceptCheckTimer.expires_after(interval);
-        m_acceptCheckTimer.async_wait([this](const asio::error_code& error) {
-            if (error || m_isClosed)
+        m_acceptCheckTimer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
+            if (error || !*isAlive || m_isClosed)
                 return;
-            auto isStuck = std::exchange(m_acceptedAtCheck, m_connections->accepted()) == m_acceptedAtCheck
-                && isConnectionWaiting();
+            auto acceptedBefore = std::exchange(m_acceptedAtCheck, m_connections->accepted());
+            auto isStuck = acceptedBefore == m_acceptedAtCheck && isConnectionWaiting();
             auto mayBeStuck = std::exchange(m_mayBeStuck, isStuck);
             if (isStuck && mayBeStuck)
                 listenAnew();
@@ -250,6 +254,8 @@
     // Connections accepted before the last check.
     std::uint64_t m_acceptedAtCheck { 0 };
     bool m_mayBeStuck { false };
+    // False once this is destroyed; a check may still be in the loop then.
+    std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
     // Belongs to m_server.
     asio::ip::tcp::acceptor* m_acceptor { nullptr };
     std::unordered_map<CallId, restinio::request_handle_t> m_calls;
