--- a/src/jobs/tests/progress_row_test.cpp
+++ b/src/jobs/tests/progress_row_test.cpp
@@ -274,7 +274,7 @@
     BOOST_TEST(largest <= maxRowBytes);
 }
 
-// Guards against FAULT: a few jobs with long schedules made holder after holder exceed its memory.
+// Guards against jobs with long schedules that make holder after holder exceed its memory.
 BOOST_AUTO_TEST_CASE(ALongScheduleTakesMemoryOnlyForRunsThatAreDue)
 {
     Job job;
--- a/src/node/tests/node_settings_test.cpp
+++ b/src/node/tests/node_settings_test.cpp
@@ -81,8 +81,7 @@
     BOOST_TEST(settings.processorShare == 0.25);
 }
 
-// Guards against FAULT: each process refused its settings, and ended, where a deployment has no bound for
-// moves.
+// Guards against processes that refuse to start where a deployment has no bound for moves.
 BOOST_AUTO_TEST_CASE(AnOddFieldOfThePlatformKeepsNoProcessFromStarting)
 {
     for (const auto& [field, usual] : usualFields())
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -71,6 +71,17 @@
             loop.run_one();
         return *result;
     }
+
+    // A node that starts holds a shard, and knows runners or VMs, only after a while.
+    bool isJobAcceptedInTime()
+    {
+        auto isAccepted = false;
+        for (int tries = 0; tries < 100 && !isAccepted; ++tries) {
+            isAccepted = call(submit(fmt::format("{:016x}", tries))).status == 200;
+            std::this_thread::sleep_for(isAccepted ? 0ms : 100ms);
+        }
+        return isAccepted;
+    }
 };
 
 // A node that is stopped while callers are connected. Times are since the stop signal; with 3 s of grace,
@@ -88,15 +99,7 @@
     } };
     Clock::time_point stoppedAt;
 
-    StoppedNodeFixture()
-    {
-        auto isAccepted = false;
-        for (int tries = 0; tries < 100 && !isAccepted; ++tries) {
-            isAccepted = call(submit(fmt::format("{:016x}", tries))).status == 200;
-            std::this_thread::sleep_for(isAccepted ? 0ms : 100ms);
-        }
-        BOOST_REQUIRE(isAccepted);
-    }
+    StoppedNodeFixture() { BOOST_REQUIRE(isJobAcceptedInTime()); }
     ~StoppedNodeFixture() { process.join(); }
 
     void stop()
@@ -149,12 +152,7 @@
     Node node(settings, 1, [] { return std::nullopt; });
     auto hasRun = false;
     std::thread process([&] { hasRun = node.run().has_value(); });
-    auto isAccepted = false;
-    for (int tries = 0; tries < 100 && !isAccepted; ++tries) {
-        isAccepted = call(submit(fmt::format("{:016x}", tries))).status == 200;
-        std::this_thread::sleep_for(isAccepted ? 0ms : 100ms);
-    }
-    BOOST_TEST(isAccepted);
+    BOOST_TEST(isJobAcceptedInTime());
     fake.silenceTransactions();
     std::optional<platform::HttpResult> result;
     http.call(submit("000000000000ffff"), [&](platform::HttpResult answer) { result = std::move(answer); });
@@ -168,8 +166,8 @@
     BOOST_TEST(hasRun);
 }
 
-// Guards against FAULT: a process ended for want of settings that it can do without, and for an address of
-// its metrics that is in use.
+// Guards against a process that ends for want of settings that it can do without, or as the address of its
+// metrics is in use.
 BOOST_FIXTURE_TEST_CASE(AProcessServesWithoutVmsReadinessAndMetrics, NodeFixture)
 {
     standin::HttpHost runner;
@@ -184,40 +182,27 @@
     settings.metricsAddress = fake.address();
     Node node(settings, 1, [] { return std::nullopt; });
     std::thread process([&] { BOOST_TEST(node.run().has_value()); });
-    auto status = 0;
-    for (int tries = 0; tries < 100 && status != 200; ++tries) {
-        status = call(submit(fmt::format("{:016x}", tries))).status;
-        std::this_thread::sleep_for(status == 200 ? 0ms : 100ms);
-    }
-    BOOST_TEST(status == 200);
+    BOOST_TEST(isJobAcceptedInTime());
     ::kill(::getpid(), SIGTERM);
     process.join();
     runner.stop();
     runnerThread.join();
 }
 
-// Guards against FAULT: an error that no handler expects ended the process.
+// Guards against a process that ends by an error that no handler expects.
 BOOST_FIXTURE_TEST_CASE(AProcessOutlivesAnErrorOfAHandler, NodeFixture)
 {
     Node node(settings, 1, []() -> std::optional<NodeSettings> { throw std::runtime_error("reload"); });
     std::thread process([&] { BOOST_TEST(node.run().has_value()); });
-    auto awaitAccepted = [&] {
-        auto status = 0;
-        for (int tries = 0; tries < 100 && status != 200; ++tries) {
-            status = call(submit(fmt::format("{:016x}", tries))).status;
-            std::this_thread::sleep_for(status == 200 ? 0ms : 100ms);
-        }
-        return status;
-    };
-    BOOST_TEST(awaitAccepted() == 200);
+    BOOST_TEST(isJobAcceptedInTime());
     ::kill(::getpid(), SIGHUP);
     std::this_thread::sleep_for(200ms);
-    BOOST_TEST(awaitAccepted() == 200);
+    BOOST_TEST(isJobAcceptedInTime());
     ::kill(::getpid(), SIGTERM);
     process.join();
 }
 
-// Guards against FAULT: no shards, and no job accepted, where the platform's VM interface lists none.
+// Guards against a system without shards where the platform's VM interface lists no VMs.
 BOOST_FIXTURE_TEST_CASE(ASystemStartsWithoutAListOfVms, NodeFixture)
 {
     settings.vmsAddress = test::FakePlatform::freeAddress();
@@ -240,12 +225,7 @@
 {
     Node node(settings, 1, [] { return std::nullopt; });
     std::thread process([&] { BOOST_TEST(node.run().has_value()); });
-    auto isAccepted = false;
-    for (int tries = 0; tries < 100 && !isAccepted; ++tries) {
-        isAccepted = call(submit(fmt::format("{:016x}", tries))).status == 200;
-        std::this_thread::sleep_for(isAccepted ? 0ms : 100ms);
-    }
-    BOOST_TEST(isAccepted);
+    BOOST_TEST(isJobAcceptedInTime());
     std::string body = R"({"spec":"s","steps":[)";
     for (int step = 0; step < 64; ++step)
         body += std::string(step > 0 ? "," : "") + R"({"count":10000,"cpu":1,"mem-mb":1,"estimate-ms":9})";
@@ -322,7 +302,7 @@
     std::filesystem::remove_all(folder);
 }
 
-// Guards against FAULT: nothing told why a process had ended.
+// Guards against a process of which nothing tells why it ended.
 BOOST_AUTO_TEST_CASE(AProcessThatASignalEndsLogsItFirst)
 {
     auto folder = std::filesystem::temp_directory_path() / fmt::format("fulmar-node-{}", ::getpid());
