--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -136,6 +136,61 @@
     }
 };
 
+// The program in a process of its own, with these settings.
+class ProgramRun {
+public:
+    explicit ProgramRun(const std::string& settings, std::vector<std::string> options = {})
+    {
+        std::filesystem::create_directory(m_folder);
+        auto file = (m_folder / "node.ini").string();
+        std::ofstream(file) << settings;
+        std::vector<std::string> words { FULMARRAMP_PROGRAM, "--settings", file };
+        words.insert(words.end(), options.begin(), options.end());
+        std::vector<char*> arguments;
+        for (auto& word : words)
+            arguments.push_back(word.data());
+        arguments.push_back(nullptr);
+        posix_spawn_file_actions_t files;
+        ::posix_spawn_file_actions_init(&files);
+        auto errors = (m_folder / "errors").string();
+        ::posix_spawn_file_actions_addopen(
+            &files, STDERR_FILENO, errors.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+        BOOST_REQUIRE(
+            ::posix_spawn(&m_process, arguments.front(), &files, nullptr, arguments.data(), environ) == 0);
+        ::posix_spawn_file_actions_destroy(&files);
+    }
+    ProgramRun(const ProgramRun&) = delete;
+    ProgramRun& operator=(const ProgramRun&) = delete;
+    ~ProgramRun()
+    {
+        if (m_process > 0) {
+            signal(SIGKILL);
+            wait();
+        }
+        std::filesystem::remove_all(m_folder);
+    }
+
+    void signal(int number) const { ::kill(m_process, number); }
+    // Status, as of waitpid().
+    int wait()
+    {
+        int status = 0;
+        BOOST_TEST(::waitpid(std::exchange(m_process, 0), &status, 0) > 0);
+        return status;
+    }
+    // What it has written to standard error.
+    [[nodiscard]] std::string errors() const
+    {
+        std::ifstream file(m_folder / "errors");
+        return { std::istreambuf_iterator<char>(file), {} };
+    }
+
+private:
+    const std::filesystem::path m_folder { std::filesystem::temp_directory_path()
+        / fmt::format("fulmar-node-{}", ::getpid()) };
+    pid_t m_process { 0 };
+};
+
 constexpr auto refused = "HTTP/1.1 503";
 constexpr auto runnerRow
     = R"({{"service":"p","address":"127.0.0.1:{}","zone":"z","state":"ready","labels":["a","r1"],"born":1,)"
@@ -259,19 +314,11 @@
 // other processes to end.
 BOOST_FIXTURE_TEST_CASE(TheProcessEndsAtOnceWhateverOtherProcessesCall, NodeFixture)
 {
-    auto folder = std::filesystem::temp_directory_path() / fmt::format("fulmar-node-{}", ::getpid());
-    std::filesystem::create_directory(folder);
-    auto file = (folder / "node.ini").string();
-    std::ofstream(file) << fmt::format(
-        "[process]\nname = node\nzone = z\nstop_grace = 3s\n[listen]\ncallers = {}\n"
-        "readiness = {}\npeers = {}\nmetrics = {}\n[platform]\nstore = {}\nvms = {}\n",
-        settings.callerAddress, settings.readinessAddress, settings.peerAddress, settings.metricsAddress,
-        settings.storeAddress, settings.vmsAddress);
-    std::string program = FULMARRAMP_PROGRAM;
-    std::string option = "--settings";
-    std::array<char*, 4> arguments { program.data(), option.data(), file.data(), nullptr };
-    pid_t process = 0;
-    BOOST_REQUIRE(::posix_spawn(&process, program.c_str(), nullptr, nullptr, arguments.data(), environ) == 0);
+    ProgramRun program(
+        fmt::format("[process]\nname = node\nzone = z\nstop_grace = 3s\n[listen]\ncallers = {}\n"
+                    "readiness = {}\npeers = {}\nmetrics = {}\n[platform]\nstore = {}\nvms = {}\n",
+            settings.callerAddress, settings.readinessAddress, settings.peerAddress, settings.metricsAddress,
+            settings.storeAddress, settings.vmsAddress));
     for (int tries = 0; tries < 100 && call(submit("0")).status == 0; ++tries)
         std::this_thread::sleep_for(100ms);
     ShardRpcClient peer(loop);
@@ -281,7 +328,7 @@
     std::array<char, 1> byte {};
     auto isOpen = true;
     socket.async_read_some(asio::buffer(byte), [&](const asio::error_code&, std::size_t) { isOpen = false; });
-    ::kill(process, SIGTERM);
+    program.signal(SIGTERM);
     auto stoppedAt = std::chrono::steady_clock::now();
     while (isOpen && std::chrono::steady_clock::now() < stoppedAt + 5s) {
         peer.call(settings.peerAddress, { JobCallKind::Count, {}, {}, {}, 0 }, 1s, [](const JobReply&) {});
@@ -292,43 +339,44 @@
         = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - stoppedAt);
     BOOST_TEST(elapsed.count() < 3000);
     if (isOpen)
-        ::kill(process, SIGKILL);
-    int status = 0;
-    BOOST_TEST(::waitpid(process, &status, 0) == process);
-    BOOST_TEST(status == 0);
+        program.signal(SIGKILL);
+    BOOST_TEST(program.wait() == 0);
     // The client's calls end.
     loop.restart();
     loop.run_for(1200ms);
-    std::filesystem::remove_all(folder);
 }
 
 // Guards against a process of which nothing tells why it ended.
 BOOST_AUTO_TEST_CASE(AProcessThatASignalEndsLogsItFirst)
 {
-    auto folder = std::filesystem::temp_directory_path() / fmt::format("fulmar-node-{}", ::getpid());
-    std::filesystem::create_directory(folder);
-    auto file = (folder / "node.ini").string();
-    auto log = (folder / "log").string();
-    std::ofstream(file) << fmt::format(
-        "[listen]\ncallers = {}\npeers = {}\nmetrics = {}\n[platform]\nstore = {}\n",
-        test::FakePlatform::freeAddress(), test::FakePlatform::freeAddress(),
-        test::FakePlatform::freeAddress(), test::FakePlatform::freeAddress());
-    auto process = ::fork();
-    if (process == 0) {
-        ::dup2(::open(log.c_str(), O_WRONLY | O_CREAT, 0600), STDERR_FILENO);
-        ::execl(FULMARRAMP_PROGRAM, FULMARRAMP_PROGRAM, "--settings", file.c_str(), nullptr);
-        ::_exit(1);
-    }
+    ProgramRun program(fmt::format("[listen]\ncallers = {}\n[platform]\nstore = {}\n",
+        test::FakePlatform::freeAddress(), test::FakePlatform::freeAddress()));
     std::this_thread::sleep_for(500ms);
-    ::kill(process, SIGSEGV);
-    int status = 0;
-    BOOST_TEST(::waitpid(process, &status, 0) == process);
+    program.signal(SIGSEGV);
+    auto status = program.wait();
     BOOST_TEST((WIFSIGNALED(status) && WTERMSIG(status) == SIGSEGV));
-    std::ifstream written(log);
-    std::string line;
-    std::getline(written, line);
-    BOOST_TEST(line == "level=FATAL process=fulmarramp event=process-ends reason=signal signal=11");
-    std::filesystem::remove_all(folder);
+    BOOST_TEST(program.errors().starts_with(
+        "level=FATAL process=fulmarramp event=process-ends reason=signal signal=11\n"));
+}
+
+BOOST_AUTO_TEST_CASE(ACheckOfSettingsTellsWhatAStartWouldReplace)
+{
+    ProgramRun program(
+        "[listen]\ncallers = 127.0.0.1:1\n[platform]\nstore = 127.0.0.1:2\n[vms]\nmove_time = s\n",
+        { "--check-settings" });
+    BOOST_TEST(program.wait() == 0);
+    BOOST_TEST(
+        program.errors().ends_with(":6: [vms] move_time: 's' is not usable; used instead: 1500000us\n"));
+}
+
+BOOST_AUTO_TEST_CASE(AStartThatIsRefusedSaysWhyInOneLine)
+{
+    ProgramRun program("[listen]\ncallers =\n[platform]\nstore = 127.0.0.1:2\n");
+    auto status = program.wait();
+    BOOST_TEST((WIFEXITED(status) && WEXITSTATUS(status) == 2));
+    auto errors = program.errors();
+    BOOST_TEST(errors.ends_with(":2: [listen] callers: '' is not an IPv4 address and port\n"));
+    BOOST_TEST(std::count(errors.begin(), errors.end(), '\n') == 1);
 }
 
 // Callers that send one call after the other until the process is gone: each gets an answer, or sees at once
