--- a/src/io/tests/caller_server_test.cpp
+++ b/src/io/tests/caller_server_test.cpp
@@ -6,11 +6,13 @@
 #include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 #include <functional>
 #include <sys/resource.h>
+#include <thread>
 
 using namespace fulmar;
 using namespace std::chrono_literals;
@@ -169,6 +171,17 @@
     BOOST_TEST(talkFor(1s, connect()).starts_with("HTTP/1.1 200"));
 }
 
+// Both timers are due in the same turn of the loop, and the first ends the server. A memory checker finds a
+// check that outlives it.
+BOOST_AUTO_TEST_CASE(AServerMayEndInTheTurnOfItsCheck)
+{
+    asio::steady_timer end(loop, 100ms);
+    end.async_wait([&](const asio::error_code&) { server.reset(); });
+    std::this_thread::sleep_for(700ms);
+    loop.run_for(50ms);
+    BOOST_TEST(!server);
+}
+
 BOOST_AUTO_TEST_CASE(RequestIsParsedAndAnswered)
 {
     auto reply = talk(get, [](CallerServer& callers, CallId id, const CallerRequest& request) {
