--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -1,7 +1,8 @@
 #include "core/settings.h"
 
+#include "core/address.h"
+
 #include <array>
-#include <asio/ip/address_v4.hpp>
 #include <charconv>
 #include <cstring>
 #include <fmt/format.h>
@@ -39,34 +40,6 @@
     return value;
 }
 
-bool isHost(std::string_view text)
-{
-    asio::error_code error;
-    asio::ip::make_address_v4(text, error);
-    return !error;
-}
-
-bool isPort(std::string_view text)
-{
-    auto port = parseNumber<std::uint16_t>(text);
-    return port && *port > 0;
-}
-
-// Host and port of a text that need not be an address.
-std::pair<std::string_view, std::string_view> splitAddress(std::string_view text)
-{
-    auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return { text, {} };
-    return { text.substr(0, colon), text.substr(colon + 1) };
-}
-
-bool isAddress(std::string_view text)
-{
-    auto [host, port] = splitAddress(text);
-    return isHost(host) && isPort(port);
-}
-
 // Reads a duration of any size, also one that no Duration can hold.
 std::optional<double> parseMicroseconds(std::string_view text)
 {
@@ -323,7 +296,7 @@
         return entry->value;
     auto [host, port] = splitAddress(entry ? std::string_view(entry->value) : std::string_view());
     auto used = fmt::format("{}:{}", isHost(host) ? host : std::string_view(fallbackHost),
-        isPort(port) ? std::string(port) : std::to_string(fallbackPort));
+        parsePort(port) ? std::string(port) : std::to_string(fallbackPort));
     if (entry)
         substitute(section, key, *entry, used);
     return used;
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "io/caller_server.h"
 
+#include "core/address.h"
 #include "core/log.h"
 
 #include <asio/steady_timer.hpp>
@@ -59,12 +60,6 @@
 
 using Server = restinio::http_server_t<ServerTraits>;
 
-std::pair<std::string, std::uint16_t> splitAddress(const std::string& address)
-{
-    auto colon = address.rfind(':');
-    return { address.substr(0, colon), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))) };
-}
-
 restinio::string_view_t view(std::string_view text) { return { text.data(), text.size() }; }
 
 CallerRequest toCallerRequest(const restinio::request_t& request)
@@ -177,8 +172,8 @@
     {
         auto [host, port] = splitAddress(limits.address);
         restinio::server_settings_t<ServerTraits> settings;
-        settings.address(host)
-            .port(port)
+        settings.address(std::string(host))
+            .port(parsePort(port).value())
             .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) { m_acceptor = &acceptor; })
             .read_next_http_message_timelimit(limits.readTimeout)
             .write_http_response_timelimit(limits.writeTimeout)
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "node/node_settings.h"
 
+#include "core/address.h"
 #include "node/request_schedule.h"
 
 namespace fulmar::node {
@@ -35,7 +36,7 @@
         "platform", "max_row_bytes", 1'024, 1 << 24, std::int64_t(jobs::defaultMaxRowBytes)));
 
     // The platform fills in the others, and may have no value for some.
-    auto host = settings.callerAddress.substr(0, settings.callerAddress.rfind(':'));
+    std::string host(splitAddress(settings.callerAddress).first);
     settings.name = reader.takeStringOrFallback("process", "name", settings.callerAddress);
     settings.zone = ZoneId(reader.takeStringOrFallback("process", "zone", {}));
     settings.readinessAddress = reader.takeAddressIfAny("listen", "readiness");
--- a/src/node/shard_rpc.cpp
+++ b/src/node/shard_rpc.cpp
@@ -1,5 +1,6 @@
 #include "node/shard_rpc.h"
 
+#include "core/address.h"
 #include "node/generated/shard.grpc.pb.h"
 
 #include <asio/post.hpp>
@@ -94,7 +95,7 @@
 public:
     GrpcShardServer(const std::string& address, asio::io_context& loop, Handler handler)
         : m_service(loop, std::move(handler))
-        , m_host(address.substr(0, address.rfind(':')))
+        , m_host(splitAddress(address).first)
     {
         grpc::ResourceQuota quota;
         quota.SetMaxThreads(maxServerThreads);
