--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -85,7 +85,7 @@
 Task* JobEntry::find(const TaskName& name)
 {
     if (name.step >= job.steps.size() || name.index >= job.steps[name.step].count
-        || name.occurrence < firstHeld || name.occurrence >= occurrenceCount())
+        || name.occurrence < firstHeld() || name.occurrence >= occurrenceCount())
         return nullptr;
     if (name.occurrence >= endHeld()) {
         if (name.occurrence >= std::uint64_t(endedOccurrences) + maxOpen)
@@ -110,7 +110,7 @@
 
 void JobEntry::updateHeld(WallTime now)
 {
-    for (; firstHeld < endedOccurrences && !stepOccurrences.empty(); ++firstHeld)
+    while (!stepOccurrences.empty() && stepOccurrences.front().occurrence < endedOccurrences)
         stepOccurrences.erase(
             stepOccurrences.begin(), stepOccurrences.begin() + std::ptrdiff_t(job.steps.size()));
     while (endHeld() < occurrenceCount() && isDue(endHeld(), now))
@@ -211,7 +211,7 @@
         entry.ended = now;
     entry.countedUpTo = progress.countedUpTo;
     entry.stepOccurrences.clear();
-    entry.firstHeld = entry.endedOccurrences = std::min(progress.endedOccurrences, entry.occurrenceCount());
+    entry.endedOccurrences = std::min(progress.endedOccurrences, entry.occurrenceCount());
     for (const auto& step : progress.steps) {
         for (std::uint32_t index = 0; index < step.done.size(); ++index) {
             auto* task = entry.find({ entry.job.id, step.occurrence, step.step, index });
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -79,10 +79,9 @@
     std::optional<TimePoint> stalledSince;
     // State that the store holds; callers are shown this one.
     JobState storedState { JobState::Queued };
-    // Of the occurrences from `firstHeld` on that are due, or that a runner has told of; all steps of one
-    // after those of the one before it. Occurrences that are not due yet or have ended take no memory.
+    // Of the occurrences that are due, or that a runner has told of; all steps of one after those of the one
+    // before it. Occurrences that are not due yet or have ended take no memory.
     std::deque<StepOccurrence> stepOccurrences;
-    std::uint32_t firstHeld { 0 };
     // The occurrences before this one have ended.
     std::uint32_t endedOccurrences { 0 };
     // Occurrences from that one on that may be in progress; bounds the progress row.
@@ -92,10 +91,14 @@
 
     [[nodiscard]] bool isOver() const { return state >= JobState::Completed; }
     [[nodiscard]] std::uint32_t occurrenceCount() const { return std::max(1U, job.occurrences); }
+    [[nodiscard]] std::uint32_t firstHeld() const
+    {
+        return stepOccurrences.empty() ? endedOccurrences : stepOccurrences.front().occurrence;
+    }
     // The first occurrence after those held.
     [[nodiscard]] std::uint32_t endHeld() const
     {
-        return firstHeld + std::uint32_t(stepOccurrences.size() / job.steps.size());
+        return firstHeld() + std::uint32_t(stepOccurrences.size() / job.steps.size());
     }
     // Of an occurrence that is held.
     [[nodiscard]] StepOccurrence& stepOccurrence(std::uint32_t occurrence, std::uint32_t step)
@@ -127,8 +130,8 @@
 private:
     [[nodiscard]] std::size_t indexOf(std::uint32_t occurrence, std::uint32_t step) const
     {
-        assert(occurrence >= firstHeld && occurrence < endHeld());
-        return std::size_t(occurrence - firstHeld) * job.steps.size() + step;
+        assert(occurrence >= firstHeld() && occurrence < endHeld());
+        return std::size_t(occurrence - firstHeld()) * job.steps.size() + step;
     }
     [[nodiscard]] bool isDue(std::uint32_t occurrence, WallTime) const;
 };
--- a/src/jobs/tests/progress_row_test.cpp
+++ b/src/jobs/tests/progress_row_test.cpp
@@ -71,7 +71,7 @@
     RC_ASSERT(after.endedOccurrences == before.endedOccurrences);
     for (const auto& expected : before.stepOccurrences) {
         // A restored job does not hold the occurrences that have ended.
-        if (expected.occurrence < after.firstHeld) {
+        if (expected.occurrence < after.firstHeld()) {
             RC_ASSERT(expected.isDone());
             continue;
         }
