--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,18 +17,12 @@
 
 using namespace std::chrono_literals;
 
-// Row with the number of shards of the fleet.
-constexpr auto mapKey = "shards";
 // A row that never exists: removing it tests whether the store accepts writes, and changes nothing.
 constexpr auto writeProbeKey = "none";
-constexpr std::chrono::milliseconds mapRetry { 250 };
 // Every renewal changes the lease table although holders seldom change, so the feed is paced.
 constexpr std::chrono::milliseconds leaseFeedPause { 150 };
 // Small processes delay their claims by up to 1.5 s and are usually many, so they read the feed less often.
 constexpr std::chrono::milliseconds leaseFeedPauseOfSmall { 400 };
-// The number of shards cannot be changed later, so a list of VMs that may be away only for a moment is
-// awaited.
-constexpr std::chrono::milliseconds vmListPatience { 2'000 };
 constexpr std::chrono::milliseconds tickPause { 50 };
 // Four renewals per lease length, so that one lost answer does not lose the lease.
 constexpr int renewalsPerLease = 4;
@@ -76,7 +70,7 @@
                       onOperatorRow(row);
               },
               [] {} })
-    , m_mapTimer(m_loop)
+    , m_mapSync(m_loop, m_store, m_vmClient)
     , m_poolOrder(m_loop, m_store)
     , m_tickTimer(m_loop)
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
@@ -163,7 +157,7 @@
     };
     waitForSignal();
     m_configFollower.start();
-    readShardMap();
+    m_mapSync.start(m_jitter, [this](const ShardMap& map) { onShardMap(map); });
     tick();
     runLoop();
     logInfo("stop", { { "result", "done" } });
@@ -192,79 +186,6 @@
     scheduleTick();
 }
 
-void Node::readShardMap()
-{
-    m_store.read(
-        layoutTable, "", {}, { acquireTimeout }, [this](const std::optional<platform::RowPage>& page) {
-            auto map = page && !page->rows.empty() ? decodeShardMap(page->rows.front().value) : std::nullopt;
-            if (map) {
-                onShardMap(*map);
-                return;
-            }
-            if (!page)
-                logWarning("shard-map-read-failed", { { "retry-ms", std::to_string(mapRetry.count()) } });
-            m_mapTimer.expires_after(mapRetry + m_jitter);
-            m_mapTimer.async_wait(
-                [this, isEmpty = page && page->rows.empty()](const asio::error_code& error) {
-                    if (error)
-                        return;
-                    if (isEmpty)
-                        proposeShardMap();
-                    else
-                        readShardMap();
-                });
-        });
-}
-
-// The first process to write the row decides the number of shards; the others then read it.
-void Node::proposeShardMap()
-{
-    if (!m_vmClient.isAvailable()) {
-        proposeShardMapForRunners();
-        return;
-    }
-    m_vmClient.list([this, asked = m_clock.now()](const std::optional<std::vector<jobs::VmRecord>>& vms) {
-        if (vms && !vms->empty()) {
-            proposeShardMapFor(vms->size());
-            return;
-        }
-        if (!m_vmListMissingSince) {
-            m_vmListMissingSince = asked;
-            logWarning("vm-list-missing", { { "answered", vms ? "empty" : "no" } });
-        }
-        if (m_clock.now() < *m_vmListMissingSince + vmListPatience)
-            readShardMap();
-        else
-            proposeShardMapForRunners();
-    });
-}
-
-// Each runner counts as a VM.
-void Node::proposeShardMapForRunners()
-{
-    m_store.readAll(platform::runnerListTable, "", acquireTimeout,
-        [this](const std::optional<platform::RowPage>& runners) {
-            proposeShardMapFor(runners ? runners->rows.size() : 0);
-        });
-}
-
-void Node::proposeShardMapFor(std::size_t vms)
-{
-    if (vms == 0) {
-        readShardMap();
-        return;
-    }
-    platform::RowName name { layoutTable, "", mapKey };
-    platform::RowTransaction transaction;
-    transaction.conditions.push_back({ name, 0 });
-    transaction.puts.push_back({ name, encodeShardMap(shardMapFor(vms)) });
-    m_store.commit(transaction, acquireTimeout, [this](const platform::CommitResult& result) {
-        // The row is read again whatever the outcome: another process may have written it.
-        logInfo("shard-map-proposed", { { "outcome", std::string(toString(result.outcome)) } });
-        readShardMap();
-    });
-}
-
 void Node::onShardMap(const ShardMap& map)
 {
     logInfo("shard-map", { { "shards", std::to_string(map.count) } });
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,7 +5,7 @@
 #include "node/node_settings.h"
 #include "node/pool_order.h"
 #include "node/shard_lease.h"
-#include "node/shard_map.h"
+#include "node/shard_map_sync.h"
 #include "node/shard_owner.h"
 #include "node/shard_rpc.h"
 #include "platform/vm_client.h"
@@ -34,11 +34,7 @@
 private:
     [[nodiscard]] Result<void> listen();
     void listenForMetrics(CallerServerSettings);
-    void readShardMap();
     void onShardMap(const ShardMap&);
-    void proposeShardMap();
-    void proposeShardMapForRunners();
-    void proposeShardMapFor(std::size_t vms);
     void onOperatorRow(const platform::StoredRow&);
     void onConfigRow(std::string_view value);
     void onWaveRow(std::string_view value);
@@ -145,11 +141,9 @@
     ShardRpcClient m_rpcClient;
     TableFollower m_configFollower;
     std::optional<ShardMap> m_map;
-    // Since when the list of VMs, which decides the number of shards, is empty or cannot be read.
-    std::optional<TimePoint> m_vmListMissingSince;
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::unique_ptr<TableFollower> m_leaseFollower;
-    asio::steady_timer m_mapTimer;
+    ShardMapSync m_mapSync;
     PoolOrderSync m_poolOrder;
     std::optional<jobs::FleetConfig> m_config;
     std::map<std::int64_t, jobs::WaveOrder> m_waves;
