--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -15,6 +15,7 @@
 // Longest lease that is asked for, even if runners grant longer ones: the tasks of a silent runner are
 // started elsewhere only after their lease.
 constexpr std::chrono::milliseconds maxAskedLease { 60'000 };
+// A runner shortens a lease that is longer than it grants, so that asking for this one does no harm.
 constexpr std::chrono::milliseconds minAskedLease { 500 };
 
 std::chrono::milliseconds takeMillis(SettingsReader& reader, const std::string& section,
--- a/src/node/tests/node_settings_test.cpp
+++ b/src/node/tests/node_settings_test.cpp
@@ -1,5 +1,7 @@
 #include "node/node_settings.h"
 
+#include "settings_template.h"
+
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <iterator>
@@ -26,17 +28,6 @@
     return { std::istreambuf_iterator<char>(file), {} };
 }
 
-// Calls `replace` for each placeholder, and puts what it returns in its place.
-template <typename Replace> std::string render(Replace replace)
-{
-    auto text = deployedTemplate();
-    for (std::size_t begin = 0; (begin = text.find("{{", begin)) != std::string::npos;) {
-        auto end = text.find("}}", begin);
-        text.replace(begin, end + 2 - begin, replace(text.substr(begin + 2, end - begin - 2)));
-    }
-    return text;
-}
-
 Fields usualFields()
 {
     return { { "node-name", "front-zone-a-1" }, { "zone", "zone-a" }, { "bounds.grace-s", "6" },
@@ -62,7 +53,8 @@
 
 Read readWith(const Fields& fields)
 {
-    return read(render([&](const std::string& name) { return fields.at(name); }));
+    return read(
+        test::renderSettings(deployedTemplate(), [&](const std::string& name) { return fields.at(name); }));
 }
 
 } // namespace
@@ -136,7 +128,8 @@
 
 BOOST_AUTO_TEST_CASE(SettingsOfAnOperatorStayStrict)
 {
-    auto rendered = render([](const std::string& name) { return usualFields().at(name); });
+    auto rendered = test::renderSettings(
+        deployedTemplate(), [](const std::string& name) { return usualFields().at(name); });
     BOOST_TEST(read(rendered + "\n[vms]\nmove_tme = 2s\n").errors.size() == 1U);
     BOOST_TEST(read(rendered + "\n[platform]\nmax_row_bytes = many\n").errors.size() == 1U);
     BOOST_TEST(read(rendered + "\nno key\n").errors.size() == 1U);
