--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,6 +12,7 @@
 for job in "${jobs[@]}"; do
     wait "$job"
 done
-for object in target/review-2/*-play.o; do
-    g++ -pthread "$object" target/review-2/standin-2-*.o -lfmt -o "${object%.o}"
+for source in review/*/play.cpp; do
+    program="target/review-2/$(basename "$(dirname "$source")")-play"
+    g++ -pthread "$program.o" target/review-2/standin-2-*.o -lfmt -o "$program"
 done
