--- a/review/standin-2/machine.cpp
+++ b/review/standin-2/machine.cpp
@@ -202,6 +202,14 @@
     return reply(404, Json::object());
 }
 
+void Machine::noteLapse()
+{
+    if (clock() <= m_leaseUntil)
+        return;
+    for (auto& end : m_ended)
+        end.isLapsed = true;
+}
+
 void Machine::extendLease(const Json& order)
 {
     auto asked = order.value("deadline-ms", std::int64_t(0));
@@ -211,6 +219,7 @@
 HttpResponse Machine::startRun(const Json& order)
 {
     Key key { order.at("task"), order.at("attempt") };
+    noteLapse();
     extendLease(order);
     if (m_runs.contains(key))
         return reply(200, Json::object());
@@ -247,12 +256,15 @@
 
 HttpResponse Machine::hold(const Json& order, std::unique_lock<std::mutex>& lock)
 {
+    noteLapse();
     extendLease(order);
     auto lastSeen = order.value("last-seen", std::int64_t(0));
     std::erase_if(m_ended, [&](const End& end) {
         if (end.number > lastSeen)
             return false;
-        m_facts[end.fact].notedAt = m_record.seconds();
+        // An end does not count as taken note of if the lease has lapsed since.
+        if (!end.isLapsed)
+            m_facts[end.fact].notedAt = m_record.seconds();
         return true;
     });
     auto until = Clock::now() + Millis(order.value("wait-ms", std::int64_t(0)));
@@ -284,7 +296,7 @@
     fact.endedAt = m_record.seconds();
     fact.how = how;
     m_over[key.first] = std::max(m_over[key.first], key.second);
-    m_ended.push_back({ ++m_ends, run.mapped().fact });
+    m_ended.push_back({ ++m_ends, run.mapped().fact, false });
     m_record.note("end " + key.first + " run " + std::to_string(key.second) + " on " + m_id + ": " + how);
     m_changed.notify_all();
 }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -91,7 +91,7 @@
     double startedAt { 0 };
     std::optional<double> endedAt;
     std::string how;
-    // Its end was reached by `last-seen`, or has been listed for 100 ms with no disruption near.
+    // Its end was reached by `last-seen`, and the lease had not lapsed since it ended.
     std::optional<double> notedAt;
 };
 
@@ -128,6 +128,8 @@
     struct End {
         std::int64_t number;
         std::size_t fact;
+        // The lease has lapsed since.
+        bool isLapsed;
     };
 
     HttpResponse answer(const HttpRequest&);
@@ -136,6 +138,7 @@
     HttpResponse hold(const Json&, std::unique_lock<std::mutex>&);
     HttpResponse reply(int status, Json body) const;
     [[nodiscard]] std::int64_t clock() const;
+    void noteLapse();
     void extendLease(const Json& order);
     void endRun(const Key&, const std::string& how);
     void goDown(const std::string& how, Clock::time_point until, const std::string& state);
