--- a/src/node/tests/row_queue_test.cpp
+++ b/src/node/tests/row_queue_test.cpp
@@ -62,7 +62,7 @@
 // Whatever fails and is retried, no value is reported durable before it or a later one is stored.
 BOOST_AUTO_TEST_CASE(DurableMeansStored)
 {
-    rc::check("durable means stored", [] {
+    BOOST_TEST(rc::check("durable means stored", [] {
         RowQueue queue;
         std::map<std::string, int> stored;
         std::map<std::string, int> newest;
@@ -92,7 +92,7 @@
                 }
             }
         }
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
