A runner that is back beside the removal of its row is stored again

A holder forgets a runner and queues the removal of its row. If the runner comes back before that is stored, the confirmation of an earlier write of the row counted for it: the runner took tasks, and then its row was gone. The next holder of the shard asks only runners with a row before it starts tasks again. If the row of a runner was still being written when the runner went, nothing removed it until the shard changed hands.

Now the row of a runner is removed if it is stored or on its way, and a stored removal means that a runner that is back must be stored once more before it takes tasks.

Evidence: runner_row/ARowThatIsBeingWrittenIsRemovedWithItsRunner and ARunnerThatIsBackBesideTheRemovalOfItsRowIsStoredAgain failed before (6 checks) and hold now.

--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -164,6 +164,8 @@
     bool hasAnsweredThisEpoch { false };
     // Its row is stored, so that the next holder of the shard will poll it too.
     bool isStored { false };
+    // Its row is stored, or is being written.
+    bool mayHaveRow { false };
     // The stored row, if there is one, is that of an earlier incarnation.
     bool isRowOutdated { false };
     Cordon cordon { Cordon::None };
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -50,6 +50,7 @@
     runner.isListed = false;
     runner.unlistedSince = now;
     runner.isStored = true;
+    runner.mayHaveRow = true;
     runner.setEarliestLapse(lapseIfExtendedAt(now));
     m_earlierRunsEndBy = lapseIfExtendedAt(now + maxCallDelay);
 }
@@ -88,7 +89,7 @@
         auto& runner = each->second;
         if (!runner.isListed && runner.runs().empty() && !runner.isPollInFlight
             && runner.hasLeaseLapsed(now)) {
-            if (runner.isStored)
+            if (runner.mayHaveRow)
                 m_runnerChanges.push_back({ ShardChange::Kind::RunnerRemoval, each->first.value(), {} });
             countCrashOfUnlisted(each->first, now);
             each = m_runners.erase(each);
@@ -354,7 +355,7 @@
         loseRuns(found->second, now, why);
     else
         onCrash(found->second, now, why);
-    if (found->second.isStored)
+    if (found->second.mayHaveRow)
         m_runnerChanges.push_back({ ShardChange::Kind::RunnerRemoval, id.value(), {} });
     m_endedIncarnations.insert({ id, found->second.report().incarnation });
     m_runners.erase(found);
@@ -444,10 +445,24 @@
         }
         break;
     case ShardChange::Kind::RunnerRemoval:
+        // The runner may be back since. An earlier row of it, stored in the meantime, is gone now.
+        if (auto found = m_runners.find(RunnerId(change.key)); found != m_runners.end()) {
+            found->second.isStored = false;
+            if (found->second.hasAnsweredThisEpoch)
+                writeRow(found->second);
+        }
         break;
     }
 }
 
+void Shard::writeRow(Runner& runner)
+{
+    runner.mayHaveRow = true;
+    runner.isRowOutdated = false;
+    m_runnerChanges.push_back(
+        { ShardChange::Kind::Runner, runner.report().id.value(), encodeRunnerRow(runner.report()) });
+}
+
 Shard::AppliedEnds Shard::appliedEnds() const
 {
     AppliedEnds ends;
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -183,6 +183,7 @@
     void recordPredictedDemand(const Job&, TimePoint now);
     void keepKnown(JobEntry&, TimePoint now);
     [[nodiscard]] std::string encodedProgress(const JobEntry&) const;
+    void writeRow(Runner&);
     // When a runner's lease has certainly lapsed that another holder, or an order for an earlier incarnation,
     // may have extended until `moment`.
     [[nodiscard]] TimePoint lapseIfExtendedAt(TimePoint moment) const;
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -1,7 +1,6 @@
 #include "jobs/shard.h"
 
 #include "core/log.h"
-#include "jobs/runner_row.h"
 
 #include <algorithm>
 #include <utility>
@@ -250,9 +249,8 @@
         runner.observeClock(*answer.clock, now);
     if (!runner.hasAnsweredThisEpoch && order.fence == runner.fence()) {
         runner.hasAnsweredThisEpoch = true;
-        if (std::exchange(runner.isRowOutdated, false) || !runner.isStored)
-            m_runnerChanges.push_back(
-                { ShardChange::Kind::Runner, id.value(), encodeRunnerRow(runner.report()) });
+        if (runner.isRowOutdated || !runner.isStored)
+            writeRow(runner);
     }
     if (order.incarnation == runner.report().incarnation)
         runner.lastAcknowledgedEnd = std::max(runner.lastAcknowledgedEnd, order.ackEndsUpTo);
