A bulk of removals holds up no submission

What callers would see: after a change of its holder a shard removes all jobs that were over then, in one bulk, and a job submitted meanwhile is answered only after it: at 30 jobs a second some 4,500 jobs are 184 transactions of 12 ms, over 2 s.

At most 24 removals, which fill one transaction, wait to be stored at a time; the next ones follow when these are stored.

Considered: storing the time of the end, so that no bulk arises. A holder whose clock is ahead would then remove jobs that callers still ask for.

Evidence: store_cut/ASubmissionDoesNotWaitForABulkOfRemovals (300 jobs): the answer came after 13 more transactions, now after 3 at most; job_removal/FewRemovalsWaitAtATime failed before (100 at a time).

--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -20,6 +20,9 @@
 constexpr Millis maxCallDelay { 15'000 };
 // Longer than a crashed runner is away.
 constexpr Millis breakOffRetention { 60'000 };
+// Removals of jobs that wait to be stored at a time. With two rows each they fill one transaction, so other
+// rows wait for no more than that, however many jobs a new holder finds to be removed.
+constexpr std::size_t maxQueuedRemovals = 24;
 
 } // namespace
 
@@ -399,6 +402,8 @@
         if (auto* entry = m_jobTable.find(id))
             changes.push_back({ ShardChange::Kind::Job, id.value(), encodeJob(entry->job),
                 entry->isOver() ? encodedProgress(*entry) : std::string() });
+    auto queuedRemovals = std::size_t(std::count_if(m_jobTable.all().begin(), m_jobTable.all().end(),
+        [](const auto& each) { return each.second.isRemovalQueued; }));
     for (auto& [id, entry] : m_jobTable.all()) {
         // After its removal is queued, late ends of its runs change nothing.
         if (entry.isRemovalQueued)
@@ -407,8 +412,10 @@
             entry.isDirty = false;
             changes.push_back({ ShardChange::Kind::Progress, id.value(), encodedProgress(entry) });
         }
-        if (entry.isOver() && entry.isStored && now > entry.ended + m_settings.keepFinished) {
+        auto isDue = entry.isOver() && entry.isStored && now > entry.ended + m_settings.keepFinished;
+        if (isDue && queuedRemovals < maxQueuedRemovals) {
             entry.isRemovalQueued = true;
+            ++queuedRemovals;
             changes.push_back({ ShardChange::Kind::JobRemoval, id.value(), {} });
         }
     }
--- a/src/jobs/tests/job_removal_test.cpp
+++ b/src/jobs/tests/job_removal_test.cpp
@@ -129,4 +129,26 @@
     BOOST_TEST(f.changesOf(Kind::JobRemoval).size() == 1U);
 }
 
+// Guards against a bulk of removals that other rows wait for, and against removals that are forgotten over
+// it.
+BOOST_AUTO_TEST_CASE(FewRemovalsWaitAtATime)
+{
+    ShardFixture f;
+    constexpr std::size_t jobCount = 100;
+    for (std::size_t i = 0; i < jobCount; ++i)
+        f.shard.restoreJob(ShardFixture::job(std::to_string(i), 2), { JobState::Completed, 0, 0, {} }, f.now);
+    f.now += ShardSettings {}.keepFinished + 1ms;
+    // Two rows each, in a transaction of 49.
+    constexpr std::size_t most = 24;
+    for (std::size_t left = jobCount; left > 0;) {
+        auto removals = f.shard.takeChanges(f.now);
+        BOOST_REQUIRE_EQUAL(removals.size(), std::min(left, most));
+        BOOST_TEST(f.shard.takeChanges(f.now).empty());
+        for (const auto& removal : removals)
+            f.shard.onStored(removal, f.now);
+        left -= removals.size();
+    }
+    BOOST_TEST(f.shard.jobTable().all().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/tests/store_cut_test.cpp
+++ b/src/node/tests/store_cut_test.cpp
@@ -430,4 +430,23 @@
     checkAllCuts(fake.history());
 }
 
+// Guards against callers that wait for seconds, as all jobs that a new holder has restored are removed at
+// once.
+BOOST_AUTO_TEST_CASE(ASubmissionDoesNotWaitForABulkOfRemovals)
+{
+    FakePlatform fake;
+    fake.setRows(initialRows());
+    for (int i = finishedJobs; i < 10 * finishedJobs; ++i)
+        addJob(fake, makeJob(finishedId(i)), makeProgress(JobState::Completed));
+    fake.checkConditions();
+    fake.setCommitTime(5ms);
+    Holder holder(fake, 0ms);
+    BOOST_REQUIRE(holder.runUntil([&] { return fake.history().size() >= 2; }));
+    auto before = fake.history().size();
+    BOOST_REQUIRE(holder.submitUntilStored(JobId("00000000000000b1")));
+    // One may be on its way, one may be full of removals.
+    BOOST_TEST(fake.history().size() <= before + 3);
+    BOOST_TEST(holder.runUntil([&] { return countOf(fake.rows(), progressTable) == 2; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
