Test of a wave whose holders stop between its records and its report

A wave is completed in the rows of its shards and in the report of another part. The holders of both shards stop each time that one has stored a record; the wave is reported as completed by a later one, not before all VMs were maintained, and within its limit.

--- a/src/node/tests/vm_controller_test.cpp
+++ b/src/node/tests/vm_controller_test.cpp
@@ -2,7 +2,10 @@
 
 #include "jobs/placement.h"
 #include "node/tests/fake_platform.h"
+#include "platform/decode.h"
+#include "platform/names.h"
 
+#include <array>
 #include <asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -225,6 +228,51 @@
     BOOST_TEST(fake.maxInMaintenance() == 1U);
 }
 
+// The report of a wave is another row than the records of its shards, and their holders may stop in between.
+// Guards against a wave that is reported as completed too early, or never.
+BOOST_AUTO_TEST_CASE(AWaveIsReportedByWhicheverHolderFindsAllShardsDone)
+{
+    test::FakePlatform fake(maintenanceTime);
+    jobs::WaveOrder wave { 1, {}, 20s, 2 };
+    for (int i = 0; i < 4; ++i) {
+        wave.vms.emplace_back("vm-" + std::to_string(i));
+        fake.addVm(wave.vms.back(), standbyPool);
+    }
+    asio::io_context loop;
+    platform::HttpClient http(loop);
+    platform::StoreClient store(http, fake.address());
+    platform::VmClient vms(http, fake.address());
+    auto report = [&] { return fake.value(platform::reportTable, "", platform::waveReportKey(1)); };
+    auto completed = platform::encodeWaveState(true);
+    auto until = std::chrono::steady_clock::now() + 20s;
+    while (report() != completed && std::chrono::steady_clock::now() < until) {
+        std::array<std::unique_ptr<ShardVms>, shardCount> holders;
+        for (std::uint32_t index = 0; index < shardCount; ++index) {
+            holders[index] = std::make_unique<ShardVms>(store, vms, fake, index);
+            auto record = fake.value(waveTable, ShardMap::partOf(index), "1");
+            BOOST_TEST((record.empty() || holders[index]->controller.restoreWave("1", record)));
+            holders[index]->controller.addWave(wave);
+        }
+        // All holders stop as soon as one has stored a record.
+        auto records = [&] {
+            return fake.value(waveTable, ShardMap::partOf(0), "1")
+                + fake.value(waveTable, ShardMap::partOf(1), "1");
+        };
+        auto before = records();
+        for (auto stop = std::chrono::steady_clock::now() + 3s;
+             records() == before && report() != completed && std::chrono::steady_clock::now() < stop;) {
+            for (auto& holder : holders)
+                holder->controller.tick();
+            loop.restart();
+            loop.run_for(20ms);
+        }
+        if (report() == completed)
+            BOOST_TEST(fake.maintainedCount() == wave.vms.size());
+    }
+    BOOST_TEST(report() == completed);
+    BOOST_TEST(fake.maxInMaintenance() <= 2U);
+}
+
 // Guards against a wave that is reported as completed, with a VM of it that has had no maintenance: the VM
 // was newer than the list of VMs, and was taken for one that has left.
 BOOST_AUTO_TEST_CASE(AWaveOfAVmThatIsNewerThanTheListIsCarriedOut)
