--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -69,7 +69,7 @@
     TimePoint ended;
     // Only stored jobs are shown to callers and started.
     bool isStored { false };
-    // It is over and was kept for its time. It is known until the removal of its rows is stored.
+    // It was kept for its time after its end; it stays known until the removal of its rows is stored.
     bool isRemovalQueued { false };
     // Restored from an earlier holder of the shard, whose runs may not all be known yet.
     bool isRecovered { false };
@@ -92,7 +92,7 @@
     Attempt countedUpTo { 0 };
 
     [[nodiscard]] bool isOver() const { return state >= JobState::Completed; }
-    // Callers are told of the end only then.
+    // The store holds its end; callers are not told of it before.
     [[nodiscard]] bool isEndStored() const { return isOver() && storedState == state; }
     [[nodiscard]] std::uint32_t occurrenceCount() const { return std::max(1U, job.occurrences); }
     [[nodiscard]] std::uint32_t firstHeld() const
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -107,7 +107,7 @@
     SubmitDecision decision;
     if (auto* entry = m_jobTable.find(job.id)) {
         decision.verdict = SubmitVerdict::Known;
-        keepKnown(*entry, now);
+        renewRetention(*entry, now);
         return decision;
     }
     m_runTimes.predict(job);
@@ -124,15 +124,15 @@
     return decision;
 }
 
-// The caller may ask for the job as long as after its first submission.
-void Shard::keepKnown(JobEntry& entry, TimePoint now)
+// The caller was told once more that the job is accepted, and may ask for it as long as after the first time.
+void Shard::renewRetention(JobEntry& entry, TimePoint now)
 {
     if (!entry.isOver())
         return;
     entry.ended = now;
     if (!std::exchange(entry.isRemovalQueued, false))
         return;
-    // The removal may be stored already.
+    // The removal may be stored already, so both rows are written again before the caller is answered.
     entry.isStored = false;
     m_jobsToStore.push_back(entry.job.id);
 }
@@ -440,7 +440,7 @@
                 entry->storedState = progress->state;
         break;
     case ShardChange::Kind::JobRemoval:
-        // It may have been submitted again since.
+        // If it was submitted again since, its rows are being written.
         if (auto* entry = m_jobTable.find(JobId(change.key)); entry && entry->isRemovalQueued)
             m_jobTable.remove(JobId(change.key));
         break;
@@ -452,7 +452,7 @@
         }
         break;
     case ShardChange::Kind::RunnerRemoval:
-        // The runner may be back since. An earlier row of it, stored in the meantime, is gone now.
+        // The runner is back. The removal also took an earlier row that was stored before it.
         if (auto found = m_runners.find(RunnerId(change.key)); found != m_runners.end()) {
             found->second.isStored = false;
             if (found->second.hasAnsweredThisEpoch)
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -25,9 +25,9 @@
 };
 
 enum class SubmitVerdict : std::uint8_t {
-    // The job is already known; the caller is answered once it is stored. If it is over, it is kept as long
-    // as if
-    // it had just ended.
+    // The job is already known; the caller is answered once it is stored. If it is over, the time for which
+    // it
+    // is kept begins anew.
     Known,
     New,
     Rejected,
@@ -72,7 +72,7 @@
     enum class Kind : std::uint8_t { Job, Progress, Runner, JobRemoval, RunnerRemoval } kind;
     std::string key;
     std::string value;
-    // Of a Job; empty if it has none, and progress that is stored under its id is that of another job.
+    // Of a Job: the progress row to write; empty to remove one that an earlier job of this id has left.
     std::string progress {};
 };
 
@@ -181,7 +181,7 @@
     void removeRun(Runner&, const TaskName&);
     void recordAnswerTime(const OrderAnswer&);
     void recordPredictedDemand(const Job&, TimePoint now);
-    void keepKnown(JobEntry&, TimePoint now);
+    void renewRetention(JobEntry&, TimePoint now);
     [[nodiscard]] std::string encodedProgress(const JobEntry&) const;
     void writeRow(Runner&);
     // When a runner's lease has certainly lapsed that another holder, or an order for an earlier incarnation,
@@ -267,7 +267,7 @@
     std::map<RunnerId, std::vector<CrashedRun>> m_lapsedRuns;
     // When connections to runners broke, the latest last.
     std::deque<BreakOff> m_breakOffs;
-    // Their rows are to be written, or removed.
+    // Jobs whose rows takeChanges() is to write, and ids whose rows it is to remove.
     std::vector<JobId> m_jobsToStore;
     std::vector<JobId> m_jobsToRemove;
     // Incarnations that ended and may still be in the store's list.
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -141,7 +141,7 @@
         logInfo("shard-restored",
             { { "part", m_part }, { "jobs", std::to_string(m_shard.jobTable().all().size()) },
                 { "runners", std::to_string(m_shard.runners().size()) } });
-        removeOwnerlessProgress();
+        removeOrphanedProgress();
         m_runnerList.start();
         return;
     }
@@ -192,8 +192,8 @@
         logWarning("row-unreadable", { { "table", table }, { "key", key } });
 }
 
-// An earlier release did not remove the rows of a job together.
-void ShardOwner::removeOwnerlessProgress()
+// Earlier releases could remove the row of a job and leave its progress.
+void ShardOwner::removeOrphanedProgress()
 {
     for (const auto& [key, progress] : std::exchange(m_restoredProgress, {})) {
         logWarning("progress-without-job", { { "part", m_part }, { "job", key } });
@@ -313,7 +313,7 @@
 void ShardOwner::show(const JobCall& call, const OnJobReply& reply)
 {
     auto* entry = m_shard.find(call.job);
-    // A job that is stored again beside its removal remains known.
+    // Also one that is written again, as it was submitted beside its removal.
     if (!entry || !(entry->isStored || entry->isEndStored())) {
         reply(unknownJobReply(m_hooks.mayOrder()));
         return;
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -69,7 +69,7 @@
 private:
     void restore(std::size_t tableIndex);
     void restoreRow(const platform::StoredRow&);
-    void removeOwnerlessProgress();
+    void removeOrphanedProgress();
     void onRestored();
     void submit(const JobCall&, OnJobReply);
     void show(const JobCall&, const OnJobReply&);
--- a/src/node/tests/store_cut_test.cpp
+++ b/src/node/tests/store_cut_test.cpp
@@ -24,7 +24,7 @@
 JobId cancelledId(int number) { return JobId(fmt::format("{:016x}", 0xc0 + number)); }
 const JobId partlyDoneId("00000000000000a1");
 const JobId scheduledId("00000000000000a2");
-const JobId ownerlessId("00000000000000a3");
+const JobId orphanedId("00000000000000a3");
 
 jobs::Job makeJob(const JobId& id)
 {
@@ -70,7 +70,7 @@
     scheduled.interval = 1s;
     addJob(fake, scheduled, makeProgress(JobState::Running, 4));
     fake.put(
-        progressTable, part, ownerlessId.value(), jobs::encodeProgress(makeProgress(JobState::Completed)));
+        progressTable, part, orphanedId.value(), jobs::encodeProgress(makeProgress(JobState::Completed)));
     return fake.rows();
 }
 
@@ -211,10 +211,10 @@
         check(finishedId(i), JobState::Completed);
     for (int i = 0; i < 3; ++i)
         check(cancelledId(i), JobState::Cancelled);
-    if (auto found = special.find(ownerlessId); found != special.end())
-        check(ownerlessId, JobState::Completed);
+    if (auto found = special.find(orphanedId); found != special.end())
+        check(orphanedId, JobState::Completed);
     else
-        BOOST_TEST(!holder.stateOf(ownerlessId).has_value());
+        BOOST_TEST(!holder.stateOf(orphanedId).has_value());
     auto* partlyDone = holder.owner.shard().find(partlyDoneId);
     BOOST_REQUIRE(partlyDone);
     BOOST_TEST(partlyDone->stepOccurrence(0, 0).doneCount == 1U);
@@ -381,19 +381,19 @@
 
 // Guards against progress without its job that is left for ever, or that a job submitted under that id takes
 // over.
-BOOST_AUTO_TEST_CASE(OwnerlessProgressIsNotTakenOver)
+BOOST_AUTO_TEST_CASE(OrphanedProgressIsNotTakenOver)
 {
     forEachTrouble(initialRows(), [](FakePlatform& fake, FakePlatform::DecideFate fate) {
         fake.setFate(std::move(fate));
         Holder holder(fake, 1h);
-        BOOST_REQUIRE(holder.submitUntilStored(ownerlessId));
-        BOOST_TEST(!has(fake.rows(), progressTable, ownerlessId));
-        checkAllCuts(fake.history(), 0, { { ownerlessId, Expected::QueuedOrGone } });
-        checkCut(fake.rows(), { { ownerlessId, Expected::Queued } });
+        BOOST_REQUIRE(holder.submitUntilStored(orphanedId));
+        BOOST_TEST(!has(fake.rows(), progressTable, orphanedId));
+        checkAllCuts(fake.history(), 0, { { orphanedId, Expected::QueuedOrGone } });
+        checkCut(fake.rows(), { { orphanedId, Expected::Queued } });
     });
 }
 
-// Guards against the same beside a job row that cannot be read, whose progress is not ownerless.
+// Guards against the same beside a job row that cannot be read, whose progress is not orphaned.
 BOOST_AUTO_TEST_CASE(ProgressOfAnUnreadableJobIsNotTakenOver)
 {
     auto id = finishedId(0);
