--- a/src/node/tests/vm_controller_test.cpp
+++ b/src/node/tests/vm_controller_test.cpp
@@ -22,14 +22,28 @@
 // A move takes 1.5 s at most in these tests, and counts as failed 3 s after that; lists are a second apart.
 constexpr std::chrono::milliseconds moveFailedWithin { 6'500 };
 
+// Of one process.
+struct Clients {
+    asio::io_context loop;
+    platform::HttpClient http { loop };
+    platform::StoreClient store;
+    platform::VmClient vms;
+
+    explicit Clients(const test::FakePlatform& fake)
+        : store(http, fake.address())
+        , vms(http, fake.address())
+    {
+    }
+};
+
 // The controller of one shard, with all that its holder has.
 struct ShardVms {
     jobs::Shard shard { {}, 1 };
     VmController controller;
 
-    ShardVms(
-        platform::StoreClient& store, platform::VmClient& vms, test::FakePlatform& fake, std::uint32_t index)
-        : controller(store, vms, shard, { "node", 1, index, { shardCount }, {}, 1'500ms, maintenanceTime },
+    ShardVms(Clients& clients, test::FakePlatform& fake, std::uint32_t index)
+        : controller(clients.store, clients.vms, shard,
+            { "node", 1, index, { shardCount }, {}, 1'500ms, maintenanceTime },
             { [] { return true; },
                 [index](const VmId& vm) { return ShardMap { shardCount }.shardOf(vm) == index; },
                 [&fake, index](std::int64_t wave, std::string record, const std::function<void()>& durable) {
@@ -94,8 +108,8 @@
         for (auto until = m_clock.now() + limit; m_clock.now() < until;) {
             m_vms.controller.tick();
             plan();
-            m_loop.restart();
-            m_loop.run_for(20ms);
+            m_clients.loop.restart();
+            m_clients.loop.run_for(20ms);
             if (isDone())
                 return true;
         }
@@ -138,11 +152,8 @@
     }
 
     test::FakePlatform m_fake { maintenanceTime };
-    asio::io_context m_loop;
-    platform::HttpClient m_http { m_loop };
-    platform::StoreClient m_store { m_http, m_fake.address() };
-    platform::VmClient m_vmClient { m_http, m_fake.address() };
-    ShardVms m_vms { m_store, m_vmClient, m_fake, 0 };
+    Clients m_clients { m_fake };
+    ShardVms m_vms { m_clients, m_fake, 0 };
     BootClock m_clock;
     std::map<jobs::RunnerId, jobs::RunnerReport> m_runners;
     std::multiset<JobId> m_started;
@@ -165,13 +176,10 @@
     for (std::uint32_t index = 0; index < shardCount; ++index)
         BOOST_REQUIRE(std::any_of(wave.vms.begin(), wave.vms.end(),
             [=](const VmId& vm) { return ShardMap { shardCount }.shardOf(vm) == index; }));
-    asio::io_context loop;
-    platform::HttpClient http(loop);
-    platform::StoreClient store(http, fake.address());
-    platform::VmClient vms(http, fake.address());
-    ShardVms first(store, vms, fake, 0);
-    ShardVms second(store, vms, fake, 1);
-    asio::steady_timer timer(loop);
+    Clients clients(fake);
+    ShardVms first(clients, fake, 0);
+    ShardVms second(clients, fake, 1);
+    asio::steady_timer timer(clients.loop);
     std::function<void()> tick = [&] {
         first.controller.tick();
         second.controller.tick();
@@ -186,7 +194,7 @@
     tick();
     for (auto until = std::chrono::steady_clock::now() + 20s;
          fake.maintainedCount() < wave.vms.size() && std::chrono::steady_clock::now() < until;)
-        loop.run_for(50ms);
+        clients.loop.run_for(50ms);
     BOOST_TEST(fake.maintainedCount() == wave.vms.size());
     BOOST_TEST(fake.maxInMaintenance() == 1U);
 }
@@ -204,23 +212,20 @@
             fake.addVm(vm, standbyPool);
         }
     }
-    asio::io_context loop;
-    platform::HttpClient http(loop);
-    platform::StoreClient store(http, fake.address());
-    platform::VmClient vms(http, fake.address());
+    Clients clients(fake);
     auto isCompleted = [&] {
         return fake.value(waveTable, ShardMap::partOf(0), "1").find(R"("completed":true)")
             != std::string::npos;
     };
     auto until = std::chrono::steady_clock::now() + 20s;
     while (!isCompleted() && std::chrono::steady_clock::now() < until) {
-        ShardVms holder(store, vms, fake, 0);
+        ShardVms holder(clients, fake, 0);
         holder.controller.addWave(wave);
         for (auto before = fake.maintainedCount(); !isCompleted() && std::chrono::steady_clock::now() < until
              && (fake.maintainedCount() == before || before == wave.vms.size());) {
             holder.controller.tick();
-            loop.restart();
-            loop.run_for(20ms);
+            clients.loop.restart();
+            clients.loop.run_for(20ms);
         }
     }
     BOOST_TEST(isCompleted());
@@ -238,17 +243,14 @@
         wave.vms.emplace_back("vm-" + std::to_string(i));
         fake.addVm(wave.vms.back(), standbyPool);
     }
-    asio::io_context loop;
-    platform::HttpClient http(loop);
-    platform::StoreClient store(http, fake.address());
-    platform::VmClient vms(http, fake.address());
+    Clients clients(fake);
     auto report = [&] { return fake.value(platform::reportTable, "", platform::waveReportKey(1)); };
     auto completed = platform::encodeWaveState(true);
     auto until = std::chrono::steady_clock::now() + 20s;
     while (report() != completed && std::chrono::steady_clock::now() < until) {
         std::array<std::unique_ptr<ShardVms>, shardCount> holders;
         for (std::uint32_t index = 0; index < shardCount; ++index) {
-            holders[index] = std::make_unique<ShardVms>(store, vms, fake, index);
+            holders[index] = std::make_unique<ShardVms>(clients, fake, index);
             auto record = fake.value(waveTable, ShardMap::partOf(index), "1");
             BOOST_TEST((record.empty() || holders[index]->controller.restoreWave("1", record)));
             holders[index]->controller.addWave(wave);
@@ -263,8 +265,8 @@
              records() == before && report() != completed && std::chrono::steady_clock::now() < stop;) {
             for (auto& holder : holders)
                 holder->controller.tick();
-            loop.restart();
-            loop.run_for(20ms);
+            clients.loop.restart();
+            clients.loop.run_for(20ms);
         }
         if (report() == completed)
             BOOST_TEST(fake.maintainedCount() == wave.vms.size());
