Teams in the configuration and in a job's row

A configuration may name teams with keys, a weight and a limit; a job's row may name its team. Nothing uses them yet, and a configuration without teams is served as before.

--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/job.h"
+#include "teams/team_config.h"
 
 #include <map>
 #include <optional>
@@ -47,12 +48,16 @@
     Millis timeout { 0 };
     // The queue has an adviser, which issues a ticket for each start. Not evaluated.
     bool needsAdvice { false };
+    // Calls need no key of a team.
+    bool isPublic { false };
 };
 
 struct FleetConfig {
     std::int64_t version { 0 };
     std::vector<QueueConfig> queues;
     std::vector<PoolConfig> pools;
+    // Empty if the deployment has no teams: calls then need no key, and nothing is limited or shared by team.
+    std::optional<std::vector<teams::TeamConfig>> teams;
     std::size_t maxBodyBytes { 0 };
     std::size_t maxHeaderBytes { 0 };
     Millis headerTimeout { 0 };
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -324,6 +324,8 @@
         { "priority", job.policy.priority }, { "failures", job.policy.maxFailures },
         { "stretch", job.policy.stretch }, { "target", job.policy.latencyAllowance.count() },
         { "spec", job.spec }, { "steps", std::move(steps) } };
+    if (!job.team.empty())
+        json["team"] = job.team.value();
     if (job.isScheduled()) {
         json["times"] = job.occurrences;
         json["first"] = job.firstStart.count();
@@ -341,6 +343,8 @@
         Job job;
         job.id = JobId(json.at("id").get<std::string>());
         json.at("queue").get_to(job.queue);
+        if (json.contains("team"))
+            job.team = TeamId(json.at("team").get<std::string>());
         job.policy.pool = PoolId(json.at("pool").get<std::string>());
         json.at("priority").get_to(job.policy.priority);
         json.at("failures").get_to(job.policy.maxFailures);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/resources.h"
 #include "core/types.h"
 
 #include <cstdint>
@@ -13,34 +14,6 @@
 
 using Millis = std::chrono::milliseconds;
 
-// Resources that a task needs or a runner has.
-struct Resources {
-    // Millicores.
-    std::int64_t cpu { 0 };
-    std::int64_t memoryMb { 0 };
-    std::int64_t accelerators { 0 };
-
-    Resources& operator+=(const Resources& other)
-    {
-        cpu += other.cpu;
-        memoryMb += other.memoryMb;
-        accelerators += other.accelerators;
-        return *this;
-    }
-    Resources& operator-=(const Resources& other)
-    {
-        cpu -= other.cpu;
-        memoryMb -= other.memoryMb;
-        accelerators -= other.accelerators;
-        return *this;
-    }
-    [[nodiscard]] bool fitsIn(const Resources& room) const
-    {
-        return cpu <= room.cpu && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
-    }
-    bool operator==(const Resources&) const = default;
-};
-
 // A set of identical tasks of a job.
 struct Step {
     std::uint32_t count { 0 };
@@ -101,6 +74,9 @@
     // 16 hexadecimal digits, chosen by the submitter.
     JobId id;
     std::string queue;
+    // Whose key submitted it; empty for a public queue, in a configuration without teams, and in rows of the
+    // release before teams.
+    TeamId team;
     QueuePolicy policy;
     // Passed to the runners unchanged.
     std::string spec;
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -64,6 +64,14 @@
     return moment + m_settings.maxLease + m_settings.maxLease / 10;
 }
 
+void Shard::setTeams(const std::vector<teams::TeamConfig>& configs, std::uint32_t shardCount)
+{
+    m_teams.clear();
+    for (const auto& team : configs)
+        m_teams.insert_or_assign(team.id, team);
+    m_shardCount = shardCount;
+}
+
 void Shard::observeRunners(const std::map<RunnerId, RunnerReport>& list, TimePoint now)
 {
     for (auto& [id, runner] : m_runners)
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -8,6 +8,7 @@
 #include "jobs/run_time_model.h"
 #include "jobs/runner.h"
 #include "jobs/stalled_jobs.h"
+#include "teams/team_config.h"
 
 #include <deque>
 
@@ -86,6 +87,10 @@
     void restoreJob(Job, const JobProgress&, TimePoint now);
     void restoreRunner(RunnerReport, TimePoint now);
 
+    // The teams of the newest configuration; empty if the deployment has none. Their jobs are spread over
+    // `shardCount` shards.
+    void setTeams(const std::vector<teams::TeamConfig>&, std::uint32_t shardCount);
+
     // The complete list of runners in the store.
     void observeRunners(const std::map<RunnerId, RunnerReport>&, TimePoint now);
 
@@ -274,6 +279,8 @@
     std::set<std::pair<RunnerId, std::int64_t>> m_endedIncarnations;
     AdaptiveTimeout m_answerTimeout;
     RunTimeModel m_runTimes;
+    std::map<TeamId, teams::TeamConfig> m_teams;
+    std::uint32_t m_shardCount { 1 };
     std::map<PoolId, DemandMeter> m_demand;
     std::map<PoolId, std::int64_t> m_arriving;
     // Pools in which startable tasks wait for capacity.
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -61,6 +61,7 @@
     , m_runnerClient(clients.runners)
     , m_metrics(clients.metrics)
     , m_part(lease.name.part)
+    , m_shardCount(vmSettings.shards.count)
     , m_hooks(std::move(hooks))
     , m_log(loop, clients.store, lease,
           { [this] { m_hooks.onLost(); },
@@ -233,6 +234,7 @@
 void ShardOwner::configure(const jobs::FleetConfig& config)
 {
     m_vmController.configure(config);
+    m_shard.setTeams(config.teams.value_or(std::vector<teams::TeamConfig> {}), m_shardCount);
     schedule();
 }
 
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -91,6 +91,7 @@
     platform::RunnerClient& m_runnerClient;
     NodeMetrics& m_metrics;
     const std::string m_part;
+    const std::uint32_t m_shardCount;
     const Hooks m_hooks;
     BootClock m_clock;
     RowLog m_log;
--- /dev/null
+++ b/src/teams/team_config.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/resources.h"
+#include "core/types.h"
+
+#include <string>
+#include <vector>
+
+namespace fulmar::teams {
+
+// A team whose callers share the fleet with those of other teams.
+struct TeamConfig {
+    TeamId id;
+    // Secrets: they stand in no log line, metric, answer or stored row.
+    std::vector<std::string> keys;
+    // Its share when all capacity is in use, relative to the other teams. Also the jobs per second that it is
+    // entitled to submit.
+    double weight { 0 };
+    // What its tasks may use at the same time on all runners; an amount of 0 is unlimited.
+    Resources limit;
+};
+
+} // namespace fulmar::teams
