Calls carry a key of their team

Cause: a configuration with teams was served as if it had none.

The receiving process finds the team of the key. A configuration that the store has not confirmed within the apply time neither grants nor denies a key, as it already denies no queue: the call then goes undecided to the holder, which decides by its own configuration or refuses. A job stores its team; calls of another team get 403.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -68,6 +68,8 @@
     // Latency objective: `stretch` times the job's critical path plus `latencyAllowance`.
     double stretch { 1 };
     Millis latencyAllowance { 0 };
+
+    bool operator==(const QueuePolicy&) const = default;
 };
 
 struct Job {
--- a/src/jobs/tests/decisions_test.cpp
+++ b/src/jobs/tests/decisions_test.cpp
@@ -379,4 +379,15 @@
     BOOST_TEST(isEmptied);
 }
 
+// Guards against a job that changes its team with its holder, and a row of a release without teams that is
+// not read.
+BOOST_AUTO_TEST_CASE(TheRowOfAJobNamesItsTeam)
+{
+    auto job = smallJob(1, 500ms);
+    BOOST_TEST(encodeJob(job).find("team") == std::string::npos);
+    BOOST_TEST(decodeJob(encodeJob(job))->team.empty());
+    job.team = TeamId("a");
+    BOOST_TEST(decodeJob(encodeJob(job))->team == TeamId("a"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/call_retry.cpp
+++ b/src/node/call_retry.cpp
@@ -17,7 +17,7 @@
 {
     // An earlier attempt may still be processed after this one was refused.
     auto saysNotRun = verdict == JobVerdict::NotHolder || verdict == JobVerdict::Rejected
-        || verdict == JobVerdict::Unavailable;
+        || verdict == JobVerdict::Unavailable || verdict == JobVerdict::UnknownKey;
     auto isUncertain = verdict == JobVerdict::Uncertain || (saysNotRun && wasUncertain);
     if (!isUncertain)
         return RetryStep::Answer;
--- a/src/node/job_call.cpp
+++ b/src/node/job_call.cpp
@@ -12,8 +12,8 @@
 
 std::string_view toString(JobVerdict verdict)
 {
-    static constexpr std::array<std::string_view, 6> names { "not-holder", "done", "rejected", "unknown-job",
-        "uncertain", "unavailable" };
+    static constexpr std::array<std::string_view, 8> names { "not-holder", "done", "rejected", "unknown-job",
+        "uncertain", "unavailable", "unknown-key", "other-team" };
     return names[std::size_t(verdict)];
 }
 
--- a/src/node/job_call.h
+++ b/src/node/job_call.h
@@ -4,6 +4,7 @@
 #include "jobs/job.h"
 
 #include <functional>
+#include <optional>
 
 namespace fulmar::node {
 
@@ -16,6 +17,15 @@
 
 [[nodiscard]] std::string_view toString(JobCallKind);
 
+// What the holder needs to decide on a call for which the receiving process's configuration is too old.
+struct UndecidedCall {
+    std::string host;
+    // Without the query.
+    std::string path;
+    // A secret; see TeamConfig::keys.
+    std::string apiKey;
+};
+
 // A caller's request, forwarded by the process that received it to the holder of the shard.
 struct JobCall {
     JobCallKind kind { JobCallKind::Show };
@@ -25,6 +35,12 @@
     // Submit: the encoded job.
     std::string encodedJob;
     std::uint32_t shard { 0 };
+    // The team of the caller's key; empty for a public queue and in a configuration without teams.
+    TeamId team;
+    // If the receiving process could not decide whether the call is allowed; `team` is empty then.
+    std::optional<UndecidedCall> undecided;
+
+    [[nodiscard]] bool isProbe() const { return kind == JobCallKind::Count && queue.empty(); }
 };
 
 enum class JobVerdict : std::uint8_t {
@@ -38,6 +54,10 @@
     Uncertain,
     // Not accepted, and will not run: the store or every runner is unavailable.
     Unavailable,
+    // Refused: no team has the caller's key.
+    UnknownKey,
+    // Refused: the job belongs to another team than the caller's key.
+    OtherTeam,
 };
 
 [[nodiscard]] std::string_view toString(JobVerdict);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -114,7 +114,7 @@
     auto rpc = ShardRpcServer::start(m_settings.peerAddress, m_loop, [this](JobCall call, OnJobReply reply) {
         auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
         if (slot && isServedHere(*slot))
-            slot->owner->handle(std::move(call), std::move(reply));
+            handleHere(*slot, std::move(call), std::move(reply));
         else
             reply(noHolderReply(slot && slot->isReleasing));
     });
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -4,6 +4,7 @@
 #include "node/hand_over.h"
 #include "node/node_settings.h"
 #include "node/pool_order.h"
+#include "node/queue_lookup.h"
 #include "node/shard_lease.h"
 #include "node/shard_map_sync.h"
 #include "node/shard_owner.h"
@@ -90,6 +91,9 @@
     void onReadiness(CallId, const CallerRequest&);
     void onMetrics(CallId);
     void forward(JobCall, std::chrono::milliseconds timeout, OnJobReply);
+    // Handles a call for a shard that is served here.
+    void handleHere(Slot&, JobCall, OnJobReply);
+    [[nodiscard]] ConfigAge configAge() const;
     // The configuration by which a call is decided.
     struct ConfigView {
         std::int64_t version { 0 };
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -2,7 +2,7 @@
 
 #include "core/log.h"
 #include "node/call_retry.h"
-#include "node/queue_lookup.h"
+#include "node/caller_access.h"
 #include "node/readiness.h"
 #include "node/stop_plan.h"
 #include "platform/decode.h"
@@ -28,8 +28,6 @@
 // A holder that misses two probes is unreachable: calls for its shard are refused, and it counts against this
 // process's readiness.
 constexpr std::chrono::milliseconds holderTimeout { 1'700 };
-// The store confirms the configuration within 0.5 s after an outage.
-constexpr std::chrono::milliseconds unconfirmedRetryAfter { 1'000 };
 constexpr std::size_t maxLoggedPathBytes = 200;
 
 std::string headerOf(const CallerRequest& request, std::string_view name)
@@ -70,13 +68,20 @@
     return answer;
 }
 
+HttpAnswer unknownKeyAnswer()
+{
+    auto answer = makeJsonAnswer(401, fmt::format(R"({{"reason":"{}"}})", unknownKeyReason));
+    answer.headers.emplace_back("WWW-Authenticate", "Bearer");
+    return answer;
+}
+
 } // namespace
 
 void Node::forward(JobCall call, std::chrono::milliseconds timeout, OnJobReply reply)
 {
     auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
     if (slot && isServedHere(*slot)) {
-        slot->owner->handle(std::move(call), std::move(reply));
+        handleHere(*slot, std::move(call), std::move(reply));
         return;
     }
     auto owner = slot ? slot->lease.owner() : std::nullopt;
@@ -86,8 +91,7 @@
         return;
     }
     // Calls to an unreachable holder fail immediately instead of timing out; probes continue.
-    auto isProbe = call.kind == JobCallKind::Count && call.queue.empty();
-    if (!isProbe && m_clock.now() >= slot->holderAnsweredAt + holderTimeout) {
+    if (!call.isProbe() && m_clock.now() >= slot->holderAnsweredAt + holderTimeout) {
         reply({ JobVerdict::NotHolder, {}, 0, noHolderRetryAfter, "holder-silent" });
         return;
     }
@@ -99,6 +103,15 @@
         });
 }
 
+void Node::handleHere(Slot& slot, JobCall call, OnJobReply reply)
+{
+    if (auto refused = refuseForwardedCall(call, m_config ? &*m_config : nullptr, configAge())) {
+        reply(std::move(*refused));
+        return;
+    }
+    slot.owner->handle(std::move(call), std::move(reply));
+}
+
 Node::RetryState Node::newRetryState(TimePoint deadline) const
 {
     return { deadline, false, std::min(deadline, m_clock.now() + maxWaitForNextHolder) };
@@ -232,6 +245,8 @@
     m_metricsServer->answer(id, std::move(answer), false);
 }
 
+ConfigAge Node::configAge() const { return { m_configFollower.age(), m_settings.configApplyTime }; }
+
 Node::ConfigView Node::configView() const
 {
     return { m_config ? m_config->version : 0, m_configFollower.age() };
@@ -242,6 +257,7 @@
     auto config = configView();
     m_lastAnswerAt = m_clock.now();
     m_metrics.countAnswer("none", int(answer.status), {});
+    m_metrics.countRefusal(std::string(reason));
     logWarning("refused",
         { { "host", hostOf(request) }, { "method", request.method },
             { "path", std::string(request.path.substr(0, maxLoggedPathBytes)) },
@@ -264,17 +280,26 @@
     }
     auto path = request.path.substr(0, request.path.find('?'));
     auto host = hostOf(request);
-    auto [verdict, queue, jobId]
-        = lookUpQueue(*m_config, host, path, { m_configFollower.age(), m_settings.configApplyTime });
+    auto age = configAge();
+    auto [verdict, queue, jobId] = lookUpQueue(*m_config, host, path, age);
     if (verdict == QueueVerdict::Denied) {
         refuse(id, request, makeJsonAnswer(404), "unknown-queue");
         return;
     }
     if (verdict == QueueVerdict::Unconfirmed) {
-        refuse(id, request, refusal(503, unconfirmedRetryAfter, "config-unconfirmed"), "config-unconfirmed");
+        refuse(id, request, refusal(503, unconfirmedRetryAfter, unconfirmedReason), unconfirmedReason);
+        return;
+    }
+    auto apiKey = headerOf(request, "Authorization");
+    auto access = checkAccess(*m_config, *queue, apiKeyOf(apiKey), age);
+    if (access.verdict == AccessVerdict::UnknownKey) {
+        refuse(id, request, unknownKeyAnswer(), unknownKeyReason);
         return;
     }
     JobCall call;
+    call.team = access.team;
+    if (isDecisionLeftToHolder(*m_config, age))
+        call.undecided = { host, std::string(path), std::string(apiKeyOf(apiKey)) };
     call.queue = queue->name;
     call.job = JobId(std::string(jobId));
     call.shard = m_map->shardOf(call.job);
@@ -287,6 +312,7 @@
         }
         job->id = call.job;
         job->queue = queue->name;
+        job->team = call.team;
         job->policy = queue->policy;
         if (!jobs::fitsInRows(*job, m_settings.maxRowBytes)) {
             refuse(id, request, makeJsonAnswer(400, R"({"reason":"job-too-large"})"), "job-too-large");
@@ -364,12 +390,20 @@
     case JobVerdict::NotHolder:
         answer = refusal(503, noHolderRetryAfter, reply.reason);
         break;
+    case JobVerdict::UnknownKey:
+        answer = unknownKeyAnswer();
+        break;
+    case JobVerdict::OtherTeam:
+        answer = makeJsonAnswer(403, R"({"reason":"other-team"})");
+        break;
     case JobVerdict::Uncertain:
         answer = makeJsonAnswer(504, R"({"reason":"outcome-unknown"})");
         break;
     }
     m_lastAnswerAt = m_clock.now();
     m_metrics.countAnswer(std::string(toString(call.kind)), int(answer.status), m_clock.now() - received);
+    if (answer.status >= 400)
+        m_metrics.countRefusal(reply.reason.empty() ? std::string(toString(reply.verdict)) : reply.reason);
     auto log = answer.status >= 400 ? logWarning : logInfo;
     if (answer.status >= 400 || call.kind == JobCallKind::Submit || call.kind == JobCallKind::Cancel)
         log("answer",
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -29,6 +29,10 @@
                                                                  .Name("fulmar_answer_seconds")
                                                                  .Help("Time from a call to its answer")
                                                                  .Register(registry) };
+    prometheus::Family<prometheus::Counter>& refusals { prometheus::BuildCounter()
+                                                            .Name("fulmar_refusals_total")
+                                                            .Help("Refused calls by reason")
+                                                            .Register(registry) };
     prometheus::Family<prometheus::Counter>& admissions { prometheus::BuildCounter()
                                                               .Name("fulmar_admissions_total")
                                                               .Help("Decisions on submitted jobs by verdict")
@@ -65,6 +69,11 @@
         .Observe(std::chrono::duration<double>(took).count());
 }
 
+void NodeMetrics::countRefusal(const std::string& reason)
+{
+    m_families->refusals.Add({ { "reason", reason } }).Increment();
+}
+
 void NodeMetrics::countAdmission(const std::string& verdict)
 {
     m_families->admissions.Add({ { "verdict", verdict } }).Increment();
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -18,6 +18,8 @@
     // Counts an answer to a caller by kind of call ("none" if no holder was asked) and HTTP status, and
     // records its latency.
     void countAnswer(const std::string& kind, int status, Duration took);
+    // Counts a refused call by reason.
+    void countRefusal(const std::string& reason);
     // Counts an admission decision on a submitted job.
     void countAdmission(const std::string& verdict);
     // Counts an order to a runner ("start", "stop", "look") by outcome.
--- a/src/node/queue_lookup.cpp
+++ b/src/node/queue_lookup.cpp
@@ -25,7 +25,7 @@
     if (queue && (rest.empty() || isJobId(rest)))
         return { QueueVerdict::Found, queue, rest };
     // A newer configuration may also have a queue whose prefix extends that of a known one.
-    return { configAge.mayDeny() ? QueueVerdict::Denied : QueueVerdict::Unconfirmed, nullptr, {} };
+    return { configAge.mayDecide() ? QueueVerdict::Denied : QueueVerdict::Unconfirmed, nullptr, {} };
 }
 
 } // namespace fulmar::node
--- a/src/node/queue_lookup.h
+++ b/src/node/queue_lookup.h
@@ -9,6 +9,12 @@
 
 // Longest transfer of an answer to a caller.
 inline constexpr std::chrono::milliseconds denialMargin { 100 };
+// The store confirms the configuration within 0.5 s after an outage.
+inline constexpr std::chrono::milliseconds unconfirmedRetryAfter { 1'000 };
+// Reasons of refusals, for the log and the body of the answer.
+inline constexpr std::string_view unconfirmedReason = "config-unconfirmed";
+inline constexpr std::string_view unknownKeyReason = "unknown-key";
+inline constexpr std::string_view otherTeamReason = "other-team";
 
 // How old the configuration of a process may be, and is.
 struct ConfigAge {
@@ -17,9 +23,9 @@
     // A change must be in force this long after the store has acknowledged it.
     std::chrono::milliseconds applyTime { 0 };
 
-    // A queue that was added since must be served once `applyTime` has passed, so an older configuration
-    // denies nothing.
-    [[nodiscard]] bool mayDeny() const { return age + denialMargin <= applyTime; }
+    // A queue or key that was added since must be accepted once `applyTime` has passed, and one that was
+    // removed must not be, so an older configuration neither denies nor grants anything.
+    [[nodiscard]] bool mayDecide() const { return age + denialMargin <= applyTime; }
 };
 
 enum class QueueVerdict : std::uint8_t {
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "jobs/runner_row.h"
+#include "node/queue_lookup.h"
 #include "platform/decode.h"
 #include "platform/names.h"
 
@@ -35,6 +36,14 @@
     return reply;
 }
 
+JobReply otherTeam()
+{
+    JobReply reply;
+    reply.verdict = JobVerdict::OtherTeam;
+    reply.reason = otherTeamReason;
+    return reply;
+}
+
 JobReply done(std::string state)
 {
     JobReply reply;
@@ -234,6 +243,7 @@
 void ShardOwner::configure(const jobs::FleetConfig& config)
 {
     m_vmController.configure(config);
+    m_hasTeams = config.teams.has_value();
     m_shard.setTeams(config.teams.value_or(std::vector<teams::TeamConfig> {}), m_shardCount);
     schedule();
 }
@@ -271,6 +281,11 @@
         reply(refusal(JobVerdict::Rejected, defaultRetryAfter, "unreadable"));
         return;
     }
+    job->team = call.team;
+    if (auto* entry = m_shard.find(job->id); entry && isOfOtherTeam(*entry, call)) {
+        reply(otherTeam());
+        return;
+    }
     // A job cannot be accepted while the store is unavailable, unless it is known and may be stored already.
     if (m_log.isStoreUnavailable() && !m_shard.find(job->id)) {
         m_shard.recordDemand(*job, m_clock.now());
@@ -312,6 +327,12 @@
     write();
 }
 
+// Jobs without a team were submitted to a public queue, or by a release that did not know teams.
+bool ShardOwner::isOfOtherTeam(const jobs::JobEntry& entry, const JobCall& call) const
+{
+    return m_hasTeams && !entry.job.team.empty() && entry.job.team != call.team;
+}
+
 void ShardOwner::show(const JobCall& call, const OnJobReply& reply)
 {
     auto* entry = m_shard.find(call.job);
@@ -320,6 +341,10 @@
         reply(unknownJobReply(m_hooks.mayOrder()));
         return;
     }
+    if (isOfOtherTeam(*entry, call)) {
+        reply(otherTeam());
+        return;
+    }
     auto mayReport = !entry->isOver() || entry->isEndStored();
     reply(done(std::string(toString(mayReport ? entry->state : jobs::JobState::Running))));
 }
@@ -331,6 +356,10 @@
         reply(unknownJobReply(m_hooks.mayOrder()));
         return;
     }
+    if (isOfOtherTeam(*entry, call)) {
+        reply(otherTeam());
+        return;
+    }
     m_shard.cancel(call.job, m_clock.now());
     logInfo("cancel", { { "job", call.job.value() }, { "state", std::string(toString(entry->state)) } });
     if (entry->isEndStored()) {
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -75,6 +75,8 @@
     void show(const JobCall&, const OnJobReply&);
     void cancel(const JobCall&, OnJobReply);
     // Replies to the submits of a stored job, and to its cancels once its final state is stored.
+    // The job belongs to another team than the call.
+    [[nodiscard]] bool isOfOtherTeam(const jobs::JobEntry&, const JobCall&) const;
     void replyToWaitingCalls(const JobId&);
     void onRowRefused(const platform::RowName&);
     void plan();
@@ -93,6 +95,7 @@
     const std::string m_part;
     const std::uint32_t m_shardCount;
     const Hooks m_hooks;
+    bool m_hasTeams { false };
     BootClock m_clock;
     RowLog m_log;
     jobs::Shard m_shard;
--- a/src/node/shard_rpc.cpp
+++ b/src/node/shard_rpc.cpp
@@ -36,13 +36,24 @@
     message.set_queue(call.queue);
     message.set_job(call.encodedJob);
     message.set_shard(call.shard);
+    message.set_team(call.team.value());
+    if (call.undecided) {
+        auto& undecided = *message.mutable_undecided();
+        undecided.set_host(call.undecided->host);
+        undecided.set_path(call.undecided->path);
+        undecided.set_api_key(call.undecided->apiKey);
+    }
     return message;
 }
 
 JobCall fromWire(const wire::JobCall& message)
 {
-    return { JobCallKind(message.kind()), JobId(message.job_id()), message.queue(), message.job(),
-        message.shard() };
+    JobCall call { JobCallKind(message.kind()), JobId(message.job_id()), message.queue(), message.job(),
+        message.shard(), TeamId(message.team()), std::nullopt };
+    if (message.has_undecided())
+        call.undecided
+            = { message.undecided().host(), message.undecided().path(), message.undecided().api_key() };
+    return call;
 }
 
 void toWire(const JobReply& reply, wire::JobReply& message)
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -435,4 +435,41 @@
     BOOST_TEST(elapsed().count() < 3000);
 }
 
+// Guards against calls that are served without a key of their team, of whatever kind they are.
+BOOST_FIXTURE_TEST_CASE(ACallNeedsAKeyOfItsTeam, NodeFixture)
+{
+    std::string withTeams(config);
+    withTeams.pop_back();
+    withTeams += R"(,"tenants":[{"name":"a","api-keys":["ka"]},{"name":"b","api-keys":["kb"]}]})";
+    fake.put(platform::operatorTable, "", std::string(platform::configKey), withTeams);
+    Node node(settings, 1, [] { return std::nullopt; });
+    std::thread process([&] { BOOST_TEST(node.run().has_value()); });
+    auto statusOf = [&](const std::string& method, const std::string& id, const std::string& key) {
+        auto request = submit(id);
+        request.method = method;
+        if (!key.empty())
+            request.headers.emplace_back("Authorization", "Bearer " + key);
+        return call(std::move(request)).status;
+    };
+    const std::string job = "00000000000000aa";
+    std::uint32_t status = 0;
+    for (int tries = 0; tries < 100 && status != 200; ++tries) {
+        status = std::uint32_t(statusOf("POST", job, "ka"));
+        std::this_thread::sleep_for(status == 200 ? 0ms : 100ms);
+    }
+    BOOST_TEST(status == 200U);
+    for (const auto* method : { "POST", "GET", "DELETE" })
+        for (const auto* key : { "", "kc" })
+            BOOST_TEST(statusOf(method, job, key) == 401, method);
+    BOOST_TEST(statusOf("GET", "", "kc") == 401);
+    BOOST_TEST(statusOf("GET", "", "kb") == 200);
+    for (const auto* method : { "POST", "GET", "DELETE" })
+        BOOST_TEST(statusOf(method, job, "kb") == 403, method);
+    BOOST_TEST(statusOf("GET", job, "ka") == 200);
+    BOOST_TEST(statusOf("DELETE", job, "ka") == 200);
+    ::kill(::getpid(), SIGTERM);
+    process.join();
+    BOOST_TEST(fake.value("jobs", "s0", job).find("ka") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/tests/vm_controller_test.cpp
+++ b/src/node/tests/vm_controller_test.cpp
@@ -59,7 +59,7 @@
     }
 };
 
-constexpr jobs::Resources capacityOfVm { 16'000, 32'768, 0 };
+constexpr Resources capacityOfVm { 16'000, 32'768, 0 };
 
 // A pool whose VMs all belong to one shard; its runners answer and run nothing.
 class PoolOfVms {
@@ -87,7 +87,7 @@
     }
 
     // Each of the tasks fills a VM, and does not end.
-    void submit(const std::string& id, std::uint32_t tasks, const jobs::Resources& perTask)
+    void submit(const std::string& id, std::uint32_t tasks, const Resources& perTask)
     {
         jobs::Job job;
         job.id = JobId(id);
--- a/src/teams/team_config.h
+++ b/src/teams/team_config.h
@@ -4,6 +4,7 @@
 #include "core/types.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fulmar::teams {
@@ -20,4 +21,7 @@
     Resources limit;
 };
 
+// Null if no team has the key. An empty key belongs to no team.
+[[nodiscard]] const TeamConfig* findTeamByKey(const std::vector<TeamConfig>&, std::string_view key);
+
 } // namespace fulmar::teams
