Check of a configuration before it is sent

Cause: an operator sees a slip in a configuration only once it is in force; a node logged that one is unreadable without saying why.

Keys of teams are never printed.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -253,7 +253,8 @@
 {
     auto config = platform::decodeConfig(value);
     if (!config) {
-        logWarning("config-unreadable", { { "bytes", std::to_string(value.size()) } });
+        logWarning("config-unreadable",
+            { { "bytes", std::to_string(value.size()) }, { "reason", config.error().detail } });
         return;
     }
     if (m_config && config->version <= m_config->version)
--- a/src/programs/fulmarramp.cpp
+++ b/src/programs/fulmarramp.cpp
@@ -1,8 +1,10 @@
 #include "core/log.h"
 #include "io/program.h"
+#include "node/config_command.h"
 #include "node/node.h"
 
 #include <cstdlib>
+#include <iostream>
 
 namespace {
 
@@ -17,6 +19,8 @@
 
 int main(int argc, char** argv)
 {
+    if (fulmar::node::isConfigCommand(argc, argv))
+        return fulmar::node::runConfigCommand(argc, argv, std::cout);
     return fulmar::runDaemon("fulmarramp", argc, argv, [](fulmar::SettingsReader& reader, bool checksOnly) {
         auto settings = fulmar::node::readNodeSettings(reader);
         return fulmar::runIfSettingsValid(reader, checksOnly, [&] {
