Findings of the review of callers' identity and of the check of a configuration

A queue that becomes public no longer locks out the jobs that its teams have submitted. A process that has not read teams yet leaves old decisions to the holder. Kinds and verdicts of a later release are not taken for others. A refusal for another team proves nothing about an attempt before it. Reasons in metrics have a bound.

--- a/src/jobs/config_check.cpp
+++ b/src/jobs/config_check.cpp
@@ -28,11 +28,11 @@
     return fmt::format("queue {} ({}{})", queue.name, queue.host, queue.pathPrefix);
 }
 
-// A key is sent in a header, after the scheme and a space.
+// A key is sent in a header, after the scheme and a space; spaces around it are dropped.
 bool canBeSent(const std::string& key)
 {
-    return !key.empty()
-        && std::all_of(key.begin(), key.end(), [](unsigned char c) { return std::isgraph(c); });
+    return !key.empty() && key.front() != ' ' && key.back() != ' '
+        && std::none_of(key.begin(), key.end(), [](unsigned char c) { return std::iscntrl(c); });
 }
 
 template <typename Entries, typename NameOf>
@@ -55,6 +55,11 @@
         if (!queue.pathPrefix.starts_with('/'))
             add(findings, FindingKind::Error, "{} can never match: its prefix does not begin with '/'",
                 describe(queue));
+        if (queue.pathPrefix.find('?') != std::string::npos || queue.host.find(':') != std::string::npos)
+            add(findings, FindingKind::Error, "{} can never match: queries and ports of calls are left out",
+                describe(queue));
+        if (queue.name.empty())
+            add(findings, FindingKind::Error, "{} has no name", describe(queue));
         if (queue.host.empty())
             add(findings, FindingKind::Warning, "{} matches only calls without a host", describe(queue));
         const auto* pool = config.pool(queue.policy.pool);
@@ -89,7 +94,9 @@
                     "team {} has a key that can never match: it is empty, or has a character that a header "
                     "cannot hold",
                     team.id.value());
-            if (auto [owner, isNew] = owners.emplace(key, team.id); !isNew)
+            if (auto [owner, isNew] = owners.emplace(key, team.id); !isNew && owner->second == team.id)
+                add(findings, FindingKind::Warning, "team {} has a key twice", team.id.value());
+            else if (!isNew)
                 add(findings, FindingKind::Error,
                     "team {} has a key that can never match: team {} has it too", team.id.value(),
                     owner->second.value());
@@ -99,11 +106,13 @@
                 team.id.value());
     }
     auto isPublic = [](const QueueConfig& queue) { return queue.isPublic; };
+    if (config.queues.empty())
+        return;
     if (!config.teams->empty() && std::all_of(config.queues.begin(), config.queues.end(), isPublic))
         add(findings, FindingKind::Warning, "all queues are public: no key is ever asked for");
     if (config.teams->empty() && !std::all_of(config.queues.begin(), config.queues.end(), isPublic))
         add(findings, FindingKind::Error,
-            "there are teams, but none is listed: queues that are not public can never match");
+            "the list of teams is empty: every call to a queue that is not public is refused");
 }
 
 void checkLimits(Findings& findings, const FleetConfig& config)
--- a/src/node/call_retry.cpp
+++ b/src/node/call_retry.cpp
@@ -17,7 +17,8 @@
 {
     // An earlier attempt may still be processed after this one was refused.
     auto saysNotRun = verdict == JobVerdict::NotHolder || verdict == JobVerdict::Rejected
-        || verdict == JobVerdict::Unavailable || verdict == JobVerdict::UnknownKey;
+        || verdict == JobVerdict::Unavailable || verdict == JobVerdict::UnknownKey
+        || verdict == JobVerdict::OtherTeam;
     auto isUncertain = verdict == JobVerdict::Uncertain || (saysNotRun && wasUncertain);
     if (!isUncertain)
         return RetryStep::Answer;
--- a/src/node/caller_access.cpp
+++ b/src/node/caller_access.cpp
@@ -33,6 +33,8 @@
 {
     auto undecided = std::move(*call.undecided);
     call.undecided.reset();
+    if (!config.teams)
+        return std::nullopt;
     if (!age.mayDecide())
         return unconfirmed();
     auto lookup = lookUpQueue(config, undecided.host, undecided.path, age);
@@ -67,21 +69,17 @@
 CallerAccess checkAccess(const jobs::FleetConfig& config, const jobs::QueueConfig& queue,
     std::string_view apiKey, const ConfigAge& age)
 {
-    if (!config.teams)
-        return { AccessVerdict::Granted, {} };
+    // A newer configuration may have teams.
     if (!age.mayDecide())
         return { AccessVerdict::Unconfirmed, {} };
+    if (!config.teams)
+        return { AccessVerdict::Granted, {} };
     if (queue.isPublic)
         return { AccessVerdict::Granted, {} };
     const auto* team = teams::findTeamByKey(*config.teams, apiKey);
     return team ? CallerAccess { AccessVerdict::Granted, team->id } : CallerAccess {};
 }
 
-bool isDecisionLeftToHolder(const jobs::FleetConfig& config, const ConfigAge& age)
-{
-    return config.teams && !age.mayDecide();
-}
-
 std::optional<JobReply> refuseForwardedCall(
     JobCall& call, const jobs::FleetConfig* config, const ConfigAge& age)
 {
--- a/src/node/caller_access.h
+++ b/src/node/caller_access.h
@@ -28,10 +28,6 @@
 [[nodiscard]] CallerAccess checkAccess(
     const jobs::FleetConfig&, const jobs::QueueConfig&, std::string_view apiKey, const ConfigAge&);
 
-// Whether a configuration of this age is too old to decide on calls to known queues. That only matters where
-// there are teams: a queue or key that was removed since would still be accepted.
-[[nodiscard]] bool isDecisionLeftToHolder(const jobs::FleetConfig&, const ConfigAge&);
-
 // For the holder of the shard: completes a call that the receiving process could not decide. Returns the
 // reply if the call is refused. `config` is null if this process has none yet.
 [[nodiscard]] std::optional<JobReply> refuseForwardedCall(
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -63,7 +63,7 @@
     , m_vmClient(m_http, m_settings.vmsAddress)
     , m_rpcClient(m_loop)
     , m_configFollower(m_loop, m_store, platform::operatorTable, { "" },
-          { feedPause, feedWaitFor(m_settings.configApplyTime) },
+          { feedPause, feedWaitFor(m_settings.configApplyTime), true },
           { [this](const platform::StoredRow& row) { onOperatorRow(row); },
               [this](const std::vector<platform::StoredRow>& rows) {
                   for (const auto& row : rows)
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -68,6 +68,26 @@
     return answer;
 }
 
+// For the metrics; empty if the call was not refused. Reasons of failed calls between processes are texts
+// without bound.
+std::string_view refusalReason(const JobReply& reply)
+{
+    switch (reply.verdict) {
+    case JobVerdict::Rejected:
+    case JobVerdict::Unavailable:
+    case JobVerdict::UnknownKey:
+    case JobVerdict::OtherTeam:
+        return reply.reason;
+    case JobVerdict::NotHolder:
+        return toString(reply.verdict);
+    case JobVerdict::Done:
+    case JobVerdict::UnknownJob:
+    case JobVerdict::Uncertain:
+        break;
+    }
+    return {};
+}
+
 HttpAnswer unknownKeyAnswer()
 {
     auto answer = makeJsonAnswer(401, fmt::format(R"({{"reason":"{}"}})", unknownKeyReason));
@@ -290,16 +310,17 @@
         refuse(id, request, refusal(503, unconfirmedRetryAfter, unconfirmedReason), unconfirmedReason);
         return;
     }
-    auto apiKey = headerOf(request, "Authorization");
-    auto access = checkAccess(*m_config, *queue, apiKeyOf(apiKey), age);
+    auto authorization = headerOf(request, "Authorization");
+    auto apiKey = apiKeyOf(authorization);
+    auto access = checkAccess(*m_config, *queue, apiKey, age);
     if (access.verdict == AccessVerdict::UnknownKey) {
         refuse(id, request, unknownKeyAnswer(), unknownKeyReason);
         return;
     }
     JobCall call;
     call.team = access.team;
-    if (isDecisionLeftToHolder(*m_config, age))
-        call.undecided = { host, std::string(path), std::string(apiKeyOf(apiKey)) };
+    if (access.verdict == AccessVerdict::Unconfirmed)
+        call.undecided = { host, std::string(path), std::string(apiKey) };
     call.queue = queue->name;
     call.job = JobId(std::string(jobId));
     call.shard = m_map->shardOf(call.job);
@@ -402,8 +423,8 @@
     }
     m_lastAnswerAt = m_clock.now();
     m_metrics.countAnswer(std::string(toString(call.kind)), int(answer.status), m_clock.now() - received);
-    if (answer.status >= 400)
-        m_metrics.countRefusal(reply.reason.empty() ? std::string(toString(reply.verdict)) : reply.reason);
+    if (auto reason = refusalReason(reply); !reason.empty())
+        m_metrics.countRefusal(std::string(reason));
     auto log = answer.status >= 400 ? logWarning : logInfo;
     if (answer.status >= 400 || call.kind == JobCallKind::Submit || call.kind == JobCallKind::Cancel)
         log("answer",
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -327,10 +327,15 @@
     write();
 }
 
-// Jobs without a team were submitted to a public queue, or by a release that did not know teams.
+// Jobs without a team were submitted to a public queue, or by a release that did not know teams. A call
+// without a team, where there are teams, came through a public queue, which opens the jobs of that queue
+// alone: the queue may have become public since they were submitted.
 bool ShardOwner::isOfOtherTeam(const jobs::JobEntry& entry, const JobCall& call) const
 {
-    return m_hasTeams && !entry.job.team.empty() && entry.job.team != call.team;
+    const auto& job = entry.job;
+    if (job.team.empty() || job.team == call.team)
+        return false;
+    return call.team.empty() ? m_hasTeams && job.queue != call.queue : true;
 }
 
 void ShardOwner::show(const JobCall& call, const OnJobReply& reply)
--- a/src/node/shard_rpc.cpp
+++ b/src/node/shard_rpc.cpp
@@ -46,6 +46,9 @@
     return message;
 }
 
+// A later release may send other kinds.
+bool isKnownKind(const wire::JobCall& message) { return wire::JobCall::Kind_IsValid(message.kind()); }
+
 JobCall fromWire(const wire::JobCall& message)
 {
     JobCall call { JobCallKind(message.kind()), JobId(message.job_id()), message.queue(), message.job(),
@@ -67,8 +70,10 @@
 
 JobReply fromWire(const wire::JobReply& message)
 {
-    return { JobVerdict(message.verdict()), message.state(), message.pending(),
-        std::chrono::milliseconds(message.retry_after_ms()), message.reason() };
+    auto verdict = wire::JobReply::Verdict_IsValid(message.verdict()) ? JobVerdict(message.verdict())
+                                                                      : JobVerdict::Uncertain;
+    return { verdict, message.state(), message.pending(), std::chrono::milliseconds(message.retry_after_ms()),
+        message.reason() };
 }
 
 class Service final : public wire::Shard::CallbackService {
@@ -83,17 +88,23 @@
         grpc::CallbackServerContext* context, const wire::JobCall* request, wire::JobReply* reply) override
     {
         auto* reactor = context->DefaultReactor();
-        asio::post(m_loop, [this, call = fromWire(*request), context, reactor, reply]() mutable {
-            // The client has abandoned this attempt and may have started another.
-            if (context->IsCancelled()) {
-                reactor->Finish(grpc::Status::CANCELLED);
-                return;
-            }
-            m_handler(std::move(call), [reactor, reply](const JobReply& result) {
-                toWire(result, *reply);
-                reactor->Finish(grpc::Status::OK);
+        asio::post(m_loop,
+            [this, call = fromWire(*request), isKnown = isKnownKind(*request), context, reactor,
+                reply]() mutable {
+                // The client has abandoned this attempt and may have started another.
+                if (context->IsCancelled()) {
+                    reactor->Finish(grpc::Status::CANCELLED);
+                    return;
+                }
+                if (!isKnown) {
+                    reactor->Finish({ grpc::StatusCode::UNIMPLEMENTED, "unknown kind of call" });
+                    return;
+                }
+                m_handler(std::move(call), [reactor, reply](const JobReply& result) {
+                    toWire(result, *reply);
+                    reactor->Finish(grpc::Status::OK);
+                });
             });
-        });
         return reactor;
     }
 
--- a/src/node/table_follower.cpp
+++ b/src/node/table_follower.cpp
@@ -102,13 +102,15 @@
 
 void TableFollower::sendFeedPoll()
 {
-    auto plan = m_schedule.plan(m_timing.feedWait);
+    auto plan = m_schedule.plan(m_isConfirmationDue ? std::chrono::milliseconds(0) : m_timing.feedWait);
     auto sent = m_clock.now();
     m_schedule.onSent(sent, plan);
     m_store.pollFeed(m_table, m_version, plan.wait, readOptions(plan),
         [this, sent, plan, step = m_step, isAlive = m_isAlive](const platform::FeedResult& feed) {
-            if (*isAlive && step == m_step)
-                onFeed(feed, confirmedTime(sent, plan.wait, m_clock.now()));
+            if (!*isAlive || step != m_step)
+                return;
+            m_isConfirmationDue = m_timing.confirmsChanges && !feed.page.rows.empty();
+            onFeed(feed, m_isConfirmationDue ? sent : confirmedTime(sent, plan.wait, m_clock.now()));
         });
 }
 
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -40,6 +40,9 @@
         std::chrono::milliseconds pause { 0 };
         // How long the store may hold back the answer to a poll.
         std::chrono::milliseconds feedWait { maxFeedWait };
+        // Polls again at once after an answer with changes. Such an answer was given at any time since its
+        // request was sent, however late it is read, so it confirms no later time.
+        bool confirmsChanges { false };
     };
 
     TableFollower(asio::io_context&, platform::StoreClient&, std::string table,
@@ -85,6 +88,7 @@
     std::uint64_t m_step { 0 };
     TimePoint m_confirmedAt { m_clock.now() };
     Version m_version { 0 };
+    bool m_isConfirmationDue { false };
     bool m_isStoreLost { false };
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
