Team quotas: shares of the limits by shard

A team's max-count bounds what it has running over all shards. Each shard has a share of it, starts only within its share, and gives what it does not use to shards that want more. A shard announces the limits that it follows, and what it has above its share after a cut, so that the others leave room for it.

--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -51,6 +51,8 @@
     std::uint32_t placedCount { 0 };
     // Of the checkpoint that all tasks have, if the step is a gang.
     CheckpointSource gangCheckpoint;
+    // In the last planning round nothing but the team's quota kept its waiting tasks from starting.
+    bool isHeldBackByQuota { false };
 
     [[nodiscard]] bool isDone() const { return doneCount == tasks.size(); }
     [[nodiscard]] std::uint32_t waitingCount() const
--- a/src/jobs/runner.h
+++ b/src/jobs/runner.h
@@ -41,6 +41,10 @@
 struct Run {
     Attempt attempt { 0 };
     Resources reserved;
+    // Number of the job's team in TeamQuota, and what the task counts with there. The run keeps both if its
+    // job is removed.
+    std::uint32_t team { 0 };
+    Resources full;
     RunPhase phase { RunPhase::Starting };
     TimePoint orderedAt;
     // Runs until its job is cancelled.
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -32,6 +32,7 @@
     , m_lastFence(epoch * fencesPerEpoch)
     , m_attemptBase((epoch - 1) * attemptsPerEpoch)
     , m_jobTable(settings.maxRowBytes)
+    , m_teamQuota(epoch)
 {
 }
 
@@ -120,7 +121,7 @@
     }
     m_runTimes.predict(job);
     recordPredictedDemand(job, now);
-    decision.load = loadOf(job.policy.pool, job.policy.priority, now, wallNow);
+    decision.load = loadOf(job.policy.pool, job.policy.priority, now, wallNow, job.team);
     decision.expectedWork = job.expectedWork();
     decision.objective = job.objective();
     decision.admission = decideAdmission(job, decision.load);
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -8,6 +8,7 @@
 #include "jobs/run_time_model.h"
 #include "jobs/runner.h"
 #include "jobs/stalled_jobs.h"
+#include "jobs/team_quota.h"
 #include "teams/team_config.h"
 
 #include <deque>
@@ -139,6 +140,8 @@
     [[nodiscard]] std::map<RunnerId, Runner>& runners() { return m_runners; }
     [[nodiscard]] const std::map<RunnerId, Runner>& runners() const { return m_runners; }
     [[nodiscard]] JobTable& jobTable() { return m_jobTable; }
+    [[nodiscard]] TeamQuota& teamQuota() { return m_teamQuota; }
+    [[nodiscard]] const TeamQuota& teamQuota() const { return m_teamQuota; }
     // Capacity that the pool's jobs require.
     struct Demand {
         // Millicores.
@@ -165,8 +168,10 @@
     // Stops the runner's long-running tasks whose disruption budget permits it and for which another runner
     // has capacity. The runner should be cordoned, or tasks may be placed there again.
     void evacuate(const RunnerId&, TimePoint now);
+    // The load ahead of a job of that priority and team. What the quota of another team holds back is not
+    // ahead of it.
     [[nodiscard]] PoolLoad loadOf(
-        const PoolId&, std::int32_t priority, TimePoint now, WallTime wallNow) const;
+        const PoolId&, std::int32_t priority, TimePoint now, WallTime wallNow, const TeamId& = {}) const;
     [[nodiscard]] const StalledJobs& stalledJobs() const { return m_stalledJobs; }
     // All runners of the earlier holder have answered, or their leases have lapsed.
     [[nodiscard]] bool areEarlierRunsResolved(const PoolId&, TimePoint now) const;
@@ -250,6 +255,7 @@
     [[nodiscard]] static Runner* chooseRunnerForIsolation(
         const PoolRunners&, Isolation, const Step&, const TaskName&, TimePoint now);
     void placeStep(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
+    [[nodiscard]] std::uint32_t noteWaiting(const JobEntry&, const StepOccurrence&);
     void placeStepAsLastResort(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void placeTasks(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void orderStart(
@@ -281,6 +287,7 @@
     RunTimeModel m_runTimes;
     std::map<TeamId, teams::TeamConfig> m_teams;
     std::uint32_t m_shardCount { 1 };
+    TeamQuota m_teamQuota;
     std::map<PoolId, DemandMeter> m_demand;
     std::map<PoolId, std::int64_t> m_arriving;
     // Pools in which startable tasks wait for capacity.
--- a/src/jobs/shard_answers.cpp
+++ b/src/jobs/shard_answers.cpp
@@ -143,6 +143,9 @@
     if (!run || run->phase != RunPhase::Starting || runner->isOvercommitted()
         || order.incarnation != runner->report().incarnation)
         return false;
+    // The limit may have been cut while the order waited.
+    if (run->unansweredStarts == 0 && !m_teamQuota.maySend(*run))
+        return false;
     run->fence = runner->fence();
     order.fence = run->fence;
     return true;
@@ -370,6 +373,8 @@
     if (entry && running.task.step < entry->job.steps.size()) {
         const auto& step = entry->job.steps[running.task.step];
         run.reserved = step.reserved();
+        run.team = m_teamQuota.numberOf(entry->job.team);
+        run.full = step.perTask;
         run.isLongRunning = step.isLongRunning;
         run.hasCrashRecord = task && !task->crashes.empty();
     }
--- a/src/jobs/shard_load.cpp
+++ b/src/jobs/shard_load.cpp
@@ -46,7 +46,8 @@
 
 } // namespace
 
-PoolLoad Shard::loadOf(const PoolId& pool, std::int32_t priority, TimePoint now, WallTime wallNow) const
+PoolLoad Shard::loadOf(
+    const PoolId& pool, std::int32_t priority, TimePoint now, WallTime wallNow, const TeamId& team) const
 {
     PoolLoad load;
     for (const auto& [id, runner] : m_runners) {
@@ -58,6 +59,7 @@
     if (auto arriving = m_arriving.find(pool); arriving != m_arriving.end())
         load.arrivingCpu = arriving->second;
     auto areRunsKnown = areEarlierRunsResolved(pool, now);
+    TeamQuota::Room quotaRoom(m_teamQuota);
     for (const auto& [id, entry] : m_jobTable.all()) {
         if (entry.isOver() || entry.job.policy.pool != pool || entry.job.policy.priority > priority)
             continue;
@@ -70,7 +72,10 @@
                 continue;
             auto work = double(step.perTask.cpu) / 1000 * double(step.expectedRunTime().count());
             auto isWaiting = !mayBeRunning && entry.isStartable(stepOccurrence, wallNow);
-            (isWaiting ? load.waiting : load.blocked) += work * double(stepOccurrence.waitingCount());
+            auto waiting = stepOccurrence.waitingCount();
+            if (isWaiting && entry.job.team != team)
+                waiting = quotaRoom.take(entry.job, step, waiting);
+            (isWaiting ? load.waiting : load.blocked) += work * double(waiting);
             // A placed task is on average half done.
             load.running += work * double(stepOccurrence.placedCount) / 2;
         }
@@ -117,21 +122,33 @@
     auto usable = usableRunners(pool, now);
     std::uint32_t freeVms = 0;
     double waitingMillicoreMs = 0;
+    // What only a team's quota holds back needs no VMs.
+    TeamQuota::Room quotaRoom(m_teamQuota);
     for (const auto& [id, entry] : m_jobTable.all()) {
         if (entry.isOver() || entry.job.policy.pool != pool)
             continue;
         for (const auto& stepOccurrence : entry.stepOccurrences) {
-            const auto& step = entry.job.steps[stepOccurrence.step];
-            if (!stepOccurrence.isDone() && entry.isStartable(stepOccurrence, wallNow))
+            auto isStartable = entry.isStartable(stepOccurrence, wallNow);
+            auto waiting = stepOccurrence.waitingCount();
+            const auto& wholeStep = entry.job.steps[stepOccurrence.step];
+            if (isStartable || wholeStep.isLongRunning)
+                waiting = quotaRoom.take(entry.job, wholeStep, waiting);
+            Step reduced;
+            if (waiting < stepOccurrence.waitingCount()) {
+                reduced = wholeStep;
+                reduced.count -= stepOccurrence.waitingCount() - waiting;
+            }
+            const auto& step = waiting < stepOccurrence.waitingCount() ? reduced : wholeStep;
+            if (!stepOccurrence.isDone() && isStartable)
                 demand.minVms
                     = std::max({ demand.minVms, vmsForMaxPerRunner(step), vmsForGang(step, capacity) });
             if (step.isLongRunning)
                 vmsFilledByLongRunning += vmsFilledBy(step, capacity);
             if (step.isLongRunning)
-                longRunningCpu += step.reserved().cpu * stepOccurrence.waitingCount();
-            else if (entry.isStartable(stepOccurrence, wallNow)) {
-                waitingMillicoreMs += double(step.perTask.cpu) * double(step.expectedRunTime().count())
-                    * stepOccurrence.waitingCount();
+                longRunningCpu += step.reserved().cpu * waiting;
+            else if (isStartable) {
+                waitingMillicoreMs
+                    += double(step.perTask.cpu) * double(step.expectedRunTime().count()) * waiting;
                 freeVms = std::max(freeVms, freeVmsForStalled(entry, stepOccurrence, capacity, usable, now));
             }
         }
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -158,6 +158,7 @@
     orders.wakeAt = now + m_settings.maxPollWait;
     if (now >= m_nextStallCheck)
         checkForStalledJobs(now, wallNow, mayStart);
+    m_teamQuota.recount(m_runners, m_jobTable, m_earlierRunsEndBy, now, wallNow);
     if (mayStart)
         placeJobs(now, wallNow, orders);
     for (auto& [id, runner] : m_runners) {
@@ -282,12 +283,13 @@
             placeStep(*entry, *stepOccurrence, runners, now, orders);
             if (stepOccurrence->waitingCount() > 0 && runners.mayShortenIsolation)
                 placeStepAsLastResort(*entry, *stepOccurrence, runners, now, orders);
-            if (stepOccurrence->waitingCount() == 0)
+            const auto& step = entry->job.steps[stepOccurrence->step];
+            auto waiting = noteWaiting(*entry, *stepOccurrence);
+            if (waiting == 0)
                 continue;
-            if (const auto& step = entry->job.steps[stepOccurrence->step]; step.isLongRunning) {
-                m_unplacedLongRunning[pool] += step.maxPerRunner == 0
-                    ? 1
-                    : (stepOccurrence->waitingCount() + step.maxPerRunner - 1) / step.maxPerRunner;
+            if (step.isLongRunning) {
+                m_unplacedLongRunning[pool]
+                    += step.maxPerRunner == 0 ? 1 : (waiting + step.maxPerRunner - 1) / step.maxPerRunner;
                 logUnplaced(*entry, *stepOccurrence, now);
             } else
                 m_backloggedPools.insert(pool);
@@ -295,6 +297,21 @@
     }
 }
 
+// The waiting tasks that the quota would let start, and that lack a runner.
+std::uint32_t Shard::noteWaiting(const JobEntry& entry, const StepOccurrence& stepOccurrence)
+{
+    const auto& step = entry.job.steps[stepOccurrence.step];
+    auto waiting = stepOccurrence.waitingCount();
+    if (stepOccurrence.isHeldBackByQuota) {
+        m_teamQuota.noteHeldBack(entry.job, step, waiting);
+        return 0;
+    }
+    auto withinQuota = m_teamQuota.startable(entry.job, step, waiting);
+    m_teamQuota.noteQueued(entry.job, step, withinQuota);
+    m_teamQuota.noteHeldBack(entry.job, step, waiting - withinQuota);
+    return withinQuota;
+}
+
 void Shard::placeStepAsLastResort(
     JobEntry& entry, StepOccurrence& stepOccurrence, PoolRunners& runners, TimePoint now, ShardOrders& orders)
 {
@@ -389,6 +406,8 @@
     run.fence = runner.fence();
     run.startsInFlight = 1;
     run.reserved = step.reserved();
+    run.team = m_teamQuota.numberOf(entry.job.team);
+    run.full = step.perTask;
     run.orderedAt = now;
     run.isLongRunning = step.isLongRunning;
     run.isolation = isolation;
@@ -397,7 +416,7 @@
         run.expectedEnd = now + step.expectedRunTime();
     run.isResumed = !task.checkpoint.empty();
     run.checkpoint = task.checkpoint;
-    runner.addRun(name, std::move(run));
+    m_teamQuota.add(runner.addRun(name, std::move(run)));
     task.state = TaskState::Placed;
     task.runner = runner.report().id;
     ++entry.stepOccurrence(name.occurrence, name.step).placedCount;
@@ -412,12 +431,16 @@
     const auto& step = entry.job.steps[stepOccurrence.step];
     TaskName name { entry.job.id, stepOccurrence.occurrence, stepOccurrence.step, 0 };
     RackId rack(step.dataRack);
+    stepOccurrence.isHeldBackByQuota = false;
     if (step.isGang) {
         // All members start together or none does.
         auto isAnyTaskDelayed = std::any_of(stepOccurrence.tasks.begin(), stepOccurrence.tasks.end(),
             [now](const Task& task) { return now < task.notBefore; });
         if (stepOccurrence.placedCount > 0 || isAnyTaskDelayed)
             return;
+        stepOccurrence.isHeldBackByQuota = !m_teamQuota.mayStart(entry.job, step, step.count);
+        if (stepOccurrence.isHeldBackByQuota)
+            return;
         std::vector<Runner*> places;
         auto attempt = nextAttempt();
         for (name.index = 0; name.index < stepOccurrence.tasks.size(); ++name.index) {
@@ -433,6 +456,7 @@
         if (places.size() == stepOccurrence.tasks.size())
             return;
         for (name.index = 0; name.index < places.size(); ++name.index) {
+            m_teamQuota.remove(*places[name.index]->find(name));
             places[name.index]->removeRun(name);
             releaseTask(entry, name, attempt, {});
             orders.starts.pop_back();
@@ -484,6 +508,9 @@
         auto& task = stepOccurrence.tasks[name.index];
         if (task.state != TaskState::Waiting || now < task.notBefore)
             continue;
+        stepOccurrence.isHeldBackByQuota = !m_teamQuota.mayStart(entry.job, step, 1);
+        if (stepOccurrence.isHeldBackByQuota)
+            return;
         auto isolation = isolationFor(task.crashes, task.isCrashSuspect);
         if (runners.mayShortenIsolation && isolation == Isolation::Exclusive)
             isolation = Isolation::Start;
--- a/src/jobs/stalled_jobs.cpp
+++ b/src/jobs/stalled_jobs.cpp
@@ -49,6 +49,9 @@
             const auto& task = stepOccurrence.tasks[name.index];
             if (task.state == TaskState::Done)
                 continue;
+            // It waits for the team's other work, not for a fault to pass.
+            if (task.state == TaskState::Waiting && stepOccurrence.isHeldBackByQuota)
+                continue;
             if (isRunning(task, name, runners)) {
                 if (!isLongRunning)
                     return std::nullopt;
--- a/src/jobs/stalled_jobs.h
+++ b/src/jobs/stalled_jobs.h
@@ -47,7 +47,7 @@
 };
 
 // The first task of the job that could run and does not; the tasks of a long-running step count each, others
-// only while no task of the job runs.
+// only while no task of the job runs. Tasks that only their team's quota holds back could not run.
 [[nodiscard]] std::optional<TaskName> findStalledTask(
     const JobEntry&, const std::map<RunnerId, Runner>&, WallTime);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -436,6 +436,8 @@
     hooks.onLost = [this, &slot] { asio::post(m_loop, [this, &slot] { dropShard(slot, "store-refused"); }); };
     hooks.onRenewed = [&slot](TimePoint at) { slot.lease.onRenewed(at); };
     hooks.ownsVm = [this, index = slot.index](const VmId& vm) { return m_map->shardOf(vm) == index; };
+    hooks.configAge = [this] { return m_configFollower.age(); };
+    hooks.configApplyTime = m_settings.configApplyTime;
     // The previous holder has released the shard, or its lease, as that holder counts it, ended at least
     // LeaseSettings::margin ago. An order that it sent before may still be in flight, for up to orderMargin.
     // The first epoch has no previous holder.
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -46,6 +46,10 @@
                                                            .Help(
                                                                "Transactions of the shards' logs by outcome")
                                                            .Register(registry) };
+    prometheus::Family<prometheus::Counter>& quotaWrites { prometheus::BuildCounter()
+                                                               .Name("fulmar_team_limit_commits_total")
+                                                               .Help("Transactions on team limits by outcome")
+                                                               .Register(registry) };
     prometheus::Family<prometheus::Counter>& refusedRows { prometheus::BuildCounter()
                                                                .Name("fulmar_store_refused_rows_total")
                                                                .Help("Rows that the store refuses, by table")
@@ -89,6 +93,11 @@
     m_families->commits.Add({ { "outcome", outcome } }).Increment();
 }
 
+void NodeMetrics::countQuotaWrite(const std::string& outcome)
+{
+    m_families->quotaWrites.Add({ { "outcome", outcome } }).Increment();
+}
+
 void NodeMetrics::countRefusedRow(const std::string& table)
 {
     m_families->refusedRows.Add({ { "table", table } }).Increment();
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -26,6 +26,8 @@
     void countOrder(const std::string& order, const std::string& outcome);
     // Counts a transaction of a shard's row log by outcome.
     void countCommit(const std::string& outcome);
+    // Counts a transaction on the shares of the teams' limits by outcome.
+    void countQuotaWrite(const std::string& outcome);
     // Counts a row that the store refuses while it stores others, by table.
     void countRefusedRow(const std::string& table);
     void setShardsHeld(std::size_t);
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -70,6 +70,7 @@
     , m_runnerClient(clients.runners)
     , m_metrics(clients.metrics)
     , m_part(lease.name.part)
+    , m_shardIndex(vmSettings.shard)
     , m_shardCount(vmSettings.shards.count)
     , m_hooks(std::move(hooks))
     , m_log(loop, clients.store, lease,
@@ -78,6 +79,8 @@
                   platform::CommitOutcome outcome) { m_metrics.countCommit(std::string(toString(outcome))); },
               [this](const platform::RowName& name) { onRowRefused(name); } })
     , m_shard(settings, vmSettings.epoch)
+    , m_teamLimits(loop, clients.store, clients.metrics, m_shard.teamQuota(), m_hooks.configApplyTime,
+          { m_hooks.configAge, [this] { schedule(); } })
     , m_vmController(clients.store, clients.vms, m_shard, vmSettings,
           { m_hooks.mayOrderVms, m_hooks.ownsVm,
               [this](std::int64_t wave, std::string value, std::function<void()> durable) {
@@ -245,6 +248,7 @@
     m_vmController.configure(config);
     m_hasTeams = config.teams.has_value();
     m_shard.setTeams(config.teams.value_or(std::vector<teams::TeamConfig> {}), m_shardCount);
+    m_teamLimits.configure(config, m_shardIndex, m_shardCount);
     schedule();
 }
 
@@ -457,7 +461,11 @@
 {
     m_isPlanScheduled = false;
     auto now = m_clock.now();
-    auto orders = m_shard.plan(now, m_clock.wallNow(), m_hooks.mayOrder());
+    auto mayOrder = m_hooks.mayOrder();
+    m_teamLimits.update();
+    auto orders = m_shard.plan(now, m_clock.wallNow(), mayOrder);
+    if (mayOrder)
+        m_teamLimits.write(now);
     for (const auto& start : orders.starts)
         sendStart(start);
     for (const auto& stop : orders.stops)
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -5,6 +5,7 @@
 #include "node/node_metrics.h"
 #include "node/row_log.h"
 #include "node/table_follower.h"
+#include "node/team_limits.h"
 #include "node/vm_controller.h"
 #include "platform/runner_client.h"
 
@@ -35,6 +36,9 @@
         std::function<void(TimePoint sent)> onRenewed;
         // The VM belongs to this shard.
         std::function<bool(const VmId&)> ownsVm;
+        // Time since the store confirmed the configuration, and how long one may take to be in force.
+        std::function<std::chrono::milliseconds()> configAge = [] { return std::chrono::milliseconds(0); };
+        std::chrono::milliseconds configApplyTime { 3'000 };
     };
 
     // Clients of the platform's interfaces, and the metrics.
@@ -93,12 +97,14 @@
     platform::RunnerClient& m_runnerClient;
     NodeMetrics& m_metrics;
     const std::string m_part;
+    const std::uint32_t m_shardIndex;
     const std::uint32_t m_shardCount;
     const Hooks m_hooks;
     bool m_hasTeams { false };
     BootClock m_clock;
     RowLog m_log;
     jobs::Shard m_shard;
+    TeamLimits m_teamLimits;
     VmController m_vmController;
     TableFollower m_runnerList;
     std::map<jobs::RunnerId, jobs::RunnerReport> m_listedRunners;
--- /dev/null
+++ b/src/teams/quota_ledger.cpp
@@ -0,0 +1,673 @@
+#include "teams/quota_ledger.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+#include <utility>
+
+namespace fulmar::teams {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto unlimited = std::numeric_limits<std::int64_t>::max();
+// Other shards may announce older limits for as long as they take to follow a configuration, some seconds.
+constexpr std::size_t maxTables = 16;
+// A part of the store handles 150 transactions a second; all shards together make at most 125.
+constexpr milliseconds writePausePerShard { 8 };
+constexpr milliseconds minWritePause { 100 };
+constexpr milliseconds pauseAfterFailure { 250 };
+// A shard that is still over its share tells so at most this often.
+constexpr milliseconds overWritePause { 500 };
+// The next shards give if the want is still there: a gift is written and seen in less.
+constexpr milliseconds turnTime { 150 };
+// A shard keeps its share for tasks that wait for a runner until another shard has lacked it for this long.
+constexpr milliseconds keepForQueued { 500 };
+// Entries of a transaction.
+constexpr std::size_t maxEntries = 100;
+
+std::int64_t smaller(std::int64_t a, std::int64_t b)
+{
+    if (a == 0 || b == 0)
+        return std::max(a, b);
+    return std::min(a, b);
+}
+
+// The stricter of two limits, in which 0 is unlimited.
+Resources stricter(const Resources& a, const Resources& b)
+{
+    return { smaller(a.cpu, b.cpu), smaller(a.memoryMb, b.memoryMb),
+        smaller(a.accelerators, b.accelerators) };
+}
+
+std::int64_t amountOf(std::int64_t share, std::int64_t limit) { return share * limit / wholeShare; }
+
+// The least share that holds the amount.
+std::int64_t shareFor(std::int64_t amount, std::int64_t limit)
+{
+    return (std::max<std::int64_t>(0, amount) * wholeShare + limit - 1) / limit;
+}
+
+bool isNothing(const Resources& amounts) { return amounts == Resources {}; }
+
+bool isAnyAbove(const Resources& a, const Resources& b) { return !a.fitsIn(b); }
+
+Share needOf(const Share& target, const Share& share)
+{
+    Share need;
+    for (auto kind : resourceKinds)
+        need.*kind = std::max<std::int64_t>(0, target.*kind - share.*kind);
+    return need;
+}
+
+} // namespace
+
+void QuotaLedger::configure(std::int64_t version, const std::vector<TeamConfig>& configs, std::uint32_t shard,
+    std::uint32_t shardCount)
+{
+    m_configVersion = version;
+    m_shard = shard;
+    m_shardCount = shardCount;
+    m_limits.clear();
+    for (const auto& team : configs)
+        if (!isNothing(team.limit))
+            m_limits.insert_or_assign(team.id, team.limit);
+    m_fingerprint = fingerprintOf(m_limits);
+    std::erase_if(m_tables, [this](const auto& table) { return table.first == m_fingerprint; });
+    m_tables.emplace_back(m_fingerprint, m_limits);
+    if (m_tables.size() > maxTables)
+        m_tables.pop_front();
+    invalidate();
+}
+
+// Once the shard has announced limits, it follows them until the store has its next announcement.
+bool QuotaLedger::isNeeded() const
+{
+    return m_configVersion < 0 || !m_limits.empty() || m_own || !m_pending.empty();
+}
+
+bool QuotaLedger::isLimited(const TeamId& team) const
+{
+    if (team.empty() || !isNeeded())
+        return false;
+    if (m_limits.contains(team))
+        return true;
+    auto announced = announcedLimit(team);
+    return !announced || !isNothing(*announced);
+}
+
+Resources QuotaLedger::limitOf(const TeamId& team) const
+{
+    auto found = m_limits.find(team);
+    return found == m_limits.end() ? Resources {} : found->second;
+}
+
+const Limits* QuotaLedger::tableOf(std::uint64_t fingerprint) const
+{
+    auto found = std::find_if(m_tables.begin(), m_tables.end(),
+        [fingerprint](const auto& table) { return table.first == fingerprint; });
+    return found == m_tables.end() ? nullptr : &found->second;
+}
+
+Share QuotaLedger::equalShare(std::uint32_t shard) const
+{
+    auto share = wholeShare / m_shardCount + (shard < wholeShare % m_shardCount ? 1 : 0);
+    return { share, share, share };
+}
+
+Share QuotaLedger::shareOf(std::uint32_t shard, const TeamId& team) const
+{
+    auto share = equalShare(shard);
+    auto found = m_gifts.find(team);
+    if (found == m_gifts.end())
+        return share;
+    for (const auto& [from, gift] : found->second)
+        for (const auto& [to, given] : gift.row) {
+            if (from == shard)
+                share -= given;
+            if (to == shard)
+                share += given;
+        }
+    return share;
+}
+
+// The lowest that it can be after any of the writes whose outcome is not known.
+Share QuotaLedger::ownShare(const TeamId& team) const
+{
+    auto share = shareOf(m_shard, team);
+    Resources stored;
+    if (auto found = m_gifts.find(team); found != m_gifts.end())
+        if (auto own = found->second.find(m_shard); own != found->second.end())
+            for (const auto& [to, given] : own->second.row)
+                stored += given;
+    Share lowest = share;
+    for (const auto& pending : m_pending) {
+        auto found = pending.gifts.find(team);
+        if (found == pending.gifts.end())
+            continue;
+        auto possible = share;
+        possible += stored;
+        for (const auto& [to, given] : found->second)
+            possible -= given;
+        for (auto kind : resourceKinds)
+            lowest.*kind = std::min(lowest.*kind, possible.*kind);
+    }
+    return lowest;
+}
+
+std::optional<Resources> QuotaLedger::announcedLimit(const TeamId& team) const
+{
+    if (!m_own)
+        return std::nullopt;
+    Resources limit;
+    auto add = [&](const HolderRow& row) {
+        const auto* table = tableOf(row.limits);
+        if (!table)
+            return false;
+        if (auto found = table->find(team); found != table->end())
+            limit = stricter(limit, found->second);
+        return true;
+    };
+    if (!add(m_own->row))
+        return std::nullopt;
+    for (const auto& pending : m_pending)
+        if (!add(pending.holder))
+            return std::nullopt;
+    return limit;
+}
+
+std::optional<Resources> QuotaLedger::limitInUse(const TeamId& team) const
+{
+    auto announced = announcedLimit(team);
+    return announced ? std::optional(stricter(limitOf(team), *announced)) : std::nullopt;
+}
+
+const QuotaLedger::Allowance& QuotaLedger::allowanceOf(const TeamId& team) const
+{
+    auto found = m_allowances.find(team);
+    if (found == m_allowances.end())
+        found = m_allowances.emplace(team, computeAllowance(team)).first;
+    return found->second;
+}
+
+QuotaLedger::Allowance QuotaLedger::computeAllowance(const TeamId& team) const
+{
+    Allowance allowance;
+    auto limit = limitOf(team);
+    auto inUse = limitInUse(team);
+    allowance.isBlocked = !m_isOpen || m_isOutdated || !inUse;
+    Resources excess;
+    for (std::uint32_t shard = 0; shard < m_shardCount && !allowance.isBlocked; ++shard)
+        if (shard != m_shard)
+            allowance.isBlocked = !addExcess(shard, team, limit, excess);
+    if (allowance.isBlocked)
+        return allowance;
+    allowance.limit = *inUse;
+    auto share = ownShare(team);
+    for (std::size_t i = 0; i < resourceKinds.size(); ++i) {
+        auto kind = resourceKinds[i];
+        auto& most = allowance.most.*kind;
+        if (allowance.limit.*kind == 0) {
+            most = unlimited;
+            continue;
+        }
+        most = amountOf(share.*kind, allowance.limit.*kind);
+        if (limit.*kind > 0)
+            most = std::min(most, amountOf(share.*kind, limit.*kind) - excess.*kind);
+        allowance.isWhole[i] = share.*kind == wholeShare && excess.*kind == 0;
+    }
+    return allowance;
+}
+
+bool QuotaLedger::addExcess(
+    std::uint32_t shard, const TeamId& team, const Resources& limit, Resources& excess) const
+{
+    auto found = m_holders.find(shard);
+    if (found == m_holders.end())
+        return false;
+    const auto& row = found->second.row;
+    auto announced = limit;
+    if (row.limits != m_fingerprint) {
+        if (const auto* table = tableOf(row.limits)) {
+            auto entry = table->find(team);
+            announced = entry == table->end() ? Resources {} : entry->second;
+        } else if (row.limits == 0 || row.configVersion <= m_configVersion) {
+            return false;
+        }
+        // Else its configuration is newer than this one, and so in force as well.
+    }
+    auto share = shareOf(shard, team);
+    auto over = row.over.find(team);
+    for (auto kind : resourceKinds) {
+        if (limit.*kind == 0)
+            continue;
+        auto possible
+            = announced.*kind == 0 ? unlimited / wholeShare : amountOf(share.*kind, announced.*kind);
+        if (over != row.over.end() && announced.*kind != 0)
+            possible = std::max(possible, over->second.*kind);
+        excess.*kind += std::max<std::int64_t>(0, possible - amountOf(share.*kind, limit.*kind));
+    }
+    return true;
+}
+
+bool QuotaLedger::mayStart(const TeamId& team, const Resources& used, const Resources& need) const
+{
+    if (!isLimited(team))
+        return true;
+    if (!m_isFresh)
+        return false;
+    const auto& allowance = allowanceOf(team);
+    if (allowance.isBlocked)
+        return false;
+    for (std::size_t i = 0; i < resourceKinds.size(); ++i) {
+        auto kind = resourceKinds[i];
+        if (need.*kind == 0 || allowance.most.*kind == unlimited)
+            continue;
+        auto isLargerThanLimit
+            = need.*kind > allowance.limit.*kind && allowance.isWhole[i] && isNothing(used);
+        if (used.*kind + need.*kind > allowance.most.*kind && !isLargerThanLimit)
+            return false;
+    }
+    return true;
+}
+
+std::uint32_t QuotaLedger::startable(
+    const TeamId& team, const Resources& used, const Resources& perTask, std::uint32_t count) const
+{
+    if (!isLimited(team))
+        return count;
+    const auto& allowance = allowanceOf(team);
+    if (allowance.isBlocked)
+        return 0;
+    auto most = std::int64_t(count);
+    for (auto kind : resourceKinds)
+        if (perTask.*kind > 0 && allowance.most.*kind != unlimited)
+            most = std::min(
+                most, std::max<std::int64_t>(0, allowance.most.*kind - used.*kind) / perTask.*kind);
+    return std::uint32_t(most);
+}
+
+void QuotaLedger::onRow(const QuotaRow& row)
+{
+    auto key = parseQuotaKey(row.key);
+    if (!key || row.isRemoved)
+        return;
+    if (key->team.empty()) {
+        onHolderRow(key->shard, row);
+        return;
+    }
+    auto& stored = m_gifts[key->team][key->shard];
+    if (row.version <= stored.version)
+        return;
+    auto gift = decodeGiftRow(row.value);
+    if (!gift) {
+        logWarning("row-unreadable", { { "table", "team_limits" }, { "key", row.key } });
+        return;
+    }
+    stored = { std::move(*gift), row.version };
+    invalidate();
+}
+
+void QuotaLedger::onHolderRow(std::uint32_t shard, const QuotaRow& row)
+{
+    auto& stored = m_holders[shard];
+    if (row.version <= stored.version)
+        return;
+    auto holder = decodeHolderRow(row.value);
+    // What the shard may use is not known then.
+    if (!holder)
+        logWarning("row-unreadable", { { "table", "team_limits" }, { "key", row.key } });
+    stored = { holder.value_or(HolderRow {}), row.version };
+    if (shard == m_shard)
+        onOwnRow(stored.row, row.version);
+    invalidate();
+}
+
+void QuotaLedger::onOwnRow(const HolderRow& row, Version version)
+{
+    m_ownVersion = std::max(m_ownVersion, version);
+    if (row.epoch > m_epoch) {
+        m_isOutdated = true;
+        return;
+    }
+    if (row.epoch < m_epoch)
+        return;
+    auto written = std::find_if(m_pending.begin(), m_pending.end(),
+        [&](const Pending& pending) { return pending.holder.serial == row.serial; });
+    if (written != m_pending.end())
+        apply(Pending(*written), version);
+}
+
+// The writes before it can no longer be carried out: they expect an earlier version of the row.
+void QuotaLedger::apply(const Pending& written, Version version)
+{
+    m_own = StoredHolder { written.holder, version };
+    m_ownVersion = version;
+    m_holders[m_shard] = *m_own;
+    for (const auto& [team, gift] : written.gifts) {
+        m_gifts[team][m_shard] = { gift, version };
+        ++m_giftsMade;
+    }
+    m_pending.clear();
+    m_isClaimed = true;
+    invalidate();
+}
+
+void QuotaLedger::onRowsRead()
+{
+    m_isOpen = m_isClaimed;
+    invalidate();
+}
+
+bool QuotaLedger::isAnnounced() const
+{
+    return m_own && m_own->row.limits == m_fingerprint && m_pending.empty();
+}
+
+Duration QuotaLedger::writePause() const
+{
+    return std::max<Duration>(minWritePause, writePausePerShard * m_shardCount);
+}
+
+void QuotaLedger::wakeNoLaterThan(TimePoint at) { m_wakeAt = m_wakeAt ? std::min(*m_wakeAt, at) : at; }
+
+QuotaWrite QuotaLedger::send(Pending pending, QuotaWrite write)
+{
+    m_isInFlight = true;
+    m_expectedVersion = m_ownVersion;
+    pending.holder.epoch = m_epoch;
+    pending.holder.serial = ++m_serial;
+    write.conditions.push_back({ holderKey(m_shard), m_expectedVersion });
+    write.puts.emplace_back(holderKey(m_shard), encodeHolderRow(pending.holder));
+    m_pending.push_back(std::move(pending));
+    invalidate();
+    return write;
+}
+
+// Keeps what the holder before announced: its tasks run on.
+std::optional<QuotaWrite> QuotaLedger::claim(TimePoint now)
+{
+    if (now < m_nextWrite) {
+        wakeNoLaterThan(m_nextWrite);
+        return std::nullopt;
+    }
+    Pending pending;
+    if (auto found = m_holders.find(m_shard); found != m_holders.end())
+        pending.holder = found->second.row;
+    pending.holder.wants.clear();
+    return send(std::move(pending), {});
+}
+
+std::optional<QuotaWrite> QuotaLedger::propose(const TeamUses& uses, TimePoint now)
+{
+    m_wakeAt.reset();
+    if (m_isInFlight || m_isOutdated || m_configVersion < 0 || !isNeeded())
+        return std::nullopt;
+    if (!m_isClaimed)
+        return claim(now);
+    if (!m_isOpen)
+        return std::nullopt;
+    updateSeenWants(now);
+    Pending next { m_own->row, {} };
+    auto& row = next.holder;
+    auto isNewTable = row.limits != m_fingerprint && m_configVersion >= row.configVersion;
+    if (isNewTable) {
+        row.limits = m_fingerprint;
+        row.configVersion = m_configVersion;
+    }
+    row.over = overOf(uses, isNewTable);
+    row.wants = wantsOf(uses);
+    auto isNeeded = isNewTable || !m_pending.empty() || areWantsOutdated(row.wants);
+    if (row.over != m_own->row.over) {
+        if (now >= m_nextOverWrite)
+            isNeeded = true;
+        else
+            wakeNoLaterThan(m_nextOverWrite);
+    }
+    QuotaWrite write;
+    if (isAnnounced())
+        addGifts(uses, now, next, write);
+    if (!isNeeded && next.gifts.empty())
+        return std::nullopt;
+    if (now < m_nextWrite) {
+        wakeNoLaterThan(m_nextWrite);
+        return std::nullopt;
+    }
+    m_nextOverWrite = now + overWritePause;
+    return send(std::move(next), std::move(write));
+}
+
+void QuotaLedger::onWritten(QuotaWriteOutcome outcome, Version version, TimePoint now)
+{
+    m_isInFlight = false;
+    auto wasClaimed = std::exchange(m_wasClaimed, m_isClaimed || outcome == QuotaWriteOutcome::Committed);
+    // The claim is followed at once by the announcement of the limits, or by the next try.
+    m_nextWrite = wasClaimed ? now + writePause() : now;
+    if (outcome == QuotaWriteOutcome::Committed) {
+        if (!m_pending.empty())
+            apply(Pending(m_pending.back()), version);
+    } else if (outcome == QuotaWriteOutcome::Unknown) {
+        m_nextWrite = now + std::max<Duration>(writePause(), pauseAfterFailure);
+    } else if (outcome == QuotaWriteOutcome::Conflict && m_ownVersion != m_expectedVersion) {
+        // None of the writes that expected the earlier version can be carried out any more.
+        m_pending.clear();
+    } else {
+        if (!m_pending.empty())
+            m_pending.pop_back();
+        if (outcome == QuotaWriteOutcome::NotDone)
+            m_nextWrite = now + std::max<Duration>(writePause(), pauseAfterFailure);
+    }
+    invalidate();
+}
+
+std::map<TeamId, Resources> QuotaLedger::overOf(const TeamUses& uses, bool isNewTable) const
+{
+    std::map<TeamId, Resources> over;
+    for (const auto& [team, use] : uses) {
+        auto before = m_own->row.over.find(team);
+        auto wasOver = before != m_own->row.over.end();
+        auto limit = limitOf(team);
+        if ((!isNewTable && !wasOver) || isNothing(limit))
+            continue;
+        auto share = ownShare(team);
+        auto isOver = false;
+        for (auto kind : resourceKinds)
+            isOver |= limit.*kind > 0 && use.used.*kind > amountOf(share.*kind, limit.*kind);
+        if (isOver)
+            over.emplace(team, use.used);
+    }
+    return over;
+}
+
+Share QuotaLedger::targetOf(const TeamId& team, const TeamUse& use) const
+{
+    Share target;
+    auto limit = limitOf(team);
+    // What runs beyond the share after a cut of the limit keeps the other shards from starting anything.
+    if (isNothing(use.heldBack) && !m_own->row.over.contains(team))
+        return target;
+    for (auto kind : resourceKinds) {
+        if (limit.*kind == 0)
+            continue;
+        target.*kind = use.largestGroup.*kind > limit.*kind
+            ? wholeShare
+            : std::min(wholeShare, shareFor(use.used.*kind + use.heldBack.*kind, limit.*kind));
+    }
+    return target;
+}
+
+std::uint64_t QuotaLedger::nextSince(const TeamId& team) const
+{
+    std::uint64_t latest = 0;
+    for (const auto& [shard, holder] : m_holders)
+        if (auto found = holder.row.wants.find(team); found != holder.row.wants.end())
+            latest = std::max(latest, found->second.since);
+    return latest + 1;
+}
+
+// A want is written again only when it has changed much: the backlog changes with every job.
+bool QuotaLedger::isWantOutdated(const TeamId& team, const Want& stored, const Share& target) const
+{
+    auto share = ownShare(team);
+    return std::any_of(resourceKinds.begin(), resourceKinds.end(), [&](auto kind) {
+        auto isUnmet = target.*kind > share.*kind;
+        auto wasUnmet = stored.target.*kind > share.*kind;
+        return isUnmet != wasUnmet
+            || (isUnmet && target.*kind > stored.target.*kind + stored.target.*kind / 4)
+            || (wasUnmet && target.*kind < stored.target.*kind / 2);
+    });
+}
+
+std::map<TeamId, Want> QuotaLedger::wantsOf(const TeamUses& uses) const
+{
+    std::map<TeamId, Want> wants;
+    for (const auto& [team, use] : uses) {
+        auto target = targetOf(team, use);
+        if (!isAnyAbove(target, ownShare(team)))
+            continue;
+        auto before = m_own->row.wants.find(team);
+        auto isKnown = before != m_own->row.wants.end();
+        if (isKnown && !isWantOutdated(team, before->second, target))
+            wants.insert(*before);
+        else
+            wants.emplace(team, Want { target, isKnown ? before->second.since : nextSince(team) });
+    }
+    return wants;
+}
+
+bool QuotaLedger::areWantsOutdated(const std::map<TeamId, Want>& desired) const
+{
+    const auto& stored = m_own->row.wants;
+    for (const auto& [team, want] : desired)
+        if (auto found = stored.find(team); found == stored.end() || found->second != want)
+            return true;
+    // One that is met already needs no write to be withdrawn.
+    return std::any_of(stored.begin(), stored.end(), [&](const auto& each) {
+        return !desired.contains(each.first) && isAnyAbove(each.second.target, ownShare(each.first));
+    });
+}
+
+void QuotaLedger::updateSeenWants(TimePoint now)
+{
+    std::erase_if(m_seenWants, [this](const auto& each) {
+        const auto& [shard, team] = each.first;
+        auto holder = m_holders.find(shard);
+        return holder == m_holders.end() || !holder->second.row.wants.contains(team);
+    });
+    for (const auto& [shard, holder] : m_holders)
+        if (shard != m_shard)
+            for (const auto& [team, want] : holder.row.wants) {
+                auto [seen, isNew] = m_seenWants.try_emplace({ shard, team }, SeenWant { want, now });
+                if (!isNew && seen->second.want.since != want.since)
+                    seen->second = { want, now };
+                seen->second.want = want;
+            }
+}
+
+// Load pattern: many shards see a want at once, and few of them have to give. The first are as many as are
+// needed if each has an equal share unused; each later group is twice as large as the one before.
+TimePoint QuotaLedger::turnToGive(std::uint32_t to, const Share& need, TimePoint seenAt) const
+{
+    auto equal = wholeShare / m_shardCount;
+    auto most = std::max({ need.cpu, need.memoryMb, need.accelerators });
+    auto first = std::max<std::int64_t>(1, (most + equal - 1) / std::max<std::int64_t>(1, equal));
+    auto rank = (m_shard + m_shardCount - to - 1) % m_shardCount;
+    auto group = std::bit_width(std::uint64_t(rank) / std::uint64_t(first) + 1) - 1;
+    return seenAt + turnTime * group;
+}
+
+Share QuotaLedger::spareOf(const TeamId& team, const TeamUse& use, bool keepsQueued) const
+{
+    Share spare;
+    auto inUse = limitInUse(team);
+    if (!inUse)
+        return spare;
+    const auto& limit = *inUse;
+    auto share = ownShare(team);
+    for (auto kind : resourceKinds) {
+        auto kept = use.used.*kind + (keepsQueued ? use.queued.*kind : 0);
+        if (limit.*kind > 0)
+            spare.*kind
+                = std::max<std::int64_t>(0, share.*kind - std::min(wholeShare, shareFor(kept, limit.*kind)));
+    }
+    return spare;
+}
+
+void QuotaLedger::addGifts(const TeamUses& uses, TimePoint now, Pending& next, QuotaWrite& write)
+{
+    std::set<TeamId> teams;
+    for (const auto& [key, seen] : m_seenWants)
+        teams.insert(key.second);
+    for (const auto& team : teams) {
+        auto use = uses.find(team);
+        addGiftsOf(team, use == uses.end() ? TeamUse {} : use->second, now, next, write);
+    }
+}
+
+void QuotaLedger::addGiftsOf(
+    const TeamId& team, const TeamUse& use, TimePoint now, Pending& next, QuotaWrite& write)
+{
+    struct Need {
+        std::uint64_t since;
+        std::uint32_t shard;
+        Share need;
+    };
+    std::vector<Need> needs;
+    for (const auto& [shard, holder] : m_holders)
+        if (auto want = holder.row.wants.find(team); shard != m_shard && want != holder.row.wants.end())
+            // The receiver follows the same limits, so that the gift adds nothing to what both may use.
+            if (auto need = needOf(want->second.target, shareOf(shard, team));
+                !isNothing(need) && holder.row.limits == m_own->row.limits)
+                needs.push_back({ want->second.since, shard, need });
+    std::sort(needs.begin(), needs.end(), [](const Need& a, const Need& b) {
+        return std::pair(a.since, a.shard) < std::pair(b.since, b.shard);
+    });
+    auto own = next.holder.wants.find(team);
+    std::optional<GiftRow> gift;
+    Share given;
+    for (const auto& [since, shard, need] : needs) {
+        // What this shard cannot use goes to those that have waited longer.
+        if (own != next.holder.wants.end() && std::pair(own->second.since, m_shard) < std::pair(since, shard))
+            break;
+        auto seenAt = m_seenWants.at({ shard, team }).at;
+        auto spare = spareOf(team, use, now < seenAt + keepForQueued);
+        spare -= given;
+        Share part;
+        for (auto kind : resourceKinds)
+            part.*kind = std::max<std::int64_t>(0, std::min(spare.*kind, need.*kind));
+        if (isNothing(part)) {
+            if (now < seenAt + keepForQueued && !isNothing(use.queued))
+                wakeNoLaterThan(seenAt + keepForQueued);
+            continue;
+        }
+        given += part;
+        if (auto turn = turnToGive(shard, need, seenAt); now < turn) {
+            wakeNoLaterThan(turn);
+            continue;
+        }
+        auto receiver = holderKey(shard);
+        auto isCondition = std::any_of(write.conditions.begin(), write.conditions.end(),
+            [&](const QuotaWrite::Condition& condition) { return condition.key == receiver; });
+        // Two entries are for the own row, and two for this gift.
+        if (write.conditions.size() + write.puts.size() + 4 > maxEntries)
+            break;
+        if (!isCondition)
+            write.conditions.push_back({ receiver, m_holders.at(shard).version });
+        if (!gift) {
+            gift.emplace();
+            if (auto found = m_gifts.find(team); found != m_gifts.end())
+                if (auto stored = found->second.find(m_shard); stored != found->second.end())
+                    gift = stored->second.row;
+        }
+        (*gift)[shard] += part;
+    }
+    if (!gift)
+        return;
+    write.puts.emplace_back(giftKey(m_shard, team), encodeGiftRow(*gift));
+    next.gifts.emplace(team, std::move(*gift));
+}
+
+} // namespace fulmar::teams
