--- a/src/jobs/tests/late_call_fixture.h
+++ b/src/jobs/tests/late_call_fixture.h
@@ -151,6 +151,31 @@
     // Of calls that are carried out late.
     Duration shortestLateness { 200ms };
     Duration longestLateness { maxLateness };
+    // The holder is paused: it plans nothing, and sees the answers once it goes on.
+    bool isHolderPaused { false };
+    // A start order is about to be sent.
+    std::function<void(const StartOrder&)> onStartSent { [](const StartOrder&) {} };
+    // Called in each round, before the holder plans and after it did.
+    std::function<void()> beforePlan { [] {} };
+    std::function<void()> afterPlan { [] {} };
+
+    // What runs, and what orders on their way would begin.
+    [[nodiscard]] std::set<std::pair<TaskName, Attempt>> runningOrOnTheWay() const
+    {
+        std::set<std::pair<TaskName, Attempt>> found;
+        for (const auto& [id, host] : m_hosts)
+            if (host.runner)
+                for (const auto& run : host.runner->lists(now).running)
+                    found.emplace(run.task, run.attempt);
+        for (const auto& each : m_calls) {
+            const auto* start = std::get_if<StartOrder>(&each.call);
+            const auto& host = m_hosts.at(each.runner);
+            if (start && !each.isExecuted && host.runner && host.runner->wouldBegin(*start, now))
+                found.emplace(start->task, start->attempt);
+        }
+        return found;
+    }
+
     // Connections to a runner that ends break, and new ones are refused; otherwise calls get no answer.
     bool breaksConnections { true };
 
@@ -234,15 +259,21 @@
             if (update.incarnation > listed.at(update.id).incarnation)
                 listed.at(update.id) = update;
         }
+        if (isHolderPaused)
+            return;
         shard.observeRunners(listed, now);
         store();
+        beforePlan();
         advance(Duration(0));
-        for (const auto& each : starts)
+        for (const auto& each : starts) {
+            onStartSent(each.order);
             send(each.runner.id, each.order, each.order.timeout);
+        }
         for (const auto& each : stops)
             send(each.runner.id, each.order, each.order.timeout);
         for (const auto& each : std::exchange(polls, {}))
             send(each.runner.id, each.order, each.order.wait + each.order.timeout);
+        afterPlan();
     }
 
     void advanceHost(const RunnerId& id, Host& host)
@@ -374,7 +405,7 @@
 
     void settle(Sent& each, PollAnswer answer)
     {
-        if (std::exchange(each.isSettled, true) || each.holder != m_epoch)
+        if (isHolderPaused || std::exchange(each.isSettled, true) || each.holder != m_epoch)
             return;
         answer.answer.took = now - each.sent;
         if (const auto* start = std::get_if<StartOrder>(&each.call)) {
--- a/src/jobs/tests/model_runner.h
+++ b/src/jobs/tests/model_runner.h
@@ -53,6 +53,15 @@
         return OrderOutcome::Accepted;
     }
 
+    // The order would begin a run if it came now.
+    [[nodiscard]] bool wouldBegin(const StartOrder& order, TimePoint now) const
+    {
+        auto barred = m_barred.find(order.task);
+        return fencingToken(order) >= m_highestToken && order.leaseUntil > clock(now)
+            && !m_runs.contains({ order.task, order.attempt })
+            && (barred == m_barred.end() || order.attempt > barred->second);
+    }
+
     OrderOutcome stop(const StopOrder& order, TimePoint now)
     {
         if (isFenced(fencingToken(order)))
--- a/src/teams/quota_ledger.cpp
+++ b/src/teams/quota_ledger.cpp
@@ -185,6 +185,27 @@
     return announced ? std::optional(stricter(limitOf(team), *announced)) : std::nullopt;
 }
 
+Share QuotaLedger::claimOf(std::uint32_t shard, const TeamId& team) const
+{
+    auto holder = m_holders.find(shard);
+    if (holder == m_holders.end() || holder->second.row.limits != m_fingerprint)
+        return {};
+    auto found = holder->second.row.wants.find(team);
+    if (found == holder->second.row.wants.end())
+        return {};
+    const auto& want = found->second;
+    auto share = shareOf(shard, team);
+    auto equal = equalShare(shard);
+    Share claim;
+    for (auto kind : resourceKinds) {
+        // With less it could start nothing, and would give its share away again.
+        if (want.group.*kind > 0 && equal.*kind - share.*kind < want.group.*kind)
+            return {};
+        claim.*kind = std::max<std::int64_t>(0, std::min(want.target.*kind, equal.*kind) - share.*kind);
+    }
+    return claim;
+}
+
 const QuotaLedger::Allowance& QuotaLedger::allowanceOf(const TeamId& team) const
 {
     auto found = m_allowances.find(team);
@@ -207,6 +228,11 @@
         return allowance;
     allowance.limit = *inUse;
     auto share = ownShare(team);
+    auto equal = equalShare(m_shard);
+    Share claims;
+    for (std::uint32_t shard = 0; shard < m_shardCount; ++shard)
+        if (shard != m_shard)
+            claims += claimOf(shard, team);
     for (std::size_t i = 0; i < resourceKinds.size(); ++i) {
         auto kind = resourceKinds[i];
         auto& most = allowance.most.*kind;
@@ -217,6 +243,8 @@
         most = amountOf(share.*kind, allowance.limit.*kind);
         if (limit.*kind > 0)
             most = std::min(most, amountOf(share.*kind, limit.*kind) - excess.*kind);
+        auto kept = std::max(std::min(share.*kind, equal.*kind), share.*kind - claims.*kind);
+        most = std::min(most, amountOf(kept, allowance.limit.*kind));
         allowance.isWhole[i] = share.*kind == wholeShare && excess.*kind == 0;
     }
     return allowance;
@@ -499,6 +527,16 @@
     return target;
 }
 
+Share QuotaLedger::groupOf(const TeamId& team, const TeamUse& use) const
+{
+    Share group;
+    auto limit = limitOf(team);
+    for (auto kind : resourceKinds)
+        if (limit.*kind > 0)
+            group.*kind = shareFor(use.largestGroup.*kind, limit.*kind);
+    return group;
+}
+
 std::uint64_t QuotaLedger::nextSince(const TeamId& team) const
 {
     std::uint64_t latest = 0;
@@ -533,7 +571,8 @@
         if (isKnown && !isWantOutdated(team, before->second, target))
             wants.insert(*before);
         else
-            wants.emplace(team, Want { target, isKnown ? before->second.since : nextSince(team) });
+            wants.emplace(
+                team, Want { target, isKnown ? before->second.since : nextSince(team), groupOf(team, use) });
     }
     return wants;
 }
@@ -626,18 +665,26 @@
         return std::pair(a.since, a.shard) < std::pair(b.since, b.shard);
     });
     auto own = next.holder.wants.find(team);
+    auto hasOwnWant = own != next.holder.wants.end();
+    auto share = ownShare(team);
+    auto equal = equalShare(m_shard);
     std::optional<GiftRow> gift;
     Share given;
     for (const auto& [since, shard, need] : needs) {
-        // What this shard cannot use goes to those that have waited longer.
-        if (own != next.holder.wants.end() && std::pair(own->second.since, m_shard) < std::pair(since, shard))
-            break;
+        // What this shard cannot use goes to those that have waited longer, and what it could use only up to
+        // their claim.
+        auto isOwnFirst = hasOwnWant && std::pair(own->second.since, m_shard) < std::pair(since, shard);
+        auto mayGiveAll = !isOwnFirst && (hasOwnWant || isNothing(use.heldBack));
+        auto claim = claimOf(shard, team);
         auto seenAt = m_seenWants.at({ shard, team }).at;
         auto spare = spareOf(team, use, now < seenAt + keepForQueued);
-        spare -= given;
         Share part;
-        for (auto kind : resourceKinds)
-            part.*kind = std::max<std::int64_t>(0, std::min(spare.*kind, need.*kind));
+        for (auto kind : resourceKinds) {
+            auto most = std::min(spare.*kind - given.*kind, need.*kind);
+            if (!mayGiveAll)
+                most = std::min({ most, claim.*kind, share.*kind - equal.*kind - given.*kind });
+            part.*kind = std::max<std::int64_t>(0, most);
+        }
         if (isNothing(part)) {
             if (now < seenAt + keepForQueued && !isNothing(use.queued))
                 wakeNoLaterThan(seenAt + keepForQueued);
--- a/src/teams/quota_ledger.h
+++ b/src/teams/quota_ledger.h
@@ -128,6 +128,10 @@
     [[nodiscard]] const Limits* tableOf(std::uint64_t fingerprint) const;
     [[nodiscard]] Share shareOf(std::uint32_t shard, const TeamId&) const;
     [[nodiscard]] Share equalShare(std::uint32_t shard) const;
+    // What the other shard lacks of its equal share, if that lets it start something; else nothing. This
+    // shard yields it from what it has above its own equal share, so that a backlog in one shard does not
+    // hold back the others for long.
+    [[nodiscard]] Share claimOf(std::uint32_t shard, const TeamId&) const;
     // Limit of the team by every configuration that this shard's row may announce; std::nullopt if one of
     // them is not known.
     [[nodiscard]] std::optional<Resources> announcedLimit(const TeamId&) const;
@@ -146,6 +150,7 @@
     [[nodiscard]] Share targetOf(const TeamId&, const TeamUse&) const;
     [[nodiscard]] bool isWantOutdated(const TeamId&, const Want&, const Share& target) const;
     [[nodiscard]] bool areWantsOutdated(const std::map<TeamId, Want>& desired) const;
+    [[nodiscard]] Share groupOf(const TeamId&, const TeamUse&) const;
     [[nodiscard]] std::uint64_t nextSince(const TeamId&) const;
     void addGifts(const TeamUses&, TimePoint now, Pending&, QuotaWrite&);
     void addGiftsOf(const TeamId&, const TeamUse&, TimePoint now, Pending&, QuotaWrite&);
--- a/src/teams/quota_rows.cpp
+++ b/src/teams/quota_rows.cpp
@@ -68,7 +68,7 @@
         over[team.value()] = encode(used);
     auto wants = Json::object();
     for (const auto& [team, want] : row.wants)
-        wants[team.value()] = Json::array({ encode(want.target), want.since });
+        wants[team.value()] = Json::array({ encode(want.target), want.since, encode(want.group) });
     return Json {
         { "epoch", row.epoch }, { "serial", row.serial }, { "limits", row.limits },
         { "config", row.configVersion }, { "over", std::move(over) }, { "wants", std::move(wants) }
@@ -89,7 +89,8 @@
         for (const auto& [team, used] : json.at("over").items())
             row.over.emplace(TeamId(team), decode(used));
         for (const auto& [team, want] : json.at("wants").items())
-            row.wants.emplace(TeamId(team), Want { decode(want.at(0)), want.at(1).get<std::uint64_t>() });
+            row.wants.emplace(TeamId(team),
+                Want { decode(want.at(0)), want.at(1).get<std::uint64_t>(), decode(want.at(2)) });
         return row;
     } catch (const Json::exception&) {
         return std::nullopt;
--- a/src/teams/quota_rows.h
+++ b/src/teams/quota_rows.h
@@ -31,6 +31,8 @@
     Share target;
     // Order of the wants of a team over all shards; the lowest has waited longest.
     std::uint64_t since { 0 };
+    // The largest share that it starts at once.
+    Share group;
 
     bool operator==(const Want&) const = default;
 };
