--- a/src/node/team_limits.cpp
+++ b/src/node/team_limits.cpp
@@ -126,16 +126,18 @@
     auto& ledger = m_quota.ledger();
     auto outcome = std::string(toString(result.outcome));
     m_metrics.countQuotaWrite(outcome);
-    if (result.outcome != platform::CommitOutcome::Committed)
-        logInfo("team-limits-write", { { "outcome", outcome } });
     for (const auto& row : result.current)
         ledger.onRow(rowOf(row));
     ledger.onWritten(outcomeOf(result.outcome), result.version, m_clock.now());
+    logInfo("team-limits-write",
+        { { "shard", std::to_string(ledger.shard()) }, { "outcome", outcome },
+            { "lacking", std::to_string(ledger.wantCount()) },
+            { "gifts", std::to_string(ledger.giftCount()) } });
     if (ledger.isOutdated())
-        logWarning("team-limits-taken", {});
+        logWarning("team-limits-taken", { { "shard", std::to_string(ledger.shard()) } });
     // The rows are read after the claim, so that no write of the holder before can be missing.
     if (ledger.isClaimed() && !std::exchange(m_isFollowing, true)) {
-        logInfo("team-limits-claimed", { { "version", std::to_string(result.version) } });
+        logInfo("team-limits-claimed", { { "shard", std::to_string(ledger.shard()) } });
         m_follower.start();
     }
     m_hooks.requestPlan();
--- a/src/teams/quota_ledger.h
+++ b/src/teams/quota_ledger.h
@@ -96,7 +96,8 @@
 
     // This shard's share of the team's limit.
     [[nodiscard]] Share ownShare(const TeamId&) const;
-    // Teams that want a larger share here, for the metrics.
+    [[nodiscard]] std::uint32_t shard() const { return m_shard; }
+    // Teams that want a larger share here, and rows of gifts written, for the log.
     [[nodiscard]] std::size_t wantCount() const { return m_own ? m_own->row.wants.size() : 0; }
     [[nodiscard]] std::uint64_t giftCount() const { return m_giftsMade; }
 
--- a/src/teams/quota_rows.h
+++ b/src/teams/quota_rows.h
@@ -19,6 +19,17 @@
 inline constexpr std::array<std::int64_t Resources::*, 3> resourceKinds { &Resources::cpu,
     &Resources::memoryMb, &Resources::accelerators };
 
+[[nodiscard]] inline bool isNothing(const Resources& amounts) { return amounts == Resources {}; }
+[[nodiscard]] inline std::int64_t amountOf(std::int64_t share, std::int64_t limit)
+{
+    return share * limit / wholeShare;
+}
+// The least share that holds the amount.
+[[nodiscard]] inline std::int64_t shareFor(std::int64_t amount, std::int64_t limit)
+{
+    return ((amount > 0 ? amount : 0) * wholeShare + limit - 1) / limit;
+}
+
 // Limits of the teams that have one; an amount of 0 is unlimited.
 using Limits = std::map<TeamId, Resources>;
 
