Shares of teams and cost decide who waits under overload

A team that sends several times its rate for some seconds delayed all others: jobs were ordered by lateness, priority and deadline alone. A token bucket per team marks what exceeds its weight. Marked jobs wait behind the others and are refused first; then work goes by its worth in relation to the capacity that it needs. Without teams order and admission are as before.

--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -20,8 +20,6 @@
 constexpr double blockedShare = 0.3;
 // Time until a VM ordered now takes work: its move and its first answer.
 constexpr Millis vmLeadTime { 2'000 };
-// A job that ends later than this multiple of its objective is of no use to its caller.
-constexpr int maxUsefulObjectives = 3;
 
 // Time until the pool has done this much work, with its cores now and those that arrive.
 Millis timeToProcess(double coreMillis, double coresNow, double coresAfterArrival)
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -33,6 +33,9 @@
     Millis expectedDuration { 0 };
 };
 
+// A job that ends later than this multiple of its objective is of no use to its caller.
+inline constexpr int maxUsefulObjectives = 3;
+
 // Accepts a job if it is expected to end while that is of use to its caller. In a burst of some seconds, a
 // queue submits more work than its pool can process. A job that is going to miss its objective waits behind
 // those that can meet theirs, so it delays none of them, while a rejected caller comes back after a second or
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -326,6 +326,8 @@
         { "spec", job.spec }, { "steps", std::move(steps) } };
     if (!job.team.empty())
         json["team"] = job.team.value();
+    if (job.isBeyondShare)
+        json["beyond"] = true;
     if (job.isScheduled()) {
         json["times"] = job.occurrences;
         json["first"] = job.firstStart.count();
@@ -345,6 +347,7 @@
         json.at("queue").get_to(job.queue);
         if (json.contains("team"))
             job.team = TeamId(json.at("team").get<std::string>());
+        job.isBeyondShare = json.value("beyond", false);
         job.policy.pool = PoolId(json.at("pool").get<std::string>());
         json.at("priority").get_to(job.policy.priority);
         json.at("failures").get_to(job.policy.maxFailures);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -79,6 +79,8 @@
     // Whose key submitted it; empty for a public queue, in a configuration without teams, and in rows of the
     // release before teams.
     TeamId team;
+    // The team had submitted more than its share when the job was accepted.
+    bool isBeyondShare { false };
     QueuePolicy policy;
     // Passed to the runners unchanged.
     std::string spec;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -161,6 +161,16 @@
     return longest;
 }
 
+double JobEntry::remainingWork() const
+{
+    double work = 0;
+    for (const auto& held : stepOccurrences)
+        if (const auto& step = job.steps[held.step]; !step.isLongRunning)
+            work += double(step.perTask.cpu) / 1000 * double(step.expectedRunTime().count())
+                * double(held.tasks.size() - held.doneCount);
+    return work;
+}
+
 JobProgress JobEntry::progress() const
 {
     JobProgress progress { state, 0, 0, {} };
@@ -191,7 +201,8 @@
 {
     JobEntry entry;
     entry.arrived = now;
-    entry.deadline = now + job.objective();
+    entry.objective = job.objective();
+    entry.deadline = now + entry.objective;
     entry.maxOpen = maxOpenOccurrences(job, m_maxRowBytes);
     auto id = job.id;
     entry.job = std::move(job);
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -66,6 +66,10 @@
     TimePoint arrived;
     // Arrival plus the latency objective. Jobs with a schedule have a deadline for each occurrence instead.
     TimePoint deadline;
+    // Latency objective, by the run times expected at arrival.
+    Millis objective { 0 };
+    // See JobWorth.
+    double worth { 1 };
     TimePoint ended;
     // Only stored jobs are shown to callers and started.
     bool isStored { false };
@@ -129,6 +133,8 @@
     [[nodiscard]] TimePoint deadlineOf(const StepOccurrence&, TimePoint now, WallTime wallNow) const;
     // Longest chain of dependent unfinished steps of the occurrence, by expected run time.
     [[nodiscard]] Millis remainingCriticalPath(const StepOccurrence&) const;
+    // Expected work of the tasks held that are not done, without long-running steps; in core-milliseconds.
+    [[nodiscard]] double remainingWork() const;
     [[nodiscard]] JobProgress progress() const;
 
 private:
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -43,7 +43,8 @@
 
 void Shard::restoreJob(Job job, const JobProgress& progress, TimePoint now)
 {
-    m_jobTable.restore(std::move(job), progress, now);
+    auto worth = m_worth.record(job);
+    m_jobTable.restore(std::move(job), progress, now).worth = worth;
 }
 
 void Shard::restoreRunner(RunnerReport report, TimePoint now)
@@ -70,6 +71,7 @@
     for (const auto& team : configs)
         m_teams.insert_or_assign(team.id, team);
     m_shardCount = shardCount;
+    m_shares.configure(configs, shardCount);
 }
 
 void Shard::observeRunners(const std::map<RunnerId, RunnerReport>& list, TimePoint now)
@@ -120,7 +122,9 @@
     }
     m_runTimes.predict(job);
     recordPredictedDemand(job, now);
-    decision.load = loadOf(job.policy.pool, job.policy.priority, now, wallNow);
+    decision.share = m_shares.count(job.team, job.id, now);
+    job.isBeyondShare = decision.share == teams::ShareState::Beyond;
+    decision.load = loadOf(job, now, wallNow);
     decision.expectedWork = job.expectedWork();
     decision.objective = job.objective();
     decision.admission = decideAdmission(job, decision.load);
@@ -128,7 +132,8 @@
         return decision;
     decision.verdict = SubmitVerdict::New;
     m_jobsToStore.push_back(job.id);
-    m_jobTable.add(std::move(job), now);
+    auto worth = m_worth.record(job);
+    m_jobTable.add(std::move(job), now).worth = worth;
     return decision;
 }
 
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -8,7 +8,8 @@
 #include "jobs/run_time_model.h"
 #include "jobs/runner.h"
 #include "jobs/stalled_jobs.h"
-#include "teams/team_config.h"
+#include "jobs/work_order.h"
+#include "teams/share_meter.h"
 
 #include <deque>
 
@@ -38,6 +39,7 @@
     SubmitVerdict verdict { SubmitVerdict::Rejected };
     AdmissionDecision admission;
     PoolLoad load;
+    teams::ShareState share { teams::ShareState::NoTeams };
     // Of the job, by its expected run times; work in core-milliseconds.
     double expectedWork { 0 };
     Millis objective { 0 };
@@ -165,8 +167,8 @@
     // Stops the runner's long-running tasks whose disruption budget permits it and for which another runner
     // has capacity. The runner should be cordoned, or tasks may be placed there again.
     void evacuate(const RunnerId&, TimePoint now);
-    [[nodiscard]] PoolLoad loadOf(
-        const PoolId&, std::int32_t priority, TimePoint now, WallTime wallNow) const;
+    // For the admission of a new job.
+    [[nodiscard]] PoolLoad loadOf(const Job&, TimePoint now, WallTime wallNow) const;
     [[nodiscard]] const StalledJobs& stalledJobs() const { return m_stalledJobs; }
     // All runners of the earlier holder have answered, or their leases have lapsed.
     [[nodiscard]] bool areEarlierRunsResolved(const PoolId&, TimePoint now) const;
@@ -280,6 +282,8 @@
     AdaptiveTimeout m_answerTimeout;
     RunTimeModel m_runTimes;
     std::map<TeamId, teams::TeamConfig> m_teams;
+    teams::ShareMeter m_shares;
+    JobWorth m_worth;
     std::uint32_t m_shardCount { 1 };
     std::map<PoolId, DemandMeter> m_demand;
     std::map<PoolId, std::int64_t> m_arriving;
--- a/src/jobs/shard_load.cpp
+++ b/src/jobs/shard_load.cpp
@@ -46,8 +46,9 @@
 
 } // namespace
 
-PoolLoad Shard::loadOf(const PoolId& pool, std::int32_t priority, TimePoint now, WallTime wallNow) const
+PoolLoad Shard::loadOf(const Job& job, TimePoint now, WallTime wallNow) const
 {
+    const auto& pool = job.policy.pool;
     PoolLoad load;
     for (const auto& [id, runner] : m_runners) {
         if (runner.report().pool != pool || !isUsable(runner, now))
@@ -59,7 +60,7 @@
         load.arrivingCpu = arriving->second;
     auto areRunsKnown = areEarlierRunsResolved(pool, now);
     for (const auto& [id, entry] : m_jobTable.all()) {
-        if (entry.isOver() || entry.job.policy.pool != pool || entry.job.policy.priority > priority)
+        if (entry.isOver() || entry.job.policy.pool != pool || !isAhead(entry, job, !m_teams.empty()))
             continue;
         // After a change of holder, these tasks may be running, and a new job starts before those that are
         // not.
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -230,7 +230,9 @@
     struct Candidate {
         JobEntry* entry;
         StepOccurrence* stepOccurrence;
+        WorkRank rank;
     };
+    auto hasTeams = !m_teams.empty();
     std::map<PoolId, std::vector<Candidate>> byPool;
     m_backloggedPools.clear();
     m_unplacedLongRunning.clear();
@@ -242,14 +244,15 @@
             continue;
         for (auto& stepOccurrence : entry.stepOccurrences)
             if (stepOccurrence.waitingCount() > 0 && entry.isStartable(stepOccurrence, wallNow))
-                byPool[entry.job.policy.pool].push_back({ &entry, &stepOccurrence });
+                byPool[entry.job.policy.pool].push_back(
+                    { &entry, &stepOccurrence, rankOf(entry, stepOccurrence, hasTeams, now, wallNow) });
     }
     for (auto& [pool, candidates] : byPool) {
         auto usable = usableRunners(pool, now);
         auto emptying = emptyingRunners(pool, now);
         auto isIdle = isUnderHalfInUse(usable, emptying);
         auto mayUseLastResort = [=](const Candidate& each) {
-            const auto& [entry, stepOccurrence] = each;
+            const auto& [entry, stepOccurrence, rank] = each;
             auto isLongRunning = entry->job.steps[stepOccurrence->step].isLongRunning;
             auto patience = isIdle || isLongRunning ? stallTime : stallTimeInBusyPool;
             return entry->stalledSince && now >= *entry->stalledSince + patience;
@@ -265,20 +268,12 @@
             usable, runnersToSetApart(waitingForIsolation, usable.size(), haveWaitedLong), now);
         runners.isIdle = isIdle;
         runners.emptying = std::move(emptying);
-        std::sort(candidates.begin(), candidates.end(), [=](const Candidate& a, const Candidate& b) {
-            auto rank = [=](const Candidate& each) {
-                const auto& entry = *each.entry;
-                auto isLongRunning = entry.job.steps[each.stepOccurrence->step].isLongRunning;
-                auto deadline = entry.deadlineOf(*each.stepOccurrence, now, wallNow);
-                // Work that can no longer end in time goes last.
-                auto isLate
-                    = !isLongRunning && now + entry.remainingCriticalPath(*each.stepOccurrence) > deadline;
-                return std::tuple(!isLongRunning, isLate, entry.job.policy.priority, deadline, entry.job.id);
-            };
-            return rank(a) < rank(b);
+        std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+            return std::tie(a.rank, a.entry->job.id) < std::tie(b.rank, b.entry->job.id);
         });
-        for (auto& [entry, stepOccurrence] : candidates) {
-            runners.mayShortenIsolation = mayUseLastResort({ entry, stepOccurrence });
+        for (const auto& each : candidates) {
+            const auto& [entry, stepOccurrence, rank] = each;
+            runners.mayShortenIsolation = mayUseLastResort(each);
             placeStep(*entry, *stepOccurrence, runners, now, orders);
             if (stepOccurrence->waitingCount() > 0 && runners.mayShortenIsolation)
                 placeStepAsLastResort(*entry, *stepOccurrence, runners, now, orders);
--- a/src/jobs/tests/fleet_replay.cpp
+++ b/src/jobs/tests/fleet_replay.cpp
@@ -42,6 +42,7 @@
         listed.emplace(report.id, report);
     }
     m_shard.observeRunners(listed, m_now);
+    m_shard.setTeams(settings.teams, settings.shardCount);
 }
 
 void FleetReplay::play(const std::vector<ReplayJob>& jobs, Millis length)
@@ -137,7 +138,7 @@
     auto runsElsewhere = std::any_of(m_runners.begin(), m_runners.end(),
         [&](const auto& each) { return each.second.runs.contains(order.task); });
     duplicateRuns += runsElsewhere || m_done.contains(order.task) ? 1 : 0;
-    const auto& [arrivedAt, job, durations, objective, acceptedAt] = m_jobs.at(order.task.job);
+    const auto& [arrivedAt, job, durations, objective, acceptedAt, endedAt] = m_jobs.at(order.task.job);
     auto cpu = job.steps[order.task.step].perTask.cpu;
     runner.runs[order.task] = { order.attempt, cpu };
     std::int64_t used = 0;
@@ -272,7 +273,7 @@
 AdmissionDecision FleetReplay::decide(const Job& job)
 {
     if (m_settings.maxObjectives) {
-        auto load = m_shard.loadOf(job.policy.pool, job.policy.priority, m_now, wallNow());
+        auto load = m_shard.loadOf(job, m_now, wallNow());
         auto decision = decideAdmission(job, load);
         auto limit = Millis(std::int64_t(double(job.objective().count()) * *m_settings.maxObjectives));
         auto startsNow = load.waiting <= 0 && load.freeCpu >= job.steps.front().reserved().cpu;
@@ -294,7 +295,8 @@
             ++id;
             continue;
         }
-        const auto& replay = m_jobs.at(*id);
+        auto& replay = m_jobs.at(*id);
+        replay.endedAt = m_now;
         inUsefulTime += m_now <= replay.acceptedAt + replay.objective * 3 ? 1 : 0;
         if (m_now <= replay.at + replay.objective) {
             ++inTime;
@@ -315,7 +317,8 @@
     std::vector<ReplayJob> jobs;
     for (double at = gap(random); at < double(length.count()); at += gap(random)) {
         auto id = "job" + std::to_string(jobs.size());
-        ReplayJob replay { TimePoint(Millis(std::int64_t(at))), ShardFixture::job(id, 1), {} };
+        ReplayJob replay { TimePoint(Millis(std::int64_t(at))), ShardFixture::job(id, 1), {}, Millis(0), {},
+            {} };
         replay.job.steps.assign(jobs.size() % 3 == 0 ? 2 : 1, replay.job.steps.front());
         for (std::uint32_t i = 0; i < replay.job.steps.size(); ++i) {
             auto& step = replay.job.steps[i];
--- a/src/jobs/tests/fleet_replay.h
+++ b/src/jobs/tests/fleet_replay.h
@@ -22,6 +22,9 @@
     // their objective.
     std::optional<double> maxObjectives;
     std::uint64_t seed { 1 };
+    // Empty for a deployment without teams.
+    std::vector<teams::TeamConfig> teams;
+    std::uint32_t shardCount { 3 };
 };
 
 // A job and the actual run time of each of its tasks, in the order of its steps.
@@ -32,6 +35,7 @@
     // Latency objective by the actual run times, from the first attempt.
     Millis objective { 0 };
     TimePoint acceptedAt;
+    std::optional<TimePoint> endedAt;
 };
 
 // Runs jobs against a shard in virtual time, with a store that answers at once and runners that run tasks,
@@ -42,6 +46,8 @@
 
     void play(const std::vector<ReplayJob>&, Millis length);
 
+    [[nodiscard]] const std::map<JobId, ReplayJob>& jobs() const { return m_jobs; }
+
     // Jobs completed within their objective from the first attempt, within three times their objective from
     // their acceptance, and all submitted jobs.
     std::uint32_t inTime { 0 };
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -33,10 +33,12 @@
                                                             .Name("fulmar_refusals_total")
                                                             .Help("Refused calls by reason")
                                                             .Register(registry) };
-    prometheus::Family<prometheus::Counter>& admissions { prometheus::BuildCounter()
-                                                              .Name("fulmar_admissions_total")
-                                                              .Help("Decisions on submitted jobs by verdict")
-                                                              .Register(registry) };
+    prometheus::Family<prometheus::Counter>& admissions {
+        prometheus::BuildCounter()
+            .Name("fulmar_admissions_total")
+            .Help("Decisions on submitted jobs by verdict and team's share")
+            .Register(registry)
+    };
     prometheus::Family<prometheus::Counter>& orders { prometheus::BuildCounter()
                                                           .Name("fulmar_runner_orders_total")
                                                           .Help("Orders to runners by kind and outcome")
@@ -74,9 +76,9 @@
     m_families->refusals.Add({ { "reason", reason } }).Increment();
 }
 
-void NodeMetrics::countAdmission(const std::string& verdict)
+void NodeMetrics::countAdmission(const std::string& verdict, const std::string& share)
 {
-    m_families->admissions.Add({ { "verdict", verdict } }).Increment();
+    m_families->admissions.Add({ { "verdict", verdict }, { "share", share } }).Increment();
 }
 
 void NodeMetrics::countOrder(const std::string& order, const std::string& outcome)
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -20,8 +20,9 @@
     void countAnswer(const std::string& kind, int status, Duration took);
     // Counts a refused call by reason.
     void countRefusal(const std::string& reason);
-    // Counts an admission decision on a submitted job.
-    void countAdmission(const std::string& verdict);
+    // Counts an admission decision on a submitted job. `share`: "within" or "beyond" its team's share, or
+    // "none" if that was not decided.
+    void countAdmission(const std::string& verdict, const std::string& share);
     // Counts an order to a runner ("start", "stop", "look") by outcome.
     void countOrder(const std::string& order, const std::string& outcome);
     // Counts a transaction of a shard's row log by outcome.
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -289,7 +289,7 @@
     // A job cannot be accepted while the store is unavailable, unless it is known and may be stored already.
     if (m_log.isStoreUnavailable() && !m_shard.find(job->id)) {
         m_shard.recordDemand(*job, m_clock.now());
-        m_metrics.countAdmission("store-away");
+        m_metrics.countAdmission("store-away", "none");
         logInfo("admission",
             { { "job", job->id.value() }, { "queue", job->queue }, { "verdict", "store-away" } });
         reply(refusal(JobVerdict::Unavailable, defaultRetryAfter, "store-away"));
@@ -299,10 +299,11 @@
     auto verdict = decision.verdict == jobs::SubmitVerdict::Known
         ? std::string("known")
         : std::string(toString(decision.admission.verdict));
-    m_metrics.countAdmission(verdict);
+    auto share = std::string(toString(decision.share));
+    m_metrics.countAdmission(verdict, share);
     logInfo("admission",
         { { "job", job->id.value() }, { "queue", job->queue }, { "pool", job->policy.pool.value() },
-            { "verdict", verdict },
+            { "verdict", verdict }, { "team", job->team.value() }, { "share", share },
             { "waiting-core-ms", std::to_string(std::int64_t(decision.load.waiting)) },
             { "later-core-ms", std::to_string(std::int64_t(decision.load.blocked)) },
             { "running-core-ms", std::to_string(std::int64_t(decision.load.running)) },
