Admission counts only the work that a job waits behind

Where teams are configured, small jobs within their shares were refused for 10 s because of accepted large jobs that they overtake. The work ahead of a job now leaves out what costs callers less to delay. Work that is overtaken for 30 s after its objective gets a turn, one job at a time in a pool.

--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -124,15 +124,15 @@
     recordPredictedDemand(job, now);
     decision.share = m_shares.count(job.team, job.id, now);
     job.isBeyondShare = decision.share == teams::ShareState::Beyond;
-    decision.load = loadOf(job, now, wallNow);
+    auto worth = m_worth.record(job);
     decision.expectedWork = job.expectedWork();
+    decision.load = loadOf(job, costOf(job, decision.expectedWork, worth), now, wallNow);
     decision.objective = job.objective();
     decision.admission = decideAdmission(job, decision.load);
     if (decision.admission.verdict != Admission::Accept)
         return decision;
     decision.verdict = SubmitVerdict::New;
     m_jobsToStore.push_back(job.id);
-    auto worth = m_worth.record(job);
     m_jobTable.add(std::move(job), now).worth = worth;
     return decision;
 }
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -167,8 +167,8 @@
     // Stops the runner's long-running tasks whose disruption budget permits it and for which another runner
     // has capacity. The runner should be cordoned, or tasks may be placed there again.
     void evacuate(const RunnerId&, TimePoint now);
-    // For the admission of a new job.
-    [[nodiscard]] PoolLoad loadOf(const Job&, TimePoint now, WallTime wallNow) const;
+    // For the admission of a new job; `cost`: see costOf().
+    [[nodiscard]] PoolLoad loadOf(const Job&, double cost, TimePoint now, WallTime wallNow) const;
     [[nodiscard]] const StalledJobs& stalledJobs() const { return m_stalledJobs; }
     // All runners of the earlier holder have answered, or their leases have lapsed.
     [[nodiscard]] bool areEarlierRunsResolved(const PoolId&, TimePoint now) const;
--- a/src/jobs/shard_load.cpp
+++ b/src/jobs/shard_load.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-PoolLoad Shard::loadOf(const Job& job, TimePoint now, WallTime wallNow) const
+PoolLoad Shard::loadOf(const Job& job, double cost, TimePoint now, WallTime wallNow) const
 {
     const auto& pool = job.policy.pool;
     PoolLoad load;
@@ -60,7 +60,7 @@
         load.arrivingCpu = arriving->second;
     auto areRunsKnown = areEarlierRunsResolved(pool, now);
     for (const auto& [id, entry] : m_jobTable.all()) {
-        if (entry.isOver() || entry.job.policy.pool != pool || !isAhead(entry, job, !m_teams.empty()))
+        if (entry.isOver() || entry.job.policy.pool != pool || !isAhead(entry, job, cost, !m_teams.empty()))
             continue;
         // After a change of holder, these tasks may be running, and a new job starts before those that are
         // not.
--- a/src/jobs/shard_plan.cpp
+++ b/src/jobs/shard_plan.cpp
@@ -268,6 +268,12 @@
             usable, runnersToSetApart(waitingForIsolation, usable.size(), haveWaitedLong), now);
         runners.isIdle = isIdle;
         runners.emptying = std::move(emptying);
+        if (hasTeams) {
+            std::vector<WorkRank*> ranks;
+            for (auto& each : candidates)
+                ranks.push_back(&each.rank);
+            preferOneOverdue(std::move(ranks), now);
+        }
         std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
             return std::tie(a.rank, a.entry->job.id) < std::tie(b.rank, b.entry->job.id);
         });
--- a/src/jobs/tests/fleet_replay.cpp
+++ b/src/jobs/tests/fleet_replay.cpp
@@ -256,6 +256,10 @@
 void FleetReplay::submit(const JobId& id, std::uint32_t retries)
 {
     auto decision = decide(m_jobs.at(id).job);
+    if (retries == callerRetries - 1) {
+        ++cameBack;
+        acceptedAgain += decision.verdict == Admission::Accept ? 1 : 0;
+    }
     if (decision.verdict == Admission::Accept) {
         m_jobs.at(id).acceptedAt = m_now;
         m_unfinished.insert(id);
@@ -273,7 +277,7 @@
 AdmissionDecision FleetReplay::decide(const Job& job)
 {
     if (m_settings.maxObjectives) {
-        auto load = m_shard.loadOf(job, m_now, wallNow());
+        auto load = m_shard.loadOf(job, 0, m_now, wallNow());
         auto decision = decideAdmission(job, load);
         auto limit = Millis(std::int64_t(double(job.objective().count()) * *m_settings.maxObjectives));
         auto startsNow = load.waiting <= 0 && load.freeCpu >= job.steps.front().reserved().cpu;
--- a/src/jobs/tests/fleet_replay.h
+++ b/src/jobs/tests/fleet_replay.h
@@ -56,6 +56,9 @@
     // Rejected attempts, and jobs whose last attempt was rejected.
     std::uint32_t rejected { 0 };
     std::uint32_t givenUp { 0 };
+    // Rejected callers that came back for the first time, and those that were accepted then.
+    std::uint32_t cameBack { 0 };
+    std::uint32_t acceptedAgain { 0 };
     // Core-seconds of the jobs completed within their objective.
     double workInTime { 0 };
     std::uint32_t polls { 0 };
--- a/src/jobs/tests/shard_test.cpp
+++ b/src/jobs/tests/shard_test.cpp
@@ -545,7 +545,7 @@
     scheduled.firstStart = std::chrono::duration_cast<Millis>(now.time_since_epoch()) + 60s;
     scheduled.interval = 60s;
     submit(scheduled);
-    auto load = shard.loadOf(job("new", 1), now, wall());
+    auto load = shard.loadOf(job("new", 1), 0, now, wall());
     BOOST_TEST(load.blocked == 0);
     BOOST_TEST(load.waiting == 0);
 }
--- a/src/jobs/work_order.h
+++ b/src/jobs/work_order.h
@@ -19,6 +19,9 @@
     std::map<std::string, double> m_meanWork;
 };
 
+// Core-milliseconds for each unit of worth. A job of priority n counts as n + 1 times as expensive.
+[[nodiscard]] double costOf(const Job&, double work, double worth);
+
 // Order of waiting work; the lowest rank first. Long-running work is first. Without teams, work that can end
 // in time follows, then late work, each by priority and deadline.
 //
@@ -26,14 +29,19 @@
 // some seconds. Work that can no longer end in useful time is last; before it is what a team submitted beyond
 // its share. Then work goes by its worth in relation to the capacity that it needs; see JobWorth.
 struct WorkRank {
-    bool isShortRunning { false };
+    enum class Group : std::uint8_t {
+        LongRunning,
+        // See preferOneOverdue().
+        OverdueTurn,
+        Other,
+    };
+    Group group { Group::Other };
     bool isUseless { false };
     bool isBeyondShare { false };
     // Only without teams.
     bool isLate { false };
     std::int32_t priority { 0 };
-    // Only with teams: remaining core-milliseconds for each unit of worth, raised for jobs that have time to
-    // spare. A job of priority n counts as n + 1 times as expensive.
+    // Only with teams: that of the remaining work, raised for jobs that have time to spare.
     double cost { 0 };
     TimePoint deadline;
 
@@ -43,7 +51,12 @@
 [[nodiscard]] WorkRank rankOf(
     const JobEntry&, const StepOccurrence&, bool hasTeams, TimePoint now, WallTime wallNow);
 
+// Work that others overtake all the time must not wait for ever: of the ranks of a pool, puts one that is
+// long overdue before the others, a different one every few seconds. Others than the oldest get a turn
+// because no runner may have room for the oldest.
+void preferOneOverdue(std::vector<WorkRank*>, TimePoint now);
+
 // Whether accepted work takes capacity that the new job would use otherwise.
-[[nodiscard]] bool isAhead(const JobEntry&, const Job& newJob, bool hasTeams);
+[[nodiscard]] bool isAhead(const JobEntry&, const Job& newJob, double newCost, bool hasTeams);
 
 } // namespace fulmar::jobs
