--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -161,11 +161,11 @@
     return longest;
 }
 
-double JobEntry::remainingWork() const
+double JobEntry::remainingWork(std::uint32_t occurrence) const
 {
     double work = 0;
     for (const auto& held : stepOccurrences)
-        if (const auto& step = job.steps[held.step]; !step.isLongRunning)
+        if (const auto& step = job.steps[held.step]; held.occurrence == occurrence && !step.isLongRunning)
             work += double(step.perTask.cpu) / 1000 * double(step.expectedRunTime().count())
                 * double(held.tasks.size() - held.doneCount);
     return work;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -133,8 +133,9 @@
     [[nodiscard]] TimePoint deadlineOf(const StepOccurrence&, TimePoint now, WallTime wallNow) const;
     // Longest chain of dependent unfinished steps of the occurrence, by expected run time.
     [[nodiscard]] Millis remainingCriticalPath(const StepOccurrence&) const;
-    // Expected work of the tasks held that are not done, without long-running steps; in core-milliseconds.
-    [[nodiscard]] double remainingWork() const;
+    // Expected work of the occurrence's tasks that are not done, without long-running steps; in
+    // core-milliseconds.
+    [[nodiscard]] double remainingWork(std::uint32_t occurrence) const;
     [[nodiscard]] JobProgress progress() const;
 
 private:
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -123,7 +123,8 @@
     m_runTimes.predict(job);
     recordPredictedDemand(job, now);
     decision.share = m_shares.count(job.team, job.id, now);
-    job.isBeyondShare = decision.share == teams::ShareState::Beyond;
+    // The later occurrences of a schedule say nothing about what the team submits then.
+    job.isBeyondShare = decision.share == teams::ShareState::Beyond && !job.isScheduled();
     auto worth = m_worth.record(job);
     decision.expectedWork = job.expectedWork();
     decision.load = loadOf(job, costOf(job, decision.expectedWork, worth), now, wallNow);
--- a/src/jobs/tests/work_order_test.cpp
+++ b/src/jobs/tests/work_order_test.cpp
@@ -89,6 +89,11 @@
         submit(jobOfTeam("excess" + std::to_string(i), "none"));
     BOOST_TEST((submit(jobOfTeam("more", "none")) == SubmitVerdict::Rejected));
     BOOST_TEST((submit(jobOfTeam("within", "a")) == SubmitVerdict::New));
+    // A schedule would be marked for all its occurrences.
+    auto scheduled = jobOfTeam("scheduled", "none");
+    scheduled.firstStart = 1h;
+    submit(scheduled);
+    BOOST_TEST(!shard.find(scheduled.id)->job.isBeyondShare);
     // Without another job in the pool anyone may use it.
     TeamsFixture idle;
     BOOST_TEST((idle.submit(jobOfTeam("excess", "none")) == SubmitVerdict::New));
--- a/src/jobs/work_order.cpp
+++ b/src/jobs/work_order.cpp
@@ -55,7 +55,8 @@
     rank.isUseless = earliestEnd > rank.deadline + entry.objective * (maxUsefulObjectives - 1);
     rank.isBeyondShare = entry.job.isBeyondShare;
     std::chrono::duration<double> slack = std::max(Duration(0), rank.deadline - earliestEnd);
-    rank.cost = costOf(entry.job, entry.remainingWork(), entry.worth) * std::exp(slack / slackScale);
+    rank.cost = costOf(entry.job, entry.remainingWork(stepOccurrence.occurrence), entry.worth)
+        * std::exp(slack / slackScale);
     return rank;
 }
 
@@ -78,7 +79,7 @@
         return entry.job.policy.priority <= newJob.policy.priority;
     if (entry.job.isBeyondShare != newJob.isBeyondShare)
         return newJob.isBeyondShare;
-    return costOf(entry.job, entry.remainingWork(), entry.worth) <= newCost;
+    return costOf(entry.job, entry.remainingWork(entry.firstHeld()), entry.worth) <= newCost;
 }
 
 } // namespace fulmar::jobs
