--- a/src/jobs/tests/fleet_replay.cpp
+++ b/src/jobs/tests/fleet_replay.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-FleetReplay::FleetReplay(ReplaySettings settings)
+FleetReplay::FleetReplay(const ReplaySettings& settings)
     : m_settings(settings)
     , m_random(settings.seed)
     , m_shard(ShardSettings {}, 1)
--- a/src/jobs/tests/fleet_replay.h
+++ b/src/jobs/tests/fleet_replay.h
@@ -42,7 +42,7 @@
 // lose answers and carry out orders late. Counts violations of the shard's guarantees.
 class FleetReplay {
 public:
-    explicit FleetReplay(ReplaySettings);
+    explicit FleetReplay(const ReplaySettings&);
 
     void play(const std::vector<ReplayJob>&, Millis length);
 
