--- a/src/jobs/tests/replay_test.cpp
+++ b/src/jobs/tests/replay_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-FleetReplay runReplay(ReplaySettings settings, const std::vector<ReplayJob>& jobs)
+FleetReplay runReplay(const ReplaySettings& settings, const std::vector<ReplayJob>& jobs)
 {
     FleetReplay replay(settings);
     replay.play(jobs, 30s);
