--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -44,7 +44,8 @@
 
 void Shard::restoreJob(Job job, const JobProgress& progress, TimePoint now)
 {
-    m_jobTable.restore(std::move(job), progress, now);
+    auto worth = m_worth.record(job);
+    m_jobTable.restore(std::move(job), progress, now).worth = worth;
 }
 
 void Shard::restoreRunner(RunnerReport report, TimePoint now)
@@ -71,6 +72,7 @@
     for (const auto& team : configs)
         m_teams.insert_or_assign(team.id, team);
     m_shardCount = shardCount;
+    m_shares.configure(configs, shardCount);
 }
 
 void Shard::observeRunners(const std::map<RunnerId, RunnerReport>& list, TimePoint now)
@@ -121,15 +123,19 @@
     }
     m_runTimes.predict(job);
     recordPredictedDemand(job, now);
-    decision.load = loadOf(job.policy.pool, job.policy.priority, now, wallNow, job.team);
+    decision.share = m_shares.count(job.team, job.id, now);
+    // The later occurrences of a schedule say nothing about what the team submits then.
+    job.isBeyondShare = decision.share == teams::ShareState::Beyond && !job.isScheduled();
+    auto worth = m_worth.record(job);
     decision.expectedWork = job.expectedWork();
+    decision.load = loadOf(job, costOf(job, decision.expectedWork, worth), now, wallNow);
     decision.objective = job.objective();
     decision.admission = decideAdmission(job, decision.load);
     if (decision.admission.verdict != Admission::Accept)
         return decision;
     decision.verdict = SubmitVerdict::New;
     m_jobsToStore.push_back(job.id);
-    m_jobTable.add(std::move(job), now);
+    m_jobTable.add(std::move(job), now).worth = worth;
     return decision;
 }
 
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -9,6 +9,8 @@
 #include "jobs/runner.h"
 #include "jobs/stalled_jobs.h"
 #include "jobs/team_quota.h"
+#include "jobs/work_order.h"
+#include "teams/share_meter.h"
 #include "teams/team_config.h"
 
 #include <deque>
@@ -39,6 +41,7 @@
     SubmitVerdict verdict { SubmitVerdict::Rejected };
     AdmissionDecision admission;
     PoolLoad load;
+    teams::ShareState share { teams::ShareState::NoTeams };
     // Of the job, by its expected run times; work in core-milliseconds.
     double expectedWork { 0 };
     Millis objective { 0 };
@@ -168,10 +171,9 @@
     // Stops the runner's long-running tasks whose disruption budget permits it and for which another runner
     // has capacity. The runner should be cordoned, or tasks may be placed there again.
     void evacuate(const RunnerId&, TimePoint now);
-    // The load ahead of a job of that priority and team. What the quota of another team holds back is not
+    // For the admission of a new job; `cost`: see costOf(). What the quota of another team holds back is not
     // ahead of it.
-    [[nodiscard]] PoolLoad loadOf(
-        const PoolId&, std::int32_t priority, TimePoint now, WallTime wallNow, const TeamId& = {}) const;
+    [[nodiscard]] PoolLoad loadOf(const Job&, double cost, TimePoint now, WallTime wallNow) const;
     [[nodiscard]] const StalledJobs& stalledJobs() const { return m_stalledJobs; }
     // All runners of the earlier holder have answered, or their leases have lapsed.
     [[nodiscard]] bool areEarlierRunsResolved(const PoolId&, TimePoint now) const;
@@ -286,6 +288,8 @@
     AdaptiveTimeout m_answerTimeout;
     RunTimeModel m_runTimes;
     std::map<TeamId, teams::TeamConfig> m_teams;
+    teams::ShareMeter m_shares;
+    JobWorth m_worth;
     std::uint32_t m_shardCount { 1 };
     TeamQuota m_teamQuota;
     std::map<PoolId, DemandMeter> m_demand;
--- a/src/jobs/shard_load.cpp
+++ b/src/jobs/shard_load.cpp
@@ -46,9 +46,9 @@
 
 } // namespace
 
-PoolLoad Shard::loadOf(
-    const PoolId& pool, std::int32_t priority, TimePoint now, WallTime wallNow, const TeamId& team) const
+PoolLoad Shard::loadOf(const Job& job, double cost, TimePoint now, WallTime wallNow) const
 {
+    const auto& pool = job.policy.pool;
     PoolLoad load;
     for (const auto& [id, runner] : m_runners) {
         if (runner.report().pool != pool || !isUsable(runner, now))
@@ -61,7 +61,7 @@
     auto areRunsKnown = areEarlierRunsResolved(pool, now);
     TeamQuota::Room quotaRoom(m_teamQuota);
     for (const auto& [id, entry] : m_jobTable.all()) {
-        if (entry.isOver() || entry.job.policy.pool != pool || entry.job.policy.priority > priority)
+        if (entry.isOver() || entry.job.policy.pool != pool || !isAhead(entry, job, cost, !m_teams.empty()))
             continue;
         // After a change of holder, these tasks may be running, and a new job starts before those that are
         // not.
@@ -73,7 +73,7 @@
             auto work = double(step.perTask.cpu) / 1000 * double(step.expectedRunTime().count());
             auto isWaiting = !mayBeRunning && entry.isStartable(stepOccurrence, wallNow);
             auto waiting = stepOccurrence.waitingCount();
-            if (isWaiting && entry.job.team != team)
+            if (isWaiting && entry.job.team != job.team)
                 waiting = quotaRoom.take(entry.job, step, waiting);
             (isWaiting ? load.waiting : load.blocked) += work * double(waiting);
             // A placed task is on average half done.
