Submissions go through the store while the holder cannot be reached

Callers of a zone that is cut off from the holder of a shard got 503 holder-silent although both sides reach the store. The receiving process now writes a row into the shard's part, and the holder admits the job and replaces the row by the outcome in the transaction that stores the job.

--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -176,6 +176,17 @@
     return fallback;
 }
 
+bool SettingsReader::takeSwitch(const std::string& section, const std::string& key, bool fallback)
+{
+    const auto* entry = find(section, key);
+    if (!entry)
+        return fallback;
+    if (entry->value == "on" || entry->value == "off")
+        return entry->value == "on";
+    report(entry->line, fmt::format("[{}] {}: '{}' is neither on nor off", section, key, entry->value));
+    return fallback;
+}
+
 double SettingsReader::takeNumber(
     const std::string& section, const std::string& key, double low, double high, double fallback)
 {
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -38,6 +38,8 @@
         std::int64_t low, std::int64_t high, std::int64_t fallback);
     [[nodiscard]] double takeNumber(
         const std::string& section, const std::string& key, double low, double high, double fallback);
+    // "on" or "off".
+    [[nodiscard]] bool takeSwitch(const std::string& section, const std::string& key, bool fallback);
     // Values need a unit: 80us, 250ms, 30s, 5m, 4h, 2d.
     [[nodiscard]] Duration takeDuration(
         const std::string& section, const std::string& key, Duration low, Duration high, Duration fallback);
--- a/src/node/job_call.h
+++ b/src/node/job_call.h
@@ -39,6 +39,8 @@
     TeamId team;
     // If the receiving process could not decide whether the call is allowed; `team` is empty then.
     std::optional<UndecidedCall> undecided;
+    // Key of the row of a job that was submitted through the store; see submission_row.h.
+    std::string submission {};
 
     [[nodiscard]] bool isProbe() const { return kind == JobCallKind::Count && queue.empty(); }
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -197,6 +197,7 @@
             Slot { index, parts.back(), ShardLease(LeaseSettings {}, m_settings.peerAddress, m_incarnation),
                 asio::steady_timer(m_loop), false, nullptr, false, false, {}, {}, false, {}, {}, {} }));
     }
+    m_storeSubmitter = std::make_unique<StoreSubmitter>(m_loop, m_store, m_metrics, m_incarnation, parts);
     m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, leaseTable, std::move(parts),
         TableFollower::Timing { isSmall() ? leaseFeedPauseOfSmall : leaseFeedPause },
         TableFollower::Hooks { [this](const platform::StoredRow& row) { onLeaseRow(row); },
@@ -283,6 +284,8 @@
         slot->lease.observeRenewal(row.version, now);
         return;
     }
+    if (row.name.key == submissionNoticeKey && slot->owner)
+        slot->owner->readSubmissions();
     if (row.name.key != ownerKey)
         return;
     auto owner = row.isRemoved ? std::nullopt : decodeOwner(row.value);
@@ -306,6 +309,8 @@
     observeLag(now);
     for (auto& slot : m_slots)
         tickSlot(*slot, now);
+    if (m_storeSubmitter)
+        m_storeSubmitter->tick();
     if (m_isStopping)
         finishStop();
     else
@@ -353,6 +358,7 @@
 {
     slot.isAcquiring = true;
     auto claim = slot.lease.ownerAfterClaim();
+    claim.servesSubmissions = m_settings.storeSubmissions;
     platform::RowName owner { leaseTable, slot.part, ownerKey };
     platform::RowName renewal { leaseTable, slot.part, renewalKey };
     platform::RowTransaction transaction;
@@ -436,6 +442,14 @@
     hooks.onLost = [this, &slot] { asio::post(m_loop, [this, &slot] { dropShard(slot, "store-refused"); }); };
     hooks.onRenewed = [&slot](TimePoint at) { slot.lease.onRenewed(at); };
     hooks.ownsVm = [this, index = slot.index](const VmId& vm) { return m_map->shardOf(vm) == index; };
+    // By the row that was claimed, as the settings may have been reloaded since.
+    if (slot.lease.owner()->servesSubmissions)
+        hooks.admit = [this, &slot](JobCall call, OnJobReply reply) {
+            if (isServedHere(slot))
+                handleHere(slot, std::move(call), std::move(reply));
+            else
+                reply(noHolderReply(slot.isReleasing));
+        };
     // The previous holder has released the shard, or its lease, as that holder counts it, ended at least
     // LeaseSettings::margin ago. An order that it sent before may still be in flight, for up to orderMargin.
     // The first epoch has no previous holder.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -9,6 +9,7 @@
 #include "node/shard_map_sync.h"
 #include "node/shard_owner.h"
 #include "node/shard_rpc.h"
+#include "node/store_submitter.h"
 #include "platform/vm_client.h"
 
 #include <asio/signal_set.hpp>
@@ -127,6 +128,9 @@
         TimePoint nextHolderDeadline;
     };
     [[nodiscard]] RetryState newRetryState(TimePoint deadline) const;
+    // Sends the call through the store if its holder cannot be reached; see store_submissions.h. False if the
+    // call is to be forwarded.
+    [[nodiscard]] bool submitThroughStore(const JobCall&, const RetryState&, const OnJobReply&);
     void forwardWithRetries(JobCall, RetryState, OnJobReply);
     void probeHolder(Slot&, TimePoint now);
     // Empty if the job is long-running and its pool has no index in the pool order yet.
@@ -147,6 +151,7 @@
     std::optional<ShardMap> m_map;
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::unique_ptr<TableFollower> m_leaseFollower;
+    std::unique_ptr<StoreSubmitter> m_storeSubmitter;
     ShardMapSync m_mapSync;
     PoolOrderSync m_poolOrder;
     std::optional<jobs::FleetConfig> m_config;
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -28,6 +28,14 @@
 // A holder that misses two probes is unreachable: calls for its shard are refused, and it counts against this
 // process's readiness.
 constexpr std::chrono::milliseconds holderTimeout { 1'700 };
+// A holder that has not answered for this long is unreachable for a submission whose first attempt got no
+// answer.
+constexpr std::chrono::milliseconds secondAttemptTimeout { 1'200 };
+// Age of the lease table up to which the store counts as reachable: its feed answers after 1.5 s at the
+// latest.
+constexpr std::chrono::milliseconds maxLeaseAge { 2'000 };
+// Bytes of a submission's row besides the job.
+constexpr std::size_t submissionRowOverhead { 2'048 };
 constexpr std::size_t maxLoggedPathBytes = 200;
 
 std::string headerOf(const CallerRequest& request, std::string_view name)
@@ -117,38 +125,60 @@
     return { deadline, false, std::min(deadline, m_clock.now() + maxWaitForNextHolder) };
 }
 
+// An undecided call carries a key, which must not be stored.
+bool Node::submitThroughStore(const JobCall& call, const RetryState& retryState, const OnJobReply& reply)
+{
+    auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
+    if (!m_settings.storeSubmissions || call.kind != JobCallKind::Submit || call.undecided || !slot
+        || slot->owner || call.encodedJob.size() + submissionRowOverhead > m_settings.maxRowBytes)
+        return false;
+    const auto& holder = slot->lease.owner();
+    auto silence = retryState.wasUncertain ? secondAttemptTimeout : holderTimeout;
+    if (!holder || !holder->servesSubmissions || holder->address.empty()
+        || holder->address == m_settings.peerAddress || m_clock.now() < slot->holderAnsweredAt + silence
+        || m_leaseFollower->age() > maxLeaseAge)
+        return false;
+    return m_storeSubmitter->submit(
+        { slot->part, { { leaseTable, slot->part, ownerKey }, slot->lease.ownerVersion() } }, call,
+        retryState.deadline, reply);
+}
+
 void Node::forwardWithRetries(JobCall call, RetryState retryState, OnJobReply reply)
 {
     auto timeLeft = [this](TimePoint moment) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(moment - m_clock.now());
     };
-    forward(call, attemptTimeout(timeLeft(retryState.deadline)),
-        [this, call, retryState, timeLeft, reply = std::move(reply)](JobReply result) mutable {
-            auto mayWait
-                = isRefusedAfterRelease(result) && timeLeft(retryState.nextHolderDeadline) > retryInterval;
-            auto step = mayWait
-                ? RetryStep::Retry
-                : decideRetry(result.verdict, retryState.wasUncertain, timeLeft(retryState.deadline));
-            switch (step) {
-            case RetryStep::Answer:
-                reply(std::move(result));
-                return;
-            case RetryStep::AnswerUncertain:
-                result.verdict = JobVerdict::Uncertain;
-                reply(std::move(result));
-                return;
-            case RetryStep::Retry:
-                break;
-            }
-            // An attempt refused for lack of a holder had no effect.
-            retryState.wasUncertain |= !mayWait;
-            auto timer = std::make_shared<asio::steady_timer>(m_loop, retryInterval);
-            timer->async_wait([this, timer, call = std::move(call), retryState, reply = std::move(reply)](
-                                  const asio::error_code& error) mutable {
-                if (!error)
-                    forwardWithRetries(std::move(call), retryState, std::move(reply));
-            });
+    auto isThroughStore = std::make_shared<bool>(false);
+    auto onResult = [this, call, retryState, timeLeft, isThroughStore, reply = std::move(reply)](
+                        JobReply result) mutable {
+        auto mayWait
+            = isRefusedAfterRelease(result) && timeLeft(retryState.nextHolderDeadline) > retryInterval;
+        // Another row would have the same outcome.
+        auto left = *isThroughStore ? std::chrono::milliseconds(0) : timeLeft(retryState.deadline);
+        auto step = mayWait ? RetryStep::Retry : decideRetry(result.verdict, retryState.wasUncertain, left);
+        switch (step) {
+        case RetryStep::Answer:
+            reply(std::move(result));
+            return;
+        case RetryStep::AnswerUncertain:
+            result.verdict = JobVerdict::Uncertain;
+            reply(std::move(result));
+            return;
+        case RetryStep::Retry:
+            break;
+        }
+        // An attempt refused for lack of a holder had no effect.
+        retryState.wasUncertain |= !mayWait;
+        auto timer = std::make_shared<asio::steady_timer>(m_loop, retryInterval);
+        timer->async_wait([this, timer, call = std::move(call), retryState, reply = std::move(reply)](
+                              const asio::error_code& error) mutable {
+            if (!error)
+                forwardWithRetries(std::move(call), retryState, std::move(reply));
         });
+    };
+    *isThroughStore = submitThroughStore(call, retryState, onResult);
+    if (!*isThroughStore)
+        forward(call, attemptTimeout(timeLeft(retryState.deadline)), std::move(onResult));
 }
 
 void Node::countPending(JobCall call, std::chrono::milliseconds timeout, OnJobReply reply)
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -50,6 +50,12 @@
                                                                .Name("fulmar_store_refused_rows_total")
                                                                .Help("Rows that the store refuses, by table")
                                                                .Register(registry) };
+    prometheus::Family<prometheus::Counter>& storeSubmissions {
+        prometheus::BuildCounter()
+            .Name("fulmar_store_submissions_total")
+            .Help("Submissions through the store by verdict")
+            .Register(registry)
+    };
     prometheus::Family<prometheus::Gauge>& gauges {
         prometheus::BuildGauge().Name("fulmar_node").Help("State of this node").Register(registry)
     };
@@ -94,6 +100,11 @@
     m_families->refusedRows.Add({ { "table", table } }).Increment();
 }
 
+void NodeMetrics::countStoreSubmission(const std::string& verdict)
+{
+    m_families->storeSubmissions.Add({ { "verdict", verdict } }).Increment();
+}
+
 void NodeMetrics::setShardsHeld(std::size_t shards)
 {
     m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -28,6 +28,8 @@
     void countCommit(const std::string& outcome);
     // Counts a row that the store refuses while it stores others, by table.
     void countRefusedRow(const std::string& table);
+    // Counts a submission through the store by verdict ("not-taken" if too many waited).
+    void countStoreSubmission(const std::string& verdict);
     void setShardsHeld(std::size_t);
     // `age`: time since the store last confirmed that it has no newer version.
     void setConfig(std::int64_t version, std::chrono::milliseconds age);
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -36,6 +36,8 @@
     settings.maxRowBytes = std::size_t(reader.takeInteger(
         "platform", "max_row_bytes", 1'024, 1 << 24, std::int64_t(jobs::defaultMaxRowBytes)));
 
+    settings.storeSubmissions = reader.takeSwitch("callers", "store_submissions", false);
+
     // The platform fills in the others, and may have no value for some.
     std::string host(splitAddress(settings.callerAddress).first);
     settings.name = reader.takeStringOrFallback("process", "name", settings.callerAddress);
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds maintenanceTime { 0 };
     // Most bytes of a row's value in the store.
     std::size_t maxRowBytes { jobs::defaultMaxRowBytes };
+    // Submissions to a holder that cannot be reached go through the store; see submission_row.h.
+    bool storeSubmissions { false };
     // How long finished jobs can be queried.
     std::chrono::milliseconds keepFinished { 0 };
     // Limit of open files and sockets.
--- a/src/node/row_log.cpp
+++ b/src/node/row_log.cpp
@@ -105,6 +105,45 @@
     }
 }
 
+bool isWithdrawn(const std::map<platform::RowName, std::optional<std::string>>& record,
+    const std::string& sharedTable, const std::map<platform::RowName, Version>& expected,
+    const std::vector<platform::StoredRow>& current)
+{
+    return std::any_of(record.begin(), record.end(), [&](const auto& each) {
+        const auto& [name, value] = each;
+        if (name.table != sharedTable)
+            return false;
+        auto row = std::find_if(current.begin(), current.end(),
+            [&, &wanted = name](const auto& found) { return found.name == wanted && !found.isRemoved; });
+        if (row == current.end())
+            return value.has_value();
+        auto known = expected.find(name);
+        auto isUnchanged = known != expected.end() && known->second == row->version;
+        return !isUnchanged && value != row->value;
+    });
+}
+
+std::vector<platform::RowName> RowLog::giveUpWithdrawn(const platform::CommitResult& result)
+{
+    std::vector<RecordName> records;
+    std::vector<platform::RowName> rows;
+    if (m_hooks.sharedTable.empty())
+        return rows;
+    for (const auto& [record, entry] : m_queue.batch()) {
+        if (!isWithdrawn(entry.rows, m_hooks.sharedTable, m_versions, result.current))
+            continue;
+        records.push_back(record);
+        for (const auto& [name, value] : entry.rows)
+            rows.push_back(name);
+    }
+    for (const auto& record : records)
+        m_queue.drop(record);
+    for (const auto& name : rows)
+        if (name.table == m_hooks.sharedTable)
+            m_versions.erase(name);
+    return rows;
+}
+
 void RowLog::onCommit(const platform::CommitResult& result)
 {
     m_isBusy = false;
@@ -134,9 +173,14 @@
             m_hooks.onLost();
             return;
         }
+        auto withdrawn = giveUpWithdrawn(result);
         adoptVersions(result);
         m_queue.requeue();
-        send();
+        auto isAlive = m_isAlive;
+        if (!withdrawn.empty())
+            m_hooks.onWithdrawn(withdrawn);
+        if (*isAlive)
+            send();
         return;
     }
     if (result.outcome == platform::CommitOutcome::Refused) {
@@ -170,7 +214,7 @@
 {
     for (const auto& [record, entry] : m_queue.dropAside()) {
         for (const auto& [name, value] : entry.rows) {
-            if (value)
+            if (value && name.table != m_hooks.sharedTable)
                 m_refusedSizes[name] = value->size();
             logWarning("row-refused",
                 { { "table", name.table }, { "part", name.part }, { "key", name.key },
--- a/src/node/row_log.h
+++ b/src/node/row_log.h
@@ -23,6 +23,11 @@
         // The store refuses this row, or another row of its record, while it stores others. Its value is
         // given up, and its callbacks are dropped. May be empty.
         std::function<void(const platform::RowName&)> onRefused;
+        // Table whose rows other processes withdraw, if any. A record with such a row is given up, and its
+        // callbacks are dropped, if the row was withdrawn.
+        std::string sharedTable {};
+        // Called with the rows of the records that are given up for that reason.
+        std::function<void(const std::vector<platform::RowName>&)> onWithdrawn {};
     };
 
     RowLog(asio::io_context&, platform::StoreClient&, platform::RowCondition lease, Hooks);
@@ -54,6 +59,8 @@
     void send();
     void onCommit(const platform::CommitResult&);
     void adoptVersions(const platform::CommitResult&);
+    // Returns the rows of the records that were given up.
+    [[nodiscard]] std::vector<platform::RowName> giveUpWithdrawn(const platform::CommitResult&);
     void onRefused();
     // Another record was stored, so the refusals were due to the rows themselves.
     void giveUpRefused();
@@ -76,4 +83,11 @@
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
+// Whether another process has withdrawn a row of the record that is in `sharedTable`. After a transaction
+// whose outcome is unknown, a row with the value that was to be written is this process's own write, as only
+// the holder of the shard writes such values. `current` are the rows that exist, as read at one time.
+[[nodiscard]] bool isWithdrawn(const std::map<platform::RowName, std::optional<std::string>>& record,
+    const std::string& sharedTable, const std::map<platform::RowName, Version>& expected,
+    const std::vector<platform::StoredRow>& current);
+
 } // namespace fulmar::node
--- a/src/node/row_queue.h
+++ b/src/node/row_queue.h
@@ -41,9 +41,9 @@
     };
     using Batch = std::map<RecordName, Entry>;
 
-    // The rows are of one record. `durable` is called once these values or later ones are stored, after the
-    // callbacks of earlier values. `goesFirst`: the record goes ahead of all others, unless it is queued
-    // already.
+    // The rows are of one record, that of the first row; further ones may have other keys. `durable` is
+    // called once these values or later ones are stored, after the callbacks of earlier values. `goesFirst`:
+    // the record goes ahead of all others, unless it is queued already.
     void put(std::vector<RowChange>, OnDurable durable, bool goesFirst);
     // Calls back once all rows put before are stored, whatever the order of writing; immediately if none are
     // pending.
@@ -60,6 +60,8 @@
     void setAside();
     // Gives up the records set aside, with their callbacks; those of whenDurable() no longer wait for them.
     [[nodiscard]] Batch dropAside();
+    // Gives up the record, also its values that are queued behind the batch, with its callbacks.
+    void drop(const RecordName&);
 
     // Records taken and neither stored nor requeued yet.
     [[nodiscard]] const Batch& batch() const { return m_batch; }
--- a/src/node/shard_lease.cpp
+++ b/src/node/shard_lease.cpp
@@ -6,10 +6,11 @@
 
 std::string encodeOwner(const LeaseOwner& owner)
 {
-    return nlohmann::json {
-        { "address", owner.address }, { "incarnation", owner.incarnation }, { "epoch", owner.epoch },
-        { "offers", owner.consecutiveHandOvers }
-    }.dump();
+    nlohmann::json json { { "address", owner.address }, { "incarnation", owner.incarnation },
+        { "epoch", owner.epoch }, { "offers", owner.consecutiveHandOvers } };
+    if (owner.servesSubmissions)
+        json["submissions"] = true;
+    return json.dump();
 }
 
 std::optional<LeaseOwner> decodeOwner(std::string_view text)
@@ -20,7 +21,7 @@
     try {
         return LeaseOwner { json.at("address").get<std::string>(),
             json.at("incarnation").get<std::uint64_t>(), json.at("epoch").get<Epoch>(),
-            json.value("offers", 0U) };
+            json.value("offers", 0U), json.value("submissions", false) };
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
@@ -85,7 +86,7 @@
 LeaseOwner ShardLease::ownerAfterClaim() const
 {
     return { m_address, m_incarnation, (m_owner ? m_owner->epoch : 0) + 1,
-        m_owner ? m_owner->consecutiveHandOvers : 0 };
+        m_owner ? m_owner->consecutiveHandOvers : 0, false };
 }
 
 LeaseOwner ShardLease::ownerAfterRelease(bool isHandOver, bool hasBeenStable) const
--- a/src/node/shard_lease.h
+++ b/src/node/shard_lease.h
@@ -18,6 +18,8 @@
     // Consecutive hand-overs, counted from the last one by a stable holder (see stabilizationTime in
     // hand_over.h), which counts as 1.
     std::uint32_t consecutiveHandOvers { 0 };
+    // The holder accepts submissions through the store; see submission_row.h.
+    bool servesSubmissions { false };
 
     bool operator==(const LeaseOwner&) const = default;
 };
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -20,6 +20,8 @@
 // Retry-after of refusals without an estimate of their own; the row log retries the store twice a second.
 constexpr std::chrono::milliseconds defaultRetryAfter { 1'000 };
 constexpr std::chrono::milliseconds restoreRetry { 150 };
+// Pause before the next read of submissions that came through the store.
+constexpr std::chrono::milliseconds submissionReadPause { 100 };
 // Events within this time share one planning round.
 constexpr std::chrono::milliseconds planDelay { 5 };
 // Changes within this time are written together; the end of a run should be stored within 100 ms after the
@@ -76,7 +78,8 @@
           { [this] { m_hooks.onLost(); },
               [this](
                   platform::CommitOutcome outcome) { m_metrics.countCommit(std::string(toString(outcome))); },
-              [this](const platform::RowName& name) { onRowRefused(name); } })
+              [this](const platform::RowName& name) { onRowRefused(name); }, submissionTable,
+              [this](const std::vector<platform::RowName>& rows) { onRowsWithdrawn(rows); } })
     , m_shard(settings, vmSettings.epoch)
     , m_vmController(clients.store, clients.vms, m_shard, vmSettings,
           { m_hooks.mayOrderVms, m_hooks.ownsVm,
@@ -98,6 +101,14 @@
                   schedule();
               } })
     , m_planTimer(loop)
+    , m_submissions({ m_hooks.admit,
+          [this](RowChange row, std::optional<Version> read) {
+              if (read)
+                  m_log.seed(row.name, *read);
+              auto key = row.name.key;
+              m_log.put({ std::move(row) }, [this, key] { m_submissions.onWritten(key); });
+          } })
+    , m_submissionTimer(loop)
     , m_writeTimer(loop)
 {
     m_log.seed(rowName(leaseTable, renewalKey), renewalVersion);
@@ -215,8 +226,42 @@
 
 void ShardOwner::tick()
 {
-    if (m_isRestored)
-        m_vmController.tick();
+    if (!m_isRestored)
+        return;
+    m_vmController.tick();
+    m_submissions.tick(m_clock.now());
+}
+
+void ShardOwner::readSubmissions()
+{
+    m_areSubmissionsDue = true;
+    if (!m_hooks.admit || !m_isRestored || m_isReadingSubmissions)
+        return;
+    m_isReadingSubmissions = true;
+    m_areSubmissionsDue = false;
+    m_store.readAll(submissionTable, m_part, readTimeout,
+        [this, isAlive = m_isAlive](const std::optional<platform::RowPage>& page) {
+            if (*isAlive)
+                onSubmissionsRead(page);
+        });
+}
+
+void ShardOwner::onSubmissionsRead(const std::optional<platform::RowPage>& page)
+{
+    if (page)
+        m_submissions.onRows(page->rows, m_clock.now(), m_clock.wallNow());
+    m_areSubmissionsDue |= !page;
+    if (!m_areSubmissionsDue) {
+        m_isReadingSubmissions = false;
+        return;
+    }
+    m_submissionTimer.expires_after(submissionReadPause);
+    m_submissionTimer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
+        if (error || !*isAlive)
+            return;
+        m_isReadingSubmissions = false;
+        readSubmissions();
+    });
 }
 
 void ShardOwner::onRunnerRow(const platform::StoredRow& row)
@@ -238,6 +283,7 @@
         return;
     for (auto& [call, reply] : std::exchange(m_waitingForRestore, {}))
         handle(std::move(call), std::move(reply));
+    readSubmissions();
 }
 
 void ShardOwner::configure(const jobs::FleetConfig& config)
@@ -319,6 +365,8 @@
             decision.admission.retryAfter, verdict));
         return;
     }
+    if (decision.verdict == jobs::SubmitVerdict::New && !call.submission.empty())
+        m_submissions.bind(job->id, call.submission);
     if (m_shard.find(job->id)->isStored) {
         reply(done("stored"));
         return;
@@ -376,6 +424,11 @@
     for (auto& change : m_shard.takeChanges(m_clock.now())) {
         using Kind = jobs::ShardChange::Kind;
         auto rows = rowsOf(change);
+        if (change.kind == Kind::Job)
+            if (auto bound = m_submissions.takeBound(JobId(change.key))) {
+                m_log.seed(bound->first.name, bound->second);
+                rows.push_back(std::move(bound->first));
+            }
         m_log.put(std::move(rows), [this, change = std::move(change)] {
             m_shard.onStored(change, m_clock.now());
             if (change.kind == Kind::Job || change.kind == Kind::Progress)
@@ -398,11 +451,7 @@
     m_metrics.countRefusedRow(name.table);
     JobId id(name.key);
     if (name.table == jobTable) {
-        m_shard.onJobRowRefused(id, m_clock.now());
-        schedule();
-        if (auto waiting = m_waitingForStore.extract(id))
-            for (auto& reply : waiting.mapped())
-                reply(refusal(JobVerdict::Rejected, defaultRetryAfter, "row-refused"));
+        forgetUnstored(id, refusal(JobVerdict::Rejected, defaultRetryAfter, "row-refused"));
     } else if (name.table == progressTable) {
         if (auto waiting = m_waitingForCancel.extract(id))
             for (auto& reply : waiting.mapped())
@@ -410,6 +459,34 @@
     }
 }
 
+void ShardOwner::forgetUnstored(const JobId& id, const JobReply& result)
+{
+    m_shard.onJobRowRefused(id, m_clock.now());
+    schedule();
+    if (auto waiting = m_waitingForStore.extract(id))
+        for (auto& reply : waiting.mapped())
+            reply(result);
+}
+
+// The receiving process told its caller that the job does not run, so it was not stored. A direct submission
+// of the same job that waited with it is refused too.
+void ShardOwner::onRowsWithdrawn(const std::vector<platform::RowName>& rows)
+{
+    for (const auto& name : rows)
+        if (name.table == submissionTable)
+            m_submissions.onWithdrawn(name.key);
+    for (const auto& name : rows) {
+        JobId id(name.key);
+        if (name.table != jobTable)
+            continue;
+        logInfo("submission-withdrawn", { { "part", m_part }, { "job", id.value() } });
+        forgetUnstored(id, refusal(JobVerdict::Unavailable, defaultRetryAfter, "submission-withdrawn"));
+        if (auto waiting = m_waitingForCancel.extract(id))
+            for (auto& reply : waiting.mapped())
+                reply(uncertain("submission-withdrawn"));
+    }
+}
+
 void ShardOwner::replyToWaitingCalls(const JobId& id)
 {
     auto* entry = m_shard.find(id);
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -4,6 +4,7 @@
 #include "node/job_call.h"
 #include "node/node_metrics.h"
 #include "node/row_log.h"
+#include "node/submission_intake.h"
 #include "node/table_follower.h"
 #include "node/vm_controller.h"
 #include "platform/runner_client.h"
@@ -35,6 +36,9 @@
         std::function<void(TimePoint sent)> onRenewed;
         // The VM belongs to this shard.
         std::function<bool(const VmId&)> ownsVm;
+        // Passes on to handle() what came through the store, after the checks of forwarded calls. Empty if
+        // this holder accepts no submissions through the store.
+        std::function<void(JobCall, OnJobReply)> admit {};
     };
 
     // Clients of the platform's interfaces, and the metrics.
@@ -55,6 +59,8 @@
     void handle(JobCall, OnJobReply);
     void configure(const jobs::FleetConfig&);
     void addWave(const jobs::WaveOrder&);
+    // Reads the submissions that came through the store; called when the lease table shows new ones.
+    void readSubmissions();
     // Plans moves and maintenance of VMs; called periodically.
     void tick();
     void renew();
@@ -79,6 +85,10 @@
     [[nodiscard]] bool isOfOtherTeam(const jobs::JobEntry&, const JobCall&) const;
     void replyToWaitingCalls(const JobId&);
     void onRowRefused(const platform::RowName&);
+    void onRowsWithdrawn(const std::vector<platform::RowName>&);
+    // Drops a job that is not stored, and refuses the submits that wait for it.
+    void forgetUnstored(const JobId&, const JobReply&);
+    void onSubmissionsRead(const std::optional<platform::RowPage>&);
     void plan();
     void write();
     void sendStart(const jobs::OutgoingStart&);
@@ -117,6 +127,10 @@
     asio::steady_timer m_planTimer;
     TimePoint m_planAt;
     bool m_isPlanScheduled { false };
+    SubmissionIntake m_submissions;
+    bool m_isReadingSubmissions { false };
+    bool m_areSubmissionsDue { false };
+    asio::steady_timer m_submissionTimer;
     asio::steady_timer m_writeTimer;
     bool m_isWriteScheduled { false };
     // Start orders queued per runner; only a few are in flight at a time, as each needs a connection.
