--- a/src/node/node.h
+++ b/src/node/node.h
@@ -128,9 +128,12 @@
         TimePoint nextHolderDeadline;
     };
     [[nodiscard]] RetryState newRetryState(TimePoint deadline) const;
-    // Sends the call through the store if its holder cannot be reached; see store_submissions.h. False if the
-    // call is to be forwarded.
-    [[nodiscard]] bool submitThroughStore(const JobCall&, const RetryState&, const OnJobReply&);
+    // The holder announced to serve submissions through the store, both reach the store, and this process has
+    // not reached the holder for that long.
+    [[nodiscard]] bool isCutOff(const Slot&, std::chrono::milliseconds silence) const;
+    // Serves a submission or a Show through the store if the holder cannot be reached; see
+    // store_submissions.h. False if the call is to be forwarded.
+    [[nodiscard]] bool callThroughStore(const JobCall&, const RetryState&, const OnJobReply&);
     void forwardWithRetries(JobCall, RetryState, OnJobReply);
     void probeHolder(Slot&, TimePoint now);
     // Empty if the job is long-running and its pool has no index in the pool order yet.
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -5,6 +5,7 @@
 #include "node/caller_access.h"
 #include "node/readiness.h"
 #include "node/stop_plan.h"
+#include "node/stored_job_view.h"
 #include "platform/decode.h"
 #include "platform/names.h"
 
@@ -125,22 +126,32 @@
     return { deadline, false, std::min(deadline, m_clock.now() + maxWaitForNextHolder) };
 }
 
-// An undecided call carries a key, which must not be stored.
-bool Node::submitThroughStore(const JobCall& call, const RetryState& retryState, const OnJobReply& reply)
+bool Node::isCutOff(const Slot& slot, std::chrono::milliseconds silence) const
 {
-    auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
-    if (!m_settings.storeSubmissions || call.kind != JobCallKind::Submit || call.undecided || !slot
-        || slot->owner || call.encodedJob.size() + submissionRowOverhead > m_settings.maxRowBytes)
-        return false;
-    const auto& holder = slot->lease.owner();
-    auto silence = retryState.wasUncertain ? secondAttemptTimeout : holderTimeout;
-    if (!holder || !holder->servesSubmissions || holder->address.empty()
-        || holder->address == m_settings.peerAddress || m_clock.now() < slot->holderAnsweredAt + silence
-        || m_leaseFollower->age() > maxLeaseAge)
+    const auto& holder = slot.lease.owner();
+    return m_settings.storeSubmissions && !slot.owner && holder && holder->servesSubmissions
+        && !holder->address.empty() && holder->address != m_settings.peerAddress
+        && m_clock.now() >= slot.holderAnsweredAt + silence && m_leaseFollower->age() <= maxLeaseAge;
+}
+
+bool Node::callThroughStore(const JobCall& call, const RetryState& retryState, const OnJobReply& reply)
+{
+    const auto* slot = call.shard < m_slots.size() ? m_slots[call.shard].get() : nullptr;
+    // The key of an undecided call must not be stored, and only the holder can decide.
+    if (!slot || call.undecided
+        || !isCutOff(*slot, retryState.wasUncertain ? secondAttemptTimeout : holderTimeout))
         return false;
-    return m_storeSubmitter->submit(
-        { slot->part, { { leaseTable, slot->part, ownerKey }, slot->lease.ownerVersion() } }, call,
-        retryState.deadline, reply);
+    if (call.kind == JobCallKind::Show) {
+        auto left
+            = std::chrono::duration_cast<std::chrono::milliseconds>(retryState.deadline - m_clock.now());
+        showStoredJob(m_store, slot->part, call, m_config && m_config->teams, attemptTimeout(left), reply);
+        return true;
+    }
+    return call.kind == JobCallKind::Submit
+        && call.encodedJob.size() + submissionRowOverhead <= m_settings.maxRowBytes
+        && m_storeSubmitter->submit(
+            { slot->part, { { leaseTable, slot->part, ownerKey }, slot->lease.ownerVersion() } }, call,
+            retryState.deadline, reply);
 }
 
 void Node::forwardWithRetries(JobCall call, RetryState retryState, OnJobReply reply)
@@ -176,7 +187,7 @@
                 forwardWithRetries(std::move(call), retryState, std::move(reply));
         });
     };
-    *isThroughStore = submitThroughStore(call, retryState, onResult);
+    *isThroughStore = callThroughStore(call, retryState, onResult);
     if (!*isThroughStore)
         forward(call, attemptTimeout(timeLeft(retryState.deadline)), std::move(onResult));
 }
--- a/src/node/tests/fake_platform.cpp
+++ b/src/node/tests/fake_platform.cpp
@@ -25,6 +25,9 @@
     auto port = m_host.listen(
         "127.0.0.1:0", [this](const standin::HttpRequest& request) { return answer(request); });
     m_address = fmt::format("127.0.0.1:{}", port);
+    m_cutOffAddress = fmt::format("127.0.0.1:{}",
+        m_host.listen(
+            "127.0.0.1:0", [this](const standin::HttpRequest& request) { return answerCutOff(request); }));
     m_thread = std::thread([this] { m_host.run(); });
 }
 
@@ -137,6 +140,29 @@
     return { 404, "{}" };
 }
 
+void FakePlatform::hide(std::string text, std::string replacement)
+{
+    std::lock_guard lock(m_mutex);
+    m_hidden = { std::move(text), std::move(replacement) };
+}
+
+standin::HttpReply FakePlatform::answerCutOff(const standin::HttpRequest& request)
+{
+    auto reply = answer(request);
+    auto json = platform::parseObject(reply.body);
+    if (!json || !json->contains("rows"))
+        return reply;
+    std::lock_guard lock(m_mutex);
+    for (auto& row : json->at("rows")) {
+        auto value = platform::decodeBase64(row.at("value").get<std::string>()).value_or("");
+        if (auto found = value.find(m_hidden.first); found != std::string::npos && !m_hidden.first.empty())
+            row["value"]
+                = platform::encodeBase64(value.replace(found, m_hidden.first.size(), m_hidden.second));
+    }
+    reply.body = platform::toText(*json);
+    return reply;
+}
+
 standin::HttpReply FakePlatform::commit(const std::string& body)
 {
     if (m_areTransactionsSilent)
--- a/src/node/tests/fake_platform.h
+++ b/src/node/tests/fake_platform.h
@@ -47,6 +47,10 @@
     FakePlatform& operator=(const FakePlatform&) = delete;
 
     [[nodiscard]] const std::string& address() const { return m_address; }
+    // As address(), but rows that are read there have this text instead of hide()'s, so that their reader
+    // cannot reach a process whose address they tell.
+    [[nodiscard]] const std::string& cutOffAddress() const { return m_cutOffAddress; }
+    void hide(std::string text, std::string replacement);
     // A free "host:port".
     [[nodiscard]] static std::string freeAddress();
 
@@ -91,6 +95,7 @@
     };
 
     standin::HttpReply answer(const standin::HttpRequest&);
+    standin::HttpReply answerCutOff(const standin::HttpRequest&);
     standin::HttpReply commit(const std::string& body);
     [[nodiscard]] bool areMet(const platform::Json& conditions) const;
     // The rows named by the conditions that exist.
@@ -117,6 +122,8 @@
     std::size_t m_maxInMaintenance { 0 };
     standin::HttpHost m_host;
     std::string m_address;
+    std::string m_cutOffAddress;
+    std::pair<std::string, std::string> m_hidden;
     std::thread m_thread;
 };
 
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -472,4 +472,89 @@
     BOOST_TEST(fake.value("jobs", "s0", job).find("ka") == std::string::npos);
 }
 
+// Two nodes that reach the store; one holds the shard, and the other one cannot reach it.
+struct CutOffNodeFixture : NodeFixture {
+    std::thread holder;
+    std::thread receiver;
+
+    void start(bool holderServesSubmissions)
+    {
+        fake.checkConditions();
+        // As address of the holder: nothing listens there.
+        fake.hide(settings.peerAddress, "127.0.0.1:1");
+        settings.storeSubmissions = holderServesSubmissions;
+        holder = std::thread([ours = settings] { run(ours, 1); });
+        BOOST_REQUIRE(isJobAcceptedInTime());
+        for (auto* address : { &settings.callerAddress, &settings.readinessAddress, &settings.peerAddress,
+                 &settings.metricsAddress })
+            *address = test::FakePlatform::freeAddress();
+        settings.storeAddress = fake.cutOffAddress();
+        settings.storeSubmissions = true;
+        receiver = std::thread([ours = settings] { run(ours, 2); });
+    }
+
+    ~CutOffNodeFixture()
+    {
+        ::kill(::getpid(), SIGTERM);
+        holder.join();
+        receiver.join();
+    }
+
+    static void run(const NodeSettings& ours, std::uint64_t incarnation)
+    {
+        Node node(ours, incarnation, [] { return std::nullopt; });
+        BOOST_TEST(node.run().has_value());
+    }
+
+    // The answer to the first submission that is not refused for another reason than these.
+    platform::HttpResult submitUntil(const std::string& reason)
+    {
+        platform::HttpResult answer;
+        for (int tries = 0; tries < 100; ++tries) {
+            answer = call(submit("00000000000000aa"));
+            if (answer.status == 200 || answer.body.find(reason) != std::string::npos)
+                break;
+            std::this_thread::sleep_for(100ms);
+        }
+        return answer;
+    }
+
+    std::size_t rowsOf(const std::string& table)
+    {
+        auto rows = fake.rows();
+        return std::size_t(std::count_if(
+            rows.begin(), rows.end(), [&](const auto& each) { return std::get<0>(each.first) == table; }));
+    }
+};
+
+// Guards against callers that are refused although their process and the holder reach the store.
+BOOST_FIXTURE_TEST_CASE(ASubmissionReachesACutOffHolderThroughTheStore, CutOffNodeFixture)
+{
+    start(true);
+    auto answer = submitUntil("none");
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(!fake.value("jobs", "s0", "00000000000000aa").empty());
+    BOOST_TEST(rowsOf("submissions") == 1U);
+    auto refused = call(submit("00000000000000ab",
+        R"({"spec":"s","steps":[{"count":1,"cpu":900000,"mem-mb":1,"estimate-ms":900000}]})"));
+    BOOST_TEST(refused.status == 429);
+    BOOST_TEST(refused.body.find("overload") != std::string::npos);
+    BOOST_TEST(fake.value("jobs", "s0", "00000000000000ab").empty());
+    for (const auto& [id, status] : { std::pair("00000000000000aa", 200), { "00000000000000ab", 410 } }) {
+        auto request = submit(id, {});
+        request.method = "GET";
+        BOOST_TEST(call(std::move(request)).status == status);
+    }
+}
+
+// Guards against rows that a holder of the release before, or without the setting, never looks at.
+BOOST_FIXTURE_TEST_CASE(AHolderThatDoesNotServeSubmissionsGetsNoRows, CutOffNodeFixture)
+{
+    start(false);
+    std::this_thread::sleep_for(2500ms);
+    auto answer = submitUntil("holder-silent");
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(rowsOf("submissions") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
