--- a/src/node/tests/node_settings_test.cpp
+++ b/src/node/tests/node_settings_test.cpp
@@ -71,6 +71,7 @@
     BOOST_TEST(settings.metricsAddress == "10.1.0.9:9464");
     BOOST_TEST((settings.moveTime == 1500ms && settings.stopGrace == 6s && settings.maxRunnerLease == 10s));
     BOOST_TEST(settings.processorShare == 0.25);
+    BOOST_TEST(settings.storeSubmissions);
 }
 
 // Guards against processes that refuse to start where a deployment has no bound for moves.
@@ -133,6 +134,8 @@
     BOOST_TEST(read(rendered + "\n[vms]\nmove_tme = 2s\n").errors.size() == 1U);
     BOOST_TEST(read(rendered + "\n[platform]\nmax_row_bytes = many\n").errors.size() == 1U);
     BOOST_TEST(read(rendered + "\nno key\n").errors.size() == 1U);
+    BOOST_TEST(read("[callers]\nstore_submissions = yes\n").errors.size() == 3U);
+    BOOST_TEST(!read("").settings.storeSubmissions);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/node/tests/store_cut_test.cpp
+++ b/src/node/tests/store_cut_test.cpp
@@ -94,7 +94,9 @@
               { "node", 1, 0, {}, {}, {}, {} }, condition(fake, ownerKey),
               condition(fake, renewalKey).version,
               { [] { return false; }, [] { return false; }, [this] { isLost = true; }, [](TimePoint) {},
-                  [](const VmId&) { return true; } })
+                  [](const VmId&) { return true; },
+                  [this](
+                      JobCall call, OnJobReply reply) { owner.handle(std::move(call), std::move(reply)); } })
     {
         // Without capacity that is on its way a job would be rejected.
         owner.shard().setArriving(PoolId("p"), 64'000);
@@ -451,4 +453,38 @@
     BOOST_TEST(holder.runUntil([&] { return countOf(fake.rows(), progressTable) == 2; }));
 }
 
+// Guards against a job that runs although the process that submitted it through the store withdrew its row,
+// and against one that is forgotten although it is stored, whatever becomes of the first transaction with it.
+BOOST_AUTO_TEST_CASE(ASubmissionThroughTheStoreIsStoredUnlessItsRowIsWithdrawn)
+{
+    const JobId id("00000000000000b1");
+    for (auto fate :
+        { TransactionFate::Unavailable, TransactionFate::Dropped, TransactionFate::AnswerLost }) {
+        FakePlatform fake;
+        fake.setRows(initialRows());
+        fake.checkConditions();
+        auto expires = SystemClock().wallNow() + 5s;
+        fake.put(submissionTable, part, "row",
+            encodeSubmission({ id, "q", {}, expires, jobs::encodeJob(makeJob(id)) }));
+        std::atomic<bool> isTried { false };
+        fake.setFate([&](const auto& changed) {
+            return concerns(changed, id) && !isTried.exchange(true) ? fate : TransactionFate::Committed;
+        });
+        Holder holder(fake, 1h);
+        BOOST_REQUIRE(holder.runUntil([&] { return isTried.load(); }));
+        auto isStored = has(fake.rows(), jobTable, id);
+        BOOST_TEST(isStored == (fate == TransactionFate::AnswerLost));
+        if (!isStored) {
+            auto rows = fake.rows();
+            rows.erase({ submissionTable, part, "row" });
+            fake.setRows(std::move(rows));
+        }
+        BOOST_TEST(holder.submitUntilStored(JobId("00000000000000b2")));
+        BOOST_TEST(has(fake.rows(), jobTable, id) == isStored);
+        BOOST_TEST(holder.stateOf(id).has_value() == isStored);
+        auto row = decodeSubmissionRow(fake.value(submissionTable, part, "row"));
+        BOOST_TEST((row && std::holds_alternative<SubmissionOutcome>(*row)) == isStored);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
