The path through the store needs a holder that renews its lease

A holder that is dead or without the store renews nothing. Its callers would have waited for 2.3 s, in vain unless the next holder came in that time; they are refused at once, as before. Tests: store_submission, store_cut, shard_lease and the two tests of cut-off nodes, three times each.

--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -32,9 +32,9 @@
 // A holder that has not answered for this long is unreachable for a submission whose first attempt got no
 // answer.
 constexpr std::chrono::milliseconds secondAttemptTimeout { 1'200 };
-// Age of the lease table up to which the store counts as reachable: its feed answers after 1.5 s at the
-// latest.
-constexpr std::chrono::milliseconds maxLeaseAge { 2'000 };
+// A holder whose renewal was seen within this time reaches the store, and so does this process. Renewals come
+// every 0.75 s, and a small process sees them up to 0.4 s later.
+constexpr std::chrono::milliseconds maxRenewalAge { 1'500 };
 // Bytes of a submission's row besides the job.
 constexpr std::size_t submissionRowOverhead { 2'048 };
 constexpr std::size_t maxLoggedPathBytes = 200;
@@ -128,10 +128,12 @@
 
 bool Node::isCutOff(const Slot& slot, std::chrono::milliseconds silence) const
 {
+    auto now = m_clock.now();
     const auto& holder = slot.lease.owner();
+    auto renewedAt = slot.lease.unchangedSince();
     return m_settings.storeSubmissions && !slot.owner && holder && holder->servesSubmissions
         && !holder->address.empty() && holder->address != m_settings.peerAddress
-        && m_clock.now() >= slot.holderAnsweredAt + silence && m_leaseFollower->age() <= maxLeaseAge;
+        && now >= slot.holderAnsweredAt + silence && renewedAt && now <= *renewedAt + maxRenewalAge;
 }
 
 bool Node::callThroughStore(const JobCall& call, const RetryState& retryState, const OnJobReply& reply)
--- a/src/node/shard_lease.h
+++ b/src/node/shard_lease.h
@@ -74,6 +74,9 @@
     [[nodiscard]] const std::optional<LeaseOwner>& owner() const { return m_owner; }
     [[nodiscard]] Version ownerVersion() const { return m_ownerVersion; }
     [[nodiscard]] Version renewalVersion() const { return m_renewalVersion; }
+    // When the rows were last seen to change, as a holder that reaches the store renews them; empty before
+    // the first read.
+    [[nodiscard]] std::optional<TimePoint> unchangedSince() const { return m_unchangedSince; }
     [[nodiscard]] const LeaseSettings& settings() const { return m_settings; }
 
 private:
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -543,7 +543,7 @@
     for (const auto& [id, status] : { std::pair("00000000000000aa", 200), { "00000000000000ab", 410 } }) {
         auto request = submit(id, {});
         request.method = "GET";
-        BOOST_TEST(call(std::move(request)).status == status);
+        BOOST_TEST(call(request).status == status);
     }
 }
 
--- a/src/node/tests/store_submission_test.cpp
+++ b/src/node/tests/store_submission_test.cpp
@@ -157,7 +157,8 @@
         return result;
     }
 
-    void commit(const platform::RowTransaction& rows, std::function<void(platform::CommitResult)> answer)
+    void commit(
+        const platform::RowTransaction& rows, const std::function<void(platform::CommitResult)>& answer)
     {
         if (chance(m_faults.lateWrite)) {
             at(std::chrono::milliseconds(upTo(40'000)), [this, rows] { apply(rows); });
@@ -242,8 +243,8 @@
         auto& holder = *m_holders.emplace_back(std::make_unique<Holder>());
         holder.owner = { name, m_version };
         holder.intake.emplace(SubmissionIntake::Hooks {
-            [this, &holder](JobCall call, OnJobReply reply) { admit(holder, call, std::move(reply)); },
-            [this, &holder](RowChange row, std::optional<Version> read) {
+            [this, &holder](const JobCall& call, OnJobReply reply) { admit(holder, call, std::move(reply)); },
+            [&holder](const RowChange& row, std::optional<Version> read) {
                 if (read)
                     holder.versions[row.name] = *read;
                 holder.queue[row.name.key].insert_or_assign(row.name, row.value);
@@ -329,13 +330,14 @@
                     transaction.removals.push_back(name);
             }
         holder.isBusy = true;
-        commit(transaction, [this, &holder, batch = std::move(batch)](const platform::CommitResult& result) {
-            holder.isBusy = false;
-            onCommit(holder, batch, result);
-        });
+        commit(transaction,
+            [this, &holder, batch = std::move(batch)](const platform::CommitResult& result) mutable {
+                holder.isBusy = false;
+                onCommit(holder, batch, result);
+            });
     }
 
-    void onCommit(Holder& holder, std::map<std::string, Record> batch, const platform::CommitResult& result)
+    void onCommit(Holder& holder, std::map<std::string, Record>& batch, const platform::CommitResult& result)
     {
         auto versionOf = [&](const platform::RowName& name) -> Version {
             auto row = std::find_if(result.current.begin(), result.current.end(),
@@ -363,8 +365,7 @@
             if (result.outcome == CommitOutcome::Committed || isGivenUp) {
                 finish(holder, id, record, isGivenUp);
             } else {
-                record.merge(holder.queue[key]);
-                std::swap(holder.queue[key], record);
+                holder.queue[key].merge(record);
             }
         }
     }
