--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -474,11 +474,19 @@
 
 // Two nodes that reach the store; one holds the shard, and the other one cannot reach it.
 struct CutOffNodeFixture : NodeFixture {
+    standin::HttpHost runner;
+    std::thread runnerThread;
     std::thread holder;
     std::thread receiver;
 
     void start(bool holderServesSubmissions)
     {
+        auto port = runner.listen("127.0.0.1:0", [](const standin::HttpRequest&) {
+            return standin::HttpReply { 200, R"({"clock-ms":1,"born":1,"running":[],"finished":[]})" };
+        });
+        runnerThread = std::thread([this] { runner.run(); });
+        fake.put(platform::runnerListTable, "", "runner", fmt::format(runnerRow, port));
+        settings.vmsAddress.clear();
         fake.checkConditions();
         // As address of the holder: nothing listens there.
         fake.hide(settings.peerAddress, "127.0.0.1:1");
@@ -498,6 +506,8 @@
         ::kill(::getpid(), SIGTERM);
         holder.join();
         receiver.join();
+        runner.stop();
+        runnerThread.join();
     }
 
     static void run(const NodeSettings& ours, std::uint64_t incarnation)
