--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -20,8 +20,6 @@
 // Retry-after of refusals without an estimate of their own; the row log retries the store twice a second.
 constexpr std::chrono::milliseconds defaultRetryAfter { 1'000 };
 constexpr std::chrono::milliseconds restoreRetry { 150 };
-// Pause before the next read of submissions that came through the store.
-constexpr std::chrono::milliseconds submissionReadPause { 100 };
 // Events within this time share one planning round.
 constexpr std::chrono::milliseconds planDelay { 5 };
 // Changes within this time are written together; the end of a run should be stored within 100 ms after the
@@ -101,14 +99,14 @@
                   schedule();
               } })
     , m_planTimer(loop)
-    , m_submissions({ m_hooks.admit,
-          [this](RowChange row, std::optional<Version> read) {
-              if (read)
-                  m_log.seed(row.name, *read);
-              auto key = row.name.key;
-              m_log.put({ std::move(row) }, [this, key] { m_submissions.onWritten(key); });
-          } })
-    , m_submissionTimer(loop)
+    , m_submissions(loop, clients.store, m_part,
+          { m_hooks.admit,
+              [this](RowChange row, std::optional<Version> read) {
+                  if (read)
+                      m_log.seed(row.name, *read);
+                  auto key = row.name.key;
+                  m_log.put({ std::move(row) }, [this, key] { m_submissions.intake().onWritten(key); });
+              } })
     , m_writeTimer(loop)
 {
     m_log.seed(rowName(leaseTable, renewalKey), renewalVersion);
@@ -229,39 +227,14 @@
     if (!m_isRestored)
         return;
     m_vmController.tick();
-    m_submissions.tick(m_clock.now());
+    m_submissions.intake().tick(m_clock.now());
 }
 
+// The rows that exist are read once the shard is restored.
 void ShardOwner::readSubmissions()
 {
-    m_areSubmissionsDue = true;
-    if (!m_hooks.admit || !m_isRestored || m_isReadingSubmissions)
-        return;
-    m_isReadingSubmissions = true;
-    m_areSubmissionsDue = false;
-    m_store.readAll(submissionTable, m_part, readTimeout,
-        [this, isAlive = m_isAlive](const std::optional<platform::RowPage>& page) {
-            if (*isAlive)
-                onSubmissionsRead(page);
-        });
-}
-
-void ShardOwner::onSubmissionsRead(const std::optional<platform::RowPage>& page)
-{
-    if (page)
-        m_submissions.onRows(page->rows, m_clock.now(), m_clock.wallNow());
-    m_areSubmissionsDue |= !page;
-    if (!m_areSubmissionsDue) {
-        m_isReadingSubmissions = false;
-        return;
-    }
-    m_submissionTimer.expires_after(submissionReadPause);
-    m_submissionTimer.async_wait([this, isAlive = m_isAlive](const asio::error_code& error) {
-        if (error || !*isAlive)
-            return;
-        m_isReadingSubmissions = false;
-        readSubmissions();
-    });
+    if (m_isRestored)
+        m_submissions.read();
 }
 
 void ShardOwner::onRunnerRow(const platform::StoredRow& row)
@@ -366,7 +339,7 @@
         return;
     }
     if (decision.verdict == jobs::SubmitVerdict::New && !call.submission.empty())
-        m_submissions.bind(job->id, call.submission);
+        m_submissions.intake().bind(job->id, call.submission);
     if (m_shard.find(job->id)->isStored) {
         reply(done("stored"));
         return;
@@ -425,7 +398,7 @@
         using Kind = jobs::ShardChange::Kind;
         auto rows = rowsOf(change);
         if (change.kind == Kind::Job)
-            if (auto bound = m_submissions.takeBound(JobId(change.key))) {
+            if (auto bound = m_submissions.intake().takeBound(JobId(change.key))) {
                 m_log.seed(bound->first.name, bound->second);
                 rows.push_back(std::move(bound->first));
             }
@@ -474,7 +447,7 @@
 {
     for (const auto& name : rows)
         if (name.table == submissionTable)
-            m_submissions.onWithdrawn(name.key);
+            m_submissions.intake().onWithdrawn(name.key);
     for (const auto& name : rows) {
         JobId id(name.key);
         if (name.table != jobTable)
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -4,7 +4,7 @@
 #include "node/job_call.h"
 #include "node/node_metrics.h"
 #include "node/row_log.h"
-#include "node/submission_intake.h"
+#include "node/submission_reader.h"
 #include "node/table_follower.h"
 #include "node/vm_controller.h"
 #include "platform/runner_client.h"
@@ -88,7 +88,6 @@
     void onRowsWithdrawn(const std::vector<platform::RowName>&);
     // Drops a job that is not stored, and refuses the submits that wait for it.
     void forgetUnstored(const JobId&, const JobReply&);
-    void onSubmissionsRead(const std::optional<platform::RowPage>&);
     void plan();
     void write();
     void sendStart(const jobs::OutgoingStart&);
@@ -127,10 +126,7 @@
     asio::steady_timer m_planTimer;
     TimePoint m_planAt;
     bool m_isPlanScheduled { false };
-    SubmissionIntake m_submissions;
-    bool m_isReadingSubmissions { false };
-    bool m_areSubmissionsDue { false };
-    asio::steady_timer m_submissionTimer;
+    SubmissionReader m_submissions;
     asio::steady_timer m_writeTimer;
     bool m_isWriteScheduled { false };
     // Start orders queued per runner; only a few are in flight at a time, as each needs a connection.
