--- a/src/node/node.h
+++ b/src/node/node.h
@@ -9,6 +9,7 @@
 #include "node/shard_map_sync.h"
 #include "node/shard_owner.h"
 #include "node/shard_rpc.h"
+#include "node/store_submitter.h"
 #include "platform/vm_client.h"
 
 #include <asio/signal_set.hpp>
@@ -127,6 +128,12 @@
         TimePoint nextHolderDeadline;
     };
     [[nodiscard]] RetryState newRetryState(TimePoint deadline) const;
+    // The holder announced to serve submissions through the store, both reach the store, and this process has
+    // not reached the holder for that long.
+    [[nodiscard]] bool isCutOff(const Slot&, std::chrono::milliseconds silence) const;
+    // Serves a submission or a Show through the store if the holder cannot be reached; see
+    // store_submissions.h. False if the call is to be forwarded.
+    [[nodiscard]] bool callThroughStore(const JobCall&, const RetryState&, const OnJobReply&);
     void forwardWithRetries(JobCall, RetryState, OnJobReply);
     void probeHolder(Slot&, TimePoint now);
     // Empty if the job is long-running and its pool has no index in the pool order yet.
@@ -147,6 +154,7 @@
     std::optional<ShardMap> m_map;
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::unique_ptr<TableFollower> m_leaseFollower;
+    std::unique_ptr<StoreSubmitter> m_storeSubmitter;
     ShardMapSync m_mapSync;
     PoolOrderSync m_poolOrder;
     std::optional<jobs::FleetConfig> m_config;
--- a/src/node/shard_lease.h
+++ b/src/node/shard_lease.h
@@ -18,6 +18,8 @@
     // Consecutive hand-overs, counted from the last one by a stable holder (see stabilizationTime in
     // hand_over.h), which counts as 1.
     std::uint32_t consecutiveHandOvers { 0 };
+    // The holder accepts submissions through the store; see submission_row.h.
+    bool servesSubmissions { false };
 
     bool operator==(const LeaseOwner&) const = default;
 };
@@ -72,6 +74,9 @@
     [[nodiscard]] const std::optional<LeaseOwner>& owner() const { return m_owner; }
     [[nodiscard]] Version ownerVersion() const { return m_ownerVersion; }
     [[nodiscard]] Version renewalVersion() const { return m_renewalVersion; }
+    // When the rows were last seen to change, as a holder that reaches the store renews them; empty before
+    // the first read.
+    [[nodiscard]] std::optional<TimePoint> unchangedSince() const { return m_unchangedSince; }
     [[nodiscard]] const LeaseSettings& settings() const { return m_settings; }
 
 private:
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -77,7 +77,8 @@
           { [this] { m_hooks.onLost(); },
               [this](
                   platform::CommitOutcome outcome) { m_metrics.countCommit(std::string(toString(outcome))); },
-              [this](const platform::RowName& name) { onRowRefused(name); } })
+              [this](const platform::RowName& name) { onRowRefused(name); }, submissionTable,
+              [this](const std::vector<platform::RowName>& rows) { onRowsWithdrawn(rows); } })
     , m_shard(settings, vmSettings.epoch)
     , m_teamLimits(loop, clients.store, clients.metrics, m_shard.teamQuota(), m_hooks.configApplyTime,
           { m_hooks.configAge, [this] { schedule(); } })
@@ -101,6 +102,14 @@
                   schedule();
               } })
     , m_planTimer(loop)
+    , m_submissions(loop, clients.store, m_part,
+          { m_hooks.admit,
+              [this](RowChange row, std::optional<Version> read) {
+                  if (read)
+                      m_log.seed(row.name, *read);
+                  auto key = row.name.key;
+                  m_log.put({ std::move(row) }, [this, key] { m_submissions.intake().onWritten(key); });
+              } })
     , m_writeTimer(loop)
 {
     m_log.seed(rowName(leaseTable, renewalKey), renewalVersion);
@@ -217,9 +226,18 @@
 void ShardOwner::addWave(const jobs::WaveOrder& wave) { m_vmController.addWave(wave); }
 
 void ShardOwner::tick()
+{
+    if (!m_isRestored)
+        return;
+    m_vmController.tick();
+    m_submissions.intake().tick(m_clock.now());
+}
+
+// The rows that exist are read once the shard is restored.
+void ShardOwner::readSubmissions()
 {
     if (m_isRestored)
-        m_vmController.tick();
+        m_submissions.read();
 }
 
 void ShardOwner::onRunnerRow(const platform::StoredRow& row)
@@ -241,6 +259,7 @@
         return;
     for (auto& [call, reply] : std::exchange(m_waitingForRestore, {}))
         handle(std::move(call), std::move(reply));
+    readSubmissions();
 }
 
 void ShardOwner::configure(const jobs::FleetConfig& config)
@@ -324,6 +343,8 @@
             decision.admission.retryAfter, verdict));
         return;
     }
+    if (decision.verdict == jobs::SubmitVerdict::New && !call.submission.empty())
+        m_submissions.intake().bind(job->id, call.submission);
     if (m_shard.find(job->id)->isStored) {
         reply(done("stored"));
         return;
@@ -386,6 +407,11 @@
     for (auto& change : m_shard.takeChanges(m_clock.now())) {
         using Kind = jobs::ShardChange::Kind;
         auto rows = rowsOf(change);
+        if (change.kind == Kind::Job)
+            if (auto bound = m_submissions.intake().takeBound(JobId(change.key))) {
+                m_log.seed(bound->first.name, bound->second);
+                rows.push_back(std::move(bound->first));
+            }
         m_log.put(std::move(rows), [this, change = std::move(change)] {
             m_shard.onStored(change, m_clock.now());
             if (change.kind == Kind::Job || change.kind == Kind::Progress)
@@ -408,11 +434,7 @@
     m_metrics.countRefusedRow(name.table);
     JobId id(name.key);
     if (name.table == jobTable) {
-        m_shard.onJobRowRefused(id, m_clock.now());
-        schedule();
-        if (auto waiting = m_waitingForStore.extract(id))
-            for (auto& reply : waiting.mapped())
-                reply(refusal(JobVerdict::Rejected, defaultRetryAfter, "row-refused"));
+        forgetUnstored(id, refusal(JobVerdict::Rejected, defaultRetryAfter, "row-refused"));
     } else if (name.table == progressTable) {
         if (auto waiting = m_waitingForCancel.extract(id))
             for (auto& reply : waiting.mapped())
@@ -420,6 +442,34 @@
     }
 }
 
+void ShardOwner::forgetUnstored(const JobId& id, const JobReply& result)
+{
+    m_shard.onJobRowRefused(id, m_clock.now());
+    schedule();
+    if (auto waiting = m_waitingForStore.extract(id))
+        for (auto& reply : waiting.mapped())
+            reply(result);
+}
+
+// The receiving process told its caller that the job does not run, so it was not stored. A direct submission
+// of the same job that waited with it is refused too.
+void ShardOwner::onRowsWithdrawn(const std::vector<platform::RowName>& rows)
+{
+    for (const auto& name : rows)
+        if (name.table == submissionTable)
+            m_submissions.intake().onWithdrawn(name.key);
+    for (const auto& name : rows) {
+        JobId id(name.key);
+        if (name.table != jobTable)
+            continue;
+        logInfo("submission-withdrawn", { { "part", m_part }, { "job", id.value() } });
+        forgetUnstored(id, refusal(JobVerdict::Unavailable, defaultRetryAfter, "submission-withdrawn"));
+        if (auto waiting = m_waitingForCancel.extract(id))
+            for (auto& reply : waiting.mapped())
+                reply(uncertain("submission-withdrawn"));
+    }
+}
+
 void ShardOwner::replyToWaitingCalls(const JobId& id)
 {
     auto* entry = m_shard.find(id);
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -4,6 +4,7 @@
 #include "node/job_call.h"
 #include "node/node_metrics.h"
 #include "node/row_log.h"
+#include "node/submission_reader.h"
 #include "node/table_follower.h"
 #include "node/team_limits.h"
 #include "node/vm_controller.h"
@@ -39,6 +40,9 @@
         // Time since the store confirmed the configuration, and how long one may take to be in force.
         std::function<std::chrono::milliseconds()> configAge = [] { return std::chrono::milliseconds(0); };
         std::chrono::milliseconds configApplyTime { 3'000 };
+        // Passes on to handle() what came through the store, after the checks of forwarded calls. Empty if
+        // this holder accepts no submissions through the store.
+        std::function<void(JobCall, OnJobReply)> admit {};
     };
 
     // Clients of the platform's interfaces, and the metrics.
@@ -59,6 +63,8 @@
     void handle(JobCall, OnJobReply);
     void configure(const jobs::FleetConfig&);
     void addWave(const jobs::WaveOrder&);
+    // Reads the submissions that came through the store; called when the lease table shows new ones.
+    void readSubmissions();
     // Plans moves and maintenance of VMs; called periodically.
     void tick();
     void renew();
@@ -83,6 +89,9 @@
     [[nodiscard]] bool isOfOtherTeam(const jobs::JobEntry&, const JobCall&) const;
     void replyToWaitingCalls(const JobId&);
     void onRowRefused(const platform::RowName&);
+    void onRowsWithdrawn(const std::vector<platform::RowName>&);
+    // Drops a job that is not stored, and refuses the submits that wait for it.
+    void forgetUnstored(const JobId&, const JobReply&);
     void plan();
     void write();
     void sendStart(const jobs::OutgoingStart&);
@@ -123,6 +132,7 @@
     asio::steady_timer m_planTimer;
     TimePoint m_planAt;
     bool m_isPlanScheduled { false };
+    SubmissionReader m_submissions;
     asio::steady_timer m_writeTimer;
     bool m_isWriteScheduled { false };
     // Start orders queued per runner; only a few are in flight at a time, as each needs a connection.
