--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -207,6 +207,16 @@
     return fallback;
 }
 
+bool SettingsReader::takeSwitch(const std::string& section, const std::string& key, bool fallback)
+{
+    const auto* entry = find(section, key);
+    if (!entry)
+        return fallback;
+    if (entry->value != "on" && entry->value != "off")
+        report(entry->line, fmt::format("[{}] {}: '{}' is neither on nor off", section, key, entry->value));
+    return entry->value == "on";
+}
+
 std::string SettingsReader::takeAddress(const std::string& section, const std::string& key)
 {
     const auto* entry = find(section, key);
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -41,6 +41,8 @@
     // Values need a unit: 80us, 250ms, 30s, 5m, 4h, 2d.
     [[nodiscard]] Duration takeDuration(
         const std::string& section, const std::string& key, Duration low, Duration high, Duration fallback);
+    // "on" or "off".
+    [[nodiscard]] bool takeSwitch(const std::string& section, const std::string& key, bool fallback);
     // "host:port" with a numeric IPv4 host. An invalid address is reported and returned unchanged.
     [[nodiscard]] std::string takeAddress(const std::string& section, const std::string& key);
     [[nodiscard]] std::string takeAddress(
--- a/src/jobs/demand.cpp
+++ b/src/jobs/demand.cpp
@@ -59,12 +59,12 @@
     return std::uint32_t(std::ceil(m_peak * share));
 }
 
-void DemandMeter::recordArrival(
+bool DemandMeter::recordArrival(
     const JobId& job, double work, Millis criticalPath, Millis objective, TimePoint now)
 {
     expireArrivals(now);
     if (!m_recentJobs.insert(job).second)
-        return;
+        return false;
     m_arrivals.push_back({ job, work, std::max(criticalPath, Millis(1)), now });
     auto updateMean = [](double& mean, double newest) {
         mean = mean == 0 ? newest : mean + (newest - mean) * newestWeight;
@@ -72,6 +72,7 @@
     updateMean(m_meanWork, work);
     updateMean(m_meanCriticalPath, double(criticalPath.count()));
     updateMean(m_meanObjective, double(objective.count()));
+    return true;
 }
 
 double DemandMeter::demandedCores(TimePoint now)
--- a/src/jobs/demand.h
+++ b/src/jobs/demand.h
@@ -15,7 +15,8 @@
 class DemandMeter {
 public:
     // `work` is in core-milliseconds; the job cannot end before `criticalPath`.
-    void recordArrival(const JobId&, double work, Millis criticalPath, Millis objective, TimePoint now);
+    // False if the job is known already.
+    bool recordArrival(const JobId&, double work, Millis criticalPath, Millis objective, TimePoint now);
     // Number of cores that the submitted work would keep busy. The maximum of three estimates: jobs that
     // would be running now had each started on arrival, the rate of recent arrivals, and the rate forecast
     // for the time when a VM ordered now takes work.
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -33,6 +33,8 @@
     , m_attemptBase((epoch - 1) * attemptsPerEpoch)
     , m_jobTable(settings.maxRowBytes)
 {
+    if (settings.vmLeadTimeForBursts)
+        m_burstForecast.emplace(*settings.vmLeadTimeForBursts);
 }
 
 FencingToken Shard::nextFence()
@@ -153,8 +155,10 @@
 
 void Shard::recordPredictedDemand(const Job& job, TimePoint now)
 {
-    m_demand[job.policy.pool].recordArrival(
+    auto isNew = m_demand[job.policy.pool].recordArrival(
         job.id, job.expectedWork(), job.expectedCriticalPath(), job.objective(), now);
+    if (isNew && m_burstForecast)
+        m_burstForecast->recordArrival(job.policy.pool, job.expectedWork(), now);
 }
 
 void Shard::cancel(const JobId& id, TimePoint now)
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -2,6 +2,7 @@
 
 #include "jobs/adaptive_timeout.h"
 #include "jobs/admission.h"
+#include "jobs/burst_forecast.h"
 #include "jobs/demand.h"
 #include "jobs/job_table.h"
 #include "jobs/move_plan.h"
@@ -23,6 +24,8 @@
     // How long finished jobs can be queried.
     Millis keepFinished { 150'000 };
     std::size_t maxRowBytes { defaultMaxRowBytes };
+    // Time from the order of a VM until it works, if bursts are to be forecast.
+    std::optional<Millis> vmLeadTimeForBursts;
 };
 
 enum class SubmitVerdict : std::uint8_t {
@@ -146,8 +149,12 @@
         // Least number of VMs, needed to spread or fit tasks.
         std::uint32_t minVms { 0 };
         Millis meanObjective { 0 };
+        // VMs are ordered before the pool's next burst, so it keeps none between bursts.
+        bool isBurstForecast { false };
     };
     [[nodiscard]] Demand demandOf(const PoolId&, TimePoint now, WallTime wallNow);
+    // Null unless bursts are forecast; its update() is to be called several times a second.
+    [[nodiscard]] BurstForecast* burstForecast() { return m_burstForecast ? &*m_burstForecast : nullptr; }
     // Millicores that can join the pool within the time of a VM move.
     void setArriving(const PoolId& pool, std::int64_t cpu) { m_arriving[pool] = cpu; }
     [[nodiscard]] bool hasLongRunningTasks(const RunnerId&);
@@ -282,6 +289,7 @@
     std::map<TeamId, teams::TeamConfig> m_teams;
     std::uint32_t m_shardCount { 1 };
     std::map<PoolId, DemandMeter> m_demand;
+    std::optional<BurstForecast> m_burstForecast;
     std::map<PoolId, std::int64_t> m_arriving;
     // Pools in which startable tasks wait for capacity.
     std::set<PoolId> m_backloggedPools;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -24,6 +24,8 @@
 // Small processes delay their claims by up to 1.5 s and are usually many, so they read the feed less often.
 constexpr std::chrono::milliseconds leaseFeedPauseOfSmall { 400 };
 constexpr std::chrono::milliseconds tickPause { 50 };
+// From the end of a VM's move until its runner is listed, has answered and takes work, and until a tick.
+constexpr std::chrono::milliseconds firstAnswerTime { 750 };
 // Four renewals per lease length, so that one lost answer does not lose the lease.
 constexpr int renewalsPerLease = 4;
 // Upper bound of the random delay from the expiry of a lease to a process's claim.
@@ -430,6 +432,8 @@
     settings.maxLease = m_settings.maxRunnerLease;
     settings.keepFinished = m_settings.keepFinished + finishedMargin;
     settings.maxRowBytes = m_settings.maxRowBytes;
+    if (m_settings.isBurstForecastOn)
+        settings.vmLeadTimeForBursts = m_settings.moveTime + firstAnswerTime;
     ShardOwner::Hooks hooks;
     hooks.mayOrder = [this, &slot] { return slot.lease.isValid(m_clock.now()) && !slot.isReleasing; };
     hooks.mayOrderVms = [mayOrder = hooks.mayOrder, &slot] { return mayOrder() && !slot.handOverAt; };
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -50,6 +50,12 @@
                                                                .Name("fulmar_store_refused_rows_total")
                                                                .Help("Rows that the store refuses, by table")
                                                                .Register(registry) };
+    prometheus::Family<prometheus::Counter>& expectedBursts {
+        prometheus::BuildCounter()
+            .Name("fulmar_expected_bursts_total")
+            .Help("Bursts for which VMs were to be ordered ahead, by whether they came")
+            .Register(registry)
+    };
     prometheus::Family<prometheus::Gauge>& gauges {
         prometheus::BuildGauge().Name("fulmar_node").Help("State of this node").Register(registry)
     };
@@ -94,6 +100,12 @@
     m_families->refusedRows.Add({ { "table", table } }).Increment();
 }
 
+void NodeMetrics::countExpectedBursts(const std::string& outcome, std::uint64_t count)
+{
+    if (count > 0)
+        m_families->expectedBursts.Add({ { "outcome", outcome } }).Increment(double(count));
+}
+
 void NodeMetrics::setShardsHeld(std::size_t shards)
 {
     m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -28,6 +28,8 @@
     void countCommit(const std::string& outcome);
     // Counts a row that the store refuses while it stores others, by table.
     void countRefusedRow(const std::string& table);
+    // Counts bursts that were expected, by whether they came.
+    void countExpectedBursts(const std::string& outcome, std::uint64_t count);
     void setShardsHeld(std::size_t);
     // `age`: time since the store last confirmed that it has no newer version.
     void setConfig(std::int64_t version, std::chrono::milliseconds age);
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -49,6 +49,7 @@
     settings.stopGrace = takeMillis(reader, "process", "stop_grace", 1ms, 1h, 6s);
     settings.moveTime = takeMillis(reader, "vms", "move_time", 1ms, 1h, 1500ms);
     settings.maintenanceTime = takeMillis(reader, "vms", "maintenance_time", 1ms, 1h, 2s);
+    settings.isBurstForecastOn = reader.takeSwitch("vms", "forecast_bursts", false);
     settings.keepFinished = takeMillis(reader, "jobs", "keep_finished", 1ms, 1h, 2min);
     settings.maxDescriptors = reader.takeIntegerOrNearest("process", "max_descriptors", 64, 1 << 20, 1'024);
     settings.processorShare = reader.takeNumberOrNearest("process", "processor_share", 0.01, 1024, 1);
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -28,6 +28,8 @@
     // How long a move and a maintenance make a VM unavailable.
     std::chrono::milliseconds moveTime { 0 };
     std::chrono::milliseconds maintenanceTime { 0 };
+    // VMs are ordered before the next burst of a pool whose bursts return regularly.
+    bool isBurstForecastOn { false };
     // Most bytes of a row's value in the store.
     std::size_t maxRowBytes { jobs::defaultMaxRowBytes };
     // How long finished jobs can be queried.
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -1,6 +1,7 @@
 #include "node/shard_owner.h"
 
 #include "core/log.h"
+#include "jobs/burst_row.h"
 #include "jobs/runner_row.h"
 #include "node/queue_lookup.h"
 #include "platform/decode.h"
@@ -146,8 +147,8 @@
 // Reads the tables in sequence; progress rows come before the jobs they belong to.
 void ShardOwner::restore(std::size_t tableIndex)
 {
-    static constexpr std::array tables { progressTable, jobTable, runnerTable, waveTable };
-    if (tableIndex == tables.size()) {
+    static constexpr std::array tables { progressTable, jobTable, runnerTable, waveTable, burstTable };
+    if (tableIndex == tables.size() - (m_shard.burstForecast() ? 0 : 1)) {
         logInfo("shard-restored",
             { { "part", m_part }, { "jobs", std::to_string(m_shard.jobTable().all().size()) },
                 { "runners", std::to_string(m_shard.runners().size()) } });
@@ -197,11 +198,26 @@
             m_shard.restoreRunner(std::move(*runner), m_clock.now());
     } else if (table == waveTable) {
         isReadable = m_vmController.restoreWave(key, row.value);
+    } else if (table == burstTable && key == burstForecastKey) {
+        isReadable = restoreBursts(row.value);
     }
     if (!isReadable)
         logWarning("row-unreadable", { { "table", table }, { "key", key } });
 }
 
+// False if the row cannot be decoded. One that is too old is not used.
+bool ShardOwner::restoreBursts(std::string_view row)
+{
+    auto record = jobs::decodeBurstRow(row);
+    if (!record)
+        return false;
+    auto isUsed = m_shard.burstForecast()->restore(*record, m_clock.wallNow());
+    logInfo("burst-forecast-restored",
+        { { "part", m_part }, { "pools", std::to_string(record->pools.size()) },
+            { "used", isUsed ? "true" : "false" } });
+    return true;
+}
+
 // Earlier releases could remove the row of a job and leave its progress.
 void ShardOwner::removeOrphanedProgress()
 {
@@ -215,8 +231,25 @@
 
 void ShardOwner::tick()
 {
-    if (m_isRestored)
-        m_vmController.tick();
+    if (!m_isRestored)
+        return;
+    updateBurstForecast();
+    m_vmController.tick();
+}
+
+void ShardOwner::updateBurstForecast()
+{
+    auto* forecast = m_shard.burstForecast();
+    if (!forecast)
+        return;
+    auto now = m_clock.now();
+    forecast->update(now);
+    if (auto record = forecast->takeRecord(now, m_clock.wallNow()))
+        m_log.put({ { rowName(burstTable, burstForecastKey), jobs::encodeBurstRow(*record) } }, {});
+    auto counts = forecast->counts();
+    m_metrics.countExpectedBursts("came", counts.hits - m_countedBursts.hits);
+    m_metrics.countExpectedBursts("missed", counts.misses - m_countedBursts.misses);
+    m_countedBursts = counts;
 }
 
 void ShardOwner::onRunnerRow(const platform::StoredRow& row)
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -17,6 +17,9 @@
 inline constexpr auto jobTable = "jobs";
 inline constexpr auto progressTable = "progress";
 inline constexpr auto runnerTable = "runners";
+// What is known of the pools' bursts; one row of each shard.
+inline constexpr auto burstTable = "bursts";
+inline constexpr auto burstForecastKey = "forecast";
 inline constexpr auto ownerKey = "owner";
 inline constexpr auto renewalKey = "renewal";
 
@@ -71,6 +74,8 @@
     void restoreRow(const platform::StoredRow&);
     void removeOrphanedProgress();
     void onRestored();
+    [[nodiscard]] bool restoreBursts(std::string_view row);
+    void updateBurstForecast();
     void submit(const JobCall&, OnJobReply);
     void show(const JobCall&, const OnJobReply&);
     void cancel(const JobCall&, OnJobReply);
@@ -126,6 +131,7 @@
     };
     std::map<jobs::RunnerId, Outbox> m_outboxes;
     std::uint64_t m_renewals { 0 };
+    jobs::BurstForecast::Counts m_countedBursts;
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
--- a/src/node/vm_controller.cpp
+++ b/src/node/vm_controller.cpp
@@ -458,6 +458,8 @@
         // peak.
         auto share = std::uint32_t(m_list.size() / needs.size());
         need.minBetweenBursts = m_floors[pool].update(need.needed, share, demand.meanObjective, now);
+        if (demand.isBurstForecast)
+            need.minBetweenBursts = 0;
         std::sort(need.idle.begin(), need.idle.end(),
             [](const auto& a, const auto& b) { return a.idleFor > b.idleFor; });
         std::sort(need.busy.begin(), need.busy.end(),
