--- a/src/jobs/burst_detector.cpp
+++ b/src/jobs/burst_detector.cpp
@@ -29,13 +29,23 @@
 constexpr std::chrono::seconds peakHalfLife { 60 };
 // Over how much time the rate outside of bursts is averaged.
 constexpr double quietMemorySeconds = 120;
-// Resolution of a change of the rate.
-constexpr double minSegmentSeconds = 0.1;
+// Arrivals closer together than this are no higher rate, but chance.
+constexpr double minSegmentSeconds = 0.5;
+// Used while nothing arrives outside of bursts.
+constexpr double minQuietRate = 0.05;
 
 double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
 
 } // namespace
 
+BurstDetector::BurstDetector(TimePoint since, TimePoint now)
+{
+    restart(since);
+    m_isActive = now - since < rateWindow;
+    m_updatedAt = now;
+    m_quietSeconds = seconds(now - since);
+}
+
 void BurstDetector::recordArrival(double work, TimePoint now)
 {
     m_window.push_back({ now, work });
@@ -98,7 +108,8 @@
     auto elapsed = now - m_since;
     if (m_begin && !m_isConfirmed && isSignificant(now)) {
         m_isConfirmed = true;
-        m_confirmed = m_begin;
+        // The first arrival comes some time after the begin of a burst, in the mean as long as between two.
+        m_confirmed = *m_begin - (now - *m_begin) / std::int64_t(m_arrivals);
     }
     if (m_begin && elapsed > maxBurstLength)
         m_begin.reset();
@@ -141,24 +152,24 @@
     }
 }
 
-// The arrival of the window that most likely is the first at a new rate (maximum likelihood of two Poisson
-// rates). A single arrival just before a burst does not count to it.
+// The arrival of the window that most likely is the first of a burst: those before it come at the rate
+// outside of bursts, the others at a constant higher one (maximum likelihood of two Poisson rates). A single
+// arrival just before a burst does not count to it.
 TimePoint BurstDetector::changePoint(TimePoint now) const
 {
     auto best = m_window.front().at;
     auto bestLikelihood = -std::numeric_limits<double>::infinity();
-    auto segment = [](double count, double time) {
-        return count == 0 ? 0 : count * std::log(count / std::max(time, minSegmentSeconds));
-    };
-    auto windowBegin = now - rateWindow;
-    for (std::size_t i = 0; i + 2 < m_window.size(); ++i) {
-        auto at = m_window[i].at;
-        auto likelihood = segment(double(i), seconds(at - windowBegin))
-            + segment(double(m_window.size() - i), seconds(now - at));
-        if (likelihood > bestLikelihood) {
-            bestLikelihood = likelihood;
-            best = at;
-        }
+    auto quiet = std::max(quietRate(), minQuietRate);
+    for (std::size_t i = 0; i + minArrivalsForBegin <= m_window.size(); ++i) {
+        auto before = seconds(m_window[i].at - (now - rateWindow));
+        auto after = std::max(seconds(now - m_window[i].at), minSegmentSeconds);
+        auto count = double(m_window.size() - i);
+        auto likelihood
+            = double(i) * std::log(quiet) - quiet * before + count * (std::log(count / after) - 1);
+        if (likelihood <= bestLikelihood)
+            continue;
+        bestLikelihood = likelihood;
+        best = m_window[i].at;
     }
     return best;
 }
@@ -169,7 +180,7 @@
 
 bool BurstDetector::isSignificant(TimePoint now) const
 {
-    auto time = std::max(seconds(now - m_since), minSegmentSeconds);
+    auto time = seconds(now - m_since);
     auto expected = quietRate() * time;
     return m_arrivals >= std::max(minArrivalsForBurst, expected * minRateFactor)
         && m_arrivals >= expected + deviationsForBurst * std::sqrt(expected);
--- a/src/jobs/burst_detector.h
+++ b/src/jobs/burst_detector.h
@@ -22,6 +22,10 @@
         double rate { 0 };
     };
 
+    BurstDetector() = default;
+    // Of a pool from which nothing has arrived since `since`, known until `now`.
+    BurstDetector(TimePoint since, TimePoint now);
+
     // `work` is in core-milliseconds.
     void recordArrival(double work, TimePoint now);
     // Called several times a second. After a longer pause, what is in progress is of unknown begin.
--- a/src/jobs/burst_forecast.cpp
+++ b/src/jobs/burst_forecast.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <set>
 
@@ -16,13 +17,15 @@
 // Intervals agree if they differ by no more than an eighth within these bounds. VMs that come a second early
 // or late still pay; a wider tolerance would find rhythms in bursts at random times.
 constexpr int toleranceDivisor = 8;
-constexpr milliseconds minTolerance { 400 };
+constexpr milliseconds minTolerance { 600 };
 constexpr milliseconds maxTolerance { 1'000 };
+// The same for the distance of single times from a fitted line.
+constexpr double shareOfTolerance = 0.6;
 // Shorter periods leave no time to take VMs away and bring them back; longer ones do not return soon enough
 // to be of use, and would keep old bursts as evidence.
 constexpr seconds minPeriod { 6 };
 constexpr seconds maxPeriod { 120 };
-constexpr std::size_t beginsForOwnPeriod = 3;
+constexpr std::size_t beginsForOwnPeriod = 4;
 constexpr std::size_t returnsForSharedPeriod = 3;
 constexpr std::size_t beginsForRotation = 4;
 // More than pools in a rotation; bounds the memory.
@@ -78,11 +81,35 @@
 std::optional<Duration> commonInterval(const std::vector<Duration>& intervals)
 {
     auto [low, high] = std::minmax_element(intervals.begin(), intervals.end());
-    auto mean
-        = std::accumulate(intervals.begin(), intervals.end(), Duration(0)) / std::int64_t(intervals.size());
+    auto sum = std::accumulate(intervals.begin(), intervals.end(), Duration(0));
+    auto mean = sum / std::int64_t(intervals.size());
     return *high - *low <= toleranceOf(mean) ? std::optional(mean) : std::nullopt;
 }
 
+// The interval of these times if they are regular: the slope of the line fitted through them, none of which
+// is further from it than the tolerance.
+std::optional<Duration> regularInterval(const std::vector<TimePoint>& times)
+{
+    auto count = double(times.size());
+    auto since = [&](TimePoint at) { return double((at - times.front()).count()); };
+    auto meanIndex = (count - 1) / 2;
+    auto meanTime = std::accumulate(times.begin(), times.end(), 0.0, [&](double sum, TimePoint at) {
+        return sum + since(at);
+    }) / count;
+    double covariance = 0;
+    double variance = 0;
+    for (std::size_t i = 0; i < times.size(); ++i) {
+        covariance += (double(i) - meanIndex) * (since(times[i]) - meanTime);
+        variance += (double(i) - meanIndex) * (double(i) - meanIndex);
+    }
+    auto slope = covariance / variance;
+    auto tolerance = double(toleranceOf(Duration(std::int64_t(slope))).count()) * shareOfTolerance;
+    for (std::size_t i = 0; i < times.size(); ++i)
+        if (std::abs(since(times[i]) - meanTime - slope * (double(i) - meanIndex)) > tolerance)
+            return std::nullopt;
+    return Duration(std::int64_t(slope));
+}
+
 std::string millisText(Duration time)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
@@ -92,13 +119,18 @@
 
 void BurstForecast::recordArrival(const PoolId& pool, double work, TimePoint now)
 {
-    m_pools[pool].detector.recordArrival(work, now);
+    auto [found, isNew] = m_pools.try_emplace(pool);
+    if (isNew)
+        found->second.detector = BurstDetector(m_observedSince, m_updatedAt);
+    found->second.detector.recordArrival(work, now);
 }
 
 void BurstForecast::update(TimePoint now)
 {
-    if (now - std::exchange(m_updatedAt, now) > maxUpdatePause)
+    if (now - std::exchange(m_updatedAt, now) > maxUpdatePause) {
+        m_observedSince = now;
         loseAnchors();
+    }
     for (auto& [pool, state] : m_pools) {
         state.detector.update(now);
         if (auto ended = state.detector.takeEnded()) {
@@ -280,11 +312,10 @@
     }
     if (state.begins.size() < beginsForOwnPeriod)
         return;
-    const auto& begins = state.begins;
-    auto period = commonInterval({ begins[1] - begins[0], begins[2] - begins[1] });
+    auto period = regularInterval({ state.begins.begin(), state.begins.end() });
     if (!period || !isPlausible(*period))
         return;
-    state.rhythm = BurstRhythm { *period, begins.back() + *period };
+    state.rhythm = BurstRhythm { *period, state.begins.back() + *period };
     logInfo("burst-forecast", { { "pool", pool.value() }, { "period-ms", millisText(*period) } });
 }
 
@@ -296,6 +327,14 @@
     return std::nullopt;
 }
 
+std::vector<TimePoint> BurstForecast::lastBegins(std::size_t count) const
+{
+    std::vector<TimePoint> times;
+    for (auto each = m_begins.end() - std::ptrdiff_t(count); each != m_begins.end(); ++each)
+        times.push_back(each->at);
+    return times;
+}
+
 // The last bursts came each an equal interval after the one before of their pool.
 std::optional<Duration> BurstForecast::periodOfReturns() const
 {
@@ -318,10 +357,7 @@
 {
     if (m_begins.size() < beginsForRotation || !m_begins.back().interval)
         return std::nullopt;
-    std::vector<Duration> spacings;
-    for (auto each = m_begins.end() - beginsForRotation + 1; each != m_begins.end(); ++each)
-        spacings.push_back(each->at - std::prev(each)->at);
-    auto spacing = commonInterval(spacings);
+    auto spacing = regularInterval(lastBegins(beginsForRotation));
     if (!spacing || spacing->count() <= 0)
         return std::nullopt;
     auto period = *m_begins.back().interval;
@@ -339,10 +375,7 @@
     });
     if (!isRound || m_begins.size() < beginsForRotation)
         return std::nullopt;
-    std::vector<Duration> spacings;
-    for (auto each = std::next(m_begins.begin()); each != m_begins.end(); ++each)
-        spacings.push_back(each->at - std::prev(each)->at);
-    auto spacing = commonInterval(spacings);
+    auto spacing = regularInterval(lastBegins(m_begins.size()));
     return spacing ? std::optional(*spacing * std::int64_t(m_begins.size())) : std::nullopt;
 }
 
--- a/src/jobs/burst_forecast.h
+++ b/src/jobs/burst_forecast.h
@@ -46,7 +46,7 @@
 //
 // A burst is predicted only on one of these kinds of evidence, each of which bursts at random times show in a
 // few percent of cases at most:
-// - the pool's last three bursts began at equal intervals;
+// - the pool's last four bursts began at equal intervals;
 // - the last three bursts came each an equal interval after the earlier burst of their pool;
 // - the last four bursts began at equal intervals, and the last pool's own interval is a multiple of that;
 // - all pools with bursts, four or more, had one burst each, at equal intervals.
@@ -110,6 +110,7 @@
     void countMiss(const PoolId&, PoolState&, std::string_view why);
     void learn(const PoolId&, PoolState&, TimePoint now);
     [[nodiscard]] std::optional<Duration> findSharedPeriod(TimePoint now) const;
+    [[nodiscard]] std::vector<TimePoint> lastBegins(std::size_t count) const;
     [[nodiscard]] std::optional<Duration> periodOfReturns() const;
     [[nodiscard]] std::optional<Duration> periodOfRotation() const;
     [[nodiscard]] std::optional<Duration> periodOfFirstRound(TimePoint now) const;
@@ -131,6 +132,8 @@
     // Mean absolute error of the expected times; see initialMeanError.
     std::optional<Duration> m_meanError;
     TimePoint m_updatedAt;
+    // Updates came without a longer pause since then.
+    TimePoint m_observedSince;
     bool m_hasChanged { false };
     bool m_hasRecord { false };
     TimePoint m_recordedAt;
