--- a/src/jobs/burst_detector.cpp
+++ b/src/jobs/burst_detector.cpp
@@ -10,11 +10,13 @@
 
 // The rate is measured over this time. The smallest pools have some two jobs a second of a shard in a burst.
 constexpr std::chrono::milliseconds rateWindow { 2'000 };
-// updates further apart have missed the rate in between.
+// The begin of a burst is looked for in this time; it takes the smallest pools some 4 s to confirm one.
+constexpr std::chrono::milliseconds historyWindow { 5'000 };
+// Updates further apart have missed the rate in between.
 constexpr std::chrono::milliseconds maxUpdatePause { 1'000 };
 // A burst begins with this many arrivals in the window, at this share of the peak rate or more.
 constexpr std::size_t minArrivalsForBegin = 4;
-constexpr double beginShare = 0.4;
+constexpr double beginShare = 0.25;
 // It ends when the rate falls to this share of its mean.
 constexpr double endShare = 0.2;
 // The factor between a rate and that before it which shows a burst over a steady load.
@@ -22,6 +24,8 @@
 // A burst counts from this many arrivals on, at several times the rate outside of bursts, and if random
 // arrivals at that rate would be as many only with a probability below 1/10,000.
 constexpr double minArrivalsForBurst = 8;
+// The begin is known better after some time.
+constexpr std::chrono::milliseconds minTimeToConfirm { 750 };
 constexpr double minRateFactor = 3;
 constexpr double deviationsForBurst = 4;
 // What lasts longer is a steady load.
@@ -48,7 +52,7 @@
 
 void BurstDetector::recordArrival(double work, TimePoint now)
 {
-    m_window.push_back({ now, work });
+    m_history.push_back({ now, work });
     if (m_isActive) {
         ++m_arrivals;
         m_work += work;
@@ -62,24 +66,21 @@
         return;
     }
     auto passed = now - std::exchange(m_updatedAt, now);
-    std::size_t newArrivals = 0;
-    for (auto each = m_window.rbegin(); each != m_window.rend() && each->at > now - passed; ++each)
-        ++newArrivals;
-    while (!m_window.empty() && m_window.front().at <= now - rateWindow)
-        m_window.pop_front();
+    forgetArrivals(now - historyWindow);
+    m_inWindow = arrivalsSince(now - rateWindow);
     m_peakRate *= std::exp2(-seconds(passed) / seconds(peakHalfLife));
     if (m_isActive) {
         updateActive(now);
         return;
     }
-    addToQuiet(double(newArrivals), seconds(passed));
-    if (m_window.size() >= minArrivalsForBegin && windowRate() >= m_peakRate * beginShare)
+    addToQuiet(double(arrivalsSince(now - passed)), seconds(passed));
+    if (m_inWindow >= minArrivalsForBegin && windowRate() >= m_peakRate * beginShare)
         beginBurst(now);
 }
 
 void BurstDetector::restart(TimePoint now)
 {
-    m_window.clear();
+    m_history.clear();
     m_updatedAt = m_since = now;
     m_isActive = true;
     m_begin.reset();
@@ -90,11 +91,16 @@
 void BurstDetector::beginBurst(TimePoint now)
 {
     m_isActive = true;
-    m_since = changePoint(now);
-    m_begin = m_since;
     m_isConfirmed = false;
+    setBegin(changePoint(now, now - rateWindow, 2));
+}
+
+void BurstDetector::setBegin(TimePoint begin)
+{
+    m_since = begin;
+    m_begin = begin;
     m_arrivals = m_work = 0;
-    for (const auto& each : m_window) {
+    for (const auto& each : m_history) {
         if (each.at < m_since)
             continue;
         ++m_arrivals;
@@ -106,8 +112,9 @@
 {
     m_peakRate = std::max(m_peakRate, windowRate());
     auto elapsed = now - m_since;
-    if (m_begin && !m_isConfirmed && isSignificant(now)) {
+    if (m_begin && !m_isConfirmed && elapsed >= minTimeToConfirm && isSignificant(now)) {
         m_isConfirmed = true;
+        setBegin(changePoint(now, now - historyWindow, minArrivalsForBegin));
         // The first arrival comes some time after the begin of a burst, in the mean as long as between two.
         m_confirmed = *m_begin - (now - *m_begin) / std::int64_t(m_arrivals);
     }
@@ -119,10 +126,9 @@
         endActivity(now);
         return;
     }
-    auto before = m_arrivals - double(m_window.size());
+    auto before = m_arrivals - double(m_inWindow);
     auto secondsBefore = seconds(elapsed - rateWindow);
-    if (m_isConfirmed || double(m_window.size()) < minArrivalsForBurst
-        || secondsBefore < seconds(rateWindow) / 2
+    if (m_isConfirmed || double(m_inWindow) < minArrivalsForBurst || secondsBefore < seconds(rateWindow) / 2
         || windowRate() < jumpFactor * std::max(before, 1.0) / secondsBefore)
         return;
     addToQuiet(before, secondsBefore);
@@ -140,6 +146,7 @@
     else if (m_begin)
         addToQuiet(m_arrivals, seconds(now - m_since));
     m_begin.reset();
+    forgetArrivals(end);
 }
 
 void BurstDetector::addToQuiet(double arrivals, double seconds)
@@ -152,29 +159,42 @@
     }
 }
 
-// The arrival of the window that most likely is the first of a burst: those before it come at the rate
-// outside of bursts, the others at a constant higher one (maximum likelihood of two Poisson rates). A single
-// arrival just before a burst does not count to it.
-TimePoint BurstDetector::changePoint(TimePoint now) const
+// The arrival that most likely is the first of a burst with `minArrivals` or more: those before it come at
+// the rate outside of bursts, the others at a constant higher one (maximum likelihood of two Poisson rates).
+// An arrival just before a burst does not count to it.
+TimePoint BurstDetector::changePoint(TimePoint now, TimePoint from, std::size_t minArrivals) const
 {
-    auto best = m_window.front().at;
-    auto bestLikelihood = -std::numeric_limits<double>::infinity();
+    std::optional<TimePoint> best;
+    double bestLikelihood = 0;
     auto quiet = std::max(quietRate(), minQuietRate);
-    for (std::size_t i = 0; i + minArrivalsForBegin <= m_window.size(); ++i) {
-        auto before = seconds(m_window[i].at - (now - rateWindow));
-        auto after = std::max(seconds(now - m_window[i].at), minSegmentSeconds);
-        auto count = double(m_window.size() - i);
-        auto likelihood
-            = double(i) * std::log(quiet) - quiet * before + count * (std::log(count / after) - 1);
-        if (likelihood <= bestLikelihood)
+    auto first = m_history.size() - arrivalsSince(from);
+    for (auto i = first; i + minArrivals <= m_history.size(); ++i) {
+        auto at = m_history[i].at;
+        auto count = double(m_history.size() - i);
+        auto likelihood = double(i - first) * std::log(quiet) - quiet * seconds(at - from)
+            + count * (std::log(count / std::max(seconds(now - at), minSegmentSeconds)) - 1);
+        if (best && likelihood <= bestLikelihood)
             continue;
         bestLikelihood = likelihood;
-        best = m_window[i].at;
+        best = at;
     }
-    return best;
+    return best.value_or(m_since);
+}
+
+void BurstDetector::forgetArrivals(TimePoint until)
+{
+    while (!m_history.empty() && m_history.front().at <= until)
+        m_history.pop_front();
+}
+
+std::size_t BurstDetector::arrivalsSince(TimePoint moment) const
+{
+    auto first = std::upper_bound(m_history.begin(), m_history.end(), moment,
+        [](TimePoint at, const Arrival& each) { return at < each.at; });
+    return std::size_t(m_history.end() - first);
 }
 
-double BurstDetector::windowRate() const { return double(m_window.size()) / seconds(rateWindow); }
+double BurstDetector::windowRate() const { return double(m_inWindow) / seconds(rateWindow); }
 
 double BurstDetector::quietRate() const { return m_quietArrivals / std::max(m_quietSeconds, 1.0); }
 
--- a/src/jobs/burst_detector.h
+++ b/src/jobs/burst_detector.h
@@ -49,13 +49,18 @@
     void updateActive(TimePoint now);
     void endActivity(TimePoint now);
     void addToQuiet(double arrivals, double seconds);
-    [[nodiscard]] TimePoint changePoint(TimePoint now) const;
+    void setBegin(TimePoint);
+    void forgetArrivals(TimePoint until);
+    [[nodiscard]] std::size_t arrivalsSince(TimePoint) const;
+    [[nodiscard]] TimePoint changePoint(TimePoint now, TimePoint from, std::size_t minArrivals) const;
     // Arrivals per second.
     [[nodiscard]] double windowRate() const;
     [[nodiscard]] double quietRate() const;
     [[nodiscard]] bool isSignificant(TimePoint now) const;
 
-    std::deque<Arrival> m_window;
+    // Arrivals of the last seconds, and how many of them count for the rate.
+    std::deque<Arrival> m_history;
+    std::size_t m_inWindow { 0 };
     TimePoint m_updatedAt;
     // Arrivals are at burst level, or at a steady one. Without a begin: in progress since before m_since.
     bool m_isActive { false };
--- a/src/jobs/burst_forecast.cpp
+++ b/src/jobs/burst_forecast.cpp
@@ -49,9 +49,12 @@
 constexpr int lateErrors = 3;
 constexpr milliseconds minLateMargin { 800 };
 constexpr milliseconds maxLateMargin { 2'000 };
-// Time until a begin is noticed: that of some six arrivals, at most this.
+// Time until a begin is noticed: until the rate of the last seconds has risen, and that of some six arrivals.
+constexpr double minSecondsToNotice = 0.5;
 constexpr double arrivalsToNotice = 6;
 constexpr double maxSecondsToNotice = 2.5;
+// A burst of a rotation that is off by more shows that all of it has shifted.
+constexpr milliseconds minShift { 2'000 };
 // After this time the demand itself shows what a burst needs.
 constexpr milliseconds measuredAfter { 2'000 };
 // Longer pauses between updates hide begins.
@@ -181,7 +184,8 @@
 
 TimePoint BurstForecast::missedFrom(const PoolState& state) const
 {
-    auto toNotice = std::min(maxSecondsToNotice, arrivalsToNotice / std::max(state.rate, 1.0));
+    auto toNotice
+        = std::min(maxSecondsToNotice, minSecondsToNotice + arrivalsToNotice / std::max(state.rate, 1.0));
     return state.rhythm->expected + lateMargin()
         + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(toNotice));
 }
@@ -209,15 +213,16 @@
         return;
     }
     // One that comes after it was given up has been counted.
-    auto isLate = rhythm.misses > 0 && begin < rhythm.expected - rhythm.period / 2;
+    auto isLate = rhythm.misses > 0 && error < -rhythm.period / 2;
     if (!isLate)
         countMiss(pool, state, "early");
     if (!state.rhythm)
         return;
-    if (rhythm.isShared)
+    if (rhythm.isShared && std::chrono::abs(isLate ? error + rhythm.period : error) > minShift)
         for (auto& [id, each] : m_pools)
             if (each.rhythm && each.rhythm->isShared)
                 each.rhythm->isAnchored = false;
+    rhythm.isAnchored = false;
     anchor(state, begin, now);
 }
 
--- a/src/node/tests/node_settings_test.cpp
+++ b/src/node/tests/node_settings_test.cpp
@@ -71,6 +71,16 @@
     BOOST_TEST(settings.metricsAddress == "10.1.0.9:9464");
     BOOST_TEST((settings.moveTime == 1500ms && settings.stopGrace == 6s && settings.maxRunnerLease == 10s));
     BOOST_TEST(settings.processorShare == 0.25);
+    BOOST_TEST(!settings.isBurstForecastOn);
+}
+
+// Guards against a forecast that is off because its setting is misspelt.
+BOOST_AUTO_TEST_CASE(TheBurstForecastIsOnOrOff)
+{
+    std::string required = "[listen]\ncallers = 127.0.0.1:1\n[platform]\nstore = 127.0.0.1:2\n[vms]\n";
+    auto on = read(required + "forecast_bursts = on\n");
+    BOOST_TEST((on.errors.empty() && on.settings.isBurstForecastOn));
+    BOOST_TEST(read(required + "forecast_bursts = yes\n").errors.size() == 1U);
 }
 
 // Guards against processes that refuse to start where a deployment has no bound for moves.
