--- a/src/jobs/demand.cpp
+++ b/src/jobs/demand.cpp
@@ -75,7 +75,7 @@
     return true;
 }
 
-double DemandMeter::demandedCores(TimePoint now)
+double DemandMeter::demandedCores(TimePoint now, bool isBurstKnown)
 {
     expireArrivals(now);
     double running = 0;
@@ -90,7 +90,9 @@
     auto window = std::max({ since, minWindow, Millis(1) });
     auto arrivals = std::count_if(
         m_arrivals.begin(), m_arrivals.end(), [&](const Arrival& each) { return each.at >= now - window; });
-    auto rate = std::max(double(arrivals) / double(window.count()), forecastRate(now) / 1'000);
+    auto rate = double(arrivals) / double(window.count());
+    if (!isBurstKnown)
+        rate = std::max(rate, forecastRate(now) / 1'000);
     return std::max(running, rate * m_meanWork);
 }
 
--- a/src/jobs/demand.h
+++ b/src/jobs/demand.h
@@ -19,8 +19,9 @@
     bool recordArrival(const JobId&, double work, Millis criticalPath, Millis objective, TimePoint now);
     // Number of cores that the submitted work would keep busy. The maximum of three estimates: jobs that
     // would be running now had each started on arrival, the rate of recent arrivals, and the rate forecast
-    // for the time when a VM ordered now takes work.
-    [[nodiscard]] double demandedCores(TimePoint now);
+    // for the time when a VM ordered now takes work; the latter only if what the pool's bursts ask is
+    // unknown.
+    [[nodiscard]] double demandedCores(TimePoint now, bool isBurstKnown = false);
     // Mean latency objective of the submitted jobs; 0 before the first.
     [[nodiscard]] Millis meanObjective() const { return Millis(std::int64_t(m_meanObjective)); }
     // Mean objective minus mean critical path.
--- a/src/jobs/shard_load.cpp
+++ b/src/jobs/shard_load.cpp
@@ -138,11 +138,10 @@
     }
     auto& meter = m_demand[pool];
     auto slack = meter.meanSlack();
-    auto submittedCpu = meter.demandedCores(now) * 1000;
-    if (m_burstForecast) {
+    demand.isBurstForecast = m_burstForecast && m_burstForecast->isProven(pool);
+    auto submittedCpu = meter.demandedCores(now, demand.isBurstForecast) * 1000;
+    if (m_burstForecast)
         submittedCpu = std::max(submittedCpu, m_burstForecast->expectedCores(pool, now) * 1000);
-        demand.isBurstForecast = m_burstForecast->isProven(pool);
-    }
     auto horizon = std::clamp(slack / 2, minBacklogHorizon, maxBacklogHorizon);
     auto backlogCpu = double(runningCpu) + waitingMillicoreMs / double(horizon.count());
     // One more as a destination if one of them fails or is maintained.
--- a/src/jobs/tests/burst_replay.cpp
+++ b/src/jobs/tests/burst_replay.cpp
@@ -12,7 +12,7 @@
 constexpr std::uint32_t coresOfVm = 32;
 constexpr std::size_t vmCount = 110;
 // In a turn, a pool of index i has so many jobs a second of this shard.
-constexpr double busiestRate = 15;
+constexpr double busiestRate = 30;
 constexpr double quietShare = 0.01;
 
 struct VirtualVm {
@@ -141,7 +141,8 @@
             // As Shard::demandOf() and VmController::planMoves().
             auto horizon = std::clamp<Millis>(pool.meter.meanSlack() / 2, 500ms, 2'500ms);
             auto cores = std::max({ running + waiting / double(horizon.count()),
-                pool.meter.demandedCores(now), forecast.expectedCores(need.pool, now) });
+                pool.meter.demandedCores(now, forecast.isProven(need.pool)),
+                forecast.expectedCores(need.pool, now) });
             need.needed = std::max(2U, std::uint32_t(std::ceil(cores * 1.4 / coresOfVm)));
             need.minBetweenBursts = pool.floor.update(
                 need.needed, std::uint32_t(vms.size() / pools.size()), pool.meter.meanObjective(), now);
