--- a/src/jobs/burst_forecast.cpp
+++ b/src/jobs/burst_forecast.cpp
@@ -207,7 +207,7 @@
         rhythm.period += scaled(error, periodGain);
         rhythm.expected += rhythm.period + scaled(error, phaseGain);
         state.holdUntil = begin + measuredAfter;
-        logInfo("burst-expected",
+        logInfo("burst-predicted",
             { { "pool", pool.value() }, { "error-ms", millisText(error) },
                 { "period-ms", millisText(rhythm.period) } });
         return;
@@ -272,7 +272,7 @@
     m_sharedMisses += rhythm.isShared ? 1 : 0;
     m_hasChanged = true;
     auto isDropped = (rhythm.isShared ? m_sharedMisses : rhythm.misses) >= missesToDrop;
-    logInfo("burst-unexpected",
+    logInfo("burst-mispredicted",
         { { "pool", pool.value() }, { "why", std::string(why) }, { "period-ms", millisText(rhythm.period) },
             { "hits", std::to_string(rhythm.hits) }, { "dropped", isDropped ? "true" : "false" } });
     if (!isDropped)
