--- a/src/jobs/tests/burst_forecast_test.cpp
+++ b/src/jobs/tests/burst_forecast_test.cpp
@@ -12,8 +12,6 @@
 
 constexpr Millis step { 50 };
 constexpr Duration lead { 2'250ms };
-// More than the time that orders are ahead of a burst, and that a burst is waited for.
-constexpr Duration maxAhead { 3'500ms };
 
 PoolId name(std::size_t pool) { return PoolId("pool-" + std::to_string(pool)); }
 
@@ -23,9 +21,8 @@
     BurstForecast forecast { lead };
     std::mt19937_64 random { 1 };
     TimePoint now { 0ms };
-    // Seconds for which a pool was to have VMs outside of its turns, and longest time ahead of one.
+    // Seconds for which a pool was to have VMs outside of its turns.
     double ordered { 0 };
-    Duration longestAhead { 0 };
     // Turns that had VMs ordered when they began.
     std::uint32_t prepared { 0 };
 
@@ -83,7 +80,7 @@
     double period = 20;
     for (double at = 3; at < 400; period *= 1.02)
         for (auto& pool : turns) {
-            pool.push_back(TimePoint(Millis(std::int64_t(at * 1'000))));
+            pool.emplace_back(Millis(std::int64_t(at * 1'000)));
             at += period / 4;
         }
     Player player { turns };
--- a/src/jobs/tests/burst_replay.cpp
+++ b/src/jobs/tests/burst_replay.cpp
@@ -52,7 +52,7 @@
         for (auto at = 3'000ms; at < load.day; at += load.period) {
             auto offset = load.isIrregular ? Millis(anywhere(random))
                                            : load.period * pool / load.pools + Millis(jitter(random));
-            turns[pool].push_back(TimePoint(at + offset));
+            turns[pool].emplace_back(at + offset);
         }
     return turns;
 }
@@ -128,7 +128,7 @@
                     need.idle.push_back(
                         { VmId(std::to_string(v)), std::chrono::duration_cast<Millis>(now - vm.idleSince) });
                 else if (now >= vm.usableFrom)
-                    need.busy.push_back(VmId(std::to_string(v)));
+                    need.busy.emplace_back(std::to_string(v));
             }
             double waiting = 0;
             for (const auto& job : pool.jobs)
@@ -155,7 +155,7 @@
         for (std::size_t v = 0; v < vms.size(); ++v) {
             vms[v].isCordoned = false;
             if (!vms[v].pool && now >= vms[v].usableFrom)
-                input.standby.push_back(VmId(std::to_string(v)));
+                input.standby.emplace_back(std::to_string(v));
         }
         auto plan = planMoves(std::move(input));
         for (const auto& vm : plan.cordoned)
