--- a/src/jobs/burst_forecast.h
+++ b/src/jobs/burst_forecast.h
@@ -44,8 +44,8 @@
 // turns; in its turn a queue asks for several times its mean, in between for almost nothing. A moved VM takes
 // two seconds until it works, longer than short jobs can wait.
 //
-// A burst is predicted only on one of these kinds of evidence, each of which bursts at random times show in a
-// few percent of cases at most:
+// A burst is predicted only on one of these kinds of evidence; bursts at random times show one before fewer
+// than a tenth of their bursts:
 // - the pool's last four bursts began at equal intervals;
 // - the last three bursts came each an equal interval after the earlier burst of their pool;
 // - the last four bursts began at equal intervals, and the last pool's own interval is a multiple of that;
