--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -62,6 +62,12 @@
             .Help("Submissions through the store by verdict")
             .Register(registry)
     };
+    prometheus::Family<prometheus::Counter>& expectedBursts {
+        prometheus::BuildCounter()
+            .Name("fulmar_expected_bursts_total")
+            .Help("Bursts for which VMs were to be ordered ahead, by whether they came")
+            .Register(registry)
+    };
     prometheus::Family<prometheus::Gauge>& gauges {
         prometheus::BuildGauge().Name("fulmar_node").Help("State of this node").Register(registry)
     };
@@ -116,6 +122,12 @@
     m_families->storeSubmissions.Add({ { "verdict", verdict } }).Increment();
 }
 
+void NodeMetrics::countExpectedBursts(const std::string& outcome, std::uint64_t count)
+{
+    if (count > 0)
+        m_families->expectedBursts.Add({ { "outcome", outcome } }).Increment(double(count));
+}
+
 void NodeMetrics::setShardsHeld(std::size_t shards)
 {
     m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -33,6 +33,8 @@
     void countRefusedRow(const std::string& table);
     // Counts a submission through the store by verdict ("not-taken" if too many waited).
     void countStoreSubmission(const std::string& verdict);
+    // Counts bursts that were expected, by whether they came.
+    void countExpectedBursts(const std::string& outcome, std::uint64_t count);
     void setShardsHeld(std::size_t);
     // `age`: time since the store last confirmed that it has no newer version.
     void setConfig(std::int64_t version, std::chrono::milliseconds age);
