--- a/src/node/tests/node_settings_test.cpp
+++ b/src/node/tests/node_settings_test.cpp
@@ -31,11 +31,12 @@
 Fields usualFields()
 {
     return { { "node-name", "front-zone-a-1" }, { "zone", "zone-a" }, { "bounds.grace-s", "6" },
-        { "limits.max-fds", "4100" }, { "limits.cpu-share", "0.25" }, { "listen.front", "10.1.0.9:8624" },
-        { "listen.ready", "10.1.0.9:8622" }, { "ip", "10.1.0.9" }, { "port-range.0", "7060" },
-        { "platform.address", "10.200.1.7:8621" }, { "cloud.address", "10.200.0.107:8621" },
-        { "bounds.config-apply-ms", "2000" }, { "bounds.max-hold-ms", "10000" },
-        { "bounds.migrate-s", "1.5" }, { "bounds.maintenance-s", "2" }, { "bounds.status_s", "120" } };
+        { "limits.max-fds", "4100" }, { "limits.memory-mb", "512" }, { "limits.cpu-share", "0.25" },
+        { "listen.front", "10.1.0.9:8624" }, { "listen.ready", "10.1.0.9:8622" }, { "ip", "10.1.0.9" },
+        { "port-range.0", "7060" }, { "platform.address", "10.200.1.7:8621" },
+        { "cloud.address", "10.200.0.107:8621" }, { "bounds.config-apply-ms", "2000" },
+        { "bounds.max-hold-ms", "10000" }, { "bounds.migrate-s", "1.5" }, { "bounds.maintenance-s", "2" },
+        { "bounds.status_s", "120" } };
 }
 
 struct Read {
@@ -71,6 +72,8 @@
     BOOST_TEST(settings.metricsAddress == "10.1.0.9:9464");
     BOOST_TEST((settings.moveTime == 1500ms && settings.stopGrace == 6s && settings.maxRunnerLease == 10s));
     BOOST_TEST(settings.processorShare == 0.25);
+    BOOST_TEST(settings.maxMemory == std::size_t(512) << 20);
+    BOOST_TEST(settings.callersMemory == std::size_t(64) << 20);
 }
 
 // Guards against processes that refuse to start where a deployment has no bound for moves.
@@ -95,6 +98,8 @@
                          settings.keepFinished })
                     BOOST_TEST((time >= 1ms && time <= 1h));
                 BOOST_TEST(settings.maxDescriptors >= 64);
+                // The least that a request within an operator's limits may cost.
+                BOOST_TEST((settings.maxMemory >= 32U << 20 && settings.callersMemory >= 9U << 20));
                 BOOST_TEST((settings.processorShare >= 0.01 && settings.processorShare <= 1024));
                 BOOST_TEST(!settings.name.empty());
             }
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include "node/tests/fake_platform.h"
+#include "node/tests/program_run.h"
 #include "platform/decode.h"
 #include "platform/http_client.h"
 #include "platform/names.h"
@@ -11,11 +12,7 @@
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <fcntl.h>
-#include <filesystem>
 #include <fmt/format.h>
-#include <fstream>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -136,61 +133,6 @@
     }
 };
 
-// The program in a process of its own, with these settings.
-class ProgramRun {
-public:
-    explicit ProgramRun(const std::string& settings, std::vector<std::string> options = {})
-    {
-        std::filesystem::create_directory(m_folder);
-        auto file = (m_folder / "node.ini").string();
-        std::ofstream(file) << settings;
-        std::vector<std::string> words { FULMARRAMP_PROGRAM, "--settings", file };
-        words.insert(words.end(), options.begin(), options.end());
-        std::vector<char*> arguments;
-        for (auto& word : words)
-            arguments.push_back(word.data());
-        arguments.push_back(nullptr);
-        posix_spawn_file_actions_t files;
-        ::posix_spawn_file_actions_init(&files);
-        auto errors = (m_folder / "errors").string();
-        ::posix_spawn_file_actions_addopen(
-            &files, STDERR_FILENO, errors.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
-        BOOST_REQUIRE(
-            ::posix_spawn(&m_process, arguments.front(), &files, nullptr, arguments.data(), environ) == 0);
-        ::posix_spawn_file_actions_destroy(&files);
-    }
-    ProgramRun(const ProgramRun&) = delete;
-    ProgramRun& operator=(const ProgramRun&) = delete;
-    ~ProgramRun()
-    {
-        if (m_process > 0) {
-            signal(SIGKILL);
-            wait();
-        }
-        std::filesystem::remove_all(m_folder);
-    }
-
-    void signal(int number) const { ::kill(m_process, number); }
-    // Status, as of waitpid().
-    int wait()
-    {
-        int status = 0;
-        BOOST_TEST(::waitpid(std::exchange(m_process, 0), &status, 0) > 0);
-        return status;
-    }
-    // What it has written to standard error.
-    [[nodiscard]] std::string errors() const
-    {
-        std::ifstream file(m_folder / "errors");
-        return { std::istreambuf_iterator<char>(file), {} };
-    }
-
-private:
-    const std::filesystem::path m_folder { std::filesystem::temp_directory_path()
-        / fmt::format("fulmar-node-{}", ::getpid()) };
-    pid_t m_process { 0 };
-};
-
 constexpr auto refused = "HTTP/1.1 503";
 constexpr auto runnerRow
     = R"({{"service":"p","address":"127.0.0.1:{}","zone":"z","state":"ready","labels":["a","r1"],"born":1,)"
@@ -314,7 +256,7 @@
 // other processes to end.
 BOOST_FIXTURE_TEST_CASE(TheProcessEndsAtOnceWhateverOtherProcessesCall, NodeFixture)
 {
-    ProgramRun program(
+    test::ProgramRun program(
         fmt::format("[process]\nname = node\nzone = z\nstop_grace = 3s\n[listen]\ncallers = {}\n"
                     "readiness = {}\npeers = {}\nmetrics = {}\n[platform]\nstore = {}\nvms = {}\n",
             settings.callerAddress, settings.readinessAddress, settings.peerAddress, settings.metricsAddress,
@@ -349,7 +291,7 @@
 // Guards against a process of which nothing tells why it ended.
 BOOST_AUTO_TEST_CASE(AProcessThatASignalEndsLogsItFirst)
 {
-    ProgramRun program(fmt::format("[listen]\ncallers = {}\n[platform]\nstore = {}\n",
+    test::ProgramRun program(fmt::format("[listen]\ncallers = {}\n[platform]\nstore = {}\n",
         test::FakePlatform::freeAddress(), test::FakePlatform::freeAddress()));
     std::this_thread::sleep_for(500ms);
     program.signal(SIGSEGV);
@@ -361,7 +303,7 @@
 
 BOOST_AUTO_TEST_CASE(ACheckOfSettingsTellsWhatAStartWouldReplace)
 {
-    ProgramRun program(
+    test::ProgramRun program(
         "[listen]\ncallers = 127.0.0.1:1\n[platform]\nstore = 127.0.0.1:2\n[vms]\nmove_time = s\n",
         { "--check-settings" });
     BOOST_TEST(program.wait() == 0);
@@ -371,7 +313,7 @@
 
 BOOST_AUTO_TEST_CASE(AStartThatIsRefusedSaysWhyInOneLine)
 {
-    ProgramRun program("[listen]\ncallers =\n[platform]\nstore = 127.0.0.1:2\n");
+    test::ProgramRun program("[listen]\ncallers =\n[platform]\nstore = 127.0.0.1:2\n");
     auto status = program.wait();
     BOOST_TEST((WIFEXITED(status) && WEXITSTATUS(status) == 2));
     auto errors = program.errors();
