One budget of bytes for all that callers send

Cause: see the tests of misbehaving clients. Connections count what the server holds of their requests and answers before it takes bytes in; over the budget the connection with the most bytes times time is closed first.

--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -52,6 +52,17 @@
     return std::nullopt;
 }
 
+std::optional<double> parseBytes(std::string_view text)
+{
+    constexpr std::array<std::pair<std::string_view, double>, 3> sizes { { { "KB", 1024 },
+        { "MB", 1024 * 1024 }, { "GB", 1024 * 1024 * 1024 } } };
+    for (const auto& [suffix, size] : sizes)
+        if (text.ends_with(suffix))
+            if (auto count = parseNumber<double>(text.substr(0, text.size() - suffix.size())))
+                return *count * size;
+    return std::nullopt;
+}
+
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view blanks = " \t\r";
@@ -261,6 +272,13 @@
     return takeNearest(section, key, parseNumber<double>, "", low, high, fallback);
 }
 
+std::size_t SettingsReader::takeBytesOrNearest(const std::string& section, const std::string& key,
+    std::size_t low, std::size_t high, std::size_t fallback)
+{
+    return std::size_t(
+        takeNearest(section, key, parseBytes, " bytes", double(low), double(high), double(fallback)));
+}
+
 Duration SettingsReader::takeDurationOrNearest(
     const std::string& section, const std::string& key, Duration low, Duration high, Duration fallback)
 {
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -53,6 +53,9 @@
         std::int64_t low, std::int64_t high, std::int64_t fallback);
     [[nodiscard]] double takeNumberOrNearest(
         const std::string& section, const std::string& key, double low, double high, double fallback);
+    // Bytes, with a unit: 512KB, 160MB, 2GB.
+    [[nodiscard]] std::size_t takeBytesOrNearest(const std::string& section, const std::string& key,
+        std::size_t low, std::size_t high, std::size_t fallback);
     [[nodiscard]] Duration takeDurationOrNearest(
         const std::string& section, const std::string& key, Duration low, Duration high, Duration fallback);
     [[nodiscard]] std::string takeStringOrFallback(
--- a/src/io/caller_server.cpp
+++ b/src/io/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include "core/address.h"
 #include "core/log.h"
+#include "io/guarded_socket.h"
 
 #include <asio/steady_timer.hpp>
 #include <fmt/format.h>
@@ -56,6 +57,7 @@
 
 struct ServerTraits : restinio::default_single_thread_traits_t {
     using connection_state_listener_t = ConnectionLimit;
+    using stream_socket_t = GuardedSocket;
 };
 
 using Server = restinio::http_server_t<ServerTraits>;
@@ -80,6 +82,11 @@
         : m_onCall(std::move(onCall))
         , m_address(limits.address)
         , m_connections(std::make_shared<ConnectionLimit>(limits.maxConnections))
+        , m_guards(asio::use_service<ListenerGuards>(static_cast<asio::execution_context&>(loop)).byPort)
+        , m_guard(limits.guard
+                  ? std::make_shared<ListenerGuard>(ListenerGuard { limits.guard, limits.requestLimits })
+                  : nullptr)
+        , m_dropsHandledRequests(limits.dropsHandledRequests)
         , m_acceptCheckTimer(loop)
         , m_server(restinio::external_io_context(loop), settings(limits))
     {
@@ -100,9 +107,10 @@
         auto position = m_calls.find(id);
         if (position == m_calls.end())
             return;
-        auto request = std::move(position->second);
+        auto call = std::move(position->second);
         m_calls.erase(position);
-        auto response = request->create_response(
+        auto response = call.response ? std::move(*call.response) : Response(call.request->create_response());
+        response.header().status_line(
             restinio::http_status_line_t(restinio::http_status_code_t(std::uint16_t(answer.status)), ""));
         for (auto& [name, value] : answer.headers)
             response.append_header(std::move(name), std::move(value));
@@ -117,7 +125,7 @@
         auto position = m_calls.find(id);
         if (position == m_calls.end())
             return;
-        auto response = position->second->create_response<restinio::user_controlled_output_t>(
+        auto response = position->second.request->create_response<restinio::user_controlled_output_t>(
             restinio::http_status_line_t(restinio::http_status_code_t(std::uint16_t(head.status)), ""));
         m_calls.erase(position);
         for (auto& [name, value] : head.headers)
@@ -157,6 +165,12 @@
         response.done();
     }
 
+    void setRequestLimits(const MessageLimits& limits) override
+    {
+        if (m_guard)
+            m_guard->limits = limits;
+    }
+
     [[nodiscard]] std::size_t openConnections() const override { return m_connections->open(); }
 
     void stopAccepting() override
@@ -174,7 +188,17 @@
         restinio::server_settings_t<ServerTraits> settings;
         settings.address(std::string(host))
             .port(parsePort(port).value())
-            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) { m_acceptor = &acceptor; })
+            .acceptor_post_bind_hook([this, limits](asio::ip::tcp::acceptor& acceptor) {
+                m_acceptor = &acceptor;
+                if (m_guard)
+                    m_guards[acceptor.local_endpoint().port()] = m_guard;
+                // Accepted connections have the buffers of the listening socket.
+                if (limits.receiveBufferBytes > 0)
+                    acceptor.set_option(
+                        asio::socket_base::receive_buffer_size(int(limits.receiveBufferBytes)));
+                if (limits.sendBufferBytes > 0)
+                    acceptor.set_option(asio::socket_base::send_buffer_size(int(limits.sendBufferBytes)));
+            })
             .read_next_http_message_timelimit(limits.readTimeout)
             .write_http_response_timelimit(limits.writeTimeout)
             .handle_request_timeout(limits.callTimeout)
@@ -195,11 +219,25 @@
     {
         auto id = ++m_lastCall;
         auto call = toCallerRequest(*request);
-        m_calls.emplace(id, std::move(request));
+        m_calls.emplace(id, Call { std::move(request), std::nullopt });
         m_onCall(id, std::move(call));
+        if (m_dropsHandledRequests)
+            dropRequest(id);
         return restinio::request_accepted();
     }
 
+    // Frees the request's head and body, which may be 1 MB, while its answer is awaited.
+    void dropRequest(CallId id)
+    {
+        auto position = m_calls.find(id);
+        if (position == m_calls.end())
+            return;
+        position->second.response.emplace(position->second.request->create_response());
+        position->second.request.reset();
+        if (m_guard && m_guard->guard->current())
+            m_guard->guard->current()->releaseRequest();
+    }
+
     // RESTinio accepts nothing any more once accepting a connection has failed, as it does without a free
     // descriptor. Then connections wait while none is accepted, and the server has to listen anew.
     void checkAccepting(std::chrono::milliseconds interval)
@@ -237,6 +275,13 @@
         }
     }
 
+    using Response = restinio::response_builder_t<restinio::restinio_controlled_output_t>;
+    struct Call {
+        restinio::request_handle_t request;
+        // Instead of the request, once that is dropped.
+        std::optional<Response> response;
+    };
+
     struct Stream {
         restinio::response_builder_t<restinio::user_controlled_output_t> response;
         bool isChunked { false };
@@ -245,6 +290,10 @@
     const OnCall m_onCall;
     const std::string m_address;
     std::shared_ptr<ConnectionLimit> m_connections;
+    // Guards of the loop's listeners by port, and this one's.
+    std::map<std::uint16_t, std::shared_ptr<ListenerGuard>>& m_guards;
+    const std::shared_ptr<ListenerGuard> m_guard;
+    const bool m_dropsHandledRequests;
     asio::steady_timer m_acceptCheckTimer;
     // Connections accepted before the last check.
     std::uint64_t m_acceptedAtCheck { 0 };
@@ -253,7 +302,7 @@
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
     // Belongs to m_server.
     asio::ip::tcp::acceptor* m_acceptor { nullptr };
-    std::unordered_map<CallId, restinio::request_handle_t> m_calls;
+    std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<CallId, Stream> m_streams;
     CallId m_lastCall { 0 };
     bool m_isClosed { false };
--- a/src/io/caller_server.h
+++ b/src/io/caller_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "io/client_guard.h"
 #include "peer/messages.h"
 
 #include <asio/io_context.hpp>
@@ -15,7 +16,8 @@
 
 using CallId = std::uint64_t;
 
-// A caller's request. The views are valid until answer() or beginAnswer() is called.
+// A caller's request. The views are valid until answer() or beginAnswer() is called, and only while the call
+// is handled if the server drops handled requests.
 struct CallerRequest {
     std::string method;
     // Path and query, as sent.
@@ -40,6 +42,15 @@
     std::chrono::milliseconds readTimeout { 60'000 };
     std::chrono::milliseconds writeTimeout { 30'000 };
     std::chrono::milliseconds callTimeout { std::chrono::hours(1) };
+    // The budget of the process that its connections count in; none if null.
+    std::shared_ptr<ClientGuard> guard;
+    // Requests over these are refused with 431 or 413; they need the guard.
+    MessageLimits requestLimits;
+    // The kernel's buffers of each connection, if not 0.
+    std::size_t receiveBufferBytes { 0 };
+    std::size_t sendBufferBytes { 0 };
+    // Whether requests are dropped once `onCall` has returned. Their answers cannot be streamed then.
+    bool dropsHandledRequests { false };
 };
 
 // HTTP/1.1 server for callers and for the load balancer's health checks. Listens anew if connections are no
@@ -65,6 +76,9 @@
     // Ends the answer. An incomplete one is truncated so that the caller detects it.
     virtual void endAnswer(CallId, bool isComplete) = 0;
 
+    // For the requests that are read from now on.
+    virtual void setRequestLimits(const MessageLimits&) = 0;
+
     [[nodiscard]] virtual std::size_t openConnections() const = 0;
 
     virtual void stopAccepting() = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -48,6 +48,14 @@
 constexpr std::chrono::milliseconds feedPause { 10 };
 // A job has 4,000 bytes of spec and 64 steps of a few hundred bytes at most.
 constexpr std::size_t maxBodyBytes = 1024 * 1024;
+constexpr std::size_t maxSideHeadBytes = 8 * 1024;
+constexpr std::size_t maxSideBodyBytes = 1024;
+// A receive and a send buffer, for each of which the kernel takes twice what is set.
+constexpr std::size_t kernelBytesPerBufferByte = 4;
+// A job of 4,000 bytes of spec and its answer fit in the smallest. The largest is enough for a link of
+// 200 Mbit/s with a round trip of 2.5 ms.
+constexpr std::size_t minSocketBuffer = 8 * 1024;
+constexpr std::size_t maxSocketBuffer = 64 * 1024;
 // Callers keep connections open between calls.
 constexpr std::chrono::milliseconds idleTimeout { 60'000 };
 
@@ -88,6 +96,14 @@
     limits.maxConnections = budget.callers;
     limits.maxBodyBytes = maxBodyBytes;
     limits.readTimeout = idleTimeout;
+    limits.dropsHandledRequests = true;
+    limits.guard = std::make_shared<ClientGuard>(m_settings.callersMemory,
+        [this](ClientFault fault) { m_metrics.countClosedClient(std::string(toString(fault))); });
+    m_clientGuard = limits.guard;
+    // Each connection may fill both of the kernel's buffers, which hold twice what is set.
+    auto connections = budget.callers + budget.readiness + budget.metrics;
+    limits.receiveBufferBytes = limits.sendBufferBytes = std::clamp(
+        m_settings.callersMemory / connections / kernelBytesPerBufferByte, minSocketBuffer, maxSocketBuffer);
     auto callers = CallerServer::start(m_loop, limits, [this](CallId id, const CallerRequest& request) {
         try {
             onCaller(id, request);
@@ -100,6 +116,8 @@
     if (!callers)
         return tl::unexpected(callers.error());
     m_callers = std::move(*callers);
+    // Checks and scrapers send no bodies.
+    limits.requestLimits = { maxSideHeadBytes, maxSideBodyBytes };
     if (!m_settings.readinessAddress.empty()) {
         limits.address = m_settings.readinessAddress;
         limits.maxConnections = budget.readiness;
@@ -263,6 +281,7 @@
             { "before", std::to_string(m_config ? m_config->version : 0) },
             { "queues", std::to_string(config->queues.size()) } });
     m_config = std::move(*config);
+    m_callers->setRequestLimits({ m_config->maxHeaderBytes, m_config->maxBodyBytes });
     std::vector<PoolId> pools;
     for (const auto& pool : m_config->pools)
         if (!pool.isStandby)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -152,6 +152,7 @@
     std::optional<jobs::FleetConfig> m_config;
     std::map<std::int64_t, jobs::WaveOrder> m_waves;
     std::unique_ptr<ShardRpcServer> m_rpcServer;
+    std::shared_ptr<ClientGuard> m_clientGuard;
     std::unique_ptr<CallerServer> m_callers;
     std::unique_ptr<CallerServer> m_readiness;
     std::unique_ptr<CallerServer> m_metricsServer;
--- a/src/node/node_callers.cpp
+++ b/src/node/node_callers.cpp
@@ -240,6 +240,7 @@
     m_metrics.setShardsHeld(held);
     m_metrics.setFleet(runners, known);
     m_metrics.setStalledJobs(stalled, longestStall);
+    m_metrics.setClientMemory(m_clientGuard->memory().heldBytes(), m_clientGuard->memory().maxBytes());
     m_metrics.setConfig(configView().version, configView().age);
     HttpAnswer answer { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.serialize() };
     m_metricsServer->answer(id, std::move(answer), false);
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -50,6 +50,12 @@
                                                                .Name("fulmar_store_refused_rows_total")
                                                                .Help("Rows that the store refuses, by table")
                                                                .Register(registry) };
+    prometheus::Family<prometheus::Counter>& closedClients {
+        prometheus::BuildCounter()
+            .Name("fulmar_closed_clients_total")
+            .Help("Connections closed before their request was handled, by reason")
+            .Register(registry)
+    };
     prometheus::Family<prometheus::Gauge>& gauges {
         prometheus::BuildGauge().Name("fulmar_node").Help("State of this node").Register(registry)
     };
@@ -94,6 +100,17 @@
     m_families->refusedRows.Add({ { "table", table } }).Increment();
 }
 
+void NodeMetrics::countClosedClient(const std::string& reason)
+{
+    m_families->closedClients.Add({ { "reason", reason } }).Increment();
+}
+
+void NodeMetrics::setClientMemory(std::size_t held, std::size_t budget)
+{
+    m_families->gauges.Add({ { "what", "client_memory_bytes" } }).Set(double(held));
+    m_families->gauges.Add({ { "what", "client_memory_budget_bytes" } }).Set(double(budget));
+}
+
 void NodeMetrics::setShardsHeld(std::size_t shards)
 {
     m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -28,6 +28,10 @@
     void countCommit(const std::string& outcome);
     // Counts a row that the store refuses while it stores others, by table.
     void countRefusedRow(const std::string& table);
+    // Counts a connection that is closed, or refused, before its request was handled.
+    void countClosedClient(const std::string& reason);
+    // Bytes held for callers, and the budget for them.
+    void setClientMemory(std::size_t held, std::size_t budget);
     void setShardsHeld(std::size_t);
     // `age`: time since the store last confirmed that it has no newer version.
     void setConfig(std::int64_t version, std::chrono::milliseconds age);
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -3,6 +3,8 @@
 #include "core/address.h"
 #include "node/request_schedule.h"
 
+#include <algorithm>
+
 namespace fulmar::node {
 
 using namespace std::chrono_literals;
@@ -18,6 +20,24 @@
 // A runner shortens a lease that is longer than it grants, so that asking for this one does no harm.
 constexpr std::chrono::milliseconds minAskedLease { 500 };
 
+constexpr std::size_t megabyte = 1024 * 1024;
+// Memory of the smallest machine.
+constexpr std::size_t defaultMemoryMb = 160;
+// What a process needs besides its callers' requests: 24 MB at rest, the shards that it holds, gRPC.
+constexpr std::size_t ownMemory = 48 * megabyte;
+// Part of the rest for what callers send. The kernel's buffers of callers' connections have as much, and
+// half is left to the allocator's fragments and to growth of the process's own state.
+constexpr std::size_t callersMemoryDivisor = 4;
+// A request within the limits of an operator, of 256 KB in chunks of one byte, costs 8.5 MB.
+constexpr std::size_t minCallersMemory = 10 * megabyte;
+constexpr std::size_t maxCallersMemory = 64 * megabyte;
+
+std::size_t defaultCallersMemory(std::size_t maxMemory)
+{
+    auto rest = maxMemory > ownMemory ? maxMemory - ownMemory : 0;
+    return std::clamp(rest / callersMemoryDivisor, minCallersMemory, maxCallersMemory);
+}
+
 std::chrono::milliseconds takeMillis(SettingsReader& reader, const std::string& section,
     const std::string& key, std::chrono::milliseconds low, std::chrono::milliseconds high,
     std::chrono::milliseconds fallback)
@@ -51,6 +71,10 @@
     settings.maintenanceTime = takeMillis(reader, "vms", "maintenance_time", 1ms, 1h, 2s);
     settings.keepFinished = takeMillis(reader, "jobs", "keep_finished", 1ms, 1h, 2min);
     settings.maxDescriptors = reader.takeIntegerOrNearest("process", "max_descriptors", 64, 1 << 20, 1'024);
+    settings.maxMemory = reader.takeBytesOrNearest(
+        "process", "max_memory", 32 * megabyte, 1024 * 1024 * megabyte, defaultMemoryMb * megabyte);
+    settings.callersMemory = reader.takeBytesOrNearest("process", "callers_memory", megabyte,
+        1024 * 1024 * megabyte, defaultCallersMemory(settings.maxMemory));
     settings.processorShare = reader.takeNumberOrNearest("process", "processor_share", 0.01, 1024, 1);
     return settings;
 }
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -34,6 +34,9 @@
     std::chrono::milliseconds keepFinished { 0 };
     // Limit of open files and sockets.
     std::int64_t maxDescriptors { 0 };
+    // Limit of the process's memory in bytes, and the part of it for what clients send and do not read.
+    std::size_t maxMemory { std::size_t(160) << 20 };
+    std::size_t callersMemory { std::size_t(28) << 20 };
     // Share of the process, in cores.
     double processorShare { 1 };
 };
--- a/src/node/tests/clients/misbehaving_clients_test.cpp
+++ b/src/node/tests/clients/misbehaving_clients_test.cpp
@@ -28,8 +28,6 @@
 constexpr std::size_t crowdSize = 80;
 // Connections at the readiness and the metrics listener, which accept 16 each with these descriptors.
 constexpr std::size_t sideCrowdSize = 16;
-// The program has no setting of its memory limit yet.
-constexpr auto memorySetting = "";
 
 constexpr auto config
     = R"({"version":1,"routes":[{"name":"r","host":"office.example","path-prefix":"/plans/",)"
@@ -172,9 +170,10 @@
                 R"("born":1,"capacity":{{"cpu":64000,"mem-mb":131072,"gpu":0}}}})",
                 runnerPort));
         program = std::make_unique<test::ProgramRun>(
-            fmt::format("[process]\nname = node\nzone = z\nmax_descriptors = {}\n{}[listen]\ncallers = {}\n"
+            fmt::format("[process]\nname = node\nzone = z\nmax_descriptors = {}\nmax_memory = "
+                        "{}MB\n[listen]\ncallers = {}\n"
                         "readiness = {}\npeers = {}\nmetrics = {}\n[platform]\nstore = {}\n",
-                maxDescriptors, memorySetting, callers, readiness, test::FakePlatform::freeAddress(), metrics,
+                maxDescriptors, maxMemoryMb, callers, readiness, test::FakePlatform::freeAddress(), metrics,
                 fake.address()),
             std::vector<std::string>(), test::ProgramOutput::Dropped);
     }
