--- a/src/io/client_guard.cpp
+++ b/src/io/client_guard.cpp
@@ -137,7 +137,7 @@
     auto isComplete = m_meter.completed() > 0;
     // Requests that came whole before one that is too large are handled first; the server's own limits, or
     // the next read, end the other.
-    if (verdict != MessageMeter::Verdict::Good && !isComplete) {
+    if (verdict != MessageMeter::Verdict::Good && m_meter.completedBeforeFault() == 0) {
         auto fault = verdict == MessageMeter::Verdict::HeadTooLarge ? ClientFault::HeadTooLarge
                                                                     : ClientFault::BodyTooLarge;
         guard.countClosed(fault);
--- a/src/io/message_meter.cpp
+++ b/src/io/message_meter.cpp
@@ -25,6 +25,14 @@
     m_parser.data = this;
 }
 
+void MessageMeter::fail(Verdict verdict)
+{
+    if (m_verdict != Verdict::Good)
+        return;
+    m_verdict = verdict;
+    m_completedBeforeFault = m_completed;
+}
+
 int MessageMeter::onBegin(http_parser* parser)
 {
     auto& meter = meterOf(parser);
@@ -39,7 +47,7 @@
     meter.m_head += bytes;
     meter.m_cost += bytes * growthFactor;
     if (meter.m_limits.maxHeadBytes > 0 && meter.m_head > meter.m_limits.maxHeadBytes)
-        meter.m_verdict = Verdict::HeadTooLarge;
+        meter.fail(Verdict::HeadTooLarge);
     return 0;
 }
 
@@ -55,7 +63,7 @@
     auto isAnnounced = parser->content_length != ULLONG_MAX;
     if (isAnnounced && meter.m_limits.maxBodyBytes > 0
         && parser->content_length > meter.m_limits.maxBodyBytes)
-        meter.m_verdict = Verdict::BodyTooLarge;
+        meter.fail(Verdict::BodyTooLarge);
     return 0;
 }
 
@@ -66,7 +74,7 @@
     auto isChunked = (parser->flags & F_CHUNKED) != 0;
     meter.m_cost += bytes * (isChunked ? growthFactor : 1);
     if (meter.m_limits.maxBodyBytes > 0 && meter.m_body > meter.m_limits.maxBodyBytes)
-        meter.m_verdict = Verdict::BodyTooLarge;
+        meter.fail(Verdict::BodyTooLarge);
     return 0;
 }
 
@@ -111,6 +119,9 @@
     return m_verdict;
 }
 
-void MessageMeter::dropCompleted() { m_completed = m_completedCost = m_completedBody = 0; }
+void MessageMeter::dropCompleted()
+{
+    m_completed = m_completedBeforeFault = m_completedCost = m_completedBody = 0;
+}
 
 } // namespace fulmar
--- a/src/io/message_meter.h
+++ b/src/io/message_meter.h
@@ -31,6 +31,8 @@
 
     // What the requests held in memory cost.
     [[nodiscard]] std::size_t heldBytes() const { return m_completedCost + m_cost; }
+    // Requests completed before the one that is too large.
+    [[nodiscard]] std::size_t completedBeforeFault() const { return m_completedBeforeFault; }
     // Requests completed since the last dropCompleted().
     [[nodiscard]] std::size_t completed() const { return m_completed; }
     [[nodiscard]] bool isMidRequest() const { return m_isMidRequest; }
@@ -38,6 +40,7 @@
     [[nodiscard]] std::size_t completedBody() const { return m_completedBody; }
 
 private:
+    void fail(Verdict);
     static int onBegin(http_parser*);
     static int onHeadPart(http_parser*, const char*, std::size_t);
     static int onField(http_parser*, const char*, std::size_t);
@@ -56,6 +59,7 @@
     std::size_t m_body { 0 };
     std::size_t m_cost { 0 };
     std::size_t m_completed { 0 };
+    std::size_t m_completedBeforeFault { 0 };
     std::size_t m_completedCost { 0 };
     std::size_t m_completedBody { 0 };
 };
--- a/src/io/tests/caller_server_test.cpp
+++ b/src/io/tests/caller_server_test.cpp
@@ -105,6 +105,7 @@
         limits.maxBodyBytes = 100;
         limits.maxConnections = maxConnections;
         limits.readTimeout = 1s;
+        limits.guard = guard;
         port = static_cast<std::uint16_t>(std::stoul(limits.address.substr(limits.address.find(':') + 1)));
         server = CallerServer::start(loop, limits, [this](CallId id, const CallerRequest& request) {
             ++calls;
@@ -115,6 +116,10 @@
     asio::io_context loop { 1 };
     std::uint16_t port { 0 };
     int calls { 0 };
+    int closedClients { 0 };
+    // Room for all connections, but for few bytes of requests.
+    std::shared_ptr<ClientGuard> guard { std::make_shared<ClientGuard>(
+        maxConnections * ClientMemory::bytesPerConnection + 300, [this](ClientFault) { ++closedClients; }) };
     Answer answer;
     std::unique_ptr<CallerServer> server;
 };
@@ -240,6 +245,41 @@
     BOOST_TEST(calls == 0);
 }
 
+// Guards against refusals that a client cannot read, since the rest of what it sends resets the connection.
+BOOST_AUTO_TEST_CASE(RequestsOverAnOperatorsLimitsAreToldSo)
+{
+    server->setRequestLimits({ 100, 50 });
+    auto never = [](CallerServer&, CallId, const CallerRequest&) {};
+    auto body = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 51\r\n\r\n" + std::string(51, 'x');
+    auto head = "GET /a HTTP/1.1\r\nHost: " + std::string(150, 'a') + "\r\n\r\n";
+    BOOST_TEST(talk(body, never).starts_with("HTTP/1.1 413 "));
+    BOOST_TEST(talk(head, never).starts_with("HTTP/1.1 431 "));
+    BOOST_TEST(calls == 0);
+    BOOST_TEST(talkFor(1s, connect()).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against evicted connections that stay open or are counted twice, and against a budget that is still
+// held after them.
+BOOST_AUTO_TEST_CASE(ConnectionsOverTheBudgetAreClosedAndForgotten)
+{
+    std::vector<asio::ip::tcp::socket> crowd;
+    for (int i = 0; i < 40; ++i) {
+        crowd.push_back(connect());
+        asio::error_code ignored;
+        asio::write(crowd.back(),
+            asio::buffer("POST /a HTTP/1.1\r\nContent-Length: 90\r\n\r\n" + std::string(80, 'x')), ignored);
+        loop.run_for(5ms);
+        BOOST_TEST(guard->memory().heldBytes() <= guard->memory().maxBytes());
+        BOOST_TEST(server->openConnections() == guard->memory().connections());
+    }
+    BOOST_TEST(closedClients > 0);
+    BOOST_TEST(talkFor(1s, connect()).starts_with("HTTP/1.1 200"));
+    crowd.clear();
+    loop.run_for(50ms);
+    BOOST_TEST(server->openConnections() == 0U);
+    BOOST_TEST(guard->memory().heldBytes() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ProblemCarriesOutcomeAndRetryAfter)
 {
     auto problem = problemAnswer({ Outcome::NotRun, Reason::Overloaded, "queue full" }, 2s);
--- a/src/io/tests/client_memory_test.cpp
+++ b/src/io/tests/client_memory_test.cpp
@@ -47,7 +47,7 @@
             RC_ASSERT(!isIdleClosed || !isUnfinishedLeft);
         };
         for (int step = 0; step < 400; ++step) {
-            now += std::chrono::milliseconds(random() % 20);
+            now += std::chrono::milliseconds(random() % 50 == 0 ? 10'000 : random() % 20);
             if (clients.empty() || random() % 4 == 0) {
                 std::vector<ClientMemory::ClientId> closed;
                 auto id = memory.open(now, closed);
@@ -90,16 +90,22 @@
     std::vector<ClientMemory::ClientId> closed;
     TimePoint now {};
     auto idle = memory.open(now, closed).value();
+    // Small, and a second old at the end.
+    auto slow = memory.open(now, closed).value();
+    std::ignore = memory.hold(slow, 2'000, State::Unfinished, now);
     for (int i = 0; i < 100; ++i) {
         now += 5ms;
         auto crowd = memory.open(now, closed).value();
         std::ignore = memory.hold(crowd, maxRequest - 1, State::Unfinished, now);
         now += 5ms;
         auto ordinary = memory.open(now, closed).value();
-        BOOST_TEST(memory.hold(ordinary, 3'000, State::Unfinished, now).isAdmitted);
-        BOOST_TEST(memory.hold(ordinary, 20'000, State::Handled, now + 1ms).isAdmitted);
+        // Large ones are larger than what the crowd holds of each.
+        auto bytes = i % 2 == 0 ? 3'000 : maxRequest;
+        BOOST_TEST(memory.hold(ordinary, bytes, State::Unfinished, now).isAdmitted);
+        BOOST_TEST(memory.hold(ordinary, bytes + 20'000, State::Handled, now + 1ms).isAdmitted);
         memory.close(ordinary);
     }
+    BOOST_TEST(memory.hold(slow, 2'100, State::Unfinished, now).isAdmitted);
     BOOST_TEST(memory.hold(idle, 3'000, State::Unfinished, now).isAdmitted);
     BOOST_TEST(!memory.hold(idle, 2 * budget, State::Unfinished, now).isAdmitted);
 }
