--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -68,6 +68,12 @@
             .Help("Bursts for which VMs were to be ordered ahead, by whether they came")
             .Register(registry)
     };
+    prometheus::Family<prometheus::Counter>& closedClients {
+        prometheus::BuildCounter()
+            .Name("fulmar_closed_clients_total")
+            .Help("Connections closed before their request was handled, by reason")
+            .Register(registry)
+    };
     prometheus::Family<prometheus::Gauge>& gauges {
         prometheus::BuildGauge().Name("fulmar_node").Help("State of this node").Register(registry)
     };
@@ -128,6 +134,17 @@
         m_families->expectedBursts.Add({ { "outcome", outcome } }).Increment(double(count));
 }
 
+void NodeMetrics::countClosedClient(const std::string& reason)
+{
+    m_families->closedClients.Add({ { "reason", reason } }).Increment();
+}
+
+void NodeMetrics::setClientMemory(std::size_t held, std::size_t budget)
+{
+    m_families->gauges.Add({ { "what", "client_memory_bytes" } }).Set(double(held));
+    m_families->gauges.Add({ { "what", "client_memory_budget_bytes" } }).Set(double(budget));
+}
+
 void NodeMetrics::setShardsHeld(std::size_t shards)
 {
     m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -35,6 +35,10 @@
     void countStoreSubmission(const std::string& verdict);
     // Counts bursts that were expected, by whether they came.
     void countExpectedBursts(const std::string& outcome, std::uint64_t count);
+    // Counts a connection that is closed, or refused, before its request was handled.
+    void countClosedClient(const std::string& reason);
+    // Bytes held for callers, and the budget for them.
+    void setClientMemory(std::size_t held, std::size_t budget);
     void setShardsHeld(std::size_t);
     // `age`: time since the store last confirmed that it has no newer version.
     void setConfig(std::int64_t version, std::chrono::milliseconds age);
--- a/src/node/tests/store_cut_test.cpp
+++ b/src/node/tests/store_cut_test.cpp
@@ -92,16 +92,21 @@
         , vms(http, "127.0.0.1:1")
         , owner(loop, { store, runners, vms, metrics }, settings(keepFinished),
               { "node", 1, 0, {}, {}, {}, {} }, condition(fake, ownerKey),
-              condition(fake, renewalKey).version,
-              { [] { return false; }, [] { return false; }, [this] { isLost = true; }, [](TimePoint) {},
-                  [](const VmId&) { return true; },
-                  [this](
-                      JobCall call, OnJobReply reply) { owner.handle(std::move(call), std::move(reply)); } })
+              condition(fake, renewalKey).version, hooks())
     {
         // Without capacity that is on its way a job would be rejected.
         owner.shard().setArriving(PoolId("p"), 64'000);
     }
 
+    ShardOwner::Hooks hooks()
+    {
+        ShardOwner::Hooks hooks { [] { return false; }, [] { return false; }, [this] { isLost = true; },
+            [](TimePoint) {}, [](const VmId&) { return true; } };
+        hooks.admit
+            = [this](JobCall call, OnJobReply reply) { owner.handle(std::move(call), std::move(reply)); };
+        return hooks;
+    }
+
     static jobs::ShardSettings settings(std::chrono::milliseconds keepFinished)
     {
         jobs::ShardSettings settings;
