--- a/src/jobs/demand.cpp
+++ b/src/jobs/demand.cpp
@@ -59,12 +59,12 @@
     return std::uint32_t(std::ceil(m_peak * share));
 }
 
-void DemandMeter::recordArrival(
+bool DemandMeter::recordArrival(
     const JobId& job, double work, Millis criticalPath, Millis objective, TimePoint now)
 {
     expireArrivals(now);
     if (!m_recentJobs.insert(job).second)
-        return;
+        return false;
     m_arrivals.push_back({ job, work, std::max(criticalPath, Millis(1)), now });
     auto updateMean = [](double& mean, double newest) {
         mean = mean == 0 ? newest : mean + (newest - mean) * newestWeight;
@@ -72,9 +72,10 @@
     updateMean(m_meanWork, work);
     updateMean(m_meanCriticalPath, double(criticalPath.count()));
     updateMean(m_meanObjective, double(objective.count()));
+    return true;
 }
 
-double DemandMeter::demandedCores(TimePoint now)
+double DemandMeter::demandedCores(TimePoint now, bool isBurstKnown)
 {
     expireArrivals(now);
     double running = 0;
@@ -89,7 +90,9 @@
     auto window = std::max({ since, minWindow, Millis(1) });
     auto arrivals = std::count_if(
         m_arrivals.begin(), m_arrivals.end(), [&](const Arrival& each) { return each.at >= now - window; });
-    auto rate = std::max(double(arrivals) / double(window.count()), forecastRate(now) / 1'000);
+    auto rate = double(arrivals) / double(window.count());
+    if (!isBurstKnown)
+        rate = std::max(rate, forecastRate(now) / 1'000);
     return std::max(running, rate * m_meanWork);
 }
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -51,6 +51,8 @@
     std::uint32_t placedCount { 0 };
     // Of the checkpoint that all tasks have, if the step is a gang.
     CheckpointSource gangCheckpoint;
+    // In the last planning round nothing but the team's quota kept its waiting tasks from starting.
+    bool isHeldBackByQuota { false };
 
     [[nodiscard]] bool isDone() const { return doneCount == tasks.size(); }
     [[nodiscard]] std::uint32_t waitingCount() const
@@ -66,6 +68,10 @@
     TimePoint arrived;
     // Arrival plus the latency objective. Jobs with a schedule have a deadline for each occurrence instead.
     TimePoint deadline;
+    // Latency objective, by the run times expected at arrival.
+    Millis objective { 0 };
+    // See JobWorth.
+    double worth { 1 };
     TimePoint ended;
     // Only stored jobs are shown to callers and started.
     bool isStored { false };
@@ -129,6 +135,9 @@
     [[nodiscard]] TimePoint deadlineOf(const StepOccurrence&, TimePoint now, WallTime wallNow) const;
     // Longest chain of dependent unfinished steps of the occurrence, by expected run time.
     [[nodiscard]] Millis remainingCriticalPath(const StepOccurrence&) const;
+    // Expected work of the occurrence's tasks that are not done, without long-running steps; in
+    // core-milliseconds.
+    [[nodiscard]] double remainingWork(std::uint32_t occurrence) const;
     [[nodiscard]] JobProgress progress() const;
 
 private:
--- a/src/jobs/shard.cpp
+++ b/src/jobs/shard.cpp
@@ -32,7 +32,10 @@
     , m_lastFence(epoch * fencesPerEpoch)
     , m_attemptBase((epoch - 1) * attemptsPerEpoch)
     , m_jobTable(settings.maxRowBytes)
+    , m_teamQuota(epoch)
 {
+    if (settings.vmLeadTimeForBursts)
+        m_burstForecast.emplace(*settings.vmLeadTimeForBursts);
 }
 
 FencingToken Shard::nextFence()
@@ -43,7 +46,8 @@
 
 void Shard::restoreJob(Job job, const JobProgress& progress, TimePoint now)
 {
-    m_jobTable.restore(std::move(job), progress, now);
+    auto worth = m_worth.record(job);
+    m_jobTable.restore(std::move(job), progress, now).worth = worth;
 }
 
 void Shard::restoreRunner(RunnerReport report, TimePoint now)
@@ -70,6 +74,7 @@
     for (const auto& team : configs)
         m_teams.insert_or_assign(team.id, team);
     m_shardCount = shardCount;
+    m_shares.configure(configs, shardCount);
 }
 
 void Shard::observeRunners(const std::map<RunnerId, RunnerReport>& list, TimePoint now)
@@ -120,15 +125,19 @@
     }
     m_runTimes.predict(job);
     recordPredictedDemand(job, now);
-    decision.load = loadOf(job.policy.pool, job.policy.priority, now, wallNow);
+    decision.share = m_shares.count(job.team, job.id, now);
+    // The later occurrences of a schedule say nothing about what the team submits then.
+    job.isBeyondShare = decision.share == teams::ShareState::Beyond && !job.isScheduled();
+    auto worth = m_worth.record(job);
     decision.expectedWork = job.expectedWork();
+    decision.load = loadOf(job, costOf(job, decision.expectedWork, worth), now, wallNow);
     decision.objective = job.objective();
     decision.admission = decideAdmission(job, decision.load);
     if (decision.admission.verdict != Admission::Accept)
         return decision;
     decision.verdict = SubmitVerdict::New;
     m_jobsToStore.push_back(job.id);
-    m_jobTable.add(std::move(job), now);
+    m_jobTable.add(std::move(job), now).worth = worth;
     return decision;
 }
 
@@ -153,8 +162,10 @@
 
 void Shard::recordPredictedDemand(const Job& job, TimePoint now)
 {
-    m_demand[job.policy.pool].recordArrival(
+    auto isNew = m_demand[job.policy.pool].recordArrival(
         job.id, job.expectedWork(), job.expectedCriticalPath(), job.objective(), now);
+    if (isNew && m_burstForecast)
+        m_burstForecast->recordArrival(job.policy.pool, job.expectedWork(), now);
 }
 
 void Shard::cancel(const JobId& id, TimePoint now)
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -2,12 +2,16 @@
 
 #include "jobs/adaptive_timeout.h"
 #include "jobs/admission.h"
+#include "jobs/burst_forecast.h"
 #include "jobs/demand.h"
 #include "jobs/job_table.h"
 #include "jobs/move_plan.h"
 #include "jobs/run_time_model.h"
 #include "jobs/runner.h"
 #include "jobs/stalled_jobs.h"
+#include "jobs/team_quota.h"
+#include "jobs/work_order.h"
+#include "teams/share_meter.h"
 #include "teams/team_config.h"
 
 #include <deque>
@@ -23,6 +27,8 @@
     // How long finished jobs can be queried.
     Millis keepFinished { 150'000 };
     std::size_t maxRowBytes { defaultMaxRowBytes };
+    // Time from the order of a VM until it works, if bursts are to be forecast.
+    std::optional<Millis> vmLeadTimeForBursts;
 };
 
 enum class SubmitVerdict : std::uint8_t {
@@ -38,6 +44,7 @@
     SubmitVerdict verdict { SubmitVerdict::Rejected };
     AdmissionDecision admission;
     PoolLoad load;
+    teams::ShareState share { teams::ShareState::NoTeams };
     // Of the job, by its expected run times; work in core-milliseconds.
     double expectedWork { 0 };
     Millis objective { 0 };
@@ -139,6 +146,8 @@
     [[nodiscard]] std::map<RunnerId, Runner>& runners() { return m_runners; }
     [[nodiscard]] const std::map<RunnerId, Runner>& runners() const { return m_runners; }
     [[nodiscard]] JobTable& jobTable() { return m_jobTable; }
+    [[nodiscard]] TeamQuota& teamQuota() { return m_teamQuota; }
+    [[nodiscard]] const TeamQuota& teamQuota() const { return m_teamQuota; }
     // Capacity that the pool's jobs require.
     struct Demand {
         // Millicores.
@@ -146,8 +155,12 @@
         // Least number of VMs, needed to spread or fit tasks.
         std::uint32_t minVms { 0 };
         Millis meanObjective { 0 };
+        // VMs are ordered before the pool's next burst, so it keeps none between bursts.
+        bool isBurstForecast { false };
     };
     [[nodiscard]] Demand demandOf(const PoolId&, TimePoint now, WallTime wallNow);
+    // Null unless bursts are forecast; its update() is to be called several times a second.
+    [[nodiscard]] BurstForecast* burstForecast() { return m_burstForecast ? &*m_burstForecast : nullptr; }
     // Millicores that can join the pool within the time of a VM move.
     void setArriving(const PoolId& pool, std::int64_t cpu) { m_arriving[pool] = cpu; }
     [[nodiscard]] bool hasLongRunningTasks(const RunnerId&);
@@ -165,8 +178,9 @@
     // Stops the runner's long-running tasks whose disruption budget permits it and for which another runner
     // has capacity. The runner should be cordoned, or tasks may be placed there again.
     void evacuate(const RunnerId&, TimePoint now);
-    [[nodiscard]] PoolLoad loadOf(
-        const PoolId&, std::int32_t priority, TimePoint now, WallTime wallNow) const;
+    // For the admission of a new job; `cost`: see costOf(). What the quota of another team holds back is not
+    // ahead of it.
+    [[nodiscard]] PoolLoad loadOf(const Job&, double cost, TimePoint now, WallTime wallNow) const;
     [[nodiscard]] const StalledJobs& stalledJobs() const { return m_stalledJobs; }
     // All runners of the earlier holder have answered, or their leases have lapsed.
     [[nodiscard]] bool areEarlierRunsResolved(const PoolId&, TimePoint now) const;
@@ -250,6 +264,7 @@
     [[nodiscard]] static Runner* chooseRunnerForIsolation(
         const PoolRunners&, Isolation, const Step&, const TaskName&, TimePoint now);
     void placeStep(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
+    [[nodiscard]] std::uint32_t noteWaiting(const JobEntry&, const StepOccurrence&);
     void placeStepAsLastResort(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void placeTasks(JobEntry&, StepOccurrence&, PoolRunners&, TimePoint now, ShardOrders&);
     void orderStart(
@@ -280,8 +295,12 @@
     AdaptiveTimeout m_answerTimeout;
     RunTimeModel m_runTimes;
     std::map<TeamId, teams::TeamConfig> m_teams;
+    teams::ShareMeter m_shares;
+    JobWorth m_worth;
     std::uint32_t m_shardCount { 1 };
+    TeamQuota m_teamQuota;
     std::map<PoolId, DemandMeter> m_demand;
+    std::optional<BurstForecast> m_burstForecast;
     std::map<PoolId, std::int64_t> m_arriving;
     // Pools in which startable tasks wait for capacity.
     std::set<PoolId> m_backloggedPools;
--- a/src/jobs/tests/fleet_replay.h
+++ b/src/jobs/tests/fleet_replay.h
@@ -22,6 +22,9 @@
     // their objective.
     std::optional<double> maxObjectives;
     std::uint64_t seed { 1 };
+    // Empty for a deployment without teams.
+    std::vector<teams::TeamConfig> teams;
+    std::uint32_t shardCount { 3 };
 };
 
 // A job and the actual run time of each of its tasks, in the order of its steps.
@@ -32,16 +35,19 @@
     // Latency objective by the actual run times, from the first attempt.
     Millis objective { 0 };
     TimePoint acceptedAt;
+    std::optional<TimePoint> endedAt;
 };
 
 // Runs jobs against a shard in virtual time, with a store that answers at once and runners that run tasks,
 // lose answers and carry out orders late. Counts violations of the shard's guarantees.
 class FleetReplay {
 public:
-    explicit FleetReplay(ReplaySettings);
+    explicit FleetReplay(const ReplaySettings&);
 
     void play(const std::vector<ReplayJob>&, Millis length);
 
+    [[nodiscard]] const std::map<JobId, ReplayJob>& jobs() const { return m_jobs; }
+
     // Jobs completed within their objective from the first attempt, within three times their objective from
     // their acceptance, and all submitted jobs.
     std::uint32_t inTime { 0 };
@@ -50,6 +56,9 @@
     // Rejected attempts, and jobs whose last attempt was rejected.
     std::uint32_t rejected { 0 };
     std::uint32_t givenUp { 0 };
+    // Rejected callers that came back for the first time, and those that were accepted then.
+    std::uint32_t cameBack { 0 };
+    std::uint32_t acceptedAgain { 0 };
     // Core-seconds of the jobs completed within their objective.
     double workInTime { 0 };
     std::uint32_t polls { 0 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -24,6 +24,8 @@
 // Small processes delay their claims by up to 1.5 s and are usually many, so they read the feed less often.
 constexpr std::chrono::milliseconds leaseFeedPauseOfSmall { 400 };
 constexpr std::chrono::milliseconds tickPause { 50 };
+// From the end of a VM's move until its runner is listed, has answered and takes work, and until a tick.
+constexpr std::chrono::milliseconds firstAnswerTime { 750 };
 // Four renewals per lease length, so that one lost answer does not lose the lease.
 constexpr int renewalsPerLease = 4;
 // Upper bound of the random delay from the expiry of a lease to a process's claim.
@@ -48,6 +50,14 @@
 constexpr std::chrono::milliseconds feedPause { 10 };
 // A job has 4,000 bytes of spec and 64 steps of a few hundred bytes at most.
 constexpr std::size_t maxBodyBytes = 1024 * 1024;
+constexpr std::size_t maxSideHeadBytes = 8 * 1024;
+constexpr std::size_t maxSideBodyBytes = 1024;
+// A receive and a send buffer, for each of which the kernel takes twice what is set.
+constexpr std::size_t kernelBytesPerBufferByte = 4;
+// A job of 4,000 bytes of spec and its answer fit in the smallest. The largest is enough for a link of
+// 200 Mbit/s with a round trip of 2.5 ms.
+constexpr std::size_t minSocketBuffer = 8 * 1024;
+constexpr std::size_t maxSocketBuffer = 64 * 1024;
 // Callers keep connections open between calls.
 constexpr std::chrono::milliseconds idleTimeout { 60'000 };
 
@@ -88,6 +98,14 @@
     limits.maxConnections = budget.callers;
     limits.maxBodyBytes = maxBodyBytes;
     limits.readTimeout = idleTimeout;
+    limits.dropsHandledRequests = true;
+    limits.guard = std::make_shared<ClientGuard>(m_settings.callersMemory,
+        [this](ClientFault fault) { m_metrics.countClosedClient(std::string(toString(fault))); });
+    m_clientGuard = limits.guard;
+    // Each connection may fill both of the kernel's buffers, which hold twice what is set.
+    auto connections = budget.callers + budget.readiness + budget.metrics;
+    limits.receiveBufferBytes = limits.sendBufferBytes = std::clamp(
+        m_settings.callersMemory / connections / kernelBytesPerBufferByte, minSocketBuffer, maxSocketBuffer);
     auto callers = CallerServer::start(m_loop, limits, [this](CallId id, const CallerRequest& request) {
         try {
             onCaller(id, request);
@@ -100,6 +118,8 @@
     if (!callers)
         return tl::unexpected(callers.error());
     m_callers = std::move(*callers);
+    // Checks and scrapers send no bodies.
+    limits.requestLimits = { maxSideHeadBytes, maxSideBodyBytes };
     if (!m_settings.readinessAddress.empty()) {
         limits.address = m_settings.readinessAddress;
         limits.maxConnections = budget.readiness;
@@ -197,6 +217,7 @@
             Slot { index, parts.back(), ShardLease(LeaseSettings {}, m_settings.peerAddress, m_incarnation),
                 asio::steady_timer(m_loop), false, nullptr, false, false, {}, {}, false, {}, {}, {} }));
     }
+    m_storeSubmitter = std::make_unique<StoreSubmitter>(m_loop, m_store, m_metrics, m_incarnation, parts);
     m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, leaseTable, std::move(parts),
         TableFollower::Timing { isSmall() ? leaseFeedPauseOfSmall : leaseFeedPause },
         TableFollower::Hooks { [this](const platform::StoredRow& row) { onLeaseRow(row); },
@@ -264,6 +285,7 @@
             { "before", std::to_string(m_config ? m_config->version : 0) },
             { "queues", std::to_string(config->queues.size()) } });
     m_config = std::move(*config);
+    m_callers->setRequestLimits({ m_config->maxHeaderBytes, m_config->maxBodyBytes });
     std::vector<PoolId> pools;
     for (const auto& pool : m_config->pools)
         if (!pool.isStandby)
@@ -284,6 +306,8 @@
         slot->lease.observeRenewal(row.version, now);
         return;
     }
+    if (row.name.key == submissionNoticeKey && slot->owner)
+        slot->owner->readSubmissions();
     if (row.name.key != ownerKey)
         return;
     auto owner = row.isRemoved ? std::nullopt : decodeOwner(row.value);
@@ -307,6 +331,8 @@
     observeLag(now);
     for (auto& slot : m_slots)
         tickSlot(*slot, now);
+    if (m_storeSubmitter)
+        m_storeSubmitter->tick();
     if (m_isStopping)
         finishStop();
     else
@@ -354,6 +380,7 @@
 {
     slot.isAcquiring = true;
     auto claim = slot.lease.ownerAfterClaim();
+    claim.servesSubmissions = m_settings.storeSubmissions;
     platform::RowName owner { leaseTable, slot.part, ownerKey };
     platform::RowName renewal { leaseTable, slot.part, renewalKey };
     platform::RowTransaction transaction;
@@ -431,12 +458,24 @@
     settings.maxLease = m_settings.maxRunnerLease;
     settings.keepFinished = m_settings.keepFinished + finishedMargin;
     settings.maxRowBytes = m_settings.maxRowBytes;
+    if (m_settings.isBurstForecastOn)
+        settings.vmLeadTimeForBursts = m_settings.moveTime + firstAnswerTime;
     ShardOwner::Hooks hooks;
     hooks.mayOrder = [this, &slot] { return slot.lease.isValid(m_clock.now()) && !slot.isReleasing; };
     hooks.mayOrderVms = [mayOrder = hooks.mayOrder, &slot] { return mayOrder() && !slot.handOverAt; };
     hooks.onLost = [this, &slot] { asio::post(m_loop, [this, &slot] { dropShard(slot, "store-refused"); }); };
     hooks.onRenewed = [&slot](TimePoint at) { slot.lease.onRenewed(at); };
     hooks.ownsVm = [this, index = slot.index](const VmId& vm) { return m_map->shardOf(vm) == index; };
+    hooks.configAge = [this] { return m_configFollower.age(); };
+    hooks.configApplyTime = m_settings.configApplyTime;
+    // By the row that was claimed, as the settings may have been reloaded since.
+    if (slot.lease.owner()->servesSubmissions)
+        hooks.admit = [this, &slot](JobCall call, OnJobReply reply) {
+            if (isServedHere(slot))
+                handleHere(slot, std::move(call), std::move(reply));
+            else
+                reply(noHolderReply(slot.isReleasing));
+        };
     // The previous holder has released the shard, or its lease, as that holder counts it, ended at least
     // LeaseSettings::margin ago. An order that it sent before may still be in flight, for up to orderMargin.
     // The first epoch has no previous holder.
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -33,10 +33,12 @@
                                                             .Name("fulmar_refusals_total")
                                                             .Help("Refused calls by reason")
                                                             .Register(registry) };
-    prometheus::Family<prometheus::Counter>& admissions { prometheus::BuildCounter()
-                                                              .Name("fulmar_admissions_total")
-                                                              .Help("Decisions on submitted jobs by verdict")
-                                                              .Register(registry) };
+    prometheus::Family<prometheus::Counter>& admissions {
+        prometheus::BuildCounter()
+            .Name("fulmar_admissions_total")
+            .Help("Decisions on submitted jobs by verdict and team's share")
+            .Register(registry)
+    };
     prometheus::Family<prometheus::Counter>& orders { prometheus::BuildCounter()
                                                           .Name("fulmar_runner_orders_total")
                                                           .Help("Orders to runners by kind and outcome")
@@ -46,10 +48,32 @@
                                                            .Help(
                                                                "Transactions of the shards' logs by outcome")
                                                            .Register(registry) };
+    prometheus::Family<prometheus::Counter>& quotaWrites { prometheus::BuildCounter()
+                                                               .Name("fulmar_team_limit_commits_total")
+                                                               .Help("Transactions on team limits by outcome")
+                                                               .Register(registry) };
     prometheus::Family<prometheus::Counter>& refusedRows { prometheus::BuildCounter()
                                                                .Name("fulmar_store_refused_rows_total")
                                                                .Help("Rows that the store refuses, by table")
                                                                .Register(registry) };
+    prometheus::Family<prometheus::Counter>& storeSubmissions {
+        prometheus::BuildCounter()
+            .Name("fulmar_store_submissions_total")
+            .Help("Submissions through the store by verdict")
+            .Register(registry)
+    };
+    prometheus::Family<prometheus::Counter>& expectedBursts {
+        prometheus::BuildCounter()
+            .Name("fulmar_expected_bursts_total")
+            .Help("Bursts for which VMs were to be ordered ahead, by whether they came")
+            .Register(registry)
+    };
+    prometheus::Family<prometheus::Counter>& closedClients {
+        prometheus::BuildCounter()
+            .Name("fulmar_closed_clients_total")
+            .Help("Connections closed before their request was handled, by reason")
+            .Register(registry)
+    };
     prometheus::Family<prometheus::Gauge>& gauges {
         prometheus::BuildGauge().Name("fulmar_node").Help("State of this node").Register(registry)
     };
@@ -74,9 +98,9 @@
     m_families->refusals.Add({ { "reason", reason } }).Increment();
 }
 
-void NodeMetrics::countAdmission(const std::string& verdict)
+void NodeMetrics::countAdmission(const std::string& verdict, const std::string& share)
 {
-    m_families->admissions.Add({ { "verdict", verdict } }).Increment();
+    m_families->admissions.Add({ { "verdict", verdict }, { "share", share } }).Increment();
 }
 
 void NodeMetrics::countOrder(const std::string& order, const std::string& outcome)
@@ -89,11 +113,38 @@
     m_families->commits.Add({ { "outcome", outcome } }).Increment();
 }
 
+void NodeMetrics::countQuotaWrite(const std::string& outcome)
+{
+    m_families->quotaWrites.Add({ { "outcome", outcome } }).Increment();
+}
+
 void NodeMetrics::countRefusedRow(const std::string& table)
 {
     m_families->refusedRows.Add({ { "table", table } }).Increment();
 }
 
+void NodeMetrics::countStoreSubmission(const std::string& verdict)
+{
+    m_families->storeSubmissions.Add({ { "verdict", verdict } }).Increment();
+}
+
+void NodeMetrics::countExpectedBursts(const std::string& outcome, std::uint64_t count)
+{
+    if (count > 0)
+        m_families->expectedBursts.Add({ { "outcome", outcome } }).Increment(double(count));
+}
+
+void NodeMetrics::countClosedClient(const std::string& reason)
+{
+    m_families->closedClients.Add({ { "reason", reason } }).Increment();
+}
+
+void NodeMetrics::setClientMemory(std::size_t held, std::size_t budget)
+{
+    m_families->gauges.Add({ { "what", "client_memory_bytes" } }).Set(double(held));
+    m_families->gauges.Add({ { "what", "client_memory_budget_bytes" } }).Set(double(budget));
+}
+
 void NodeMetrics::setShardsHeld(std::size_t shards)
 {
     m_families->gauges.Add({ { "what", "shards_held" } }).Set(double(shards));
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -28,12 +28,19 @@
     // How long a move and a maintenance make a VM unavailable.
     std::chrono::milliseconds moveTime { 0 };
     std::chrono::milliseconds maintenanceTime { 0 };
+    // VMs are ordered before the next burst of a pool whose bursts return regularly.
+    bool isBurstForecastOn { false };
     // Most bytes of a row's value in the store.
     std::size_t maxRowBytes { jobs::defaultMaxRowBytes };
+    // Submissions to a holder that cannot be reached go through the store; see submission_row.h.
+    bool storeSubmissions { false };
     // How long finished jobs can be queried.
     std::chrono::milliseconds keepFinished { 0 };
     // Limit of open files and sockets.
     std::int64_t maxDescriptors { 0 };
+    // Limit of the process's memory in bytes, and the part of it for what clients send and do not read.
+    std::size_t maxMemory { std::size_t(160) << 20 };
+    std::size_t callersMemory { std::size_t(28) << 20 };
     // Share of the process, in cores.
     double processorShare { 1 };
 };
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -1,6 +1,7 @@
 #include "node/shard_owner.h"
 
 #include "core/log.h"
+#include "jobs/burst_row.h"
 #include "jobs/runner_row.h"
 #include "node/queue_lookup.h"
 #include "platform/decode.h"
@@ -70,14 +71,18 @@
     , m_runnerClient(clients.runners)
     , m_metrics(clients.metrics)
     , m_part(lease.name.part)
+    , m_shardIndex(vmSettings.shard)
     , m_shardCount(vmSettings.shards.count)
     , m_hooks(std::move(hooks))
     , m_log(loop, clients.store, lease,
           { [this] { m_hooks.onLost(); },
               [this](
                   platform::CommitOutcome outcome) { m_metrics.countCommit(std::string(toString(outcome))); },
-              [this](const platform::RowName& name) { onRowRefused(name); } })
+              [this](const platform::RowName& name) { onRowRefused(name); }, submissionTable,
+              [this](const std::vector<platform::RowName>& rows) { onRowsWithdrawn(rows); } })
     , m_shard(settings, vmSettings.epoch)
+    , m_teamLimits(loop, clients.store, clients.metrics, m_shard.teamQuota(), m_hooks.configApplyTime,
+          { m_hooks.configAge, [this] { schedule(); } })
     , m_vmController(clients.store, clients.vms, m_shard, vmSettings,
           { m_hooks.mayOrderVms, m_hooks.ownsVm,
               [this](std::int64_t wave, std::string value, std::function<void()> durable) {
@@ -98,6 +103,14 @@
                   schedule();
               } })
     , m_planTimer(loop)
+    , m_submissions(loop, clients.store, m_part,
+          { m_hooks.admit,
+              [this](RowChange row, std::optional<Version> read) {
+                  if (read)
+                      m_log.seed(row.name, *read);
+                  auto key = row.name.key;
+                  m_log.put({ std::move(row) }, [this, key] { m_submissions.intake().onWritten(key); });
+              } })
     , m_writeTimer(loop)
 {
     m_log.seed(rowName(leaseTable, renewalKey), renewalVersion);
@@ -146,8 +159,8 @@
 // Reads the tables in sequence; progress rows come before the jobs they belong to.
 void ShardOwner::restore(std::size_t tableIndex)
 {
-    static constexpr std::array tables { progressTable, jobTable, runnerTable, waveTable };
-    if (tableIndex == tables.size()) {
+    static constexpr std::array tables { progressTable, jobTable, runnerTable, waveTable, burstTable };
+    if (tableIndex == tables.size() - (m_shard.burstForecast() ? 0 : 1)) {
         logInfo("shard-restored",
             { { "part", m_part }, { "jobs", std::to_string(m_shard.jobTable().all().size()) },
                 { "runners", std::to_string(m_shard.runners().size()) } });
@@ -197,11 +210,26 @@
             m_shard.restoreRunner(std::move(*runner), m_clock.now());
     } else if (table == waveTable) {
         isReadable = m_vmController.restoreWave(key, row.value);
+    } else if (table == burstTable && key == burstForecastKey) {
+        isReadable = restoreBursts(row.value);
     }
     if (!isReadable)
         logWarning("row-unreadable", { { "table", table }, { "key", key } });
 }
 
+// False if the row cannot be decoded. One that is too old is not used.
+bool ShardOwner::restoreBursts(std::string_view row)
+{
+    auto record = jobs::decodeBurstRow(row);
+    if (!record)
+        return false;
+    auto isUsed = m_shard.burstForecast()->restore(*record, m_clock.wallNow());
+    logInfo("burst-forecast-restored",
+        { { "part", m_part }, { "pools", std::to_string(record->pools.size()) },
+            { "used", isUsed ? "true" : "false" } });
+    return true;
+}
+
 // Earlier releases could remove the row of a job and leave its progress.
 void ShardOwner::removeOrphanedProgress()
 {
@@ -214,9 +242,34 @@
 void ShardOwner::addWave(const jobs::WaveOrder& wave) { m_vmController.addWave(wave); }
 
 void ShardOwner::tick()
+{
+    if (!m_isRestored)
+        return;
+    updateBurstForecast();
+    m_vmController.tick();
+    m_submissions.intake().tick(m_clock.now());
+}
+
+// The rows that exist are read once the shard is restored.
+void ShardOwner::readSubmissions()
 {
     if (m_isRestored)
-        m_vmController.tick();
+        m_submissions.read();
+}
+
+void ShardOwner::updateBurstForecast()
+{
+    auto* forecast = m_shard.burstForecast();
+    if (!forecast)
+        return;
+    auto now = m_clock.now();
+    forecast->update(now);
+    if (auto record = forecast->takeRecord(now, m_clock.wallNow()))
+        m_log.put({ { rowName(burstTable, burstForecastKey), jobs::encodeBurstRow(*record) } }, {});
+    auto counts = forecast->counts();
+    m_metrics.countExpectedBursts("came", counts.hits - m_countedBursts.hits);
+    m_metrics.countExpectedBursts("missed", counts.misses - m_countedBursts.misses);
+    m_countedBursts = counts;
 }
 
 void ShardOwner::onRunnerRow(const platform::StoredRow& row)
@@ -238,6 +291,7 @@
         return;
     for (auto& [call, reply] : std::exchange(m_waitingForRestore, {}))
         handle(std::move(call), std::move(reply));
+    readSubmissions();
 }
 
 void ShardOwner::configure(const jobs::FleetConfig& config)
@@ -245,6 +299,7 @@
     m_vmController.configure(config);
     m_hasTeams = config.teams.has_value();
     m_shard.setTeams(config.teams.value_or(std::vector<teams::TeamConfig> {}), m_shardCount);
+    m_teamLimits.configure(config, m_shardIndex, m_shardCount);
     schedule();
 }
 
@@ -289,7 +344,7 @@
     // A job cannot be accepted while the store is unavailable, unless it is known and may be stored already.
     if (m_log.isStoreUnavailable() && !m_shard.find(job->id)) {
         m_shard.recordDemand(*job, m_clock.now());
-        m_metrics.countAdmission("store-away");
+        m_metrics.countAdmission("store-away", "none");
         logInfo("admission",
             { { "job", job->id.value() }, { "queue", job->queue }, { "verdict", "store-away" } });
         reply(refusal(JobVerdict::Unavailable, defaultRetryAfter, "store-away"));
@@ -299,10 +354,11 @@
     auto verdict = decision.verdict == jobs::SubmitVerdict::Known
         ? std::string("known")
         : std::string(toString(decision.admission.verdict));
-    m_metrics.countAdmission(verdict);
+    auto share = std::string(toString(decision.share));
+    m_metrics.countAdmission(verdict, share);
     logInfo("admission",
         { { "job", job->id.value() }, { "queue", job->queue }, { "pool", job->policy.pool.value() },
-            { "verdict", verdict },
+            { "verdict", verdict }, { "team", job->team.value() }, { "share", share },
             { "waiting-core-ms", std::to_string(std::int64_t(decision.load.waiting)) },
             { "later-core-ms", std::to_string(std::int64_t(decision.load.blocked)) },
             { "running-core-ms", std::to_string(std::int64_t(decision.load.running)) },
@@ -319,6 +375,8 @@
             decision.admission.retryAfter, verdict));
         return;
     }
+    if (decision.verdict == jobs::SubmitVerdict::New && !call.submission.empty())
+        m_submissions.intake().bind(job->id, call.submission);
     if (m_shard.find(job->id)->isStored) {
         reply(done("stored"));
         return;
@@ -381,6 +439,11 @@
     for (auto& change : m_shard.takeChanges(m_clock.now())) {
         using Kind = jobs::ShardChange::Kind;
         auto rows = rowsOf(change);
+        if (change.kind == Kind::Job)
+            if (auto bound = m_submissions.intake().takeBound(JobId(change.key))) {
+                m_log.seed(bound->first.name, bound->second);
+                rows.push_back(std::move(bound->first));
+            }
         m_log.put(std::move(rows), [this, change = std::move(change)] {
             m_shard.onStored(change, m_clock.now());
             if (change.kind == Kind::Job || change.kind == Kind::Progress)
@@ -403,11 +466,7 @@
     m_metrics.countRefusedRow(name.table);
     JobId id(name.key);
     if (name.table == jobTable) {
-        m_shard.onJobRowRefused(id, m_clock.now());
-        schedule();
-        if (auto waiting = m_waitingForStore.extract(id))
-            for (auto& reply : waiting.mapped())
-                reply(refusal(JobVerdict::Rejected, defaultRetryAfter, "row-refused"));
+        forgetUnstored(id, refusal(JobVerdict::Rejected, defaultRetryAfter, "row-refused"));
     } else if (name.table == progressTable) {
         if (auto waiting = m_waitingForCancel.extract(id))
             for (auto& reply : waiting.mapped())
@@ -415,6 +474,34 @@
     }
 }
 
+void ShardOwner::forgetUnstored(const JobId& id, const JobReply& result)
+{
+    m_shard.onJobRowRefused(id, m_clock.now());
+    schedule();
+    if (auto waiting = m_waitingForStore.extract(id))
+        for (auto& reply : waiting.mapped())
+            reply(result);
+}
+
+// The receiving process told its caller that the job does not run, so it was not stored. A direct submission
+// of the same job that waited with it is refused too.
+void ShardOwner::onRowsWithdrawn(const std::vector<platform::RowName>& rows)
+{
+    for (const auto& name : rows)
+        if (name.table == submissionTable)
+            m_submissions.intake().onWithdrawn(name.key);
+    for (const auto& name : rows) {
+        JobId id(name.key);
+        if (name.table != jobTable)
+            continue;
+        logInfo("submission-withdrawn", { { "part", m_part }, { "job", id.value() } });
+        forgetUnstored(id, refusal(JobVerdict::Unavailable, defaultRetryAfter, "submission-withdrawn"));
+        if (auto waiting = m_waitingForCancel.extract(id))
+            for (auto& reply : waiting.mapped())
+                reply(uncertain("submission-withdrawn"));
+    }
+}
+
 void ShardOwner::replyToWaitingCalls(const JobId& id)
 {
     auto* entry = m_shard.find(id);
@@ -462,7 +549,11 @@
 {
     m_isPlanScheduled = false;
     auto now = m_clock.now();
-    auto orders = m_shard.plan(now, m_clock.wallNow(), m_hooks.mayOrder());
+    auto mayOrder = m_hooks.mayOrder();
+    m_teamLimits.update();
+    auto orders = m_shard.plan(now, m_clock.wallNow(), mayOrder);
+    if (mayOrder)
+        m_teamLimits.write(now);
     for (const auto& start : orders.starts)
         sendStart(start);
     for (const auto& stop : orders.stops)
--- a/src/node/shard_owner.h
+++ b/src/node/shard_owner.h
@@ -4,7 +4,9 @@
 #include "node/job_call.h"
 #include "node/node_metrics.h"
 #include "node/row_log.h"
+#include "node/submission_reader.h"
 #include "node/table_follower.h"
+#include "node/team_limits.h"
 #include "node/vm_controller.h"
 #include "platform/runner_client.h"
 
@@ -17,6 +19,9 @@
 inline constexpr auto jobTable = "jobs";
 inline constexpr auto progressTable = "progress";
 inline constexpr auto runnerTable = "runners";
+// What is known of the pools' bursts; one row of each shard.
+inline constexpr auto burstTable = "bursts";
+inline constexpr auto burstForecastKey = "forecast";
 inline constexpr auto ownerKey = "owner";
 inline constexpr auto renewalKey = "renewal";
 
@@ -35,6 +40,12 @@
         std::function<void(TimePoint sent)> onRenewed;
         // The VM belongs to this shard.
         std::function<bool(const VmId&)> ownsVm;
+        // Time since the store confirmed the configuration, and how long one may take to be in force.
+        std::function<std::chrono::milliseconds()> configAge = [] { return std::chrono::milliseconds(0); };
+        std::chrono::milliseconds configApplyTime { 3'000 };
+        // Passes on to handle() what came through the store, after the checks of forwarded calls. Empty if
+        // this holder accepts no submissions through the store.
+        std::function<void(JobCall, OnJobReply)> admit {};
     };
 
     // Clients of the platform's interfaces, and the metrics.
@@ -55,6 +66,8 @@
     void handle(JobCall, OnJobReply);
     void configure(const jobs::FleetConfig&);
     void addWave(const jobs::WaveOrder&);
+    // Reads the submissions that came through the store; called when the lease table shows new ones.
+    void readSubmissions();
     // Plans moves and maintenance of VMs; called periodically.
     void tick();
     void renew();
@@ -71,6 +84,8 @@
     void restoreRow(const platform::StoredRow&);
     void removeOrphanedProgress();
     void onRestored();
+    [[nodiscard]] bool restoreBursts(std::string_view row);
+    void updateBurstForecast();
     void submit(const JobCall&, OnJobReply);
     void show(const JobCall&, const OnJobReply&);
     void cancel(const JobCall&, OnJobReply);
@@ -79,6 +94,9 @@
     [[nodiscard]] bool isOfOtherTeam(const jobs::JobEntry&, const JobCall&) const;
     void replyToWaitingCalls(const JobId&);
     void onRowRefused(const platform::RowName&);
+    void onRowsWithdrawn(const std::vector<platform::RowName>&);
+    // Drops a job that is not stored, and refuses the submits that wait for it.
+    void forgetUnstored(const JobId&, const JobReply&);
     void plan();
     void write();
     void sendStart(const jobs::OutgoingStart&);
@@ -93,12 +111,14 @@
     platform::RunnerClient& m_runnerClient;
     NodeMetrics& m_metrics;
     const std::string m_part;
+    const std::uint32_t m_shardIndex;
     const std::uint32_t m_shardCount;
     const Hooks m_hooks;
     bool m_hasTeams { false };
     BootClock m_clock;
     RowLog m_log;
     jobs::Shard m_shard;
+    TeamLimits m_teamLimits;
     VmController m_vmController;
     TableFollower m_runnerList;
     std::map<jobs::RunnerId, jobs::RunnerReport> m_listedRunners;
@@ -117,6 +137,7 @@
     asio::steady_timer m_planTimer;
     TimePoint m_planAt;
     bool m_isPlanScheduled { false };
+    SubmissionReader m_submissions;
     asio::steady_timer m_writeTimer;
     bool m_isWriteScheduled { false };
     // Start orders queued per runner; only a few are in flight at a time, as each needs a connection.
@@ -126,6 +147,7 @@
     };
     std::map<jobs::RunnerId, Outbox> m_outboxes;
     std::uint64_t m_renewals { 0 };
+    jobs::BurstForecast::Counts m_countedBursts;
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include "node/tests/fake_platform.h"
+#include "node/tests/program_run.h"
 #include "platform/decode.h"
 #include "platform/http_client.h"
 #include "platform/names.h"
@@ -11,11 +12,7 @@
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <fcntl.h>
-#include <filesystem>
 #include <fmt/format.h>
-#include <fstream>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -136,61 +133,6 @@
     }
 };
 
-// The program in a process of its own, with these settings.
-class ProgramRun {
-public:
-    explicit ProgramRun(const std::string& settings, std::vector<std::string> options = {})
-    {
-        std::filesystem::create_directory(m_folder);
-        auto file = (m_folder / "node.ini").string();
-        std::ofstream(file) << settings;
-        std::vector<std::string> words { FULMARRAMP_PROGRAM, "--settings", file };
-        words.insert(words.end(), options.begin(), options.end());
-        std::vector<char*> arguments;
-        for (auto& word : words)
-            arguments.push_back(word.data());
-        arguments.push_back(nullptr);
-        posix_spawn_file_actions_t files;
-        ::posix_spawn_file_actions_init(&files);
-        auto errors = (m_folder / "errors").string();
-        ::posix_spawn_file_actions_addopen(
-            &files, STDERR_FILENO, errors.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
-        BOOST_REQUIRE(
-            ::posix_spawn(&m_process, arguments.front(), &files, nullptr, arguments.data(), environ) == 0);
-        ::posix_spawn_file_actions_destroy(&files);
-    }
-    ProgramRun(const ProgramRun&) = delete;
-    ProgramRun& operator=(const ProgramRun&) = delete;
-    ~ProgramRun()
-    {
-        if (m_process > 0) {
-            signal(SIGKILL);
-            wait();
-        }
-        std::filesystem::remove_all(m_folder);
-    }
-
-    void signal(int number) const { ::kill(m_process, number); }
-    // Status, as of waitpid().
-    int wait()
-    {
-        int status = 0;
-        BOOST_TEST(::waitpid(std::exchange(m_process, 0), &status, 0) > 0);
-        return status;
-    }
-    // What it has written to standard error.
-    [[nodiscard]] std::string errors() const
-    {
-        std::ifstream file(m_folder / "errors");
-        return { std::istreambuf_iterator<char>(file), {} };
-    }
-
-private:
-    const std::filesystem::path m_folder { std::filesystem::temp_directory_path()
-        / fmt::format("fulmar-node-{}", ::getpid()) };
-    pid_t m_process { 0 };
-};
-
 constexpr auto refused = "HTTP/1.1 503";
 constexpr auto runnerRow
     = R"({{"service":"p","address":"127.0.0.1:{}","zone":"z","state":"ready","labels":["a","r1"],"born":1,)"
@@ -314,7 +256,7 @@
 // other processes to end.
 BOOST_FIXTURE_TEST_CASE(TheProcessEndsAtOnceWhateverOtherProcessesCall, NodeFixture)
 {
-    ProgramRun program(
+    test::ProgramRun program(
         fmt::format("[process]\nname = node\nzone = z\nstop_grace = 3s\n[listen]\ncallers = {}\n"
                     "readiness = {}\npeers = {}\nmetrics = {}\n[platform]\nstore = {}\nvms = {}\n",
             settings.callerAddress, settings.readinessAddress, settings.peerAddress, settings.metricsAddress,
@@ -349,7 +291,7 @@
 // Guards against a process of which nothing tells why it ended.
 BOOST_AUTO_TEST_CASE(AProcessThatASignalEndsLogsItFirst)
 {
-    ProgramRun program(fmt::format("[listen]\ncallers = {}\n[platform]\nstore = {}\n",
+    test::ProgramRun program(fmt::format("[listen]\ncallers = {}\n[platform]\nstore = {}\n",
         test::FakePlatform::freeAddress(), test::FakePlatform::freeAddress()));
     std::this_thread::sleep_for(500ms);
     program.signal(SIGSEGV);
@@ -361,7 +303,7 @@
 
 BOOST_AUTO_TEST_CASE(ACheckOfSettingsTellsWhatAStartWouldReplace)
 {
-    ProgramRun program(
+    test::ProgramRun program(
         "[listen]\ncallers = 127.0.0.1:1\n[platform]\nstore = 127.0.0.1:2\n[vms]\nmove_time = s\n",
         { "--check-settings" });
     BOOST_TEST(program.wait() == 0);
@@ -371,7 +313,7 @@
 
 BOOST_AUTO_TEST_CASE(AStartThatIsRefusedSaysWhyInOneLine)
 {
-    ProgramRun program("[listen]\ncallers =\n[platform]\nstore = 127.0.0.1:2\n");
+    test::ProgramRun program("[listen]\ncallers =\n[platform]\nstore = 127.0.0.1:2\n");
     auto status = program.wait();
     BOOST_TEST((WIFEXITED(status) && WEXITSTATUS(status) == 2));
     auto errors = program.errors();
@@ -477,4 +419,99 @@
         BOOST_TEST(text.find("secret") == std::string::npos);
 }
 
+// Two nodes that reach the store; one holds the shard, and the other one cannot reach it.
+struct CutOffNodeFixture : NodeFixture {
+    standin::HttpHost runner;
+    std::thread runnerThread;
+    std::thread holder;
+    std::thread receiver;
+
+    void start(bool holderServesSubmissions)
+    {
+        auto port = runner.listen("127.0.0.1:0", [](const standin::HttpRequest&) {
+            return standin::HttpReply { 200, R"({"clock-ms":1,"born":1,"running":[],"finished":[]})" };
+        });
+        runnerThread = std::thread([this] { runner.run(); });
+        fake.put(platform::runnerListTable, "", "runner", fmt::format(runnerRow, port));
+        settings.vmsAddress.clear();
+        fake.checkConditions();
+        // As address of the holder: nothing listens there.
+        fake.hide(settings.peerAddress, "127.0.0.1:1");
+        settings.storeSubmissions = holderServesSubmissions;
+        holder = std::thread([ours = settings] { run(ours, 1); });
+        BOOST_REQUIRE(isJobAcceptedInTime());
+        for (auto* address : { &settings.callerAddress, &settings.readinessAddress, &settings.peerAddress,
+                 &settings.metricsAddress })
+            *address = test::FakePlatform::freeAddress();
+        settings.storeAddress = fake.cutOffAddress();
+        settings.storeSubmissions = true;
+        receiver = std::thread([ours = settings] { run(ours, 2); });
+    }
+
+    ~CutOffNodeFixture()
+    {
+        ::kill(::getpid(), SIGTERM);
+        holder.join();
+        receiver.join();
+        runner.stop();
+        runnerThread.join();
+    }
+
+    static void run(const NodeSettings& ours, std::uint64_t incarnation)
+    {
+        Node node(ours, incarnation, [] { return std::nullopt; });
+        BOOST_TEST(node.run().has_value());
+    }
+
+    // The answer to the first submission that is not refused for another reason than these.
+    platform::HttpResult submitUntil(const std::string& reason)
+    {
+        platform::HttpResult answer;
+        for (int tries = 0; tries < 100; ++tries) {
+            answer = call(submit("00000000000000aa"));
+            if (answer.status == 200 || answer.body.find(reason) != std::string::npos)
+                break;
+            std::this_thread::sleep_for(100ms);
+        }
+        return answer;
+    }
+
+    std::size_t rowsOf(const std::string& table)
+    {
+        auto rows = fake.rows();
+        return std::size_t(std::count_if(
+            rows.begin(), rows.end(), [&](const auto& each) { return std::get<0>(each.first) == table; }));
+    }
+};
+
+// Guards against callers that are refused although their process and the holder reach the store.
+BOOST_FIXTURE_TEST_CASE(ASubmissionReachesACutOffHolderThroughTheStore, CutOffNodeFixture)
+{
+    start(true);
+    auto answer = submitUntil("none");
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(!fake.value("jobs", "s0", "00000000000000aa").empty());
+    BOOST_TEST(rowsOf("submissions") == 1U);
+    auto refused = call(submit("00000000000000ab",
+        R"({"spec":"s","steps":[{"count":1,"cpu":900000,"mem-mb":1,"estimate-ms":900000}]})"));
+    BOOST_TEST(refused.status == 429);
+    BOOST_TEST(refused.body.find("overload") != std::string::npos);
+    BOOST_TEST(fake.value("jobs", "s0", "00000000000000ab").empty());
+    for (const auto& [id, status] : { std::pair("00000000000000aa", 200), { "00000000000000ab", 410 } }) {
+        auto request = submit(id, {});
+        request.method = "GET";
+        BOOST_TEST(call(request).status == status);
+    }
+}
+
+// Guards against rows that a holder of the release before, or without the setting, never looks at.
+BOOST_FIXTURE_TEST_CASE(AHolderThatDoesNotServeSubmissionsGetsNoRows, CutOffNodeFixture)
+{
+    start(false);
+    std::this_thread::sleep_for(2500ms);
+    auto answer = submitUntil("holder-silent");
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(rowsOf("submissions") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
