Jobs that their team's quota holds back too long are refused at once

Cause: admission compared a job with the capacity of its pool alone.

A job's wait for its team's quota counts like the wait for capacity; Retry-After follows from it.

--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -44,12 +44,14 @@
     // competes with the job.
     auto ahead = load.waiting + load.running + load.blocked * blockedShare;
     auto expectedWait = load.waiting > 0 ? timeToProcess(ahead, coresNow, coresAfterArrival) : Millis(0);
+    expectedWait = std::max(expectedWait, load.quotaWait);
     auto expectedDuration = expectedWait
         + std::max(
             job.expectedCriticalPath(), timeToProcess(job.expectedWork(), coresNow, coresAfterArrival));
     auto objective = job.objective();
     // A job that could start at once is never rejected.
-    auto startsNow = load.waiting <= 0 && load.freeCpu >= job.steps.front().reserved().cpu;
+    auto startsNow = load.waiting <= 0 && load.quotaWait.count() == 0
+        && load.freeCpu >= job.steps.front().reserved().cpu;
     if (job.isLongRunning() || job.isScheduled() || startsNow
         || expectedDuration <= objective * maxUsefulObjectives)
         return { Admission::Accept, Millis(0), expectedDuration };
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -16,11 +16,13 @@
     double waiting { 0 };
     double blocked { 0 };
     double running { 0 };
+    // Time until the quota of the job's team lets it start; 0 if it may start at once.
+    Millis quotaWait { 0 };
 };
 
 enum class Admission : std::uint8_t {
     Accept,
-    // The job would end too late to be of use because of the pool's other work.
+    // The job would end too late to be of use because of the pool's other work, or the work of its team.
     RejectOverload,
     RejectNoRunner,
 };
--- a/src/jobs/shard.h
+++ b/src/jobs/shard.h
@@ -181,6 +181,8 @@
     // For the admission of a new job; `cost`: see costOf(). What the quota of another team holds back is not
     // ahead of it.
     [[nodiscard]] PoolLoad loadOf(const Job&, double cost, TimePoint now, WallTime wallNow) const;
+    // See PoolLoad::quotaWait.
+    [[nodiscard]] Millis quotaWaitOf(const Job&, double cost, WallTime wallNow) const;
     [[nodiscard]] const StalledJobs& stalledJobs() const { return m_stalledJobs; }
     // All runners of the earlier holder have answered, or their leases have lapsed.
     [[nodiscard]] bool areEarlierRunsResolved(const PoolId&, TimePoint now) const;
--- a/src/jobs/shard_load.cpp
+++ b/src/jobs/shard_load.cpp
@@ -3,6 +3,7 @@
 #include "jobs/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 
@@ -58,6 +59,7 @@
     }
     if (auto arriving = m_arriving.find(pool); arriving != m_arriving.end())
         load.arrivingCpu = arriving->second;
+    load.quotaWait = quotaWaitOf(job, cost, wallNow);
     auto areRunsKnown = areEarlierRunsResolved(pool, now);
     TeamQuota::Room quotaRoom(m_teamQuota);
     for (const auto& [id, entry] : m_jobTable.all()) {
@@ -83,6 +85,30 @@
     return load;
 }
 
+Millis Shard::quotaWaitOf(const Job& job, double cost, WallTime wallNow) const
+{
+    const auto& first = job.steps.front();
+    if (!m_teamQuota.ledger().isLimited(job.team)
+        || m_teamQuota.startable(job, first, first.count) == first.count)
+        return Millis(0);
+    std::array<double, 3> work {};
+    for (const auto& [id, entry] : m_jobTable.all()) {
+        if (entry.isOver() || entry.job.team != job.team || !isAhead(entry, job, cost, true))
+            continue;
+        for (const auto& stepOccurrence : entry.stepOccurrences) {
+            const auto& step = entry.job.steps[stepOccurrence.step];
+            if (step.isLongRunning || !entry.isDue(stepOccurrence, wallNow))
+                continue;
+            // A placed task is on average half done.
+            auto tasks = double(stepOccurrence.waitingCount()) + double(stepOccurrence.placedCount) / 2;
+            for (std::size_t i = 0; i < work.size(); ++i)
+                work[i] += tasks * double(step.perTask.*teams::resourceKinds[i])
+                    * double(step.expectedRunTime().count());
+        }
+    }
+    return m_teamQuota.timeToRun(job.team, work);
+}
+
 std::uint32_t Shard::freeVmsForStalled(const JobEntry& entry, const StepOccurrence& stepOccurrence,
     const Resources& capacity, const std::vector<Runner*>& usable, TimePoint now)
 {
--- a/src/jobs/team_quota.cpp
+++ b/src/jobs/team_quota.cpp
@@ -1,11 +1,15 @@
 #include "jobs/team_quota.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fulmar::jobs {
 
 namespace {
 
+// No caller waits longer than that.
+constexpr Millis maxQuotaWait { 600'000 };
+
 Resources times(Resources each, std::int64_t count)
 {
     each.cpu *= count;
@@ -151,6 +155,23 @@
         use->queued += times(step.perTask, waiting);
 }
 
+Millis TeamQuota::timeToRun(const TeamId& team, const std::array<double, 3>& work) const
+{
+    auto limit = m_ledger.limitOf(team);
+    // A shard that needs its equal share gets it back in less than a second.
+    auto share = m_ledger.ownShare(team);
+    auto equal = m_ledger.equalShare();
+    double longest = 0;
+    for (std::size_t i = 0; i < work.size(); ++i) {
+        auto kind = teams::resourceKinds[i];
+        if (limit.*kind == 0)
+            continue;
+        auto most = double(limit.*kind) * double(std::max(share.*kind, equal.*kind)) / teams::wholeShare;
+        longest = std::max(longest, work[i] / std::max(1.0, most));
+    }
+    return Millis(std::llround(std::min(longest, double(maxQuotaWait.count()))));
+}
+
 teams::TeamUses TeamQuota::uses() const
 {
     teams::TeamUses uses;
--- a/src/jobs/team_quota.h
+++ b/src/jobs/team_quota.h
@@ -4,6 +4,7 @@
 #include "jobs/runner.h"
 #include "teams/quota_ledger.h"
 
+#include <array>
 #include <unordered_map>
 
 namespace fulmar::jobs {
@@ -42,6 +43,9 @@
     void noteHeldBack(const Job&, const Step&, std::uint32_t waiting);
     void noteQueued(const Job&, const Step&, std::uint32_t waiting);
 
+    // Time in which the team's quota in this shard lets work of this size run, in amounts times milliseconds.
+    [[nodiscard]] Millis timeToRun(const TeamId&, const std::array<double, 3>& work) const;
+
     [[nodiscard]] teams::TeamUses uses() const;
 
     // Hands out what the quota lets start over the jobs of a pool, so that their sum is within it.
--- a/src/jobs/tests/decisions_test.cpp
+++ b/src/jobs/tests/decisions_test.cpp
@@ -379,6 +379,20 @@
     BOOST_TEST(isEmptied);
 }
 
+// Guards against jobs that are accepted and wait for their team's quota until nobody needs them.
+BOOST_AUTO_TEST_CASE(AJobThatItsTeamsQuotaHoldsBackForLongIsRejected)
+{
+    PoolLoad load;
+    load.usableCpu = load.freeCpu = 10'000;
+    auto job = smallJob(1, 500ms);
+    load.quotaWait = 3s;
+    BOOST_TEST(bool(decideAdmission(job, load).verdict == Admission::Accept));
+    load.quotaWait = 10s;
+    auto decision = decideAdmission(job, load);
+    BOOST_TEST(bool(decision.verdict == Admission::RejectOverload));
+    BOOST_TEST((decision.retryAfter >= 8s));
+}
+
 // Guards against a job that changes its team with its holder, and a row of a release without teams that is
 // not read.
 BOOST_AUTO_TEST_CASE(TheRowOfAJobNamesItsTeam)
--- a/src/node/shard_owner.cpp
+++ b/src/node/shard_owner.cpp
@@ -368,6 +368,7 @@
             { "work-core-ms", std::to_string(std::int64_t(decision.expectedWork)) },
             { "expected-ms", std::to_string(decision.admission.expectedDuration.count()) },
             { "objective-ms", std::to_string(decision.objective.count()) },
+            { "quota-wait-ms", std::to_string(decision.load.quotaWait.count()) },
             { "retry-ms", std::to_string(decision.admission.retryAfter.count()) } });
     if (decision.verdict == jobs::SubmitVerdict::Rejected) {
         auto isOverload = decision.admission.verdict == jobs::Admission::RejectOverload;
--- a/src/teams/quota_ledger.h
+++ b/src/teams/quota_ledger.h
@@ -96,6 +96,8 @@
 
     // This shard's share of the team's limit.
     [[nodiscard]] Share ownShare(const TeamId&) const;
+    // What it is if no shard has given any away.
+    [[nodiscard]] Share equalShare() const { return equalShare(m_shard); }
     [[nodiscard]] std::uint32_t shard() const { return m_shard; }
     // Teams that want a larger share here, and rows of gifts written, for the log.
     [[nodiscard]] std::size_t wantCount() const { return m_own ? m_own->row.wants.size() : 0; }
