Late work waits, and a job's size within its queue does not count

Cause: with teams, waiting work went by worth per core-second with worth that grows less than work, so the largest jobs of a queue waited behind all others, and late jobs behind none.

A job's worth is taken in proportion to its work within its queue, and work that can no longer end in time follows what still can.

--- a/src/jobs/work_order.cpp
+++ b/src/jobs/work_order.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Of the users' measure: worth of a job whose work is the mean of its queue is 1.
-constexpr double minWorth = 0.3;
-constexpr double worthOfMeanWork = 0.7;
-constexpr double maxWorth = 4;
 // Weight of the newest job in a queue's mean work.
 constexpr double newestWeight = 0.05;
 // Time to spare by which the cost of starting a job now grows e-fold. Objectives are 2 s to 8 s.
@@ -30,7 +26,7 @@
     auto work = std::max(1.0, job.expectedWork());
     auto& mean = m_meanWork[job.queue];
     mean = mean == 0 ? work : mean + (work - mean) * newestWeight;
-    return std::min(maxWorth, minWorth + worthOfMeanWork * work / mean);
+    return work / mean;
 }
 
 double costOf(const Job& job, double work, double worth)
@@ -47,8 +43,8 @@
         rank.group = WorkRank::Group::LongRunning;
     rank.deadline = entry.deadlineOf(stepOccurrence, now, wallNow);
     auto earliestEnd = now + entry.remainingCriticalPath(stepOccurrence);
+    rank.isLate = !isLongRunning && earliestEnd > rank.deadline;
     if (!hasTeams || isLongRunning) {
-        rank.isLate = !isLongRunning && earliestEnd > rank.deadline;
         rank.priority = entry.job.policy.priority;
         return rank;
     }
--- a/src/jobs/work_order.h
+++ b/src/jobs/work_order.h
@@ -8,8 +8,9 @@
 
 namespace fulmar::jobs {
 
-// What a job is worth to its caller in comparison with the others of its queue. Worth grows less than work,
-// so per core-second a small job is worth more than a large one.
+// What a job is worth to its caller in comparison with the others of its queue: in proportion to its work.
+// Worth that grows less than work would let the largest jobs of each queue wait, and callers of these are
+// counted by themselves.
 class JobWorth {
 public:
     // Counts the job towards the mean of its queue.
@@ -27,7 +28,8 @@
 //
 // With teams, what waits is what costs callers least. It addresses load beyond the capacity of a pool for
 // some seconds. Work that can no longer end in useful time is last; before it is what a team submitted beyond
-// its share. Then work goes by its worth in relation to the capacity that it needs; see JobWorth.
+// its share, and before that late work. Then work goes by the capacity that it needs: that of a usual job of
+// its queue, as far as it is not done.
 struct WorkRank {
     enum class Group : std::uint8_t {
         LongRunning,
@@ -38,8 +40,8 @@
     Group group { Group::Other };
     bool isUseless { false };
     bool isBeyondShare { false };
-    // Only without teams.
     bool isLate { false };
+    // Only without teams.
     std::int32_t priority { 0 };
     // Only with teams: that of the remaining work, raised for jobs that have time to spare.
     double cost { 0 };
