--- a/src/node/team_limits.cpp
+++ b/src/node/team_limits.cpp
@@ -132,7 +132,7 @@
     logInfo("team-limits-write",
         { { "shard", std::to_string(ledger.shard()) }, { "outcome", outcome },
             { "lacking", std::to_string(ledger.wantCount()) },
-            { "gifts", std::to_string(ledger.giftCount()) } });
+            { "transfers", std::to_string(ledger.transferCount()) } });
     if (ledger.isOutdated())
         logWarning("team-limits-taken", { { "shard", std::to_string(ledger.shard()) } });
     // The rows are read after the claim, so that no write of the holder before can be missing.
--- a/src/teams/quota_exchange.cpp
+++ b/src/teams/quota_exchange.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-// The next shards give if the want is still there: a gift is written and seen in less.
+// The next shards give if the want is still there: a transfer is written and seen in less.
 constexpr milliseconds turnTime { 150 };
 // A shard keeps its share for tasks that wait for a runner until another shard has lacked it for this long.
 constexpr milliseconds keepForQueued { 500 };
@@ -173,18 +173,18 @@
     return spare;
 }
 
-void QuotaLedger::addGifts(const TeamUses& uses, TimePoint now, Pending& next, QuotaWrite& write)
+void QuotaLedger::addTransfers(const TeamUses& uses, TimePoint now, Pending& next, QuotaWrite& write)
 {
     std::set<TeamId> teams;
     for (const auto& [key, seen] : m_seenWants)
         teams.insert(key.second);
     for (const auto& team : teams) {
         auto use = uses.find(team);
-        addGiftsOf(team, use == uses.end() ? TeamUse {} : use->second, now, next, write);
+        addTransfersOf(team, use == uses.end() ? TeamUse {} : use->second, now, next, write);
     }
 }
 
-void QuotaLedger::addGiftsOf(
+void QuotaLedger::addTransfersOf(
     const TeamId& team, const TeamUse& use, TimePoint now, Pending& next, QuotaWrite& write)
 {
     struct Need {
@@ -195,7 +195,7 @@
     std::vector<Need> needs;
     for (const auto& [shard, holder] : m_holders)
         if (auto want = holder.row.wants.find(team); shard != m_shard && want != holder.row.wants.end())
-            // The receiver follows the same limits, so that the gift adds nothing to what both may use.
+            // The receiver follows the same limits, so that the transfer adds nothing to what both may use.
             if (auto need = needOf(want->second.target, shareOf(shard, team));
                 !isNothing(need) && holder.row.limits == m_own->row.limits)
                 needs.push_back({ want->second.since, shard, need });
@@ -206,7 +206,7 @@
     auto hasOwnWant = own != next.holder.wants.end();
     auto share = ownShare(team);
     auto equal = equalShare(m_shard);
-    std::optional<GiftRow> gift;
+    std::optional<TransferRow> transfer;
     Share given;
     for (const auto& [since, shard, need] : needs) {
         // What this shard cannot use goes to those that have waited longer, and what it could use only up to
@@ -236,23 +236,23 @@
         auto receiver = holderKey(shard);
         auto isCondition = std::any_of(write.conditions.begin(), write.conditions.end(),
             [&](const QuotaWrite::Condition& condition) { return condition.key == receiver; });
-        // Two entries are for the own row, and two for this gift.
+        // Two entries are for the own row, and two for this transfer.
         if (write.conditions.size() + write.puts.size() + 4 > maxEntries)
             break;
         if (!isCondition)
             write.conditions.push_back({ receiver, m_holders.at(shard).version });
-        if (!gift) {
-            gift.emplace();
-            if (auto found = m_gifts.find(team); found != m_gifts.end())
+        if (!transfer) {
+            transfer.emplace();
+            if (auto found = m_transfers.find(team); found != m_transfers.end())
                 if (auto stored = found->second.find(m_shard); stored != found->second.end())
-                    gift = stored->second.row;
+                    transfer = stored->second.row;
         }
-        (*gift)[shard] += part;
+        (*transfer)[shard] += part;
     }
-    if (!gift)
+    if (!transfer)
         return;
-    write.puts.emplace_back(giftKey(m_shard, team), encodeGiftRow(*gift));
-    next.gifts.emplace(team, std::move(*gift));
+    write.puts.emplace_back(transferKey(m_shard, team), encodeTransferRow(*transfer));
+    next.transfers.emplace(team, std::move(*transfer));
 }
 
 } // namespace fulmar::teams
--- a/src/teams/quota_ledger.cpp
+++ b/src/teams/quota_ledger.cpp
@@ -93,11 +93,11 @@
 Share QuotaLedger::shareOf(std::uint32_t shard, const TeamId& team) const
 {
     auto share = equalShare(shard);
-    auto found = m_gifts.find(team);
-    if (found == m_gifts.end())
+    auto found = m_transfers.find(team);
+    if (found == m_transfers.end())
         return share;
-    for (const auto& [from, gift] : found->second)
-        for (const auto& [to, given] : gift.row) {
+    for (const auto& [from, transfer] : found->second)
+        for (const auto& [to, given] : transfer.row) {
             if (from == shard)
                 share -= given;
             if (to == shard)
@@ -111,14 +111,14 @@
 {
     auto share = shareOf(m_shard, team);
     Resources stored;
-    if (auto found = m_gifts.find(team); found != m_gifts.end())
+    if (auto found = m_transfers.find(team); found != m_transfers.end())
         if (auto own = found->second.find(m_shard); own != found->second.end())
             for (const auto& [to, given] : own->second.row)
                 stored += given;
     Share lowest = share;
     for (const auto& pending : m_pending) {
-        auto found = pending.gifts.find(team);
-        if (found == pending.gifts.end())
+        auto found = pending.transfers.find(team);
+        if (found == pending.transfers.end())
             continue;
         auto possible = share;
         possible += stored;
@@ -299,15 +299,15 @@
         onHolderRow(key->shard, row);
         return;
     }
-    auto& stored = m_gifts[key->team][key->shard];
+    auto& stored = m_transfers[key->team][key->shard];
     if (row.version <= stored.version)
         return;
-    auto gift = decodeGiftRow(row.value);
-    if (!gift) {
+    auto transfer = decodeTransferRow(row.value);
+    if (!transfer) {
         logWarning("row-unreadable", { { "table", "team_limits" }, { "key", row.key } });
         return;
     }
-    stored = { std::move(*gift), row.version };
+    stored = { std::move(*transfer), row.version };
     invalidate();
 }
 
@@ -347,9 +347,9 @@
     m_own = StoredHolder { written.holder, version };
     m_ownVersion = version;
     m_holders[m_shard] = *m_own;
-    for (const auto& [team, gift] : written.gifts) {
-        m_gifts[team][m_shard] = { gift, version };
-        ++m_giftsMade;
+    for (const auto& [team, transfer] : written.transfers) {
+        m_transfers[team][m_shard] = { transfer, version };
+        ++m_transfersMade;
     }
     m_pending.clear();
     m_isClaimed = true;
@@ -429,8 +429,8 @@
     }
     QuotaWrite write;
     if (isAnnounced())
-        addGifts(uses, now, next, write);
-    if (!isNeeded && next.gifts.empty())
+        addTransfers(uses, now, next, write);
+    if (!isNeeded && next.transfers.empty())
         return std::nullopt;
     if (now < m_nextWrite) {
         wakeNoLaterThan(m_nextWrite);
--- a/src/teams/quota_ledger.h
+++ b/src/teams/quota_ledger.h
@@ -99,23 +99,23 @@
     // What it is if no shard has given any away.
     [[nodiscard]] Share equalShare() const { return equalShare(m_shard); }
     [[nodiscard]] std::uint32_t shard() const { return m_shard; }
-    // Teams that want a larger share here, and rows of gifts written, for the log.
+    // Teams that want a larger share here, and rows of transfers written, for the log.
     [[nodiscard]] std::size_t wantCount() const { return m_own ? m_own->row.wants.size() : 0; }
-    [[nodiscard]] std::uint64_t giftCount() const { return m_giftsMade; }
+    [[nodiscard]] std::uint64_t transferCount() const { return m_transfersMade; }
 
 private:
     struct StoredHolder {
         HolderRow row;
         Version version { 0 };
     };
-    struct StoredGift {
-        GiftRow row;
+    struct StoredTransfer {
+        TransferRow row;
         Version version { 0 };
     };
     // A write whose outcome is not known.
     struct Pending {
         HolderRow holder;
-        std::map<TeamId, GiftRow> gifts;
+        std::map<TeamId, TransferRow> transfers;
     };
     // What a team may use here.
     struct Allowance {
@@ -155,8 +155,8 @@
     [[nodiscard]] bool areWantsOutdated(const std::map<TeamId, Want>& desired) const;
     [[nodiscard]] Share groupOf(const TeamId&, const TeamUse&) const;
     [[nodiscard]] std::uint64_t nextSince(const TeamId&) const;
-    void addGifts(const TeamUses&, TimePoint now, Pending&, QuotaWrite&);
-    void addGiftsOf(const TeamId&, const TeamUse&, TimePoint now, Pending&, QuotaWrite&);
+    void addTransfers(const TeamUses&, TimePoint now, Pending&, QuotaWrite&);
+    void addTransfersOf(const TeamId&, const TeamUse&, TimePoint now, Pending&, QuotaWrite&);
     [[nodiscard]] TimePoint turnToGive(std::uint32_t to, const Share& need, TimePoint seenAt) const;
     [[nodiscard]] std::optional<Resources> limitInUse(const TeamId&) const;
     void wakeNoLaterThan(TimePoint);
@@ -177,7 +177,7 @@
     std::deque<std::pair<std::uint64_t, Limits>> m_tables;
     // Rows of all shards, this one's included, as the store last showed them.
     std::map<std::uint32_t, StoredHolder> m_holders;
-    std::map<TeamId, std::map<std::uint32_t, StoredGift>> m_gifts;
+    std::map<TeamId, std::map<std::uint32_t, StoredTransfer>> m_transfers;
     // This holder's row as the store has it, once it is claimed.
     std::optional<StoredHolder> m_own;
     // Version that the next write of the own row expects.
@@ -202,7 +202,7 @@
         TimePoint at;
     };
     std::map<std::pair<std::uint32_t, TeamId>, SeenWant> m_seenWants;
-    std::uint64_t m_giftsMade { 0 };
+    std::uint64_t m_transfersMade { 0 };
     mutable std::map<TeamId, Allowance> m_allowances;
 };
 
--- a/src/teams/quota_rows.cpp
+++ b/src/teams/quota_rows.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view holderPrefix = "holder/";
-constexpr std::string_view giftPrefix = "gift/";
+constexpr std::string_view transferPrefix = "transfer/";
 
 Json encode(const Resources& amounts)
 {
@@ -37,17 +37,17 @@
 
 std::string holderKey(std::uint32_t shard) { return std::string(holderPrefix) + std::to_string(shard); }
 
-std::string giftKey(std::uint32_t shard, const TeamId& team)
+std::string transferKey(std::uint32_t shard, const TeamId& team)
 {
-    return std::string(giftPrefix) + std::to_string(shard) + "/" + team.value();
+    return std::string(transferPrefix) + std::to_string(shard) + "/" + team.value();
 }
 
 std::optional<QuotaKey> parseQuotaKey(std::string_view key)
 {
     auto isHolder = key.starts_with(holderPrefix);
-    if (!isHolder && !key.starts_with(giftPrefix))
+    if (!isHolder && !key.starts_with(transferPrefix))
         return std::nullopt;
-    key.remove_prefix(isHolder ? holderPrefix.size() : giftPrefix.size());
+    key.remove_prefix(isHolder ? holderPrefix.size() : transferPrefix.size());
     QuotaKey parsed;
     auto [end, error] = std::from_chars(key.data(), key.data() + key.size(), parsed.shard);
     if (error != std::errc())
@@ -97,7 +97,7 @@
     }
 }
 
-std::string encodeGiftRow(const GiftRow& row)
+std::string encodeTransferRow(const TransferRow& row)
 {
     auto given = Json::array();
     for (const auto& [to, share] : row)
@@ -105,15 +105,15 @@
     return Json { { "given", std::move(given) } }.dump();
 }
 
-std::optional<GiftRow> decodeGiftRow(std::string_view text)
+std::optional<TransferRow> decodeTransferRow(std::string_view text)
 {
     auto json = Json::parse(text, nullptr, false);
     if (!json.is_object())
         return std::nullopt;
     try {
-        GiftRow row;
-        for (const auto& gift : json.at("given"))
-            row.emplace(gift.at(0).get<std::uint32_t>(), decode(gift.at(1)));
+        TransferRow row;
+        for (const auto& transfer : json.at("given"))
+            row.emplace(transfer.at(0).get<std::uint32_t>(), decode(transfer.at(1)));
         return row;
     } catch (const Json::exception&) {
         return std::nullopt;
--- a/src/teams/quota_rows.h
+++ b/src/teams/quota_rows.h
@@ -67,7 +67,7 @@
 
 // What a shard has given of one team's quota since the start, by receiving shard. The holder of the giving
 // shard writes it.
-using GiftRow = std::map<std::uint32_t, Share>;
+using TransferRow = std::map<std::uint32_t, Share>;
 
 struct QuotaKey {
     std::uint32_t shard { 0 };
@@ -76,13 +76,13 @@
 };
 
 [[nodiscard]] std::string holderKey(std::uint32_t shard);
-[[nodiscard]] std::string giftKey(std::uint32_t shard, const TeamId&);
+[[nodiscard]] std::string transferKey(std::uint32_t shard, const TeamId&);
 [[nodiscard]] std::optional<QuotaKey> parseQuotaKey(std::string_view);
 
 // The decoders return std::nullopt for a text that is not a complete row.
 [[nodiscard]] std::string encodeHolderRow(const HolderRow&);
 [[nodiscard]] std::optional<HolderRow> decodeHolderRow(std::string_view);
-[[nodiscard]] std::string encodeGiftRow(const GiftRow&);
-[[nodiscard]] std::optional<GiftRow> decodeGiftRow(std::string_view);
+[[nodiscard]] std::string encodeTransferRow(const TransferRow&);
+[[nodiscard]] std::optional<TransferRow> decodeTransferRow(std::string_view);
 
 } // namespace fulmar::teams
--- a/src/teams/tests/quota_ledger_test.cpp
+++ b/src/teams/tests/quota_ledger_test.cpp
@@ -87,16 +87,16 @@
 }
 
 // Guards against a share that is used and given at the same time: the answer is lost, the write is not.
-BOOST_AUTO_TEST_CASE(AGiftWithoutAnAnswerCountsAsGiven)
+BOOST_AUTO_TEST_CASE(ATransferWithoutAnAnswerCountsAsMade)
 {
     write(first, held(5'000, 3'000));
     now += 1s;
-    auto gift = second.propose(held(0, 0), now);
-    BOOST_REQUIRE(gift.has_value());
+    auto transfer = second.propose(held(0, 0), now);
+    BOOST_REQUIRE(transfer.has_value());
     BOOST_TEST(!mayUse(second, 3'000));
     second.onWritten(QuotaWriteOutcome::Unknown, 0, now);
     BOOST_TEST(!mayUse(second, 3'000));
-    perform(*gift);
+    perform(*transfer);
     read(second);
     read(first);
     BOOST_TEST(mayUse(first, 8'000));
